Add admission and routing: credits, slow start, forecasts, fair queue, router

Pure decision code with the clock passed in. One authority for each endpoint splits its limit into credits that end by the entry's own clock; entries start requests within credit and refuse at once what would wait too long.

--- /dev/null
+++ b/include/fescue/policy.h
@@ -0,0 +1,17 @@
+#pragma once
+
+// Admission and routing. Pure decision code: time and events are passed in, decisions come out.
+#include "fescue/policy/admissionqueue.h"
+#include "fescue/policy/credit.h"
+#include "fescue/policy/creditauthority.h"
+#include "fescue/policy/creditwallet.h"
+#include "fescue/policy/entryadmission.h"
+#include "fescue/policy/fairqueue.h"
+#include "fescue/policy/fwd.h"
+#include "fescue/policy/lengthforecast.h"
+#include "fescue/policy/policies.h"
+#include "fescue/policy/request.h"
+#include "fescue/policy/router.h"
+#include "fescue/policy/shares.h"
+#include "fescue/policy/slowstart.h"
+#include "fescue/policy/startrate.h"
--- /dev/null
+++ b/include/fescue/policy/credit.h
@@ -0,0 +1,70 @@
+#pragma once
+
+#include "fescue/core/clock.h"
+#include "fescue/core/ids.h"
+
+#include <cstdint>
+
+namespace fescue {
+
+// What an endpoint reports about its load. The figures are `age` old when received.
+struct LoadReport
+{
+    Incarnation incarnation;
+    std::uint32_t running = 0;
+    std::uint32_t waiting = 0;
+    // In tokens; 0 for plain services.
+    std::uint64_t memoryUsed = 0;
+    std::uint64_t memoryTotal = 0;
+    std::uint64_t preemptions = 0;
+    bool cold = false;
+    Millis firstToken {0};
+    std::uint64_t tokensTotal = 0;
+    Millis age {0};
+};
+
+// What one entry has running on one endpoint, and what it would start there if it could. Sent to
+// the endpoint's credit authority, which answers with a CreditGrant.
+struct EntryDemand
+{
+    EndpointName endpoint;
+    MemberName member;
+    // Authority and serial of the grant that the entry holds; 0 for none. Older grants are void at
+    // the entry. Demands of one entry must arrive in the order in which they were sent.
+    FencingNumber heldAuthority;
+    std::uint64_t heldSerial = 0;
+    std::uint32_t running = 0;
+    // Memory, in tokens, that the running requests are predicted to need.
+    std::uint64_t promisedTokens = 0;
+    std::uint32_t queuedWanted = 0;
+    // Memory, in tokens, without which the next queued request cannot start.
+    std::uint64_t minimumTokensWanted = 0;
+    // Calls that the endpoint has finished for this entry, ever.
+    std::uint64_t finishedTotal = 0;
+    // Greatest incarnation that the entry has seen; 0 where it has seen none.
+    Incarnation incarnation;
+    // By the entry's clock; echoed in the grant.
+    Millis sentAt {0};
+};
+
+// Right of one entry to keep requests running on one endpoint. It replaces all grants with lower
+// (authority, serial) for the same endpoint and member.
+struct CreditGrant
+{
+    EndpointName endpoint;
+    Incarnation incarnation;
+    MemberName member;
+    // Fencing number of the authority that grants.
+    FencingNumber authority;
+    std::uint64_t serial = 0;
+    std::uint32_t slots = 0;
+    std::uint64_t memoryTokens = 0;
+    // Share of the endpoint's slots in use by all entries, in percent.
+    std::uint32_t busyPercent = 0;
+    // Sending time of the demand that is answered, by the entry's clock. The grant ends at
+    // demandSentAt + term, so that a delay on the way shortens it.
+    Millis demandSentAt {0};
+    Millis term {0};
+};
+
+} // namespace fescue
--- /dev/null
+++ b/include/fescue/policy/fwd.h
@@ -0,0 +1,19 @@
+#pragma once
+
+namespace fescue {
+
+class CreditAuthority;
+class CreditWallet;
+class EntryAdmission;
+class FairQueue;
+class LengthForecast;
+class LengthHistogram;
+class SlowStart;
+class StartRate;
+struct Candidate;
+struct CreditGrant;
+struct EntryDemand;
+struct LoadReport;
+struct Request;
+
+} // namespace fescue
--- /dev/null
+++ b/include/fescue/policy/lengthforecast.h
@@ -0,0 +1,80 @@
+#pragma once
+
+#include "fescue/core/ids.h"
+
+#include <array>
+#include <cstddef>
+#include <cstdint>
+#include <list>
+#include <map>
+
+namespace fescue {
+
+// Distribution of output lengths in buckets whose width grows with the length. Old observations
+// lose weight as new ones come in.
+class LengthHistogram
+{
+public:
+    // Takes in the length, in tokens, of one finished output.
+    void observe(std::uint32_t tokens) noexcept;
+    // Sum of the weights of all observations.
+    [[nodiscard]] double weight() const noexcept { return m_total; }
+    // Returns the length that an output which already has `produced` tokens stays below with
+    // probability q. Returns `produced` where no longer output is remembered.
+    [[nodiscard]] std::uint32_t quantile(double q, std::uint32_t produced) const noexcept;
+    // Weight of the observations that were longer than `produced`.
+    [[nodiscard]] double weightAbove(std::uint32_t produced) const noexcept;
+
+private:
+    // Four buckets for each doubling, up to 2^17 tokens.
+    static constexpr std::size_t bucketsPerDoubling = 4;
+    static constexpr std::size_t bucketCount = 17 * bucketsPerDoubling;
+
+    [[nodiscard]] static std::size_t bucketOf(std::uint32_t tokens) noexcept;
+    [[nodiscard]] static double lowerEdge(std::size_t bucket) noexcept;
+    // Part of a bucket's weight that lies above a length.
+    [[nodiscard]] double bucketWeightAbove(std::size_t bucket, double length) const noexcept;
+
+    std::array<float, bucketCount> m_weights {};
+    double m_total = 0;
+    // Weight of the next observation; grows so that older ones count less.
+    double m_scale = 1;
+};
+
+// Forecasts the output length of requests from finished ones of the same account and service,
+// falling back to all of the service, and then to a default, where too few are known. Memory is
+// bounded: the pairs of account and service that were observed longest ago are forgotten.
+class LengthForecast
+{
+public:
+    explicit LengthForecast(std::size_t maxKeys = 1024) : m_maxKeys(maxKeys) { }
+
+    void observe(const AccountName &account, const ServiceName &service, std::uint32_t tokens);
+    // Returns the total output length, in tokens, that a request which has produced `produced`
+    // tokens stays below with probability q.
+    [[nodiscard]] std::uint32_t quantile(const AccountName &account, const ServiceName &service,
+                                         std::uint32_t produced, double q) const;
+    [[nodiscard]] std::size_t keyCount() const noexcept { return m_byKey.size(); }
+
+private:
+    struct Key
+    {
+        ServiceName service;
+        AccountName account; // empty: all accounts
+        auto operator<=>(const Key &) const = default;
+    };
+    struct Entry
+    {
+        LengthHistogram histogram;
+        std::list<Key>::iterator position;
+    };
+
+    void observeKey(const Key &key, std::uint32_t tokens);
+    [[nodiscard]] const LengthHistogram *find(const Key &key) const;
+
+    std::size_t m_maxKeys;
+    std::map<Key, Entry> m_byKey;
+    std::list<Key> m_order; // most recently observed first
+};
+
+} // namespace fescue
--- /dev/null
+++ b/include/fescue/policy/policies.h
@@ -0,0 +1,145 @@
+#pragma once
+
+#include "fescue/core/clock.h"
+#include "fescue/core/snapshot.h"
+#include "fescue/policy/lengthforecast.h"
+#include "fescue/policy/request.h"
+#include "fescue/policy/router.h"
+
+#include <concepts>
+#include <cstddef>
+#include <cstdint>
+#include <optional>
+#include <span>
+
+namespace fescue {
+
+// The rules by which one service admits and routes. The queue calls promise() for the memory, in
+// tokens, to reserve for a request that has produced `produced` tokens, choose() for an endpoint
+// among those that can take a request, queueLimit() for the longest wait, and usesCredit() for
+// whether starts are bounded by credit at all.
+template <typename T>
+concept AdmissionPolicy = requires(T policy, const T &constPolicy, const LengthForecast &forecast,
+                                   const Request &request, std::span<const Candidate> candidates)
+{
+    {
+        constPolicy.usesCredit()
+        } -> std::same_as<bool>;
+    {
+        constPolicy.promise(forecast, request, std::uint32_t {})
+        } -> std::same_as<std::uint64_t>;
+    {
+        constPolicy.queueLimit()
+        } -> std::same_as<Millis>;
+    {
+        policy.choose(request, candidates)
+        } -> std::same_as<std::optional<std::size_t>>;
+};
+
+// What the credit-based policies are tuned by.
+struct ProfileSettings
+{
+    // The promise covers the output length with this probability...
+    double promiseQuantile = 0.8;
+    // ...but looks no further ahead than this many tokens; 0 promises nothing beyond the present.
+    std::uint32_t horizonTokens = 2048;
+    Millis queueLimit = 30_s;
+    RouterSettings router;
+};
+
+// Defaults of the two profiles for a service.
+[[nodiscard]] ProfileSettings finishSettings(const Service &service);
+[[nodiscard]] ProfileSettings latencySettings(const Service &service);
+
+// Memory, in tokens, that a request is predicted to need within the horizon.
+[[nodiscard]] std::uint64_t predictedTokens(const ProfileSettings &settings,
+                                            const LengthForecast &forecast, const Request &request,
+                                            std::uint32_t produced);
+
+// Long generations must end: reserves far ahead, so that few are preempted, and lets others wait.
+class FinishPolicy
+{
+public:
+    explicit FinishPolicy(ProfileSettings settings) noexcept : m_settings(settings) { }
+    [[nodiscard]] bool usesCredit() const noexcept { return true; }
+    [[nodiscard]] std::uint64_t promise(const LengthForecast &forecast, const Request &request,
+                                        std::uint32_t produced) const
+    {
+        return predictedTokens(m_settings, forecast, request, produced);
+    }
+    [[nodiscard]] Millis queueLimit() const noexcept { return m_settings.queueLimit; }
+    [[nodiscard]] std::optional<std::size_t> choose(const Request &request,
+                                                    std::span<const Candidate> candidates) const
+    {
+        return chooseEndpoint(request, candidates, m_settings.router);
+    }
+
+private:
+    ProfileSettings m_settings;
+};
+
+// Late answers lose their value: short queue, early refusal, even load before cached prefixes.
+class LatencyPolicy
+{
+public:
+    explicit LatencyPolicy(ProfileSettings settings) noexcept : m_settings(settings) { }
+    [[nodiscard]] bool usesCredit() const noexcept { return true; }
+    [[nodiscard]] std::uint64_t promise(const LengthForecast &forecast, const Request &request,
+                                        std::uint32_t produced) const
+    {
+        return predictedTokens(m_settings, forecast, request, produced);
+    }
+    [[nodiscard]] Millis queueLimit() const noexcept { return m_settings.queueLimit; }
+    [[nodiscard]] std::optional<std::size_t> choose(const Request &request,
+                                                    std::span<const Candidate> candidates) const
+    {
+        return chooseEndpoint(request, candidates, m_settings.router);
+    }
+
+private:
+    ProfileSettings m_settings;
+};
+
+// Baseline: sends each request at once to the next endpoint in turn.
+class RoundRobinPolicy
+{
+public:
+    [[nodiscard]] bool usesCredit() const noexcept { return false; }
+    [[nodiscard]] std::uint64_t promise(const LengthForecast &, const Request &,
+                                        std::uint32_t) const noexcept
+    {
+        return 0;
+    }
+    [[nodiscard]] Millis queueLimit() const noexcept { return noDeadline; }
+    [[nodiscard]] std::optional<std::size_t> choose(const Request &request,
+                                                    std::span<const Candidate> candidates);
+
+private:
+    std::size_t m_next = 0;
+};
+
+// Baseline: sends each request at once to the endpoint on which this entry runs the fewest.
+class LeastInFlightPolicy
+{
+public:
+    [[nodiscard]] bool usesCredit() const noexcept { return false; }
+    [[nodiscard]] std::uint64_t promise(const LengthForecast &, const Request &,
+                                        std::uint32_t) const noexcept
+    {
+        return 0;
+    }
+    [[nodiscard]] Millis queueLimit() const noexcept { return noDeadline; }
+    [[nodiscard]] std::optional<std::size_t> choose(const Request &request,
+                                                    std::span<const Candidate> candidates);
+
+private:
+    // Breaks ties in turn.
+    std::size_t m_next = 0;
+};
+
+static_assert(AdmissionPolicy<FinishPolicy>);
+static_assert(AdmissionPolicy<LatencyPolicy>);
+static_assert(AdmissionPolicy<RoundRobinPolicy>);
+static_assert(AdmissionPolicy<LeastInFlightPolicy>);
+
+} // namespace fescue
--- /dev/null
+++ b/src/policy/slowstart.cpp
@@ -0,0 +1,84 @@
+#include "fescue/policy/slowstart.h"
+
+#include <algorithm>
+
+namespace fescue {
+
+namespace {
+
+// First tokens faster than this are never taken as a sign of a cold endpoint.
+constexpr Millis leastSlowFirstToken = 1500_ms;
+// Weight of the newest report in the usual time to first token is 1 / usualGainDivisor.
+constexpr std::int64_t usualGainDivisor = 16;
+
+} // namespace
+
+void SlowStart::reset() noexcept
+{
+    m_gained = 0;
+    m_calls = 0;
+    m_hasBase = false;
+    m_usualFirstToken = {0};
+}
+
+void SlowStart::setLimits(std::uint32_t coldSlots, std::uint32_t fullSlots) noexcept
+{
+    const bool wasWarm = isWarm();
+    m_settings.coldSlots = coldSlots;
+    m_settings.fullSlots = fullSlots;
+    if (wasWarm)
+        m_gained = std::max<std::uint64_t>(m_gained, fullSlots);
+}
+
+bool SlowStart::observeIncarnation(Incarnation incarnation) noexcept
+{
+    if (incarnation <= m_incarnation)
+        return false;
+    m_incarnation = incarnation;
+    m_reportedCold = false;
+    reset();
+    return true;
+}
+
+bool SlowStart::observeReport(const LoadReport &report) noexcept
+{
+    if (report.incarnation < m_incarnation)
+        return false;
+    bool wasReset = observeIncarnation(report.incarnation);
+    const bool turnedCold = report.cold && !m_reportedCold && isWarm();
+    m_reportedCold = report.cold;
+    if (turnedCold || isSlow(report)) {
+        reset();
+        wasReset = true;
+    }
+    if (!m_hasBase) {
+        m_hasBase = true;
+        m_baseTokens = report.tokensTotal;
+    }
+    if (report.tokensTotal > m_baseTokens)
+        m_gained =
+            std::max(m_gained, (report.tokensTotal - m_baseTokens) / m_settings.tokensPerSlot);
+    if (isWarm() && !report.cold)
+        m_usualFirstToken += (report.firstToken - m_usualFirstToken) / usualGainDivisor;
+    return wasReset;
+}
+
+void SlowStart::callsFinished(std::uint64_t n) noexcept
+{
+    m_calls += n;
+    m_gained = std::max(m_gained, m_calls / m_settings.callsPerSlot);
+}
+
+std::uint32_t SlowStart::limit() const noexcept
+{
+    const std::uint64_t grown = m_settings.coldSlots + m_gained;
+    return static_cast<std::uint32_t>(std::min<std::uint64_t>(grown, m_settings.fullSlots));
+}
+
+bool SlowStart::isSlow(const LoadReport &report) const noexcept
+{
+    return isWarm() && m_usualFirstToken > Millis {0} && report.firstToken > leastSlowFirstToken
+        && report.firstToken > m_usualFirstToken * m_settings.slowFirstTokenFactor;
+}
+
+} // namespace fescue
