--- /dev/null
+++ b/include/fescue/observe/log.h
@@ -0,0 +1,55 @@
+#pragma once
+
+#include "fescue/core/result.h"
+
+#include <concepts>
+#include <cstdint>
+#include <initializer_list>
+#include <string>
+#include <string_view>
+
+namespace fescue::observe {
+
+enum class LogLevel : std::uint8_t
+{
+    Debug,
+    Info,
+    Warning,
+    Error,
+    // Nothing is written.
+    Off,
+};
+
+// Reads "debug", "info", "warning", "error" or "off".
+[[nodiscard]] Result<LogLevel> parseLogLevel(std::string_view text);
+[[nodiscard]] std::string_view toString(LogLevel level) noexcept;
+
+// One key and value of a log line.
+struct Field
+{
+    Field(std::string_view fieldKey, std::string_view fieldValue) : key(fieldKey), value(fieldValue)
+    { }
+    template <std::integral T>
+    Field(std::string_view fieldKey, T number) : key(fieldKey), value(std::to_string(number))
+    { }
+
+    std::string key;
+    std::string value;
+};
+
+// Directs log lines of this process to standard error. Called once, before the first thread
+// starts; until then nothing is written.
+void initLog(std::string_view process, LogLevel level);
+
+// Writes a line "ts=… level=… process=… event=… key=value…" about a change of state. Events that
+// recur with every request belong into a counter. May be called from any thread.
+void logChange(LogLevel level, std::string_view event, std::initializer_list<Field> fields = {});
+
+// The same at level Info.
+void logChange(std::string_view event, std::initializer_list<Field> fields = {});
+
+// Returns the part "event=… key=value…". Values with spaces, quotes or control characters are
+// quoted, so that a line stays a line.
+[[nodiscard]] std::string formatFields(std::string_view event, std::initializer_list<Field> fields);
+
+} // namespace fescue::observe
--- /dev/null
+++ b/src/observe/log.cpp
@@ -0,0 +1,153 @@
+#include "fescue/observe/log.h"
+
+#include <atomic>
+#include <boost/log/core.hpp>
+#include <boost/log/sinks/sync_frontend.hpp>
+#include <boost/log/sinks/text_ostream_backend.hpp>
+#include <boost/log/sources/logger.hpp>
+#include <boost/log/sources/record_ostream.hpp>
+#include <boost/shared_ptr.hpp>
+#include <boost/smart_ptr/make_shared.hpp>
+#include <chrono>
+#include <cstdio>
+#include <ctime>
+#include <iostream>
+
+namespace fescue::observe {
+
+namespace {
+
+using Backend = boost::log::sinks::text_ostream_backend;
+using Sink = boost::log::sinks::synchronous_sink<Backend>;
+
+struct LogState
+{
+    std::string process;
+    std::atomic<LogLevel> level {LogLevel::Off};
+};
+
+LogState &state()
+{
+    static LogState instance;
+    return instance;
+}
+
+// Returns the time of the wall clock as in 2026-01-31T12:00:00.123Z.
+std::string timestamp()
+{
+    const std::int64_t millis = std::chrono::duration_cast<std::chrono::milliseconds>(
+                                    std::chrono::system_clock::now().time_since_epoch())
+                                    .count();
+    const std::time_t seconds = static_cast<std::time_t>(millis / 1000);
+    std::tm parts = {};
+    gmtime_r(&seconds, &parts);
+    char buf[40] = {};
+    std::strftime(buf, sizeof buf, "%Y-%m-%dT%H:%M:%S", &parts);
+    char fraction[8] = {};
+    std::snprintf(fraction, sizeof fraction, ".%03dZ", static_cast<int>(millis % 1000));
+    return std::string(buf) + fraction;
+}
+
+bool needsQuotes(std::string_view value) noexcept
+{
+    if (value.empty())
+        return true;
+    for (const char c : value) {
+        if (static_cast<unsigned char>(c) <= ' ' || c == '"' || c == '=' || c == '\\' || c == 0x7f)
+            return true;
+    }
+    return false;
+}
+
+void appendQuoted(std::string &line, std::string_view value)
+{
+    line += '"';
+    for (const char c : value) {
+        if (c == '"' || c == '\\')
+            line += '\\';
+        const bool control = static_cast<unsigned char>(c) < ' ' || c == 0x7f;
+        line += control ? '?' : c;
+    }
+    line += '"';
+}
+
+void appendField(std::string &line, std::string_view key, std::string_view value)
+{
+    line += key;
+    line += '=';
+    if (needsQuotes(value))
+        appendQuoted(line, value);
+    else
+        line += value;
+}
+
+} // namespace
+
+Result<LogLevel> parseLogLevel(std::string_view text)
+{
+    for (const LogLevel level :
+         {LogLevel::Debug, LogLevel::Info, LogLevel::Warning, LogLevel::Error, LogLevel::Off}) {
+        if (toString(level) == text)
+            return level;
+    }
+    return fail(ResultCode::SettingsInvalid,
+                "unknown log level \"" + std::string(text)
+                    + "\"; use debug, info, warning, error or off");
+}
+
+std::string_view toString(LogLevel level) noexcept
+{
+    switch (level) {
+    case LogLevel::Debug:
+        return "debug";
+    case LogLevel::Info:
+        return "info";
+    case LogLevel::Warning:
+        return "warning";
+    case LogLevel::Error:
+        return "error";
+    case LogLevel::Off:
+        return "off";
+    }
+    return "off";
+}
+
+void initLog(std::string_view process, LogLevel level)
+{
+    state().process = process;
+    state().level = level;
+    const boost::shared_ptr<Backend> backend = boost::make_shared<Backend>();
+    backend->add_stream(boost::shared_ptr<std::ostream>(&std::clog, [](std::ostream *) {}));
+    backend->auto_flush(true);
+    boost::log::core::get()->remove_all_sinks();
+    boost::log::core::get()->add_sink(boost::make_shared<Sink>(backend));
+}
+
+std::string formatFields(std::string_view event, std::initializer_list<Field> fields)
+{
+    std::string line;
+    appendField(line, "event", event);
+    for (const Field &field : fields) {
+        line += ' ';
+        appendField(line, field.key, field.value);
+    }
+    return line;
+}
+
+void logChange(LogLevel level, std::string_view event, std::initializer_list<Field> fields)
+{
+    if (level == LogLevel::Off || level < state().level.load(std::memory_order_relaxed))
+        return;
+    std::string line = "ts=" + timestamp() + " level=" + std::string(toString(level)) + ' ';
+    appendField(line, "process", state().process);
+    line += ' ' + formatFields(event, fields);
+    boost::log::sources::logger_mt logger;
+    BOOST_LOG(logger) << line;
+}
+
+void logChange(std::string_view event, std::initializer_list<Field> fields)
+{
+    logChange(LogLevel::Info, event, fields);
+}
+
+} // namespace fescue::observe
