--- /dev/null
+++ b/include/fescue/net/httpserver.h
@@ -0,0 +1,93 @@
+#pragma once
+
+#include "fescue/net/endpointaddress.h"
+#include "fescue/net/httptypes.h"
+#include "fescue/net/workerpool.h"
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <span>
+#include <string_view>
+
+namespace fescue::net {
+
+class ServerConnection;
+
+struct ServerLimits
+{
+    std::uint32_t maxHeadBytes = 16 * 1024;
+    std::uint64_t maxBodyBytes = 4 * 1024 * 1024;
+    std::size_t maxConnections = 20000;
+    // Longest time without a request on a kept connection.
+    Millis idleTimeout = 60_s;
+    // Longest time from the first byte of a request to its last.
+    Millis headTimeout = 10_s;
+    // Longest time that one write may wait for the peer to take the bytes.
+    Millis writeTimeout = 10_s;
+};
+
+// Writes the answer to one request. Used by fibers of the connection's worker only.
+class ResponseWriter
+{
+public:
+    explicit ResponseWriter(ServerConnection &connection) noexcept : m_connection(&connection) { }
+
+    // Sends a whole answer. Errors: LinkClosed, LinkSilent after the write timeout.
+    Result<void> send(const HttpResponse &response);
+    // Starts an answer of unknown length; chunked for HTTP/1.1, ended by close for HTTP/1.0.
+    Result<void> startStream(int status, std::span<const Header> headers);
+    // Sends data as one chunk; waits until the kernel has taken all of it, for at most the write
+    // timeout. After an error the connection is closed when the handler returns.
+    Result<void> write(std::string_view data);
+    // Ends a stream.
+    Result<void> finish();
+    // Ends the answer and makes the server close the connection without an end mark, so that the
+    // peer sees a cut stream.
+    void abort() noexcept;
+    // True where the peer has closed its end. Does not wait.
+    [[nodiscard]] bool callerGone();
+    // True once any byte of an answer may have been sent.
+    [[nodiscard]] bool started() const noexcept;
+    // Where the caller connected from.
+    [[nodiscard]] Address remoteAddress() const;
+
+private:
+    ServerConnection *m_connection;
+};
+
+// An HTTP/1.1 server. The first worker accepts and hands the connections to all workers in turn;
+// each connection has one fiber, which runs the handler for one request after the other.
+//
+// A malformed request is answered with 400, a head over its limit with 431, a body over its limit
+// with 413, each as problem details, and the connection is closed.
+class HttpServer
+{
+public:
+    using Handler = std::function<void(const HttpRequest &, ResponseWriter &)>;
+
+    HttpServer(WorkerPool &pool, const Address &listen, ServerLimits limits, Handler handler);
+    // Stops accepting and closes all connections. The handler may still run until its next wait;
+    // what it refers to must live until the pool has joined.
+    ~HttpServer();
+    HttpServer(const HttpServer &) = delete;
+    HttpServer &operator=(const HttpServer &) = delete;
+
+    // Listens. Errors: AddressInUse, SettingsInvalid.
+    [[nodiscard]] Result<void> start();
+    // The address with the port that the kernel chose.
+    [[nodiscard]] Address address() const;
+    // Closes the listening socket; open connections go on, and are closed after their next answer.
+    void stopAccepting();
+    // Closes every connection at once.
+    void closeConnections();
+    [[nodiscard]] std::size_t openConnections() const noexcept;
+    // Requests whose handler has not returned.
+    [[nodiscard]] std::size_t activeRequests() const noexcept;
+
+private:
+    struct Shared;
+    std::shared_ptr<Shared> m_shared;
+};
+
+} // namespace fescue::net
