--- a/include/fescue/core/claim.h
+++ b/include/fescue/core/claim.h
@@ -101,6 +101,8 @@
 
 using Action = std::variant<CreateClaim, ReplaceClaim, ReadClaim, Dispatch, KeepOutcome,
                             AnswerCaller, RefuseCaller>;
+
+// Actions of one list do not depend on each other and may be carried out at the same time.
 using Actions = boost::container::static_vector<Action, 2>;
 
 } // namespace claim
--- a/include/fescue/core/claimrecord.h
+++ b/include/fescue/core/claimrecord.h
@@ -51,8 +51,8 @@
 struct ClaimRecord
 {
     // Longest body of an answer that is kept, in bytes. Values of the store are limited to 1 MB,
-    // and a byte of the body takes up to six bytes of the record.
-    static constexpr std::size_t maxKeptBody = 128 * 1024;
+    // and a control character of the body takes seven bytes of the value.
+    static constexpr std::size_t maxKeptBody = std::size_t {128} * 1024;
 
     // Tells the writes of one claim from those of another, to resolve a lost answer.
     std::string nonce;
--- a/include/fescue/core/directory.h
+++ b/include/fescue/core/directory.h
@@ -29,7 +29,7 @@
 };
 
 // Most addresses that one answer holds.
-constexpr std::size_t maxDirectoryEntries = 4;
+inline constexpr std::size_t maxDirectoryEntries = 4;
 
 // Returns the entries that a caller should connect to, best first. Callers of one account and
 // service meet at the same entry while it lives; the second address lies in another zone where one
--- a/include/fescue/core/drain.h
+++ b/include/fescue/core/drain.h
@@ -4,6 +4,7 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <optional>
 
 namespace fescue {
 
@@ -30,17 +31,29 @@
     Exit,
 };
 
+struct DrainLimits
+{
+    // Time in which every other member learns of a change of the membership.
+    Millis spreadTime = 3_s;
+    // Longest time to wait for the confirmation that this member is marked as leaving.
+    Millis confirmLimit = 5_s;
+};
+
 // The graceful shutdown of one process. It ends no request: it waits until every caller has had
 // time to ask the directory again, and then until everything that is open has ended.
 class DrainMachine
 {
 public:
     // `directoryTtl` is the longest time for which callers keep a directory answer.
-    explicit DrainMachine(Millis directoryTtl) noexcept : m_directoryTtl(directoryTtl) { }
+    explicit DrainMachine(Millis directoryTtl, DrainLimits limits = {}) noexcept;
 
     // Handles a request to stop, such as SIGTERM. A repeated one asks what is open.
     [[nodiscard]] DrainStep stop(Millis now) noexcept;
 
+    // Records that the store or the peers know that this member leaves. Until then, directories may
+    // still name it.
+    void withdrawalConfirmed(Millis now) noexcept;
+
     // Advances the shutdown. `open` counts requests, streams and outcomes still to be written.
     [[nodiscard]] DrainStep tick(Millis now, std::size_t open) noexcept;
 
@@ -54,8 +67,10 @@
 
 private:
     Millis m_directoryTtl;
+    DrainLimits m_limits;
     DrainPhase m_phase = DrainPhase::Serving;
-    Millis m_withdrawnAt {0};
+    Millis m_stoppedAt {0};
+    std::optional<Millis> m_confirmedAt;
 };
 
 } // namespace fescue
--- a/include/fescue/core/neighbours.h
+++ b/include/fescue/core/neighbours.h
@@ -9,7 +9,7 @@
 namespace fescue {
 
 // Peers that a member keeps links to.
-constexpr std::size_t defaultNeighbourCount = 4;
+inline constexpr std::size_t defaultNeighbourCount = 4;
 
 // Returns the members that `self` opens links to: at most `count`, so that the periodic traffic of
 // all members together grows linearly with their number. All members form a ring; half of the
--- a/src/core/generation.cpp
+++ b/src/core/generation.cpp
@@ -77,8 +77,7 @@
         return {};
     m_budget = &budget;
     m_uniform = uniform;
-    const Actions actions =
-        std::visit([this, now](const auto &e) { return handle(now, e); }, event);
+    Actions actions = std::visit([this, now](const auto &e) { return handle(now, e); }, event);
     m_budget = nullptr;
     return actions;
 }
@@ -153,7 +152,9 @@
     const Millis delay = m_backoff.next(m_uniform);
     if (!m_deadline.allows(now, delay))
         return failFinal(code, callerDelay);
-    if (m_budget == nullptr || !m_budget->tryTake(now))
+    if (m_budget == nullptr)
+        return failFinal(code, callerDelay);
+    if (!m_budget->tryTake(now))
         return failFinal(ResultCode::RetryBudgetSpent, callerDelay);
     ++m_freshStarts;
     m_sequencer.reset();
