--- a/include/fescue/core/claim.h
+++ b/include/fescue/core/claim.h
@@ -129,7 +129,8 @@
 // The claim in the store comes before the first byte to the service, and only the writer of a
 // claim dispatches. A claim is never taken over because time has passed or its holder is gone: its
 // holder may have dispatched. So the call runs at most once however long a holder is paused. A
-// refusal says NotRun only where nothing was sent.
+// refusal says NotRun only where nothing was sent. It speaks of this call alone: while the store is
+// out, nothing is known about earlier calls with the same key.
 class ClaimMachine
 {
 public:
