--- a/include/fescue/core/configfollower.h
+++ b/include/fescue/core/configfollower.h
@@ -44,7 +44,7 @@
 {
     // Time to wait for the answer to a fetch before another source is tried.
     Millis fetchTimeout = 500_ms;
-    // At boot without the store: time to wait for further peers after the first has answered.
+    // At boot: time to wait for peers.
     Millis bootWait = 1_s;
 };
 
@@ -72,8 +72,8 @@
     void fetchFailed() noexcept;
 
     // True once the newest version that was known of at boot is in force, and enough was asked to
-    // know: the store, or while it is down a majority of the expected peers, or those that answered
-    // in time. Without the store and peers a process never becomes ready.
+    // know: a majority of the expected peers, or those that answered in time. Without the store and
+    // peers a process never becomes ready. Call it often from the start on.
     [[nodiscard]] bool ready(Millis now, std::size_t expectedPeers);
 
     [[nodiscard]] ConfigVersion inForce() const noexcept { return m_inForce; }
@@ -93,6 +93,7 @@
     bool m_storeAnswered = false;
     // Peers that have answered before this process became ready.
     std::set<MemberName> m_peersAnswered;
+    std::optional<Millis> m_startedAt;
     std::optional<Millis> m_firstPeerAt;
     std::optional<Millis> m_fetchStartedAt;
     ConfigSource m_nextSource = ConfigSource::Peer;
--- a/src/core/configfollower.cpp
+++ b/src/core/configfollower.cpp
@@ -73,11 +73,15 @@
 {
     if (m_ready)
         return true;
+    if (!m_startedAt)
+        m_startedAt = now;
     if (m_inForce.value == 0 || m_inForce < m_newestKnown)
         return false;
-    const bool majority = m_peersAnswered.size() * 2 > expectedPeers && !m_peersAnswered.empty();
-    const bool waited = m_firstPeerAt && now - *m_firstPeerAt >= m_limits.bootWait;
-    m_ready = m_storeAnswered || majority || waited;
+    // The store alone is not enough, since it may have come back with an older value.
+    const bool majority = m_peersAnswered.size() * 2 > expectedPeers || expectedPeers == 0;
+    const std::optional<Millis> waitsSince = m_storeAnswered ? m_startedAt : m_firstPeerAt;
+    const bool waited = waitsSince && now - *waitsSince >= m_limits.bootWait;
+    m_ready = (majority && (m_storeAnswered || m_firstPeerAt)) || waited;
     if (m_ready)
         m_peersAnswered.clear();
     return m_ready;
