--- a/include/fescue/gateway/problem.h
+++ b/include/fescue/gateway/problem.h
@@ -4,32 +4,26 @@
 #include "fescue/core/result.h"
 #include "fescue/net/httptypes.h"
 
-#include <optional>
 #include <string>
+#include <string_view>
 
 namespace fescue::gateway {
 
-// Final answer to a request that did not succeed, in the shape of RFC 9457.
-struct Problem
-{
-    ResultCode code = ResultCode::Internal;
-    RunState run = RunState::NotRun;
-    // One sentence on what happened and what the caller can do.
-    std::string detail;
-    // When a new try is worth making; absent where no later try can help.
-    std::optional<Millis> retryAfter = std::nullopt;
-};
-
 // HTTP status that belongs to a result code; docs/ERRORS.md lists the same numbers.
 [[nodiscard]] int httpStatus(ResultCode code) noexcept;
 
-// The JSON object of a problem: type, title, status, detail, code, run and retry_after_ms.
-[[nodiscard]] std::string toJson(const Problem &problem);
+// Makes a problem that no later try can cure.
+[[nodiscard]] net::Problem makeProblem(ResultCode code, RunState run, std::string detail);
+
+// Makes a problem with the time after which another try is worth making. A time of zero means
+// that no later try helps.
+[[nodiscard]] net::Problem makeProblem(ResultCode code, RunState run, std::string detail,
+                                       Millis retryAfter);
 
-// The whole answer, with Retry-After in seconds, rounded up, where a later try may help.
-[[nodiscard]] net::HttpResponse toResponse(const Problem &problem);
+// One sentence for callers on what a code means.
+[[nodiscard]] std::string_view describe(ResultCode code) noexcept;
 
 // The problem as a server-sent event, for a stream whose head has already been sent.
-[[nodiscard]] std::string toEvent(const Problem &problem);
+[[nodiscard]] std::string toEvent(const net::Problem &problem);
 
 } // namespace fescue::gateway
--- a/src/gateway/problem.cpp
+++ b/src/gateway/problem.cpp
@@ -1,6 +1,6 @@
 #include "fescue/gateway/problem.h"
 
-#include <nlohmann/json.hpp>
+#include <utility>
 
 namespace fescue::gateway {
 
@@ -55,38 +55,73 @@
     }
 }
 
-std::string toJson(const Problem &problem)
+net::Problem makeProblem(ResultCode code, RunState run, std::string detail)
 {
-    const std::string name {toString(problem.code)};
-    nlohmann::json json = {
-            {"type", "urn:fescueworks:" + name},
-            {"title", name},
-            {"status", httpStatus(problem.code)},
-            {"detail", problem.detail},
-            {"code", static_cast<unsigned>(problem.code)},
-            {"run", toString(problem.run)},
-    };
-    if (problem.retryAfter)
-        json["retry_after_ms"] = problem.retryAfter->count;
-    return json.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
+    net::Problem problem;
+    problem.status = httpStatus(code);
+    problem.code = code;
+    problem.run = run;
+    problem.detail = std::move(detail);
+    return problem;
 }
 
-net::HttpResponse toResponse(const Problem &problem)
+net::Problem makeProblem(ResultCode code, RunState run, std::string detail, Millis retryAfter)
 {
-    net::HttpResponse response;
-    response.status = httpStatus(problem.code);
-    response.headers.push_back({"Content-Type", "application/problem+json"});
-    if (problem.retryAfter) {
-        const std::int64_t seconds = (problem.retryAfter->count + 999) / 1000;
-        response.headers.push_back({"Retry-After", std::to_string(seconds)});
+    net::Problem problem = makeProblem(code, run, std::move(detail));
+    if (retryAfter > Millis {0})
+        problem.retryAfter = retryAfter;
+    return problem;
+}
+
+std::string_view describe(ResultCode code) noexcept
+{
+    switch (code) {
+    case ResultCode::NoCapacity:
+        return "no endpoint of the service has room for the request";
+    case ResultCode::DeadlineUnreachable:
+        return "the request would not be answered before its deadline";
+    case ResultCode::RetryBudgetSpent:
+        return "the endpoint failed, and too many requests are being retried already";
+    case ResultCode::NoEndpoint:
+        return "no endpoint of the service is in service";
+    case ResultCode::ViewOutdated:
+        return "this entry cannot confirm that its configuration is current; use another address";
+    case ResultCode::StoreUnavailable:
+        return "the call may not be repeated, and its claim could not be recorded";
+    case ResultCode::BackEndRefused:
+        return "the endpoint refused the request";
+    case ResultCode::BackEndLost:
+        return "the endpoint was lost";
+    case ResultCode::GenerationLost:
+        return "the engine no longer has the generation; ask for a new one";
+    case ResultCode::BackEndTimeout:
+        return "the endpoint did not answer in time";
+    case ResultCode::OutcomeUnknown:
+        return "the call was sent, and whether it took effect is not known; do not repeat it "
+               "under another key before checking";
+    case ResultCode::BackEndProtocol:
+        return "the endpoint's answer violates its protocol";
+    case ResultCode::Cancelled:
+        return "the request was cancelled";
+    case ResultCode::ClaimInProgress:
+        return "a call with this idempotency key is in progress";
+    case ResultCode::ClaimOutcomeUnknown:
+        return "an earlier call with this idempotency key may have taken effect; its outcome is "
+               "not known";
+    case ResultCode::ClaimExpired:
+        return "the deadline passed before the call was sent";
+    case ResultCode::KeyReusedForOtherRequest:
+        return "the idempotency key belongs to a different request; use a new key";
+    case ResultCode::UnknownService:
+        return "the configuration does not name the service";
+    default:
+        return toString(code);
     }
-    response.body = toJson(problem);
-    return response;
 }
 
-std::string toEvent(const Problem &problem)
+std::string toEvent(const net::Problem &problem)
 {
-    return "event: error\ndata: " + toJson(problem) + "\n\n";
+    return "event: error\ndata: " + net::problemJson(problem) + "\n\n";
 }
 
 } // namespace fescue::gateway
--- /dev/null
+++ b/src/programs/entry/entrydaemon.h
@@ -0,0 +1,70 @@
+#pragma once
+
+#include "fescue/config/settings.h"
+#include "fescue/gateway/gateway.h"
+#include "fescue/net/httpserver.h"
+#include "fescue/net/workerpool.h"
+#include "fescue/node/creditclient.h"
+#include "fescue/node/nodecontrol.h"
+#include "fescue/observe/metrics.h"
+#include "fescue/observe/timeline.h"
+
+#include <atomic>
+#include <cstddef>
+#include <memory>
+#include <string>
+
+namespace fescue::entry {
+
+// One entry daemon: the callers' interface over the control part that both daemons share.
+class EntryDaemon
+{
+public:
+    explicit EntryDaemon(const DaemonSettings &settings);
+    ~EntryDaemon();
+    EntryDaemon(const EntryDaemon &) = delete;
+    EntryDaemon &operator=(const EntryDaemon &) = delete;
+
+    // Listens and starts. Errors: AddressInUse, SettingsInvalid.
+    [[nodiscard]] Result<void> start();
+
+    // Leaves the directory; requests are still served.
+    void leaveDirectory();
+    // Refuses new requests from now on; open ones go on.
+    void refuseNew();
+    // Requests and outcomes that are not finished.
+    [[nodiscard]] std::size_t open() const noexcept;
+    [[nodiscard]] Millis directoryTtl() const;
+
+    [[nodiscard]] net::Address callerAddress() const;
+    [[nodiscard]] std::string peerAddress() const;
+
+private:
+    void takeView(const node::NodeViewPtr &view);
+    void pumpAdmission();
+    [[nodiscard]] std::string status() const;
+    [[nodiscard]] node::NodeOptions nodeOptions() const;
+
+    DaemonSettings m_settings;
+    Incarnation m_incarnation;
+    observe::Timeline m_timeline;
+    observe::Metrics m_metrics;
+    net::WorkerPool m_pool;
+    net::HttpClient m_client;
+    net::CallCounter m_claimCalls;
+    net::StoreClient m_claims;
+    gateway::GatewayViews m_views;
+    gateway::AdmissionGate m_admission;
+    gateway::RetryBudgets m_budgets;
+    gateway::AccountStreams m_streams;
+    gateway::GatewayParts m_parts;
+    gateway::Intake m_intake;
+    gateway::Gateway m_gateway;
+    std::unique_ptr<net::HttpServer> m_server;
+    std::unique_ptr<node::NodeControl> m_node;
+    std::unique_ptr<node::CreditClient> m_credits;
+    // Set once m_node may be used by requests.
+    std::atomic<node::NodeControl *> m_statusSource {nullptr};
+};
+
+} // namespace fescue::entry
