Add the network library: workers, HTTP server and client, store and VM list clients

Each worker thread runs one io_context and its fibers in turn; a fiber that waits for a socket is made ready by the completion handler on the same thread. Deadlines are kept in one table per worker, without a timer object per wait.

--- a/include/fescue/net/httptypes.h
+++ b/include/fescue/net/httptypes.h
@@ -33,6 +33,9 @@
     // Client only: the request may be sent a second time when a reused connection turns out to be
     // closed before any byte of the answer.
     bool mayResend = false;
+    // Client only: use a new connection, so that a failure cannot come from one that the peer was
+    // closing while it was idle. For requests that must not be repeated.
+    bool freshConnection = false;
 
     [[nodiscard]] std::string_view header(std::string_view name) const noexcept;
     // Returns the decoded value of a query parameter.
@@ -50,6 +53,10 @@
 
 // Encodes text for use as the value of a query parameter.
 [[nodiscard]] std::string encodeQueryValue(std::string_view text);
+// Encodes text for use as a path; '/' stays.
+[[nodiscard]] std::string encodePath(std::string_view text);
+// Replaces each %XX by the byte that it stands for; other text stays.
+[[nodiscard]] std::string decodePercent(std::string_view text);
 
 // What a refusal tells the caller, as problem details of RFC 9457.
 struct Problem
--- /dev/null
+++ b/src/net/clientconnection.h
@@ -0,0 +1,97 @@
+#pragma once
+
+#include "fescue/net/httpclient.h"
+#include "net/tcpsocket.h"
+
+#include <map>
+#include <mutex>
+#include <optional>
+#include <utility>
+
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/http/buffer_body.hpp>
+#include <boost/beast/http/parser.hpp>
+
+namespace fescue::net {
+
+// One connection to a server, with the answer that is being read from it.
+class ClientConnection
+{
+public:
+    ClientConnection(boost::asio::io_context &context, Address address,
+                     std::shared_ptr<HttpClient::Shared> pool)
+        : m_context(&context), m_socket(context), m_address(std::move(address)),
+          m_pool(std::move(pool))
+    { }
+
+    [[nodiscard]] Result<void> connect(Millis deadline);
+    [[nodiscard]] Result<void> sendRequest(const HttpRequest &request, Millis deadline);
+    // Reads up to the end of the head. Answers bodies longer than the limit with BackEndProtocol.
+    [[nodiscard]] Result<void> readHead(std::uint32_t maxHeadBytes,
+                                        std::optional<std::uint64_t> maxBodyBytes, Millis deadline);
+    // Returns 0 at the end of the body.
+    [[nodiscard]] Result<std::size_t> readBody(std::span<char> buf, Millis deadline);
+    void close() noexcept { m_socket.close(); }
+
+    // True where an idle connection can be used again.
+    [[nodiscard]] bool isReusable(Millis maxIdleTime);
+    // True where the answer is complete and the server keeps the connection open.
+    [[nodiscard]] bool isIdle() const;
+    void markIdle();
+    // True where a byte of the answer has arrived.
+    [[nodiscard]] bool answered() const noexcept { return m_answered; }
+
+    [[nodiscard]] boost::asio::io_context &context() const noexcept { return *m_context; }
+    [[nodiscard]] const Address &address() const noexcept { return m_address; }
+    [[nodiscard]] int status() const noexcept { return m_status; }
+    [[nodiscard]] const std::vector<Header> &headers() const noexcept { return m_headers; }
+    [[nodiscard]] std::vector<Header> releaseHeaders() noexcept { return std::move(m_headers); }
+    [[nodiscard]] const std::shared_ptr<HttpClient::Shared> &pool() const noexcept
+    {
+        return m_pool;
+    }
+
+private:
+    using Parser = boost::beast::http::response_parser<boost::beast::http::buffer_body>;
+
+    [[nodiscard]] Result<void> readMore(Millis deadline, ResultCode timeoutCode);
+    [[nodiscard]] Result<std::size_t> parseBody(std::span<char> buf);
+    [[nodiscard]] tl::unexpected<Error> failure(ResultCode code, std::string_view what) const;
+
+    boost::asio::io_context *m_context;
+    TcpSocket m_socket;
+    Address m_address;
+    std::shared_ptr<HttpClient::Shared> m_pool;
+    boost::beast::flat_buffer m_buffer;
+    std::optional<Parser> m_parser;
+    std::vector<Header> m_headers;
+    int m_status = 0;
+    bool m_answered = false;
+    // Set where the last call of the parser took nothing and needs more input.
+    bool m_needsInput = false;
+    Millis m_idleSince {0};
+};
+
+// Idle connections of a client.
+struct HttpClient::Shared
+{
+    using Key = std::pair<boost::asio::io_context *, Address>;
+    using Connections = std::vector<std::unique_ptr<ClientConnection>>;
+
+    explicit Shared(const ClientLimits &clientLimits) : limits(clientLimits) { }
+
+    // Returns the connection that was used last and is still usable, or null.
+    [[nodiscard]] std::unique_ptr<ClientConnection> take(const Address &address);
+    // Keeps the connection where it can be used again, else closes it.
+    void giveBack(std::unique_ptr<ClientConnection> connection);
+    void drop(const Address &address);
+    // Closes all idle connections and keeps no more.
+    void close();
+
+    const ClientLimits limits;
+    std::mutex mutex;
+    std::map<Key, Connections> idle;
+    bool closed = false;
+};
+
+} // namespace fescue::net
--- /dev/null
+++ b/src/net/httpserver.cpp
@@ -0,0 +1,267 @@
+#include "fescue/net/httpserver.h"
+
+#include "net/serverconnection.h"
+
+#include <atomic>
+#include <cstdio>
+#include <unordered_set>
+#include <vector>
+
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/post.hpp>
+
+namespace fescue::net {
+
+namespace asio = boost::asio;
+using asio::ip::tcp;
+
+namespace {
+
+// Pause after accepting failed, for example because the process has no free descriptors.
+constexpr Millis acceptPause = 20_ms;
+
+} // namespace
+
+// What the fibers of a server use; lives as long as the last of them.
+struct HttpServer::Shared : std::enable_shared_from_this<HttpServer::Shared>
+{
+    Shared(WorkerPool &workerPool, Address listenAddress, const ServerLimits &serverLimits,
+           Handler requestHandler)
+        : pool(workerPool), listen(std::move(listenAddress)), limits(serverLimits),
+          handler(std::move(requestHandler)), acceptor(workerPool.context(0)),
+          connections(workerPool.size())
+    { }
+
+    Result<void> bind();
+    void acceptAll();
+    void dispatch(tcp::socket socket, std::size_t worker);
+    void serve(tcp::socket socket);
+    void serveRequests(ServerConnection &connection);
+    void runHandler(const HttpRequest &request, ServerConnection &connection);
+    static void refuseConnection(ServerConnection &connection);
+
+    WorkerPool &pool;
+    Address listen;
+    ServerLimits limits;
+    Handler handler;
+    tcp::acceptor acceptor;
+    std::atomic<bool> accepting {false};
+    std::atomic<std::size_t> open {0};
+    std::atomic<std::size_t> active {0};
+    // By worker; each set is used by its worker only.
+    std::vector<std::unordered_set<ServerConnection *>> connections;
+};
+
+Result<void> HttpServer::Shared::bind()
+{
+    boost::system::error_code ec;
+    const asio::ip::address ip = asio::ip::make_address(listen.ip, ec);
+    if (ec)
+        return fail(ResultCode::SettingsInvalid, "\"" + listen.ip + "\" is not an IP number");
+    const tcp::endpoint local(ip, listen.port);
+    acceptor.open(local.protocol(), ec);
+    if (!ec)
+        acceptor.set_option(tcp::acceptor::reuse_address(true), ec);
+    if (!ec)
+        acceptor.bind(local, ec);
+    if (!ec)
+        acceptor.listen(asio::socket_base::max_listen_connections, ec);
+    if (ec == asio::error::address_in_use) {
+        return fail(ResultCode::AddressInUse,
+                    "another process listens on " + listen.toString()
+                        + "; stop it or choose another port");
+    }
+    if (ec) {
+        return fail(ResultCode::SettingsInvalid,
+                    "cannot listen on " + listen.toString() + ": " + ec.message());
+    }
+    listen.port = acceptor.local_endpoint(ec).port();
+    accepting = true;
+    return {};
+}
+
+void HttpServer::Shared::acceptAll()
+{
+    std::size_t worker = 0;
+    while (accepting) {
+        worker = (worker + 1) % pool.size();
+        tcp::socket socket(pool.context(worker));
+        const IoOutcome outcome = awaitIo(acceptor, noDeadline, [this, &socket](auto done) {
+            acceptor.async_accept(socket, done);
+        });
+        if (outcome.ok())
+            dispatch(std::move(socket), worker);
+        else if (accepting)
+            sleepFor(acceptPause);
+    }
+}
+
+void HttpServer::Shared::dispatch(tcp::socket socket, std::size_t worker)
+{
+    const std::shared_ptr<tcp::socket> accepted = std::make_shared<tcp::socket>(std::move(socket));
+    pool.spawn(worker, [self = shared_from_this(), accepted] {
+        self->open.fetch_add(1);
+        self->serve(std::move(*accepted));
+        self->open.fetch_sub(1);
+    });
+}
+
+void HttpServer::Shared::serve(tcp::socket socket)
+{
+    ServerConnection connection(TcpSocket(std::move(socket)), limits);
+    if (open > limits.maxConnections) {
+        refuseConnection(connection);
+        return;
+    }
+    std::unordered_set<ServerConnection *> &registry = connections[currentWorker()];
+    registry.insert(&connection);
+    try {
+        serveRequests(connection);
+    } catch (const WorkerStopped &) {
+        // The connection ends with its worker.
+    }
+    registry.erase(&connection);
+}
+
+void HttpServer::Shared::serveRequests(ServerConnection &connection)
+{
+    HttpRequest request;
+    bool goOn = true;
+    while (goOn && connection.readRequest(request)) {
+        runHandler(request, connection);
+        if (!accepting)
+            connection.closeAfterAnswer();
+        goOn = connection.endRequest();
+        request = {};
+    }
+}
+
+void HttpServer::Shared::runHandler(const HttpRequest &request, ServerConnection &connection)
+{
+    active.fetch_add(1);
+    try {
+        if (!accepting)
+            connection.closeAfterAnswer();
+        ResponseWriter writer(connection);
+        handler(request, writer);
+    } catch (const WorkerStopped &) {
+        active.fetch_sub(1);
+        throw;
+    } catch (const std::exception &e) {
+        std::fprintf(stderr, "the handler of %s %s failed: %s\n", request.method.c_str(),
+                     request.target.c_str(), e.what());
+        if (connection.started())
+            connection.abort();
+    }
+    active.fetch_sub(1);
+}
+
+void HttpServer::Shared::refuseConnection(ServerConnection &connection)
+{
+    const Problem problem {503, ResultCode::NoCapacity, RunState::NotRun,
+                           "too many connections are open", 1_s};
+    connection.closeAfterAnswer();
+    static_cast<void>(connection.send(problemResponse(problem)));
+    connection.closeGracefully();
+}
+
+HttpServer::HttpServer(WorkerPool &pool, const Address &listen, ServerLimits limits,
+                       Handler handler)
+    : m_shared(std::make_shared<Shared>(pool, listen, limits, std::move(handler)))
+{ }
+
+HttpServer::~HttpServer()
+{
+    stopAccepting();
+    closeConnections();
+}
+
+Result<void> HttpServer::start()
+{
+    Result<void> bound = m_shared->bind();
+    if (bound)
+        m_shared->pool.spawn(0, [shared = m_shared] { shared->acceptAll(); });
+    return bound;
+}
+
+Address HttpServer::address() const
+{
+    return m_shared->listen;
+}
+
+void HttpServer::stopAccepting()
+{
+    if (!m_shared->accepting.exchange(false))
+        return;
+    asio::post(m_shared->pool.context(0), [weak = std::weak_ptr<Shared>(m_shared)] {
+        const std::shared_ptr<Shared> shared = weak.lock();
+        boost::system::error_code ignored;
+        if (shared)
+            shared->acceptor.close(ignored);
+    });
+}
+
+void HttpServer::closeConnections()
+{
+    for (std::size_t i = 0; i < m_shared->pool.size(); ++i) {
+        asio::post(m_shared->pool.context(i), [weak = std::weak_ptr<Shared>(m_shared), i] {
+            const std::shared_ptr<Shared> shared = weak.lock();
+            if (!shared)
+                return;
+            for (ServerConnection *connection : shared->connections[i])
+                connection->close();
+        });
+    }
+}
+
+std::size_t HttpServer::openConnections() const noexcept
+{
+    return m_shared->open;
+}
+
+std::size_t HttpServer::activeRequests() const noexcept
+{
+    return m_shared->active;
+}
+
+Result<void> ResponseWriter::send(const HttpResponse &response)
+{
+    return m_connection->send(response);
+}
+
+Result<void> ResponseWriter::startStream(int status, std::span<const Header> headers)
+{
+    return m_connection->startStream(status, headers);
+}
+
+Result<void> ResponseWriter::write(std::string_view data)
+{
+    return m_connection->write(data);
+}
+
+Result<void> ResponseWriter::finish()
+{
+    return m_connection->finish();
+}
+
+void ResponseWriter::abort() noexcept
+{
+    m_connection->abort();
+}
+
+bool ResponseWriter::callerGone()
+{
+    return m_connection->peerClosed();
+}
+
+bool ResponseWriter::started() const noexcept
+{
+    return m_connection->started();
+}
+
+Address ResponseWriter::remoteAddress() const
+{
+    return m_connection->remoteAddress();
+}
+
+} // namespace fescue::net
--- /dev/null
+++ b/src/net/serverconnection.cpp
@@ -0,0 +1,269 @@
+#include "net/serverconnection.h"
+
+#include "net/httpmessage.h"
+
+#include <array>
+#include <string>
+
+#include <boost/beast/http/chunk_encode.hpp>
+#include <boost/beast/http/empty_body.hpp>
+#include <boost/beast/http/error.hpp>
+#include <boost/beast/http/rfc7230.hpp>
+#include <boost/beast/http/serializer.hpp>
+
+namespace fescue::net {
+
+namespace asio = boost::asio;
+namespace http = boost::beast::http;
+
+namespace {
+
+constexpr std::size_t readBytes = 4096;
+constexpr std::size_t bodyReadBytes = 64 * 1024;
+// How long a refused peer may go on sending before its connection is closed, and how much.
+constexpr Millis drainTime = 500_ms;
+constexpr std::size_t drainBytes = 1024 * 1024;
+
+Problem problemFor(const boost::system::error_code &ec, const ServerLimits &limits)
+{
+    if (ec == http::error::header_limit || ec == http::error::buffer_overflow) {
+        const std::string limit = std::to_string(limits.maxHeadBytes);
+        return {431, ResultCode::HeadTooLarge, RunState::NotRun,
+                "the request head is longer than " + limit + " bytes", std::nullopt};
+    }
+    if (ec == http::error::body_limit) {
+        const std::string limit = std::to_string(limits.maxBodyBytes);
+        return {413, ResultCode::BodyTooLarge, RunState::NotRun,
+                "the request body is longer than " + limit + " bytes", std::nullopt};
+    }
+    return {400, ResultCode::BadRequest, RunState::NotRun,
+            "the request is not valid HTTP: " + ec.message(), std::nullopt};
+}
+
+void splitTarget(std::string_view text, HttpRequest &request)
+{
+    const std::size_t mark = std::min(text.find('?'), text.size());
+    request.target = text.substr(0, mark);
+    request.query = text.substr(std::min(mark + 1, text.size()));
+}
+
+} // namespace
+
+ServerConnection::ServerConnection(TcpSocket socket, const ServerLimits &limits)
+    : m_socket(std::move(socket)), m_limits(limits)
+{
+    m_socket.setSendTimeout(limits.writeTimeout);
+}
+
+bool ServerConnection::readRequest(HttpRequest &request)
+{
+    m_phase = Phase::Waiting;
+    m_keepAlive = true;
+    m_chunked = true;
+    m_version = 11;
+    if (m_buffer.size() == 0 && !readMore(deadlineAfter(m_limits.idleTimeout)))
+        return false;
+    Parser parser;
+    if (!parseRequest(parser))
+        return false;
+    Parser::value_type &message = parser.get();
+    m_keepAlive = parser.keep_alive();
+    m_version = message.version();
+    m_chunked = m_version >= 11;
+    request = {};
+    request.method = std::string(message.method_string());
+    splitTarget(message.target(), request);
+    request.headers = takeHeaders(message);
+    request.body = std::move(message.body());
+    return true;
+}
+
+bool ServerConnection::parseRequest(Parser &parser)
+{
+    parser.eager(true);
+    parser.header_limit(m_limits.maxHeadBytes);
+    parser.body_limit(m_limits.maxBodyBytes);
+    const Millis deadline = deadlineAfter(m_limits.headTimeout);
+    bool continued = false;
+    while (true) {
+        boost::system::error_code ec;
+        const std::size_t used = parser.put(m_buffer.data(), ec);
+        m_buffer.consume(used);
+        if (ec && ec != http::error::need_more) {
+            refuse(ec);
+            return false;
+        }
+        if (parser.is_done())
+            return true;
+        if (parser.is_header_done() && !continued) {
+            confirmContinue(parser);
+            continued = true;
+        }
+        if (!ec && used > 0 && m_buffer.size() > 0)
+            continue;
+        if (readMore(deadline))
+            continue;
+        if (steadyNow() >= deadline)
+            refuseTimeout();
+        return false;
+    }
+}
+
+bool ServerConnection::readMore(Millis deadline)
+{
+    const std::size_t n = m_buffer.size() > readBytes ? bodyReadBytes : readBytes;
+    const IoOutcome outcome = m_socket.readSome(m_buffer.prepare(n), deadline);
+    m_buffer.commit(outcome.bytes);
+    return outcome.ok();
+}
+
+void ServerConnection::confirmContinue(const Parser &parser)
+{
+    if (!http::token_list(parser.get()[http::field::expect]).exists("100-continue"))
+        return;
+    constexpr std::string_view text = "HTTP/1.1 100 Continue\r\n\r\n";
+    // A failure shows in the read that follows.
+    static_cast<void>(
+        m_socket.writeAll(asio::const_buffer(text.data(), text.size()), writeDeadline()));
+}
+
+void ServerConnection::refuse(const boost::system::error_code &ec)
+{
+    m_keepAlive = false;
+    static_cast<void>(send(problemResponse(problemFor(ec, m_limits))));
+    closeGracefully();
+}
+
+void ServerConnection::refuseTimeout()
+{
+    m_keepAlive = false;
+    const Problem problem {408, ResultCode::BadRequest, RunState::NotRun,
+                           "the request did not arrive in time", std::nullopt};
+    static_cast<void>(send(problemResponse(problem)));
+    closeGracefully();
+}
+
+void ServerConnection::closeGracefully()
+{
+    m_socket.shutdownSend();
+    const Millis deadline = deadlineAfter(drainTime);
+    std::size_t drained = 0;
+    while (drained < drainBytes) {
+        m_buffer.clear();
+        const IoOutcome outcome = m_socket.readSome(m_buffer.prepare(readBytes), deadline);
+        if (!outcome.ok())
+            break;
+        drained += outcome.bytes;
+    }
+    m_socket.close();
+}
+
+bool ServerConnection::endRequest()
+{
+    if (m_phase == Phase::Waiting) {
+        const Problem problem {500, ResultCode::Internal, RunState::Unknown,
+                               "the request was not answered", std::nullopt};
+        static_cast<void>(send(problemResponse(problem)));
+    }
+    if (m_phase == Phase::Finished && m_keepAlive)
+        return true;
+    if (m_phase == Phase::Finished)
+        closeGracefully();
+    else
+        m_socket.close();
+    return false;
+}
+
+Millis ServerConnection::writeDeadline() const noexcept
+{
+    return deadlineAfter(m_limits.writeTimeout);
+}
+
+Result<void> ServerConnection::checkWritten(const IoOutcome &outcome)
+{
+    if (outcome.ok())
+        return {};
+    m_phase = Phase::Failed;
+    if (outcome.timedOut)
+        return fail(ResultCode::LinkSilent, "the caller did not take the answer in time");
+    return fail(ResultCode::LinkClosed,
+                "the connection to the caller failed: " + outcome.ec.message());
+}
+
+Result<void> ServerConnection::send(const HttpResponse &response)
+{
+    if (m_phase != Phase::Waiting)
+        return fail(ResultCode::Internal, "the request has an answer already");
+    http::response<http::string_body> message;
+    message.version(m_version);
+    message.result(static_cast<unsigned>(response.status));
+    addHeaders(message, response.headers);
+    message.keep_alive(m_keepAlive);
+    message.body() = response.body;
+    message.prepare_payload();
+    m_phase = Phase::Finished;
+    http::response_serializer<http::string_body> serializer(message);
+    IoOutcome outcome;
+    while (outcome.ok() && !serializer.is_done()) {
+        boost::system::error_code ec;
+        std::size_t n = 0;
+        serializer.next(ec, [&](boost::system::error_code &, const auto &buffers) {
+            outcome = m_socket.writeAll(buffers, writeDeadline());
+            n = asio::buffer_size(buffers);
+        });
+        serializer.consume(n);
+    }
+    return checkWritten(outcome);
+}
+
+Result<void> ServerConnection::startStream(int status, std::span<const Header> headers)
+{
+    if (m_phase != Phase::Waiting)
+        return fail(ResultCode::Internal, "the request has an answer already");
+    http::response<http::empty_body> message;
+    message.version(m_version);
+    message.result(static_cast<unsigned>(status));
+    addHeaders(message, headers);
+    message.chunked(m_chunked);
+    if (!m_chunked)
+        m_keepAlive = false;
+    message.keep_alive(m_keepAlive);
+    m_phase = Phase::Streaming;
+    http::response_serializer<http::empty_body> serializer(message);
+    serializer.split(true);
+    IoOutcome outcome;
+    boost::system::error_code ec;
+    serializer.next(ec, [&](boost::system::error_code &, const auto &buffers) {
+        outcome = m_socket.writeAll(buffers, writeDeadline());
+    });
+    return checkWritten(outcome);
+}
+
+Result<void> ServerConnection::write(std::string_view data)
+{
+    if (m_phase != Phase::Streaming)
+        return fail(ResultCode::LinkClosed, "the answer is not being streamed");
+    if (data.empty())
+        return {};
+    const asio::const_buffer buf(data.data(), data.size());
+    if (m_chunked)
+        return checkWritten(m_socket.writeAll(http::make_chunk(buf), writeDeadline()));
+    return checkWritten(m_socket.writeAll(buf, writeDeadline()));
+}
+
+Result<void> ServerConnection::finish()
+{
+    if (m_phase != Phase::Streaming)
+        return fail(ResultCode::LinkClosed, "the answer is not being streamed");
+    m_phase = Phase::Finished;
+    if (!m_chunked)
+        return {};
+    return checkWritten(m_socket.writeAll(http::make_chunk_last(), writeDeadline()));
+}
+
+void ServerConnection::abort() noexcept
+{
+    m_phase = Phase::Failed;
+}
+
+} // namespace fescue::net
--- /dev/null
+++ b/src/net/serverconnection.h
@@ -0,0 +1,68 @@
+#pragma once
+
+#include "fescue/net/httpserver.h"
+#include "net/tcpsocket.h"
+
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/http/parser.hpp>
+#include <boost/beast/http/string_body.hpp>
+
+namespace fescue::net {
+
+// One connection of a caller: reads requests and writes their answers, one after the other.
+class ServerConnection
+{
+public:
+    ServerConnection(TcpSocket socket, const ServerLimits &limits);
+
+    // Reads the next request. Answers a malformed one itself. Returns false where the connection
+    // is at its end.
+    [[nodiscard]] bool readRequest(HttpRequest &request);
+    // Ends the answer of a handler that has returned. Returns true where another request may
+    // follow.
+    [[nodiscard]] bool endRequest();
+    // Makes the current answer the last one.
+    void closeAfterAnswer() noexcept { m_keepAlive = false; }
+    // Closes the connection so that the peer can still read what was sent.
+    void closeGracefully();
+    void close() noexcept { m_socket.close(); }
+
+    Result<void> send(const HttpResponse &response);
+    Result<void> startStream(int status, std::span<const Header> headers);
+    Result<void> write(std::string_view data);
+    Result<void> finish();
+    void abort() noexcept;
+    [[nodiscard]] bool peerClosed() { return m_socket.peerClosed(); }
+    [[nodiscard]] bool started() const noexcept { return m_phase != Phase::Waiting; }
+    [[nodiscard]] Address remoteAddress() const { return m_socket.remoteAddress(); }
+
+private:
+    using Parser = boost::beast::http::request_parser<boost::beast::http::string_body>;
+
+    enum class Phase : std::uint8_t
+    {
+        // No byte of the answer has been sent.
+        Waiting,
+        Streaming,
+        Finished,
+        Failed,
+    };
+
+    [[nodiscard]] bool parseRequest(Parser &parser);
+    [[nodiscard]] bool readMore(Millis deadline);
+    void confirmContinue(const Parser &parser);
+    void refuse(const boost::system::error_code &ec);
+    void refuseTimeout();
+    [[nodiscard]] Result<void> checkWritten(const IoOutcome &outcome);
+    [[nodiscard]] Millis writeDeadline() const noexcept;
+
+    TcpSocket m_socket;
+    ServerLimits m_limits;
+    boost::beast::flat_buffer m_buffer;
+    Phase m_phase = Phase::Waiting;
+    bool m_keepAlive = true;
+    bool m_chunked = true;
+    unsigned m_version = 11;
+};
+
+} // namespace fescue::net
--- /dev/null
+++ b/src/net/tcpsocket.cpp
@@ -0,0 +1,116 @@
+#include "net/tcpsocket.h"
+
+#include <utility>
+
+#include <boost/asio/ip/address.hpp>
+
+#include <cerrno>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+
+namespace fescue::net {
+
+namespace asio = boost::asio;
+using asio::ip::tcp;
+
+TcpSocket::TcpSocket(tcp::socket socket) : m_socket(std::move(socket))
+{
+    prepare();
+}
+
+void TcpSocket::prepare()
+{
+    boost::system::error_code ignored;
+    m_socket.set_option(tcp::no_delay(true), ignored);
+    m_socket.non_blocking(true, ignored);
+}
+
+IoOutcome TcpSocket::connect(const Address &address, Millis deadline)
+{
+    IoOutcome outcome;
+    const asio::ip::address ip = asio::ip::make_address(address.ip, outcome.ec);
+    if (outcome.ec)
+        return outcome;
+    const tcp::endpoint remote(ip, address.port);
+    outcome = awaitIo(m_socket, deadline, [this, &remote](auto handler) {
+        m_socket.async_connect(
+            remote, [handler](const boost::system::error_code &ec) mutable { handler(ec, 0); });
+    });
+    if (outcome.ok())
+        prepare();
+    return outcome;
+}
+
+bool TcpSocket::wasForOther(const IoOutcome &outcome) const noexcept
+{
+    return outcome.ec == asio::error::operation_aborted && !outcome.timedOut && m_socket.is_open()
+        && !stopRequested();
+}
+
+IoOutcome TcpSocket::readSome(asio::mutable_buffer buf, Millis deadline)
+{
+    IoOutcome outcome;
+    do {
+        outcome = awaitIo(m_socket, deadline,
+                          [this, buf](auto handler) { m_socket.async_read_some(buf, handler); });
+    } while (wasForOther(outcome));
+    return outcome;
+}
+
+IoOutcome TcpSocket::waitWritable(Millis deadline)
+{
+    IoOutcome outcome;
+    do {
+        outcome = awaitIo(m_socket, deadline, [this](auto handler) {
+            m_socket.async_wait(tcp::socket::wait_write, handler);
+        });
+    } while (wasForOther(outcome));
+    return outcome;
+}
+
+bool TcpSocket::peerClosed()
+{
+    char byte = 0;
+    const ssize_t n =
+        ::recv(m_socket.native_handle(), &byte, sizeof(byte), MSG_PEEK | MSG_DONTWAIT);
+    return n == 0 || (n < 0 && errno != EAGAIN && errno != EWOULDBLOCK && errno != EINTR);
+}
+
+bool TcpSocket::readable()
+{
+    char byte = 0;
+    const ssize_t n =
+        ::recv(m_socket.native_handle(), &byte, sizeof(byte), MSG_PEEK | MSG_DONTWAIT);
+    return n >= 0 || (errno != EAGAIN && errno != EWOULDBLOCK && errno != EINTR);
+}
+
+void TcpSocket::setSendTimeout(Millis span)
+{
+    const unsigned int milliseconds = static_cast<unsigned int>(span.count);
+    ::setsockopt(m_socket.native_handle(), IPPROTO_TCP, TCP_USER_TIMEOUT, &milliseconds,
+                 sizeof(milliseconds));
+}
+
+void TcpSocket::shutdownSend() noexcept
+{
+    boost::system::error_code ignored;
+    m_socket.shutdown(tcp::socket::shutdown_send, ignored);
+}
+
+void TcpSocket::close() noexcept
+{
+    boost::system::error_code ignored;
+    m_socket.close(ignored);
+}
+
+Address TcpSocket::remoteAddress() const
+{
+    boost::system::error_code ec;
+    const tcp::endpoint remote = m_socket.remote_endpoint(ec);
+    if (ec)
+        return {};
+    return {remote.address().to_string(), remote.port()};
+}
+
+} // namespace fescue::net
--- /dev/null
+++ b/tests/net/http_test.cpp
@@ -0,0 +1,294 @@
+#include "tests/net/nettest.h"
+
+#include <atomic>
+#include <string>
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/read.hpp>
+#include <boost/asio/write.hpp>
+#include <nlohmann/json.hpp>
+
+namespace fescue::net {
+
+namespace {
+
+namespace asio = boost::asio;
+using asio::ip::tcp;
+
+// Answers by path: a copy of the request, a stream, or nothing.
+void handle(const HttpRequest &request, ResponseWriter &writer)
+{
+    if (request.target == "/echo") {
+        HttpResponse response;
+        response.headers = {{"X-Method", request.method},
+                            {"X-Query", request.query},
+                            {"X-Copy", std::string(request.header("x-original"))}};
+        response.body = request.body;
+        static_cast<void>(writer.send(response));
+    } else if (request.target == "/stream" || request.target == "/cut") {
+        static_cast<void>(writer.startStream(200, {}));
+        for (int i = 0; i < 100; ++i)
+            static_cast<void>(writer.write("piece " + std::to_string(i) + "\n"));
+        if (request.target == "/stream")
+            static_cast<void>(writer.finish());
+    } else if (request.target == "/silent") {
+        static_cast<void>(writer.startStream(200, {}));
+        sleepFor(60_s);
+    } else if (request.target == "/throw") {
+        throw std::runtime_error("intended by the test");
+    }
+}
+
+class HttpTest : public ::testing::Test
+{
+protected:
+    HttpTest() { EXPECT_TRUE(m_server.start()); }
+
+    Result<HttpResponse> request(HttpRequest request, Millis timeout = 5_s)
+    {
+        Result<HttpResponse> response = fail(ResultCode::Internal, "not run");
+        runOn(m_pool, 0,
+              [&] { response = m_client.request(m_server.address(), request, timeout); });
+        return response;
+    }
+
+    static HttpRequest get(std::string target)
+    {
+        HttpRequest request;
+        request.target = std::move(target);
+        return request;
+    }
+
+    // Sends raw bytes and returns all that comes back until the server closes.
+    std::string exchange(const std::string &bytes, bool closeSend = true)
+    {
+        asio::io_context context;
+        tcp::socket socket(context);
+        const Address address = m_server.address();
+        socket.connect({asio::ip::make_address(address.ip), address.port});
+        boost::system::error_code ec;
+        asio::write(socket, asio::buffer(bytes), ec);
+        if (closeSend)
+            socket.shutdown(tcp::socket::shutdown_send, ec);
+        std::string answer;
+        asio::read(socket, asio::dynamic_buffer(answer), ec);
+        return answer;
+    }
+
+    static ServerLimits limits()
+    {
+        ServerLimits limits;
+        limits.maxHeadBytes = 2048;
+        limits.maxBodyBytes = 100'000;
+        limits.writeTimeout = 200_ms;
+        limits.headTimeout = 300_ms;
+        return limits;
+    }
+
+    WorkerPool m_pool {2};
+    HttpServer m_server {m_pool, anyPort, limits(), handle};
+    HttpClient m_client;
+};
+
+TEST_F(HttpTest, AnswersArriveWhole)
+{
+    HttpRequest asked = get("/echo");
+    asked.method = "POST";
+    asked.query = "a=b";
+    asked.headers = {{"X-Original", "kept"}};
+    asked.body = std::string(90'000, 'x');
+    for (int i = 0; i < 20; ++i) {
+        const Result<HttpResponse> response = request(asked);
+        ASSERT_TRUE(response) << response.error().toString();
+        EXPECT_EQ(response->status, 200);
+        EXPECT_EQ(response->body, asked.body);
+        EXPECT_EQ(response->header("x-method"), "POST");
+        EXPECT_EQ(response->header("x-query"), "a=b");
+        EXPECT_EQ(response->header("x-copy"), "kept");
+    }
+    EXPECT_EQ(m_server.openConnections(), 1U);
+}
+
+TEST_F(HttpTest, StreamsArriveWholeAndEnd)
+{
+    const Result<HttpResponse> response = request(get("/stream"));
+    ASSERT_TRUE(response);
+    EXPECT_TRUE(response->body.starts_with("piece 0\npiece 1\n"));
+    EXPECT_TRUE(response->body.ends_with("piece 99\n"));
+    EXPECT_EQ(request(get("/cut")).error().code, ResultCode::BackEndLost);
+}
+
+TEST_F(HttpTest, HandlerThatFailsGetsAnAnswer)
+{
+    EXPECT_EQ(request(get("/throw"))->status, 500);
+    EXPECT_EQ(request(get("/nothing"))->status, 500);
+    EXPECT_EQ(request(get("/echo"))->status, 200);
+}
+
+TEST_F(HttpTest, SilentStreamIsNoticedAndCanBeReadOn)
+{
+    runOn(m_pool, 1, [&] {
+        Result<ClientStream> stream = m_client.openStream(m_server.address(), get("/silent"), 5_s);
+        ASSERT_TRUE(stream);
+        std::string buf(100, ' ');
+        for (int i = 0; i < 2; ++i)
+            EXPECT_EQ(stream->read(buf, 20_ms).error().code, ResultCode::LinkSilent);
+        stream->close();
+        EXPECT_EQ(stream->read(buf, 20_ms).error().code, ResultCode::BackEndLost);
+    });
+}
+
+TEST_F(HttpTest, CloseEndsAWaitingRead)
+{
+    runOn(m_pool, 0, [&] {
+        Result<ClientStream> stream = m_client.openStream(m_server.address(), get("/silent"), 5_s);
+        ASSERT_TRUE(stream);
+        ClientStream *open = &*stream;
+        m_pool.spawn(0, [open] { open->close(); });
+        std::string buf(100, ' ');
+        EXPECT_EQ(stream->read(buf, 60_s).error().code, ResultCode::BackEndLost);
+    });
+}
+
+TEST_F(HttpTest, RefusedConnectionIsToldApart)
+{
+    const Address address = m_server.address();
+    m_server.stopAccepting();
+    runOn(m_pool, 0, [] {});
+    Result<HttpResponse> response = request(get("/echo"));
+    EXPECT_EQ(response.error().code, ResultCode::ConnectFailed);
+    EXPECT_NE(response.error().message.find(address.toString()), std::string::npos);
+}
+
+TEST_F(HttpTest, AnswerThatTakesTooLongIsTimeout)
+{
+    HttpRequest asked = get("/silent");
+    EXPECT_EQ(request(asked, 50_ms).error().code, ResultCode::BackEndTimeout);
+}
+
+TEST_F(HttpTest, ClosedIdleConnectionIsNotUsed)
+{
+    ASSERT_TRUE(request(get("/echo")));
+    m_server.closeConnections();
+    while (m_server.openConnections() > 0)
+        runOn(m_pool, 0, [] { sleepFor(1_ms); });
+    EXPECT_TRUE(request(get("/echo")));
+}
+
+TEST_F(HttpTest, PortInUseIsExplained)
+{
+    HttpServer second(m_pool, m_server.address(), {}, handle);
+    const Result<void> started = second.start();
+    ASSERT_FALSE(started);
+    EXPECT_EQ(started.error().code, ResultCode::AddressInUse);
+    EXPECT_NE(started.error().message.find(m_server.address().toString()), std::string::npos);
+}
+
+TEST_F(HttpTest, LimitsAreAnsweredWithProblemDetails)
+{
+    const std::string longHead = "GET / HTTP/1.1\r\nX: " + std::string(5000, 'a') + "\r\n\r\n";
+    EXPECT_TRUE(exchange(longHead).starts_with("HTTP/1.1 431"));
+    const std::string longBody = "POST /echo HTTP/1.1\r\nContent-Length: 200000\r\n\r\n";
+    const std::string answer = exchange(longBody + std::string(200'000, 'a'));
+    EXPECT_TRUE(answer.starts_with("HTTP/1.1 413"));
+    const nlohmann::json problem = nlohmann::json::parse(answer.substr(answer.find("\r\n\r\n")));
+    EXPECT_EQ(problem["code"], static_cast<int>(ResultCode::BodyTooLarge));
+    EXPECT_EQ(problem["run"], "not-run");
+    EXPECT_TRUE(exchange("nonsense\r\n\r\n").starts_with("HTTP/1.1 400"));
+    EXPECT_TRUE(exchange("GET / HT", false).starts_with("HTTP/1.1 408"));
+}
+
+TEST_F(HttpTest, PipelinedAndOldRequestsAreServed)
+{
+    const std::string one = "POST /echo HTTP/1.1\r\nContent-Length: 3\r\n\r\n";
+    const std::string answer = exchange(one + "abc" + one + "def");
+    EXPECT_NE(answer.find("abc"), std::string::npos);
+    EXPECT_TRUE(answer.ends_with("def"));
+    const std::string old = exchange("GET /stream HTTP/1.0\r\n\r\n");
+    EXPECT_TRUE(old.ends_with("piece 99\n"));
+    EXPECT_EQ(old.find("chunked"), std::string::npos);
+}
+
+TEST_F(HttpTest, RandomBytesDoNotHarm)
+{
+    constexpr unsigned seed = 20261204;
+    RecordProperty("seed", seed);
+    std::srand(seed);
+    const std::string valid = "POST /echo HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n"
+                              "3\r\nabc\r\n0\r\n\r\n";
+    for (int i = 0; i < 200; ++i) {
+        std::string bytes = valid;
+        for (int n = 0; n <= i % 7; ++n)
+            bytes[static_cast<std::size_t>(std::rand()) % bytes.size()] =
+                static_cast<char>(std::rand());
+        static_cast<void>(exchange(bytes));
+    }
+    EXPECT_EQ(request(get("/echo"))->status, 200);
+}
+
+TEST(HttpServerTest, ReaderThatDoesNotReadIsCutOff)
+{
+    std::promise<ResultCode> ended;
+    WorkerPool pool(1);
+    ServerLimits limits;
+    limits.writeTimeout = 100_ms;
+    HttpServer server(pool, anyPort, limits, [&](const HttpRequest &, ResponseWriter &writer) {
+        const std::string piece(64 * 1024, 'x');
+        Result<void> written = writer.startStream(200, {});
+        for (int i = 0; written && i < 1000; ++i)
+            written = writer.write(piece);
+        ended.set_value(written ? ResultCode::Ok : written.error().code);
+    });
+    ASSERT_TRUE(server.start());
+    asio::io_context context;
+    tcp::socket socket(context);
+    socket.connect({asio::ip::make_address("127.0.0.1"), server.address().port});
+    asio::write(socket, asio::buffer(std::string("GET / HTTP/1.1\r\n\r\n")));
+    const ResultCode code = ended.get_future().get();
+    EXPECT_TRUE(code == ResultCode::LinkSilent || code == ResultCode::LinkClosed);
+}
+
+TEST(HttpServerTest, TooManyConnectionsAreRefused)
+{
+    WorkerPool pool(1);
+    ServerLimits limits;
+    limits.maxConnections = 1;
+    HttpServer server(pool, anyPort, limits, [](const HttpRequest &, ResponseWriter &writer) {
+        static_cast<void>(writer.send({}));
+    });
+    ASSERT_TRUE(server.start());
+    HttpClient client;
+    runOn(pool, 0, [&] {
+        HttpRequest asked;
+        EXPECT_EQ(client.request(server.address(), asked, 5_s)->status, 200);
+        asked.freshConnection = true;
+        const Result<HttpResponse> refused = client.request(server.address(), asked, 5_s);
+        EXPECT_EQ(refused->status, 503);
+        EXPECT_EQ(refused->header("Retry-After"), "1");
+    });
+}
+
+TEST(HttpServerTest, CallerThatLeavesIsNoticed)
+{
+    std::promise<void> noticed;
+    WorkerPool pool(1);
+    HttpServer server(pool, anyPort, {}, [&](const HttpRequest &, ResponseWriter &writer) {
+        static_cast<void>(writer.startStream(200, {}));
+        while (!writer.callerGone())
+            sleepFor(1_ms);
+        noticed.set_value();
+    });
+    ASSERT_TRUE(server.start());
+    HttpClient client;
+    runOn(pool, 0, [&] {
+        Result<ClientStream> stream = client.openStream(server.address(), {}, 5_s);
+        ASSERT_TRUE(stream);
+        stream->close();
+    });
+    noticed.get_future().get();
+}
+
+} // namespace
+
+} // namespace fescue::net
