--- a/include/fescue/net/httpclient.h
+++ b/include/fescue/net/httpclient.h
@@ -17,7 +17,7 @@
 {
     Millis connectTimeout = 1_s;
     std::uint32_t maxHeadBytes = 16 * 1024;
-    std::uint64_t maxBodyBytes = 16 * 1024 * 1024;
+    std::uint64_t maxBodyBytes = 16ULL * 1024 * 1024;
     // Idle connections kept for each worker and address.
     std::size_t maxIdlePerAddress = 64;
     // Idle connections older than this are not used again. Shorter than servers' idle timeout.
--- a/include/fescue/net/httpserver.h
+++ b/include/fescue/net/httpserver.h
@@ -17,7 +17,7 @@
 struct ServerLimits
 {
     std::uint32_t maxHeadBytes = 16 * 1024;
-    std::uint64_t maxBodyBytes = 4 * 1024 * 1024;
+    std::uint64_t maxBodyBytes = 4ULL * 1024 * 1024;
     std::size_t maxConnections = 20000;
     // Longest time without a request on a kept connection.
     Millis idleTimeout = 60_s;
--- a/include/fescue/net/sseparser.h
+++ b/include/fescue/net/sseparser.h
@@ -25,7 +25,7 @@
 class SseParser
 {
 public:
-    explicit SseParser(std::size_t maxEventBytes = 256 * 1024) noexcept
+    explicit SseParser(std::size_t maxEventBytes = 256ULL * 1024) noexcept
         : m_maxEventBytes(maxEventBytes)
     { }
 
--- a/src/net/httpclient.cpp
+++ b/src/net/httpclient.cpp
@@ -8,7 +8,7 @@
 
 namespace {
 
-constexpr std::size_t bodyPieceBytes = 16 * 1024;
+constexpr std::size_t bodyPieceBytes = 16ULL * 1024;
 
 // Reads the rest of the body; the deadline is for all of it.
 Result<std::string> readRest(ClientConnection &connection, std::size_t maxBytes, Millis deadline)
--- a/src/net/serverconnection.cpp
+++ b/src/net/serverconnection.cpp
@@ -19,10 +19,10 @@
 namespace {
 
 constexpr std::size_t readBytes = 4096;
-constexpr std::size_t bodyReadBytes = 64 * 1024;
+constexpr std::size_t bodyReadBytes = 64ULL * 1024;
 // How long a refused peer may go on sending before its connection is closed, and how much.
 constexpr Millis drainTime = 500_ms;
-constexpr std::size_t drainBytes = 1024 * 1024;
+constexpr std::size_t drainBytes = 1024ULL * 1024;
 
 Problem problemFor(const boost::system::error_code &ec, const ServerLimits &limits)
 {
--- a/src/net/stackpool.cpp
+++ b/src/net/stackpool.cpp
@@ -9,7 +9,7 @@
 namespace {
 
 constexpr std::size_t guardBytes = 4096;
-constexpr std::size_t stackBytes = 128 * 1024;
+constexpr std::size_t stackBytes = 128ULL * 1024;
 constexpr std::size_t mappedBytes = stackBytes + guardBytes;
 constexpr std::size_t maxFreeStacks = 4096;
 
--- a/tests/net/http_test.cpp
+++ b/tests/net/http_test.cpp
@@ -234,7 +234,7 @@
     ServerLimits limits;
     limits.writeTimeout = 100_ms;
     HttpServer server(pool, anyPort, limits, [&](const HttpRequest &, ResponseWriter &writer) {
-        const std::string piece(64 * 1024, 'x');
+        const std::string piece(64ULL * 1024, 'x');
         Result<void> written = writer.startStream(200, {});
         for (int i = 0; written && i < 1000; ++i)
             written = writer.write(piece);
