--- a/include/fescue/config/inifile.h
+++ b/include/fescue/config/inifile.h
@@ -51,4 +51,7 @@
 // stands twice in a section.
 [[nodiscard]] Checked<IniDocument> parseIni(std::string_view text, std::string fileName);
 
+// The same, but returns the parts that can be read besides adding the errors to a list.
+[[nodiscard]] IniDocument parseIni(std::string_view text, std::string fileName, ErrorList &errors);
+
 } // namespace fescue
--- a/src/config/inifile.cpp
+++ b/src/config/inifile.cpp
@@ -62,7 +62,10 @@
 class DocumentParser
 {
 public:
-    explicit DocumentParser(std::string file) { m_document.file = std::move(file); }
+    DocumentParser(std::string file, ErrorList &errors) : m_errors(&errors)
+    {
+        m_document.file = std::move(file);
+    }
 
     void addLine(std::string_view raw)
     {
@@ -82,12 +85,7 @@
             addEntry(text);
     }
 
-    [[nodiscard]] Checked<IniDocument> take()
-    {
-        if (!m_errors.empty())
-            return tl::unexpected<ErrorList>(std::move(m_errors));
-        return std::move(m_document);
-    }
+    [[nodiscard]] IniDocument take() { return std::move(m_document); }
 
 private:
     [[nodiscard]] SourcePosition at(std::size_t offset) const
@@ -97,7 +95,7 @@
 
     void report(std::size_t offset, std::string message, ResultCode code = ResultCode::ConfigSyntax)
     {
-        m_errors.push_back({code, std::move(message), at(offset)});
+        m_errors->push_back({code, std::move(message), at(offset)});
     }
 
     bool checkBytes(std::string_view raw)
@@ -185,7 +183,7 @@
     }
 
     IniDocument m_document;
-    ErrorList m_errors;
+    ErrorList *m_errors;
     std::uint32_t m_line = 0;
     std::size_t m_indent = 0;
     bool m_inSection = false;
@@ -208,11 +206,11 @@
     return it == entries.end() ? nullptr : &*it;
 }
 
-Checked<IniDocument> parseIni(std::string_view text, std::string fileName)
+IniDocument parseIni(std::string_view text, std::string fileName, ErrorList &errors)
 {
     constexpr std::string_view byteOrderMark = "\xef\xbb\xbf";
     raiseLineLimit();
-    DocumentParser parser(std::move(fileName));
+    DocumentParser parser(std::move(fileName), errors);
     if (text.substr(0, byteOrderMark.size()) == byteOrderMark)
         text.remove_prefix(byteOrderMark.size());
     while (!text.empty()) {
@@ -223,4 +221,13 @@
     return parser.take();
 }
 
+Checked<IniDocument> parseIni(std::string_view text, std::string fileName)
+{
+    ErrorList errors;
+    IniDocument document = parseIni(text, std::move(fileName), errors);
+    if (!errors.empty())
+        return tl::unexpected<ErrorList>(std::move(errors));
+    return document;
+}
+
 } // namespace fescue
--- a/src/config/settings.cpp
+++ b/src/config/settings.cpp
@@ -90,6 +90,8 @@
 
 void readSection(const IniSection &section, DaemonSettings &settings, ErrorList &errors)
 {
+    if (section.kind.empty())
+        return;
     if (!section.arguments.empty())
         errors.push_back({ResultCode::ConfigSyntax,
                           "[" + section.kind + "] takes no name in a settings file",
@@ -138,14 +140,12 @@
 
 Checked<DaemonSettings> parseSettings(std::string_view text, std::string fileName)
 {
-    const Checked<IniDocument> document = parseIni(text, std::move(fileName));
-    if (!document)
-        return tl::unexpected<ErrorList>(document.error());
     DaemonSettings settings;
     ErrorList errors;
-    for (const IniSection &section : document->sections)
+    const IniDocument document = parseIni(text, std::move(fileName), errors);
+    for (const IniSection &section : document.sections)
         readSection(section, settings, errors);
-    checkSectionCounts(*document, errors);
+    checkSectionCounts(document, errors);
     if (!errors.empty())
         return tl::unexpected<ErrorList>(std::move(errors));
     return settings;
