--- a/include/fescue/gateway/accountstreams.h
+++ b/include/fescue/gateway/accountstreams.h
@@ -34,8 +34,7 @@
 {
 public:
     // Returns a ticket, or nothing where the account has `limit` requests open.
-    [[nodiscard]] std::optional<StreamTicket> open(const AccountName &account,
-                                                   std::uint32_t limit);
+    [[nodiscard]] std::optional<StreamTicket> open(const AccountName &account, std::uint32_t limit);
     // Open requests of all accounts.
     [[nodiscard]] std::size_t total() const;
 
--- a/include/fescue/gateway/gateway.h
+++ b/include/fescue/gateway/gateway.h
@@ -1,7 +1,9 @@
 #pragma once
 
-#include "fescue/core/drain.h"
+#include "fescue/core/deadline.h"
+#include "fescue/core/eventid.h"
 #include "fescue/gateway/gatewayparts.h"
+#include "fescue/gateway/plaincall.h"
 #include "fescue/net/httpserver.h"
 
 #include <atomic>
@@ -48,8 +50,7 @@
     void serveResume(const net::HttpRequest &request, net::ResponseWriter &writer);
     void serveCancel(const net::HttpRequest &request, net::ResponseWriter &writer);
     void servePlain(const net::HttpRequest &request, net::ResponseWriter &writer);
-    [[nodiscard]] bool serveOperators(const net::HttpRequest &request,
-                                      net::ResponseWriter &writer);
+    [[nodiscard]] bool serveOperators(const net::HttpRequest &request, net::ResponseWriter &writer);
 
     [[nodiscard]] tl::expected<Caller, net::Problem>
     authenticate(const net::HttpRequest &request) const;
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -37,15 +37,15 @@
 bool mayUse(const Account &account, const ServiceName &service)
 {
     return account.services.empty()
-            || std::find(account.services.begin(), account.services.end(), service)
-            != account.services.end();
+        || std::find(account.services.begin(), account.services.end(), service)
+        != account.services.end();
 }
 
 tl::unexpected<net::Problem> refusal(ResultCode code, std::string detail,
                                      Millis retryAfter = Millis {0})
 {
     return tl::unexpected<net::Problem>(
-            makeProblem(code, RunState::NotRun, std::move(detail), retryAfter));
+        makeProblem(code, RunState::NotRun, std::move(detail), retryAfter));
 }
 
 } // namespace
@@ -144,8 +144,8 @@
         return refusal(ResultCode::NotReady, "this entry is not ready; use another address",
                        otherAddressDelay);
     if (!mayStartWork(caller->view->freshness))
-        return refusal(ResultCode::ViewOutdated,
-                       std::string {describe(ResultCode::ViewOutdated)}, otherAddressDelay);
+        return refusal(ResultCode::ViewOutdated, std::string {describe(ResultCode::ViewOutdated)},
+                       otherAddressDelay);
     return caller;
 }
 
@@ -156,8 +156,8 @@
     if (header.empty())
         return Deadline::after(now, m_parts.limits.defaultDeadline);
     std::int64_t left = 0;
-    const std::from_chars_result result
-            = std::from_chars(header.data(), header.data() + header.size(), left);
+    const std::from_chars_result result =
+        std::from_chars(header.data(), header.data() + header.size(), left);
     if (result.ec != std::errc {} || result.ptr != header.data() + header.size() || left <= 0)
         return fail(ResultCode::BadRequest, "X-Deadline-Ms must be a positive whole number");
     return Deadline::after(now, std::min(Millis {left}, m_parts.limits.defaultDeadline));
@@ -182,9 +182,9 @@
                              {"entry", entry.entry.text()}});
     }
     const nlohmann::json body = {
-            {"ttl_ms", view->snapshot->directoryTtl.count},
-            {"config_version", view->snapshot->version.value},
-            {"addresses", std::move(addresses)},
+        {"ttl_ms", view->snapshot->directoryTtl.count},
+        {"config_version", view->snapshot->version.value},
+        {"addresses", std::move(addresses)},
     };
     static_cast<void>(writer.send(net::jsonResponse(200, body.dump())));
 }
@@ -196,29 +196,32 @@
         return refuse(writer, caller.error());
     const Result<CompletionRequest> completion = parseCompletionRequest(request.body);
     if (!completion)
-        return refuse(writer, makeProblem(completion.error().code, RunState::NotRun,
-                                          completion.error().message));
+        return refuse(
+            writer,
+            makeProblem(completion.error().code, RunState::NotRun, completion.error().message));
     const Result<Deadline> deadline = deadlineOf(request);
     if (!deadline)
-        return refuse(writer, makeProblem(deadline.error().code, RunState::NotRun,
-                                          deadline.error().message));
+        return refuse(
+            writer, makeProblem(deadline.error().code, RunState::NotRun, deadline.error().message));
     const Service *service = caller->view->snapshot->findService(completion->model);
     if (service == nullptr || service->kind != ServiceKind::Model)
-        return refuse(writer, makeProblem(ResultCode::UnknownModel, RunState::NotRun,
-                                          "no model has the name \"" + completion->model.text()
-                                                  + '"'));
+        return refuse(writer,
+                      makeProblem(ResultCode::UnknownModel, RunState::NotRun,
+                                  "no model has the name \"" + completion->model.text() + '"'));
     if (!mayUse(*caller->account, service->name))
-        return refuse(writer, makeProblem(ResultCode::NotAllowed, RunState::NotRun,
-                                          "the account may not use this model"));
-    const std::optional<StreamTicket> ticket
-            = m_parts.streams.open(caller->account->name, caller->account->maxStreams);
+        return refuse(writer,
+                      makeProblem(ResultCode::NotAllowed, RunState::NotRun,
+                                  "the account may not use this model"));
+    const std::optional<StreamTicket> ticket =
+        m_parts.streams.open(caller->account->name, caller->account->maxStreams);
     if (!ticket)
-        return refuse(writer, makeProblem(ResultCode::AccountStreamLimit, RunState::NotRun,
-                                          "the account has as many requests open as it may",
-                                          streamLimitDelay));
+        return refuse(writer,
+                      makeProblem(ResultCode::AccountStreamLimit, RunState::NotRun,
+                                  "the account has as many requests open as it may",
+                                  streamLimitDelay));
     const std::uint32_t limit = service->maxOutputTokens;
-    const std::uint32_t maxTokens
-            = completion->maxTokens == 0 ? limit : std::min(completion->maxTokens, limit);
+    const std::uint32_t maxTokens =
+        completion->maxTokens == 0 ? limit : std::min(completion->maxTokens, limit);
     GenerationRelay relay(m_parts, writer,
                           {caller->account->name, caller->view->snapshot->streamSecret, *deadline});
     relay.run(*completion, maxTokens);
@@ -230,9 +233,8 @@
     Result<EventId> id = EventId::parse(request.header("Last-Event-ID"));
     if (!id)
         return refusal(id.error().code, id.error().message);
-    const std::string expected
-            = streamMac(caller.view->snapshot->streamSecret,
-                        generationName(caller.account->name, id->generation()));
+    const std::string expected = streamMac(caller.view->snapshot->streamSecret,
+                                           generationName(caller.account->name, id->generation()));
     if (!equalInConstantTime(expected, id->mac))
         return refusal(ResultCode::BadEventId, "the event id is not one of this account's");
     return std::move(*id);
@@ -249,14 +251,15 @@
         return refuse(writer, id.error());
     const Result<Deadline> deadline = deadlineOf(request);
     if (!deadline)
-        return refuse(writer, makeProblem(deadline.error().code, RunState::NotRun,
-                                          deadline.error().message));
-    const std::optional<StreamTicket> ticket
-            = m_parts.streams.open(caller->account->name, caller->account->maxStreams);
+        return refuse(
+            writer, makeProblem(deadline.error().code, RunState::NotRun, deadline.error().message));
+    const std::optional<StreamTicket> ticket =
+        m_parts.streams.open(caller->account->name, caller->account->maxStreams);
     if (!ticket)
-        return refuse(writer, makeProblem(ResultCode::AccountStreamLimit, RunState::NotRun,
-                                          "the account has as many requests open as it may",
-                                          streamLimitDelay));
+        return refuse(writer,
+                      makeProblem(ResultCode::AccountStreamLimit, RunState::NotRun,
+                                  "the account has as many requests open as it may",
+                                  streamLimitDelay));
     m_parts.timeline.record("resume", id->stream, "from token " + std::to_string(id->index + 1));
     GenerationRelay relay(m_parts, writer,
                           {caller->account->name, caller->view->snapshot->streamSecret, *deadline});
@@ -273,18 +276,20 @@
         return refuse(writer, id.error());
     const std::optional<net::Address> address = caller->view->addressOf(id->endpoint);
     if (!address)
-        return refuse(writer, makeProblem(ResultCode::GenerationLost, RunState::Unknown,
-                                          "the engine of this generation is not configured"));
+        return refuse(writer,
+                      makeProblem(ResultCode::GenerationLost, RunState::Unknown,
+                                  "the engine of this generation is not configured"));
     net::HttpRequest cancel;
     cancel.method = "DELETE";
     cancel.target = "/v1/streams/" + id->stream;
     cancel.mayResend = true;
-    const Result<net::HttpResponse> answer
-            = m_parts.client.request(*address, cancel, m_parts.limits.engineHeadTimeout);
+    const Result<net::HttpResponse> answer =
+        m_parts.client.request(*address, cancel, m_parts.limits.engineHeadTimeout);
     if (!answer)
-        return refuse(writer, makeProblem(ResultCode::BackEndLost, RunState::Unknown,
-                                          std::string {describe(ResultCode::BackEndLost)},
-                                          streamLimitDelay));
+        return refuse(writer,
+                      makeProblem(ResultCode::BackEndLost, RunState::Unknown,
+                                  std::string {describe(ResultCode::BackEndLost)},
+                                  streamLimitDelay));
     net::HttpResponse response;
     response.status = answer->status == 404 ? 404 : 204;
     static_cast<void>(writer.send(response));
@@ -318,7 +323,7 @@
     if (plain.idempotencyKey.size() > m_parts.limits.maxKeyBytes)
         return refusal(ResultCode::BadRequest,
                        "Idempotency-Key is longer than "
-                               + std::to_string(m_parts.limits.maxKeyBytes) + " bytes");
+                           + std::to_string(m_parts.limits.maxKeyBytes) + " bytes");
     if (!plain.contract.repeatable && plain.idempotencyKey.empty())
         return refusal(ResultCode::MissingIdempotencyKey,
                        "this call may not be repeated: send an Idempotency-Key header");
@@ -326,7 +331,7 @@
     if (!deadline)
         return refusal(deadline.error().code, deadline.error().message);
     plain.deadline = deadline->earlier(
-            Deadline::after(m_parts.clock.now(), service->queueLimit + plain.contract.timeout));
+        Deadline::after(m_parts.clock.now(), service->queueLimit + plain.contract.timeout));
     return plain;
 }
 
@@ -338,19 +343,20 @@
     tl::expected<PlainRequest, net::Problem> plain = parsePlain(request, *caller);
     if (!plain)
         return refuse(writer, plain.error());
-    const std::optional<StreamTicket> ticket
-            = m_parts.streams.open(caller->account->name, caller->account->maxStreams);
+    const std::optional<StreamTicket> ticket =
+        m_parts.streams.open(caller->account->name, caller->account->maxStreams);
     if (!ticket)
-        return refuse(writer, makeProblem(ResultCode::AccountStreamLimit, RunState::NotRun,
-                                          "the account has as many requests open as it may",
-                                          streamLimitDelay));
+        return refuse(writer,
+                      makeProblem(ResultCode::AccountStreamLimit, RunState::NotRun,
+                                  "the account has as many requests open as it may",
+                                  streamLimitDelay));
     if (plain->contract.repeatable) {
         PlainCall call(m_parts, writer, std::move(*plain));
         call.runRepeatable();
         return;
     }
-    const std::shared_ptr<ClaimedCall> call
-            = std::make_shared<ClaimedCall>(m_parts, std::move(*plain));
+    const std::shared_ptr<ClaimedCall> call =
+        std::make_shared<ClaimedCall>(m_parts, std::move(*plain));
     if (call->run(writer)) {
         m_parts.pool.spawn(net::currentWorker(), [this, call] {
             const OpenScope scope(m_open);
--- a/src/gateway/gatewayview.cpp
+++ b/src/gateway/gatewayview.cpp
@@ -27,7 +27,7 @@
 {
     return std::any_of(members.begin(), members.end(), [&](const MemberView &each) {
         return each.info.name == member && each.info.incarnation <= incarnation
-                && each.state != MemberState::Gone;
+            && each.state != MemberState::Gone;
     });
 }
 
--- a/src/gateway/generationrelay.cpp
+++ b/src/gateway/generationrelay.cpp
@@ -24,8 +24,8 @@
 std::optional<T> parseNumber(std::string_view text) noexcept
 {
     T value {};
-    const std::from_chars_result result
-            = std::from_chars(text.data(), text.data() + text.size(), value);
+    const std::from_chars_result result =
+        std::from_chars(text.data(), text.data() + text.size(), value);
     if (text.empty() || result.ec != std::errc {} || result.ptr != text.data() + text.size())
         return std::nullopt;
     return value;
@@ -123,8 +123,8 @@
 {
     const RequestId id = m_request->id;
     const bool again = std::exchange(m_admitted, false);
-    const Decision decision
-            = again ? m_parts.admission.returned(id) : m_parts.admission.enter(*m_request);
+    const Decision decision =
+        again ? m_parts.admission.returned(id) : m_parts.admission.enter(*m_request);
     if (const Refuse *refuse = std::get_if<Refuse>(&decision)) {
         perform(m_machine->onNoEndpoint(refuse->code, refuse->retryAfter));
         return;
@@ -145,16 +145,16 @@
         m_next = Next::Admit;
         return;
     }
-    const std::optional<ExchangeNumber> exchange
-            = m_machine->dispatch(m_parts.clock.now(), start.endpoint);
+    const std::optional<ExchangeNumber> exchange =
+        m_machine->dispatch(m_parts.clock.now(), start.endpoint);
     if (!exchange) {
         perform(m_machine->onTick(m_parts.clock.now()));
         return;
     }
     m_exchange = *exchange;
     m_headSeen = false;
-    Result<net::ClientStream> stream = m_parts.client.openStream(
-            *address, engineRequest(), m_parts.limits.engineHeadTimeout);
+    Result<net::ClientStream> stream =
+        m_parts.client.openStream(*address, engineRequest(), m_parts.limits.engineHeadTimeout);
     if (stream)
         onStreamOpened(std::move(*stream), start.endpoint);
     else
@@ -164,11 +164,11 @@
 net::HttpRequest GenerationRelay::engineRequest() const
 {
     const nlohmann::json body = {
-            {"model", m_request->service.text()},
-            {"prompt", m_prompt},
-            {"max_tokens", m_maxTokens},
-            {"priority", m_priority},
-            {"stream", true},
+        {"model", m_request->service.text()},
+        {"prompt", m_prompt},
+        {"max_tokens", m_maxTokens},
+        {"priority", m_priority},
+        {"stream", true},
     };
     net::HttpRequest request;
     request.method = "POST";
@@ -194,8 +194,8 @@
     request.target = "/v1/streams/" + resume.generation.stream;
     request.query = "from=" + std::to_string(resume.from);
     request.mayResend = true;
-    Result<net::ClientStream> stream
-            = m_parts.client.openStream(*address, request, m_parts.limits.engineHeadTimeout);
+    Result<net::ClientStream> stream =
+        m_parts.client.openStream(*address, request, m_parts.limits.engineHeadTimeout);
     if (stream)
         onStreamOpened(std::move(*stream), m_endpoint);
     else
@@ -229,8 +229,7 @@
 
 bool GenerationRelay::acceptHead(std::string_view engineIncarnation, std::string_view stream)
 {
-    const std::optional<std::uint64_t> incarnation
-            = parseNumber<std::uint64_t>(engineIncarnation);
+    const std::optional<std::uint64_t> incarnation = parseNumber<std::uint64_t>(engineIncarnation);
     if (!incarnation || stream.empty())
         return false;
     const GenerationId generation {m_endpoint, Incarnation {*incarnation}, std::string {stream}};
@@ -255,12 +254,12 @@
         return;
     }
     if (error.code == ResultCode::BackEndTimeout) {
-        m_parts.client.dropIdle(m_parts.views.current()->addressOf(endpoint).value_or(
-                net::Address {}));
+        m_parts.client.dropIdle(
+            m_parts.views.current()->addressOf(endpoint).value_or(net::Address {}));
     }
     onEngineEvent(engine::Lost {error.code == ResultCode::BackEndProtocol
-                                        ? EngineLoss::Malformed
-                                        : EngineLoss::BeforeHead});
+                                    ? EngineLoss::Malformed
+                                    : EngineLoss::BeforeHead});
 }
 
 void GenerationRelay::readExchange()
@@ -270,17 +269,17 @@
         perform(m_machine->onTick(now));
         return;
     }
-    const Result<std::size_t> n
-            = m_stream.read(m_buffer, m_caller.deadline.limit(now, m_parts.limits.callerKeepAlive));
+    const Result<std::size_t> n =
+        m_stream.read(m_buffer, m_caller.deadline.limit(now, m_parts.limits.callerKeepAlive));
     if (!n) {
         onReadFailed(n.error());
     } else if (*n == 0) {
         onEngineEvent(engine::Lost {EngineLoss::MidStream});
     } else {
         m_lastByteAt = m_parts.clock.now();
-        const Result<void> parsed
-                = m_parser.feed(std::string_view(m_buffer.data(), *n),
-                                [this](const net::SseEvent &event) { onSseEvent(event); });
+        const Result<void> parsed =
+            m_parser.feed(std::string_view(m_buffer.data(), *n),
+                          [this](const net::SseEvent &event) { onSseEvent(event); });
         if (!parsed && m_next == Next::Read)
             onEngineEvent(engine::Lost {EngineLoss::Malformed});
     }
@@ -292,8 +291,8 @@
 {
     if (error.code != ResultCode::LinkSilent) {
         onEngineEvent(engine::Lost {error.code == ResultCode::BackEndProtocol
-                                            ? EngineLoss::Malformed
-                                            : EngineLoss::MidStream});
+                                        ? EngineLoss::Malformed
+                                        : EngineLoss::MidStream});
         return;
     }
     chargeTokens();
@@ -339,8 +338,7 @@
 
 void GenerationRelay::onToken(std::uint64_t index, std::string_view data)
 {
-    const generation::Actions actions
-            = m_machine->onToken(m_parts.clock.now(), m_exchange, index);
+    const generation::Actions actions = m_machine->onToken(m_parts.clock.now(), m_exchange, index);
     for (const generation::Action &action : actions)
         performOne(action, data);
 }
@@ -349,10 +347,9 @@
 {
     const Millis now = m_parts.clock.now();
     const double uniform = uniformRandom();
-    const generation::Actions actions
-            = m_parts.budgets.with(m_endpoint, [&](RetryBudget &budget) {
-                  return m_machine->onEngine(now, m_exchange, event, budget, uniform);
-              });
+    const generation::Actions actions = m_parts.budgets.with(m_endpoint, [&](RetryBudget &budget) {
+        return m_machine->onEngine(now, m_exchange, event, budget, uniform);
+    });
     perform(actions);
 }
 
@@ -398,8 +395,8 @@
         return;
     }
     std::array<char, 20> digits {};
-    const std::to_chars_result end
-            = std::to_chars(digits.data(), digits.data() + digits.size(), index);
+    const std::to_chars_result end =
+        std::to_chars(digits.data(), digits.data() + digits.size(), index);
     m_out += "id: ";
     m_out += m_idPrefix;
     m_out.append(digits.data(), end.ptr);
@@ -441,12 +438,12 @@
     m_parts.metrics.counter("fescue_generations_total", {{"result", "finished"}}).Increment();
     if (!m_streamed) {
         const nlohmann::json body = {
-                {"object", "text_completion"},
-                {"choices", {{{"text", m_text}, {"index", 0}, {"finish_reason", "stop"}}}},
-                {"usage", {{"completion_tokens", m_machine->deliveredTokens()}}},
+            {"object", "text_completion"},
+            {"choices", {{{"text", m_text}, {"index", 0}, {"finish_reason", "stop"}}}},
+            {"usage", {{"completion_tokens", m_machine->deliveredTokens()}}},
         };
         static_cast<void>(m_writer.send(net::jsonResponse(
-                200, body.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace))));
+            200, body.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace))));
         return;
     }
     m_out += "data: [DONE]\n\n";
@@ -464,8 +461,8 @@
     std::string detail {describe(failure.code)};
     if (failure.deliveredTokens > 0)
         detail += "; " + std::to_string(failure.deliveredTokens) + " tokens were delivered";
-    const net::Problem problem
-            = makeProblem(failure.code, failure.runState, std::move(detail), failure.retryAfter);
+    const net::Problem problem =
+        makeProblem(failure.code, failure.runState, std::move(detail), failure.retryAfter);
     if (m_answerStarted || !m_out.empty()) {
         m_out += toEvent(problem);
         if (flush())
@@ -478,8 +475,8 @@
 void GenerationRelay::cancelAtEngine(const GenerationId &generation)
 {
     m_stream.close();
-    const std::optional<net::Address> address
-            = m_parts.views.current()->addressOf(generation.endpoint);
+    const std::optional<net::Address> address =
+        m_parts.views.current()->addressOf(generation.endpoint);
     if (!address)
         return;
     net::HttpRequest request;
@@ -488,10 +485,11 @@
     request.mayResend = true;
     // On a fiber of its own, so that the caller's final answer does not wait for the engine. A
     // cancellation that is lost costs only the engine's time.
-    m_parts.pool.spawn(net::currentWorker(), [&client = m_parts.client, address = *address, request,
-                                              timeout = m_parts.limits.engineHeadTimeout] {
-        static_cast<void>(client.request(address, request, timeout));
-    });
+    m_parts.pool.spawn(net::currentWorker(),
+                       [&client = m_parts.client, address = *address, request,
+                        timeout = m_parts.limits.engineHeadTimeout] {
+                           static_cast<void>(client.request(address, request, timeout));
+                       });
 }
 
 void GenerationRelay::chargeTokens()
--- a/src/gateway/plaincall.cpp
+++ b/src/gateway/plaincall.cpp
@@ -52,10 +52,11 @@
     Decision decision = m_parts.admission.enter(admissionRequest(m_parts, m_request, id));
     for (std::uint32_t attempt = 1;; ++attempt) {
         if (const Refuse *refuse = std::get_if<Refuse>(&decision)) {
-            // A try before this one may have run; a call that may be repeated is safe to send again.
+            // A try before this one may have run; a call that may be repeated is safe to send
+            // again.
             const RunState run = attempt == 1 ? RunState::NotRun : RunState::Unknown;
             static_cast<void>(m_writer.send(net::problemResponse(makeProblem(
-                    refuse->code, run, std::string {describe(refuse->code)}, refuse->retryAfter))));
+                refuse->code, run, std::string {describe(refuse->code)}, refuse->retryAfter))));
             return;
         }
         const EndpointName endpoint = std::get<Start>(decision).endpoint;
@@ -70,11 +71,11 @@
             m_parts.admission.ended(id, EndKind::Aborted);
             const bool sent = answer.error().code != ResultCode::ConnectFailed || attempt > 1;
             const ResultCode code = answer.error().code == ResultCode::ConnectFailed
-                    ? ResultCode::BackEndLost
-                    : answer.error().code;
-            static_cast<void>(m_writer.send(net::problemResponse(
-                    makeProblem(code, sent ? RunState::Unknown : RunState::NotRun,
-                                std::string {describe(code)}, Millis {1000}))));
+                ? ResultCode::BackEndLost
+                : answer.error().code;
+            static_cast<void>(m_writer.send(
+                net::problemResponse(makeProblem(code, sent ? RunState::Unknown : RunState::NotRun,
+                                                 std::string {describe(code)}, Millis {1000}))));
             return;
         }
         m_parts.metrics.counter("fescue_retries_total").Increment();
@@ -82,8 +83,7 @@
     }
 }
 
-bool PlainCall::shouldRetry(const Error &error, const EndpointName &endpoint,
-                            std::uint32_t attempt)
+bool PlainCall::shouldRetry(const Error &error, const EndpointName &endpoint, std::uint32_t attempt)
 {
     const Millis now = m_parts.clock.now();
     if (attempt >= maxAttempts || m_request.deadline.hasPassed(now))
@@ -96,8 +96,8 @@
 
 ClaimedCall::ClaimedCall(GatewayParts &parts, PlainRequest request)
     : m_parts(parts), m_request(std::move(request)),
-      m_machine(newNonce(), ClaimHolder {parts.member, parts.incarnation},
-                requestDigest(m_request), m_request.deadline)
+      m_machine(newNonce(), ClaimHolder {parts.member, parts.incarnation}, requestDigest(m_request),
+                m_request.deadline)
 { }
 
 ClaimedCall::~ClaimedCall()
@@ -108,12 +108,11 @@
 bool ClaimedCall::run(net::ResponseWriter &writer)
 {
     m_id = m_parts.admission.nextId();
-    const Decision decision
-            = m_parts.admission.enter(admissionRequest(m_parts, m_request, m_id));
+    const Decision decision = m_parts.admission.enter(admissionRequest(m_parts, m_request, m_id));
     if (const Refuse *refuse = std::get_if<Refuse>(&decision)) {
         static_cast<void>(writer.send(net::problemResponse(
-                makeProblem(refuse->code, RunState::NotRun, std::string {describe(refuse->code)},
-                            refuse->retryAfter))));
+            makeProblem(refuse->code, RunState::NotRun, std::string {describe(refuse->code)},
+                        refuse->retryAfter))));
         return false;
     }
     m_admitted = true;
@@ -188,17 +187,16 @@
         if (writer == nullptr)
             return;
         static_cast<void>(writer->send(net::problemResponse(
-                makeProblem(refuse->code, refuse->runState, std::string {describe(refuse->code)},
-                            refuse->retryAfter))));
+            makeProblem(refuse->code, refuse->runState, std::string {describe(refuse->code)},
+                        refuse->retryAfter))));
     }
 }
 
 void ClaimedCall::write(const ClaimRecord &record, std::optional<StoreRevision> over)
 {
     const net::StoreResult<net::StoreRevision> result = over
-            ? m_parts.claims.putIfMatch(storeKey(), record.toText(),
-                                        net::StoreRevision {over->value})
-            : m_parts.claims.putIfAbsent(storeKey(), record.toText());
+        ? m_parts.claims.putIfMatch(storeKey(), record.toText(), net::StoreRevision {over->value})
+        : m_parts.claims.putIfAbsent(storeKey(), record.toText());
     if (result) {
         report(claim::Written {StoreRevision {result->value}});
         return;
@@ -234,8 +232,8 @@
         return;
     }
     claim::Read event;
-    event.holderLives = m_parts.views.current()->mayLive(record->holder.member,
-                                                         record->holder.incarnation);
+    event.holderLives =
+        m_parts.views.current()->mayLive(record->holder.member, record->holder.incarnation);
     event.record = std::move(*record);
     event.revision = StoreRevision {item->revision.value};
     report(event);
@@ -274,7 +272,7 @@
     if (outcome.delay > Millis {0})
         net::sleepFor(outcome.delay);
     const net::StoreResult<net::StoreRevision> result = m_parts.claims.putIfMatch(
-            storeKey(), outcome.record.toText(), net::StoreRevision {outcome.revision.value});
+        storeKey(), outcome.record.toText(), net::StoreRevision {outcome.revision.value});
     if (result || result.error().code == ResultCode::StoreConflict)
         report(claim::OutcomeKept {});
     else
@@ -284,7 +282,7 @@
 std::string ClaimedCall::storeKey() const
 {
     return "claims/" + m_request.service.text() + '/' + m_request.account.text() + '/'
-            + hashKey(m_request.idempotencyKey);
+        + hashKey(m_request.idempotencyKey);
 }
 
 void ClaimedCall::releaseAdmission(EndKind kind)
--- a/src/gateway/plainexchange.cpp
+++ b/src/gateway/plainexchange.cpp
@@ -31,8 +31,7 @@
     if (!request.idempotencyKey.empty())
         http.headers.push_back({"Idempotency-Key", request.idempotencyKey});
     http.headers.push_back({"X-Request-Id", request.requestId});
-    const Millis timeout
-            = request.deadline.limit(parts.clock.now(), request.contract.timeout);
+    const Millis timeout = request.deadline.limit(parts.clock.now(), request.contract.timeout);
     Result<net::HttpResponse> answer = parts.client.request(*address, http, timeout);
     if (answer && answer->header("X-Request-Id") != request.requestId
         && !answer->header("X-Request-Id").empty())
--- a/src/programs/entry/entrydaemon.cpp
+++ b/src/programs/entry/entrydaemon.cpp
@@ -29,14 +29,13 @@
 } // namespace
 
 EntryDaemon::EntryDaemon(const DaemonSettings &settings)
-    : m_settings(settings),
-      m_incarnation {static_cast<std::uint64_t>(observe::wallMillisNow())},
-      m_timeline(settings.name.text()),
-      m_pool(settings.workers),
+    : m_settings(settings), m_incarnation {static_cast<std::uint64_t>(observe::wallMillisNow())},
+      m_timeline(settings.name.text()), m_pool(settings.workers),
       m_claims(m_client, toAddress(settings.store), m_claimCalls, settings.storeTimeout),
-      m_admission(settings.name),
-      m_parts {settings.name, m_incarnation, {}, {}, m_views, m_admission, m_budgets, m_streams,
-               m_pool, m_client, m_claims, m_metrics, m_timeline},
+      m_admission(settings.name), m_parts {settings.name, m_incarnation, {},        {},
+                                           m_views,       m_admission,   m_budgets, m_streams,
+                                           m_pool,        m_client,      m_claims,  m_metrics,
+                                           m_timeline},
       m_gateway(m_parts, m_intake, [this] { return status(); })
 { }
 
@@ -55,10 +54,10 @@
 Result<void> EntryDaemon::start()
 {
     m_server = std::make_unique<net::HttpServer>(
-            m_pool, toAddress(m_settings.listen), serverLimits(m_settings.limits),
-            [this](const net::HttpRequest &request, net::ResponseWriter &writer) {
-                m_gateway.handle(request, writer);
-            });
+        m_pool, toAddress(m_settings.listen), serverLimits(m_settings.limits),
+        [this](const net::HttpRequest &request, net::ResponseWriter &writer) {
+            m_gateway.handle(request, writer);
+        });
     Result<void> listening = m_server->start();
     if (!listening)
         return listening;
@@ -72,8 +71,8 @@
     m_node = std::make_unique<node::NodeControl>(nodeOptions(), m_timeline, m_metrics,
                                                  std::move(callbacks));
     m_credits = std::make_unique<node::CreditClient>(
-            *m_node, node::CreditClientOptions {},
-            [this](const CreditGrant &grant) { m_admission.grantReceived(grant); });
+        *m_node, node::CreditClientOptions {},
+        [this](const CreditGrant &grant) { m_admission.grantReceived(grant); });
     Result<void> started = m_node->start();
     if (!started)
         return started;
--- a/src/programs/entry/main.cpp
+++ b/src/programs/entry/main.cpp
@@ -103,8 +103,8 @@
         std::cerr << started.error().toString() << '\n';
         return EXIT_FAILURE;
     }
-    observe::logChange("started", {{"listen", daemon.callerAddress().toString()},
-                                   {"peer", daemon.peerAddress()}});
+    observe::logChange(
+        "started", {{"listen", daemon.callerAddress().toString()}, {"peer", daemon.peerAddress()}});
     if (!writePorts(options.portsFile, daemon)) {
         std::cerr << options.portsFile << ": cannot be written\n";
         return EXIT_FAILURE;
