--- a/include/fescue/config/errorlist.h
+++ b/include/fescue/config/errorlist.h
@@ -20,6 +20,6 @@
 
 // Reads a whole file of at most the given size.
 [[nodiscard]] Result<std::string> readTextFile(const std::string &path,
-                                               std::size_t maxBytes = 4 * 1024 * 1024);
+                                               std::size_t maxBytes = 4ULL * 1024 * 1024);
 
 } // namespace fescue
--- a/src/config/snapshotjson.cpp
+++ b/src/config/snapshotjson.cpp
@@ -3,6 +3,7 @@
 #include "config/jsonobject.h"
 #include "fescue/config/snapshotcheck.h"
 
+#include <algorithm>
 #include <nlohmann/json.hpp>
 #include <utility>
 
@@ -212,7 +213,9 @@
     JsonObject object(value, {}, errors);
     readFormat(object);
     object.read("version", snapshot.version.value);
-    object.read("nonce", stored.nonce);
+    object.readEach("nonces", [&](const json &nonce, const std::string &path) {
+        stored.nonces.push_back(readWord(nonce, path, errors));
+    });
     object.read("stream_secret", snapshot.streamSecret);
     object.read("directory_ttl_ms", snapshot.directoryTtl);
     object.readEach("zones", [&](const json &zone, const std::string &path) {
@@ -243,14 +246,26 @@
 
 } // namespace
 
-Result<std::string> serializeSnapshot(const Snapshot &snapshot, std::string_view nonce)
+std::optional<ConfigVersion> StoredSnapshot::versionOf(std::string_view nonce) const noexcept
+{
+    for (std::size_t n = 0; n < nonces.size() && n < snapshot.version.value; ++n) {
+        if (nonces[n] == nonce)
+            return ConfigVersion {snapshot.version.value - n};
+    }
+    return std::nullopt;
+}
+
+Result<std::string> serializeSnapshot(const Snapshot &snapshot, std::span<const std::string> nonces)
 {
     json vmsOut = json::array();
     for (const VmOut &vm : snapshot.vmsOut)
         vmsOut.push_back(vm.name.text());
+    json nonceList = json::array();
+    for (const std::string &nonce : nonces.first(std::min(nonces.size(), maxKeptNonces)))
+        nonceList.push_back(nonce);
     const json value = {{"format", snapshotFormat},
                         {"version", snapshot.version.value},
-                        {"nonce", nonce},
+                        {"nonces", std::move(nonceList)},
                         {"stream_secret", snapshot.streamSecret},
                         {"directory_ttl_ms", snapshot.directoryTtl.count},
                         {"zones", toJsonArray(snapshot.zones)},
--- a/tests/config/parsers_property_test.cpp
+++ b/tests/config/parsers_property_test.cpp
@@ -110,7 +110,7 @@
 
 TEST_F(ParserProperties, ChangedSnapshotTextsAreAnErrorOrConsistent)
 {
-    const std::string text = serializeSnapshot(sampleSnapshot(), "n").value();
+    const std::string text = serializeSnapshot(sampleSnapshot()).value();
     EXPECT_TRUE(rc::check([&text] { checkSnapshotText(mutated(text)); }));
 }
 
--- a/tests/config/snapshotjson_test.cpp
+++ b/tests/config/snapshotjson_test.cpp
@@ -9,21 +9,38 @@
 using fescue::testing::sampleSnapshot;
 using nlohmann::json;
 
+const std::vector<std::string> sampleNonces = {"n4", "n3"};
+
 json sampleJson()
 {
-    return json::parse(serializeSnapshot(sampleSnapshot(), "n1").value());
+    return json::parse(serializeSnapshot(sampleSnapshot(), sampleNonces).value());
 }
 
 TEST(SnapshotJson, ReadsWhatItWrote)
 {
     const Result<StoredSnapshot> stored =
-        parseStoredSnapshot(serializeSnapshot(sampleSnapshot(), "n1").value());
+        parseStoredSnapshot(serializeSnapshot(sampleSnapshot(), sampleNonces).value());
     ASSERT_TRUE(stored) << stored.error().toString();
     EXPECT_EQ(stored->snapshot, sampleSnapshot());
-    EXPECT_EQ(stored->nonce, "n1");
+    EXPECT_EQ(stored->nonces, sampleNonces);
     EXPECT_EQ(parseSnapshot(sampleJson().dump()).value(), sampleSnapshot());
 }
 
+TEST(SnapshotJson, NoncesNameTheVersionsBefore)
+{
+    const StoredSnapshot stored {sampleSnapshot(), sampleNonces};
+    EXPECT_EQ(stored.versionOf("n4"), ConfigVersion {4});
+    EXPECT_EQ(stored.versionOf("n3"), ConfigVersion {3});
+    EXPECT_FALSE(stored.versionOf("n2"));
+}
+
+TEST(SnapshotJson, KeepsTheLatestNonces)
+{
+    const std::vector<std::string> many(maxKeptNonces + 4, "n");
+    EXPECT_EQ(parseStoredSnapshot(serializeSnapshot(sampleSnapshot(), many).value())->nonces.size(),
+              maxKeptNonces);
+}
+
 TEST(SnapshotJson, VersionIsAMemberOfTheText)
 {
     EXPECT_EQ(sampleJson()["version"], 4);
@@ -82,6 +99,7 @@
     {"NoVersion", "/version", "", ResultCode::ConfigMissing, "version is missing"},
     {"NegativeVersion", "/version", "-1", ResultCode::ConfigBadValue, "version must be"},
     {"TextVersion", "/version", "\"4\"", ResultCode::ConfigBadValue, "version must be"},
+    {"Nonce", "/nonces/0", "1", ResultCode::ConfigBadValue, "nonces[0] must be"},
     {"Extra", "/other", "1", ResultCode::ConfigUnknownKey, "other is not"},
     {"ZonesNoArray", "/zones", "{}", ResultCode::ConfigBadValue, "zones must be an array"},
     {"ZoneNoObject", "/zones/0", "3", ResultCode::ConfigSyntax, "zones[0] must be"},
