--- a/include/fescue/emulator/enginemodel.h
+++ b/include/fescue/emulator/enginemodel.h
@@ -114,6 +114,8 @@
     void kill(Millis now);
     // Becomes cold within the same incarnation: slow, cache empty, streams go on.
     void turnCold(Millis now);
+    // Becomes warm at once.
+    void warmUp() noexcept;
     // Changes the lag of load reports.
     void setReportLag(Millis lag) noexcept { m_settings.reportLag = lag; }
 
--- a/include/fescue/emulator/enginesettings.h
+++ b/include/fescue/emulator/enginesettings.h
@@ -10,11 +10,11 @@
 struct EngineSettings
 {
     // Sequences that are decoded in the same step.
-    std::uint32_t maxBatch = 16;
+    std::uint32_t maxBatch = 24;
     // Requests that may wait for a place in the batch; more are refused.
     std::uint32_t maxWaiting = 64;
     // Memory for prompts and outputs of the batch.
-    std::uint64_t memoryTokens = 49152;
+    std::uint64_t memoryTokens = 32768;
     // Memory for cached prefixes, apart from the above.
     std::uint64_t cacheTokens = 32768;
     std::uint32_t tokensPerBlock = 64;
--- a/include/fescue/policy.h
+++ b/include/fescue/policy.h
@@ -12,6 +12,5 @@
 #include "fescue/policy/policies.h"
 #include "fescue/policy/request.h"
 #include "fescue/policy/router.h"
-#include "fescue/policy/shares.h"
 #include "fescue/policy/slowstart.h"
 #include "fescue/policy/startrate.h"
--- a/include/fescue/policy/admissionqueue.h
+++ b/include/fescue/policy/admissionqueue.h
@@ -114,7 +114,7 @@
                                                              Millis now) const;
     [[nodiscard]] Millis retryAfter(const AccountName &account, Millis now) const;
     [[nodiscard]] Millis latestStart(const QueuedRequest &queued) const;
-    [[nodiscard]] std::uint64_t smallestQueued() const;
+    [[nodiscard]] std::uint64_t nextPromise() const;
     void updateBacklog(Millis now);
 
     ServiceName m_service;
@@ -129,6 +129,8 @@
     // Endpoints that gave a request back, until when they are avoided.
     std::map<EndpointName, Millis> m_avoid;
     QueueCounters m_counters;
+    // Running mean of the memory promised to requests at their start.
+    std::uint64_t m_usualPromise = 0;
 };
 
 } // namespace fescue
--- a/include/fescue/policy/admissionqueue.inl
+++ b/include/fescue/policy/admissionqueue.inl
@@ -17,6 +17,8 @@
 constexpr Millis defaultRetryAfter {5000};
 // The memory promise of a running request is raised in steps of this many tokens.
 constexpr std::uint64_t promiseStepTokens = 64;
+// Number of requests that the usual promise is averaged over.
+constexpr std::uint64_t usualPromiseWindow = 8;
 
 } // namespace detail
 
@@ -156,9 +158,9 @@
         m_eligible.begin(), m_eligible.end(),
         [&endpoint](const EligibleEndpoint &item) { return item.endpoint == endpoint; });
     if (!isEligible || m_queue.empty())
-        return m_wallet.demand(endpoint, 0, 0, now);
+        return m_wallet.demand(endpoint, 0, m_usualPromise, now);
     const std::size_t wanted = (m_queue.size() + endpoints - 1) / endpoints;
-    return m_wallet.demand(endpoint, static_cast<std::uint32_t>(wanted), smallestQueued(), now);
+    return m_wallet.demand(endpoint, static_cast<std::uint32_t>(wanted), nextPromise(), now);
 }
 
 template <AdmissionPolicy Policy>
@@ -204,6 +206,8 @@
         return false;
     const EndpointName endpoint = able[*chosen].endpoint;
     m_wallet.reserve(endpoint, tokens);
+    m_usualPromise =
+        (m_usualPromise * (detail::usualPromiseWindow - 1) + tokens) / detail::usualPromiseWindow;
     decisions.push_back(
         Start {id, endpoint, m_wallet.available(endpoint, now).incarnation, request.priority});
     m_queue.popFront(account);
@@ -267,7 +271,7 @@
     if (m_eligible.empty())
         return ResultCode::NoEndpoint;
     const std::optional<Millis> wait = predictedWait(request.account, now);
-    if (!wait)
+    if (!wait || !m_policy.refusesEarly())
         return std::nullopt;
     if (request.deadline != noDeadline && now + *wait > request.deadline)
         return ResultCode::DeadlineUnreachable;
@@ -296,9 +300,9 @@
     return std::min(queued.request.deadline, queued.arrivedAt + m_policy.queueLimit());
 }
 
-// Least memory with which some account's next request could start.
+// Memory with which the request that is next in turn could start.
 template <AdmissionPolicy Policy>
-std::uint64_t AdmissionQueue<Policy>::smallestQueued() const
+std::uint64_t AdmissionQueue<Policy>::nextPromise() const
 {
     const std::vector<AccountName> order = m_queue.order();
     if (order.empty())
--- a/include/fescue/policy/credit.h
+++ b/include/fescue/policy/credit.h
@@ -37,7 +37,8 @@
     // Memory, in tokens, that the running requests are predicted to need.
     std::uint64_t promisedTokens = 0;
     std::uint32_t queuedWanted = 0;
-    // Memory, in tokens, without which the next queued request cannot start.
+    // Memory, in tokens, without which the next queued request cannot start; where none is queued,
+    // what recent requests needed. 0 where that is not known.
     std::uint64_t minimumTokensWanted = 0;
     // Calls that the endpoint has finished for this entry, ever.
     std::uint64_t finishedTotal = 0;
--- a/include/fescue/policy/creditauthority.h
+++ b/include/fescue/policy/creditauthority.h
@@ -89,6 +89,14 @@
         std::uint64_t slots = 0;
         std::uint64_t memoryTokens = 0;
     };
+    // What one entry gets, while it is worked out.
+    struct Claim
+    {
+        Amount share;
+        std::uint32_t queued = 0;
+        // Memory that one more request needs.
+        std::uint64_t unitTokens = 0;
+    };
     using Members = std::map<MemberName, MemberState>;
 
     void record(const EntryDemand &demand, Millis now);
@@ -97,7 +105,8 @@
     [[nodiscard]] Amount committedByOthers(const MemberName &member) const noexcept;
     // Load that the endpoint reports and no known entry accounts for.
     [[nodiscard]] Amount unaccounted(Millis now) const noexcept;
-    [[nodiscard]] Amount target(const MemberName &member) const;
+    [[nodiscard]] Amount target(const MemberName &member, Millis now) const;
+    static void giveUnits(std::vector<Claim> &claims, Amount &left, std::size_t first, bool spare);
     [[nodiscard]] Millis termFor(Millis now) const noexcept;
     [[nodiscard]] std::uint32_t busyPercent() const noexcept;
 
--- a/include/fescue/policy/policies.h
+++ b/include/fescue/policy/policies.h
@@ -16,8 +16,9 @@
 
 // The rules by which one service admits and routes. The queue calls promise() for the memory, in
 // tokens, to reserve for a request that has produced `produced` tokens, choose() for an endpoint
-// among those that can take a request, queueLimit() for the longest wait, and usesCredit() for
-// whether starts are bounded by credit at all.
+// among those that can take a request, queueLimit() for the longest wait, refusesEarly() for
+// whether a request is refused on arrival where its predicted wait is too long, and usesCredit()
+// for whether starts are bounded by credit at all.
 template <typename T>
 concept AdmissionPolicy = requires(T policy, const T &constPolicy, const LengthForecast &forecast,
                                    const Request &request, std::span<const Candidate> candidates)
@@ -44,6 +45,7 @@
     // ...but looks no further ahead than this many tokens; 0 promises nothing beyond the present.
     std::uint32_t horizonTokens = 2048;
     Millis queueLimit = 30_s;
+    bool refusesEarly = true;
     RouterSettings router;
 };
 
@@ -68,6 +70,7 @@
         return predictedTokens(m_settings, forecast, request, produced);
     }
     [[nodiscard]] Millis queueLimit() const noexcept { return m_settings.queueLimit; }
+    [[nodiscard]] bool refusesEarly() const noexcept { return m_settings.refusesEarly; }
     [[nodiscard]] std::optional<std::size_t> choose(const Request &request,
                                                     std::span<const Candidate> candidates) const
     {
@@ -90,6 +93,7 @@
         return predictedTokens(m_settings, forecast, request, produced);
     }
     [[nodiscard]] Millis queueLimit() const noexcept { return m_settings.queueLimit; }
+    [[nodiscard]] bool refusesEarly() const noexcept { return m_settings.refusesEarly; }
     [[nodiscard]] std::optional<std::size_t> choose(const Request &request,
                                                     std::span<const Candidate> candidates) const
     {
@@ -111,6 +115,7 @@
         return 0;
     }
     [[nodiscard]] Millis queueLimit() const noexcept { return noDeadline; }
+    [[nodiscard]] bool refusesEarly() const noexcept { return false; }
     [[nodiscard]] std::optional<std::size_t> choose(const Request &request,
                                                     std::span<const Candidate> candidates);
 
@@ -129,6 +134,7 @@
         return 0;
     }
     [[nodiscard]] Millis queueLimit() const noexcept { return noDeadline; }
+    [[nodiscard]] bool refusesEarly() const noexcept { return false; }
     [[nodiscard]] std::optional<std::size_t> choose(const Request &request,
                                                     std::span<const Candidate> candidates);
 
--- a/src/emulator/enginemodel.cpp
+++ b/src/emulator/enginemodel.cpp
@@ -179,6 +179,11 @@
     recordLoad(now);
 }
 
+void EngineModel::warmUp() noexcept
+{
+    m_tokensSinceCold = m_settings.coldTokensPerSlot * m_settings.maxBatch;
+}
+
 void EngineModel::beginStep(Millis at)
 {
     admitWaiting();
--- a/src/policy/creditauthority.cpp
+++ b/src/policy/creditauthority.cpp
@@ -1,7 +1,5 @@
 #include "fescue/policy/creditauthority.h"
 
-#include "fescue/policy/shares.h"
-
 #include <algorithm>
 #include <iterator>
 
@@ -25,17 +23,10 @@
     return settings;
 }
 
-// Adds to each share an equal part of what is left of the limit.
-void addSpare(std::vector<std::uint64_t> &shares, std::uint64_t limit, std::size_t first)
-{
-    std::uint64_t used = 0;
-    for (const std::uint64_t share : shares)
-        used += share;
-    const std::vector<std::uint64_t> wants(shares.size(), limit);
-    const std::vector<std::uint64_t> spare = maxMinShares(minus(limit, used), wants, first);
-    for (std::size_t i = 0; i < shares.size(); ++i)
-        shares[i] += spare[i];
-}
+// Entries that come first when too little is left for all change at this interval.
+constexpr Millis rotationInterval = 2_s;
+// Memory of a spare slot where no entry has said what its requests need.
+constexpr std::uint64_t defaultUnitTokens = 1024;
 
 } // namespace
 
@@ -94,7 +85,7 @@
     grant.term = termFor(now);
     if (!m_serving || now < m_assumedUntil || grant.term <= Millis {0})
         return grant;
-    const Amount wanted = target(demand.member);
+    const Amount wanted = target(demand.member, now);
     const Amount others = committedByOthers(demand.member);
     const Amount unknown = unaccounted(now);
     const std::uint64_t slotsLeft = minus(slotLimit(), others.slots + unknown.slots);
@@ -208,27 +199,52 @@
     return {extra, m_report->memoryUsed * extra / reported};
 }
 
-CreditAuthority::Amount CreditAuthority::target(const MemberName &member) const
+CreditAuthority::Amount CreditAuthority::target(const MemberName &member, Millis now) const
 {
-    std::vector<std::uint64_t> slotWants;
-    std::vector<std::uint64_t> memoryWants;
+    std::vector<Claim> claims;
     std::size_t own = 0;
     for (const std::pair<const MemberName, MemberState> &entry : m_members) {
         if (entry.second.left)
             continue;
         if (entry.first == member)
-            own = slotWants.size();
+            own = claims.size();
         const EntryDemand &demand = entry.second.demand;
-        slotWants.push_back(std::uint64_t {demand.running} + demand.queuedWanted);
-        memoryWants.push_back(demand.promisedTokens + demand.minimumTokensWanted);
+        const std::uint64_t unit =
+            demand.minimumTokensWanted > 0 ? demand.minimumTokensWanted : defaultUnitTokens;
+        claims.push_back({{demand.running, demand.promisedTokens}, demand.queuedWanted, unit});
+    }
+    Amount left {slotLimit(), memoryLimit()};
+    for (const Claim &claim : claims) {
+        left.slots = minus(left.slots, claim.share.slots);
+        left.memoryTokens = minus(left.memoryTokens, claim.share.memoryTokens);
+    }
+    const std::size_t first =
+        static_cast<std::size_t>(now.count / rotationInterval.count) % claims.size();
+    giveUnits(claims, left, first, false);
+    giveUnits(claims, left, first, true);
+    return claims[own].share;
+}
+
+// Gives out slots, each with the memory that a request needs, one by one to each entry in turn:
+// for queued requests, or as spares for requests to come.
+void CreditAuthority::giveUnits(std::vector<Claim> &claims, Amount &left, std::size_t first,
+                                bool spare)
+{
+    bool given = true;
+    while (given && left.slots > 0) {
+        given = false;
+        for (std::size_t i = 0; i < claims.size() && left.slots > 0; ++i) {
+            Claim &claim = claims[(first + i) % claims.size()];
+            if ((!spare && claim.queued == 0) || claim.unitTokens > left.memoryTokens)
+                continue;
+            claim.queued -= spare ? 0 : 1;
+            claim.share.slots += 1;
+            claim.share.memoryTokens += claim.unitTokens;
+            left.slots -= 1;
+            left.memoryTokens -= claim.unitTokens;
+            given = true;
+        }
     }
-    // The remainders of a small limit go round among the entries.
-    const std::size_t first = static_cast<std::size_t>(m_nextSerial / slotWants.size());
-    std::vector<std::uint64_t> slots = maxMinShares(slotLimit(), slotWants, first);
-    std::vector<std::uint64_t> memory = maxMinShares(memoryLimit(), memoryWants, first);
-    addSpare(slots, slotLimit(), first);
-    addSpare(memory, memoryLimit(), first);
-    return {slots[own], memory[own]};
 }
 
 Millis CreditAuthority::termFor(Millis now) const noexcept
