Sharpen the fault matrices where a removed check went unnoticed

Late messages of a silent link now arrive after a fresh start, requests start at the engine before their head, dispatches after the deadline are found, and a claim that is stuck is found.

--- a/tests/core/generation_test.cpp
+++ b/tests/core/generation_test.cpp
@@ -87,6 +87,28 @@
     EXPECT_EQ(onlyAction<generation::FailFinal>(actions)->runState, RunState::Ran);
 }
 
+TEST_F(GenerationTest, ProgressAllowsFurtherResumes)
+{
+    startStream(1);
+    for (std::uint64_t n = 1; n < 50; ++n) {
+        const generation::Actions lost = report(engine::Lost {});
+        const generation::Resume *resume = onlyAction<generation::Resume>(lost);
+        ASSERT_NE(resume, nullptr) << "after " << n << " tokens";
+        exchange = resume->exchange;
+        EXPECT_TRUE(report(engine::HeadReceived {generationOne}).empty());
+        EXPECT_TRUE(onlyAction<generation::ForwardToken>(machine.onToken(now, exchange, n)));
+    }
+}
+
+TEST_F(GenerationTest, EndMarkWithoutAHeadEndsNothing)
+{
+    startStream(2);
+    const generation::Actions lost = report(engine::Lost {});
+    ASSERT_TRUE(onlyAction<generation::Resume>(lost));
+    exchange = onlyAction<generation::Resume>(lost)->exchange;
+    EXPECT_TRUE(onlyAction<generation::Resume>(report(engine::Done {})));
+}
+
 TEST_F(GenerationTest, NoRetryIsPlannedBeyondTheDeadline)
 {
     now = 9990_ms;
@@ -130,6 +152,7 @@
 {
     startStream(1);
     const generation::Actions lost = report(engine::Lost {});
+    ASSERT_TRUE(onlyAction<generation::Resume>(lost));
     exchange = onlyAction<generation::Resume>(lost)->exchange;
     EXPECT_TRUE(onlyAction<generation::Detach>(machine.onCallerEnd(CallerEnd::Cancelled)));
 }
--- a/tests/core/matrix_claims_test.cpp
+++ b/tests/core/matrix_claims_test.cpp
@@ -67,6 +67,7 @@
 struct Call
 {
     std::string digest;
+    Deadline deadline;
     std::unique_ptr<ClaimMachine> machine;
     std::deque<Operation> operations;
     bool alive = true;
@@ -78,8 +79,8 @@
 class ClaimWorld
 {
 public:
-    // Runs a call and its retries, all with one key, and returns the first thing that went against
-    // the points, or nothing.
+    // Runs a call and its retries, all with one key and the last without faults. Returns the first
+    // thing that went against the points, or nothing.
     std::string run(std::span<const FaultAt> faults, bool sameRequest = true)
     {
         m_sameRequest = sameRequest;
@@ -89,10 +90,14 @@
             startCall();
             settle(faults);
         }
-        requireProgress();
+        startCall();
+        settle({});
         return m_violation;
     }
 
+    // True where the last call got the answer of the service, its own or the kept one.
+    [[nodiscard]] bool lastAnswered() const { return m_calls.back().answer.has_value(); }
+
 private:
     void require(bool holds, const char *what)
     {
@@ -105,10 +110,11 @@
         const std::size_t n = m_calls.size();
         Call &call = m_calls.emplace_back();
         call.digest = m_sameRequest || n == 0 ? "request" : "other request";
+        call.deadline = Deadline::after(m_now, callTime);
         const std::string number = std::to_string(n);
         call.machine = std::make_unique<ClaimMachine>(
             "nonce-" + number, ClaimHolder {MemberName {"entry-" + number}, {1}}, call.digest,
-            Deadline::after(m_now, callTime));
+            call.deadline);
         enqueue(call, call.machine->start(m_now));
     }
 
@@ -273,6 +279,7 @@
             report(claim::NothingSent {});
             return;
         }
+        require(!m_call->deadline.hasPassed(m_now), "P6: dispatched after the deadline");
         if (m_fault == Fault::PausedInSend) {
             m_now += callTime + callTime;
             m_call->operations.emplace_back(SendNow {});
@@ -340,15 +347,6 @@
         require(runs <= 1, "P6: the call ran twice");
     }
 
-    // Where no call has run and every entry lives and knows that, the last call must have run.
-    void requireProgress()
-    {
-        const bool allSure = std::all_of(m_calls.begin(), m_calls.end(), [](const Call &call) {
-            return call.alive && call.refusal && call.refusal->runState == RunState::NotRun;
-        });
-        require(!allSure || !m_sameRequest || m_faultsAtEnd, "the claim is stuck");
-    }
-
     Millis m_now {0};
     FakeStore m_store;
     std::deque<Call> m_calls;
@@ -357,10 +355,16 @@
     std::size_t m_step = 0;
     std::size_t m_turn = 0;
     bool m_sameRequest = true;
-    bool m_faultsAtEnd = false;
     std::string m_violation;
 };
 
+// True for faults after which nobody can know whether the call has run.
+bool mayStayUnknown(Fault fault)
+{
+    return fault == Fault::ServiceAnswerLost || fault == Fault::ServiceCallLost
+        || fault == Fault::KilledBefore || fault == Fault::KilledAfter;
+}
+
 class ClaimMatrix : public testing::TestWithParam<std::tuple<std::size_t, std::size_t>>
 {
 protected:
@@ -372,7 +376,9 @@
 
 TEST_P(ClaimMatrix, SingleFault)
 {
-    EXPECT_EQ(ClaimWorld().run(std::array {fault()}), "");
+    ClaimWorld world;
+    EXPECT_EQ(world.run(std::array {fault()}), "");
+    EXPECT_TRUE(world.lastAnswered() || mayStayUnknown(fault().fault)) << "the claim is stuck";
     EXPECT_EQ(ClaimWorld().run(std::array {fault()}, false), "") << "with another request";
 }
 
@@ -398,8 +404,7 @@
         const std::size_t step = (draw / faultCount) % (4 * stepCount);
         faults.push_back({static_cast<Fault>(draw % faultCount), step});
     }
-    const std::string violation = ClaimWorld().run(faults);
-    RC_ASSERT(violation.starts_with("P") == false);
+    RC_ASSERT(ClaimWorld().run(faults) == std::string {});
 }
 
 } // namespace
--- a/tests/core/matrix_tokens_test.cpp
+++ b/tests/core/matrix_tokens_test.cpp
@@ -21,6 +21,7 @@
 constexpr std::uint32_t ownRequest = 1;
 constexpr std::uint32_t otherRequest = 2;
 constexpr std::uint64_t answerLength = 4;
+constexpr std::size_t silentSteps = 4;
 constexpr Millis stepTime = 10_ms;
 constexpr Millis requestTime = 60_s;
 
@@ -74,8 +75,13 @@
     // Empty for a new request, the stream number for a resume.
     std::optional<std::string> resumes;
     Phase phase = Phase::Connecting;
+    bool refused = false;
+    // Names the stream of a new request.
+    GenerationId started = {};
     FakeStream stream = {};
     std::uint64_t next = 0;
+    // Steps for which a link that was given up on holds back what it carries.
+    std::size_t heldFor = 0;
 };
 
 // One caller, the entries that it uses one after the other, and two engines.
@@ -141,6 +147,7 @@
         case Fault::LinkSilent:
             // What is under way on the silent link arrives after the new exchange has begun.
             m_stale.push_back(m_exchange);
+            m_stale.back().heldFor = silentSteps;
             lose(EngineLoss::Silent);
             break;
         case Fault::LinkStalled:
@@ -232,7 +239,7 @@
                 report(engine::Lost {EngineLoss::ConnectFailed});
                 return;
             }
-            m_exchange.phase = Exchange::Phase::AwaitingHead;
+            arriveAtEngine();
             return;
         case Exchange::Phase::AwaitingHead:
             answerHead();
@@ -245,29 +252,34 @@
         }
     }
 
+    // The request reaches the engine, which starts it or refuses it before it answers.
+    void arriveAtEngine()
+    {
+        m_exchange.phase = Exchange::Phase::AwaitingHead;
+        m_exchange.refused = std::exchange(m_refuseNext, false);
+        if (m_exchange.refused || m_exchange.resumes)
+            return;
+        m_exchange.started = m_engines[m_exchange.engine].start(ownRequest, ++m_serial);
+        ++m_starts;
+    }
+
     void answerHead()
     {
         FakeEngine &at = m_engines[m_exchange.engine];
         m_exchange.phase = Exchange::Phase::Closed;
-        if (std::exchange(m_refuseNext, false)) {
+        if (m_exchange.refused) {
             report(engine::Refused {10_ms});
             return;
         }
-        GenerationId id;
-        if (m_exchange.resumes) {
-            const auto it = at.streams.find(*m_exchange.resumes);
-            if (it == at.streams.end()) {
-                report(engine::StreamNotFound {});
-                return;
-            }
-            id = {at.name, at.incarnation, it->first};
-        } else {
-            id = at.start(ownRequest, ++m_serial);
-            ++m_starts;
+        const std::string number = m_exchange.resumes.value_or(m_exchange.started.stream);
+        const auto it = at.streams.find(number);
+        if (it == at.streams.end()) {
+            report(engine::StreamNotFound {});
+            return;
         }
         m_exchange.phase = Exchange::Phase::Streaming;
-        m_exchange.stream = at.streams[id.stream];
-        report(engine::HeadReceived {id});
+        m_exchange.stream = it->second;
+        report(engine::HeadReceived {{at.name, at.incarnation, number}});
     }
 
     void answerNext(Exchange &exchange)
@@ -289,7 +301,10 @@
         for (Exchange &exchange : stale) {
             if (exchange.phase != Exchange::Phase::Streaming || ended())
                 continue;
-            answerNext(exchange);
+            if (exchange.heldFor > 0)
+                --exchange.heldFor;
+            else
+                answerNext(exchange);
             if (exchange.next <= answerLength)
                 m_stale.push_back(exchange);
         }
