--- a/include/fescue/gateway/generationrelay.h
+++ b/include/fescue/gateway/generationrelay.h
@@ -54,7 +54,7 @@
     void openResume();
     void readExchange();
     [[nodiscard]] bool acceptHead(std::string_view engineIncarnation, std::string_view stream);
-    void onStreamOpened(net::ClientStream stream, const EndpointName &endpoint);
+    void onStreamOpened(net::ClientStream stream);
     void onOpenFailed(const Error &error, const EndpointName &endpoint);
     void onReadFailed(const Error &error);
     void onSseEvent(const net::SseEvent &event);
--- a/src/gateway/generationrelay.cpp
+++ b/src/gateway/generationrelay.cpp
@@ -156,7 +156,7 @@
     Result<net::ClientStream> stream =
         m_parts.client.openStream(*address, engineRequest(), m_parts.limits.engineHeadTimeout);
     if (stream)
-        onStreamOpened(std::move(*stream), start.endpoint);
+        onStreamOpened(std::move(*stream));
     else
         onOpenFailed(stream.error(), start.endpoint);
 }
@@ -197,12 +197,12 @@
     Result<net::ClientStream> stream =
         m_parts.client.openStream(*address, request, m_parts.limits.engineHeadTimeout);
     if (stream)
-        onStreamOpened(std::move(*stream), m_endpoint);
+        onStreamOpened(std::move(*stream));
     else
         onOpenFailed(stream.error(), m_endpoint);
 }
 
-void GenerationRelay::onStreamOpened(net::ClientStream stream, const EndpointName &endpoint)
+void GenerationRelay::onStreamOpened(net::ClientStream stream)
 {
     const int status = stream.status();
     if (status == 200) {
@@ -223,8 +223,6 @@
         onEngineEvent(engine::Refused {retryAfter});
     else
         onEngineEvent(engine::Lost {EngineLoss::Malformed});
-    if (status == 503)
-        m_parts.admission.endpointLost(endpoint);
 }
 
 bool GenerationRelay::acceptHead(std::string_view engineIncarnation, std::string_view stream)
--- a/tests/gateway/gatewayfixture.h
+++ b/tests/gateway/gatewayfixture.h
@@ -72,7 +72,8 @@
         snapshot->endpoints.push_back(std::move(endpoint));
     }
 
-    // Publishes the snapshot and serves.
+    // Publishes the snapshot and serves. Queued requests are looked at again every few
+    // milliseconds, as in an entry.
     void serve(FreshnessVerdict freshness = FreshnessVerdict::Fresh)
     {
         publish(freshness);
@@ -86,6 +87,12 @@
                 gateway.handle(request, writer);
             });
         ASSERT_TRUE(server->start().has_value());
+        pool.spawn(1, [this] {
+            while (!net::stopRequested()) {
+                admission.tick();
+                net::sleepFor(10_ms);
+            }
+        });
     }
 
     void publish(FreshnessVerdict freshness)
