--- a/src/tools/servicefiles.cpp
+++ b/src/tools/servicefiles.cpp
@@ -20,17 +20,19 @@
 void addDirectory(const fs::path &directory, std::set<std::string> &found, ErrorList &errors)
 {
     std::error_code ec;
-    const std::size_t before = found.size();
+    bool any = false;
     fs::recursive_directory_iterator it(directory, ec);
     for (; !ec && it != fs::recursive_directory_iterator(); it.increment(ec)) {
-        if (isServiceFile(it->path()) && it->is_regular_file(ec))
-            found.insert(it->path().lexically_normal().string());
+        if (!isServiceFile(it->path()) || !it->is_regular_file(ec))
+            continue;
+        any = true;
+        found.insert(it->path().lexically_normal().string());
     }
     if (ec)
         errors.push_back({ResultCode::FileUnreadable,
                           "cannot read the directory: " + ec.message(),
                           {directory.string()}});
-    else if (found.size() == before)
+    else if (!any)
         errors.push_back({ResultCode::ConfigMissing,
                           "no file below this directory ends in " + std::string(serviceFileSuffix),
                           {directory.string()}});
