--- a/include/fescue/net/httpserver.h
+++ b/include/fescue/net/httpserver.h
@@ -51,6 +51,8 @@
     [[nodiscard]] bool started() const noexcept;
     // Where the caller connected from.
     [[nodiscard]] Address remoteAddress() const;
+    // When the connection was accepted, by the monotonic clock.
+    [[nodiscard]] Millis connectedAt() const noexcept;
 
 private:
     ServerConnection *m_connection;
--- a/src/net/httpserver.cpp
+++ b/src/net/httpserver.cpp
@@ -259,6 +259,11 @@
     return m_connection->started();
 }
 
+Millis ResponseWriter::connectedAt() const noexcept
+{
+    return m_connection->connectedAt();
+}
+
 Address ResponseWriter::remoteAddress() const
 {
     return m_connection->remoteAddress();
--- a/src/net/serverconnection.h
+++ b/src/net/serverconnection.h
@@ -35,6 +35,7 @@
     [[nodiscard]] bool peerClosed() { return m_socket.peerClosed(); }
     [[nodiscard]] bool started() const noexcept { return m_phase != Phase::Waiting; }
     [[nodiscard]] Address remoteAddress() const { return m_socket.remoteAddress(); }
+    [[nodiscard]] Millis connectedAt() const noexcept { return m_connectedAt; }
 
 private:
     using Parser = boost::beast::http::request_parser<boost::beast::http::string_body>;
@@ -59,6 +60,7 @@
     TcpSocket m_socket;
     ServerLimits m_limits;
     boost::beast::flat_buffer m_buffer;
+    Millis m_connectedAt = steadyNow();
     Phase m_phase = Phase::Waiting;
     bool m_keepAlive = true;
     bool m_chunked = true;
