--- a/include/fescue/node/nodecontrol.h
+++ b/include/fescue/node/nodecontrol.h
@@ -8,6 +8,7 @@
 #include "fescue/observe/timeline.h"
 #include "fescue/peer/peerlinks.h"
 
+#include <cstdint>
 #include <functional>
 #include <memory>
 #include <string>
@@ -15,8 +16,16 @@
 
 namespace fescue::node {
 
-// What a program wants to hear. All are called on the control worker, on one of its fibers, and
-// may wait only briefly.
+// What happened to the lease of a daemon.
+enum class LeaseChange : std::uint8_t
+{
+    Granted,
+    Renewed,
+    Lost,
+};
+
+// What a program wants to hear. All are called on the control worker, on one of its fibers, one at
+// a time, and must not wait.
 struct NodeCallbacks
 {
     // After each change of the view.
@@ -24,6 +33,8 @@
     // Messages that the control part does not handle itself: credits and signs of endpoints.
     std::function<void(const MemberName &, const peer::Message &)> onMessage;
     std::function<void(const peer::Hello &, peer::LinkState)> onLink;
+    // With the time at which the request to the store was sent.
+    std::function<void(LeaseChange, Millis)> onLease;
 };
 
 // The control part of a daemon: its registration, the configuration, the members, the list of VMs
@@ -63,8 +74,10 @@
     // "ip:port" of the listener for other daemons.
     [[nodiscard]] const std::string &peerAddress() const noexcept;
     [[nodiscard]] const NodeOptions &options() const noexcept;
-    // The lease of the registration; none while there is none. Control worker only.
+    // The lease of the registration, 0 while there is none. Control worker only.
     [[nodiscard]] net::LeaseId lease() const noexcept;
+    // A client of the store whose calls are counted with those of the control part.
+    [[nodiscard]] net::StoreClient store() noexcept;
     // Calls of the store that the control part made.
     [[nodiscard]] net::CallCounts storeCalls() const noexcept;
 
--- a/include/fescue/peer/messages.h
+++ b/include/fescue/peer/messages.h
@@ -2,6 +2,7 @@
 
 #include "fescue/core/clock.h"
 #include "fescue/core/ids.h"
+#include "fescue/policy/credit.h"
 
 #include <cstddef>
 #include <cstdint>
@@ -29,24 +30,30 @@
     Role role = Role::Entry;
     Incarnation incarnation;
     ZoneName zone;
-    std::string httpAddress;
+    VmName vm;
+    // Where callers connect; empty for daemons that serve none.
+    std::string callerAddress;
     std::string peerAddress;
     bool operator==(const Hello &) const = default;
 };
 
-// Sent on a link on which nothing else was sent for a heartbeat interval.
+// Sent on every link at a fixed interval, both ways.
 struct Heartbeat
 {
-    std::uint64_t seq = 0;
+    // Counts the heartbeats of the sender on this link.
+    std::uint64_t number = 0;
+    // Greatest number that the sender has received from the other side; 0 for none.
+    std::uint64_t received = 0;
+    // Version in force at the sender.
     ConfigVersion configVersion;
-    // Highest store revision that the sender has seen.
-    std::uint64_t storeRevision = 0;
-    // Highest store revision up to which the sender's list of members is complete.
-    std::uint64_t membersRevision = 0;
-    // Time since the sender's last successful contact with the store; -1 where there was none.
+    // Age of the latest contact with the store that the sender knows of, its own or a peer's; -1
+    // where it knows of none.
     std::int64_t storeContactAgeMs = -1;
+    // Version that this contact confirmed.
+    ConfigVersion contactVersion;
+    // Store revision of the latest change in the sender's list of members.
+    std::uint64_t membersRevision = 0;
     bool leaving = false;
-    Incarnation incarnation;
     bool operator==(const Heartbeat &) const = default;
 };
 
@@ -54,7 +61,6 @@
 struct VersionNotice
 {
     ConfigVersion version;
-    std::uint64_t storeRevision = 0;
     bool operator==(const VersionNotice &) const = default;
 };
 
@@ -69,6 +75,8 @@
 struct ConfigBody
 {
     ConfigVersion version;
+    // Revision of the key in the store at which it held this version.
+    std::uint64_t revision = 0;
     std::string body;
     bool operator==(const ConfigBody &) const = default;
 };
@@ -101,47 +109,20 @@
     bool operator==(const MembersBody &) const = default;
 };
 
-// What an entry runs and wants at one endpoint.
-struct EndpointDemand
-{
-    EndpointName endpoint;
-    std::uint32_t running = 0;
-    // Memory tokens promised to what runs.
-    std::uint64_t promisedTokens = 0;
-    std::uint32_t queuedWanted = 0;
-    std::uint64_t tokensWanted = 0;
-    bool operator==(const EndpointDemand &) const = default;
-};
-
-// All that an entry runs and wants at the endpoints of one authority.
-struct CreditDemand
-{
-    // Counts the demands of the sender's process to this authority.
-    std::uint64_t seq = 0;
-    std::vector<EndpointDemand> endpoints;
-    bool operator==(const CreditDemand &) const = default;
-};
-
-// The right of one entry to use a part of an endpoint until the term ends.
-struct EndpointGrant
+// All that an entry runs and wants at the endpoints of one authority. The members of the demands
+// are not sent: the receiver knows the sender from the link.
+struct CreditDemands
 {
-    EndpointName endpoint;
-    Incarnation endpointIncarnation;
-    FencingNumber fence;
-    std::uint32_t slots = 0;
-    std::uint64_t memoryTokens = 0;
-    Millis term;
-    bool operator==(const EndpointGrant &) const = default;
+    std::vector<EntryDemand> demands;
+    bool operator==(const CreditDemands &) const = default;
 };
 
-// Answer to a demand. An endpoint that the sender has no authority over is missing from it.
-struct CreditGrant
+// Answer to demands. An endpoint that the sender has no authority over is missing from it. The
+// members of the grants are not sent: each is for the receiver.
+struct CreditGrants
 {
-    // The demand that it answers. The terms count from when that demand was sent, so that a grant
-    // that was delayed on its way never outlives what the authority assumes.
-    std::uint64_t demandSeq = 0;
-    std::vector<EndpointGrant> endpoints;
-    bool operator==(const CreditGrant &) const = default;
+    std::vector<CreditGrant> grants;
+    bool operator==(const CreditGrants &) const = default;
 };
 
 enum class EndpointSign : std::uint8_t
@@ -180,7 +161,7 @@
 // Every message between daemons. The order of the alternatives numbers the counters.
 using Message =
     std::variant<Hello, Heartbeat, VersionNotice, ConfigRequest, ConfigBody, MembersRequest,
-                 MembersBody, CreditDemand, CreditGrant, EndpointEvent, Goodbye>;
+                 MembersBody, CreditDemands, CreditGrants, EndpointEvent, Goodbye>;
 
 constexpr std::size_t messageTypeCount = std::variant_size_v<Message>;
 
--- a/include/fescue/peer/peerlinks.h
+++ b/include/fescue/peer/peerlinks.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "fescue/core/linkmonitor.h"
 #include "fescue/core/result.h"
 #include "fescue/peer/messages.h"
 
@@ -8,6 +9,7 @@
 #include <cstdint>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -21,21 +23,17 @@
     // IP number and port of its peer listener.
     std::string address;
     Incarnation incarnation;
-    // True where the other side wants the link as well: then the side with the lower name dials
-    // first, and the other only after a grace time. False: this side dials at once.
-    bool mutual = true;
+    // True where only the address is known: whoever answers there is accepted, and `member` is a
+    // name to tell the target from others.
+    bool anyMember = false;
     bool operator==(const PeerTarget &) const = default;
 };
 
 struct LinkOptions
 {
-    Millis heartbeatInterval = 500_ms;
-    // A link that has received nothing for this long is closed and dialled again.
-    Millis silenceLimit = 1500_ms;
-    Millis redialMin = 100_ms;
-    Millis redialMax = 2_s;
-    // Time that the side with the higher name leaves to the other to dial.
-    Millis dialGrace = 2_s;
+    // A link that is silent in either direction is closed and dialled again.
+    LinkLimits limits {500_ms, 1500_ms, 1_s};
+    BackoffLimits redial {100_ms, 2_s};
     Millis tickInterval = 100_ms;
     // A link with more unsent bytes than this is closed.
     std::size_t maxBufferedBytes = std::size_t {8} << 20;
@@ -46,7 +44,10 @@
 enum class LinkState : std::uint8_t
 {
     Up,
+    // Lost; it is dialled again where it is still wanted.
     Down,
+    // The other side said goodbye.
+    Left,
 };
 
 struct TrafficCount
@@ -72,15 +73,19 @@
 struct LinkCallbacks
 {
     std::function<void(const MemberName &, const Message &)> onMessage;
-    // Up comes before the first message of a link, Down after its last. The greeting is that of
-    // the other side.
+    // Called with a peer's heartbeat, and the time at which this side sent the latest heartbeat
+    // that it acknowledges, where there is one.
+    std::function<void(const MemberName &, const Heartbeat &, std::optional<Millis>)> onHeartbeat;
+    // Up comes before the first message of a link, Down or Left after its last. The greeting is
+    // that of the other side.
     std::function<void(const Hello &, LinkState)> onLink;
-    // Fills the contents of the next heartbeat; the links number it themselves.
+    // Makes the contents of the next heartbeat; the links number it themselves.
     std::function<Heartbeat()> heartbeat;
 };
 
 // Links to other daemons on one thread of their own: at most one link to each member, heartbeats
-// both ways, silent links replaced. Every method may be called from any thread.
+// both ways, silent links replaced. Where both sides dial at the same time, the link that the side
+// with the lower name dialled stays. Every method may be called from any thread.
 class PeerLinks
 {
 public:
--- a/include/fescue/policy/credit.h
+++ b/include/fescue/policy/credit.h
@@ -45,6 +45,7 @@
     Incarnation incarnation;
     // By the entry's clock; echoed in the grant.
     Millis sentAt {0};
+    bool operator==(const EntryDemand &) const = default;
 };
 
 // Right of one entry to keep requests running on one endpoint. It replaces all grants with lower
@@ -65,6 +66,7 @@
     // demandSentAt + term, so that a delay on the way shortens it.
     Millis demandSentAt {0};
     Millis term {0};
+    bool operator==(const CreditGrant &) const = default;
 };
 
 } // namespace fescue
--- /dev/null
+++ b/src/node/memberjson.cpp
@@ -0,0 +1,44 @@
+#include "fescue/node/memberjson.h"
+
+#include <nlohmann/json.hpp>
+
+namespace fescue::node {
+
+peer::Role roleOf(const MemberInfo &member) noexcept
+{
+    return member.callerAddress.empty() ? peer::Role::Admission : peer::Role::Entry;
+}
+
+std::string toJson(const MemberInfo &member)
+{
+    const nlohmann::json out {
+        {"member", member.name.text()}, {"role", peer::toString(roleOf(member))},
+        {"zone", member.zone.text()},   {"vm", member.vm.text()},
+        {"http", member.callerAddress}, {"peer", member.peerAddress},
+        {"leaving", member.leaving},    {"incarnation", member.incarnation.value},
+    };
+    return out.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
+}
+
+Result<MemberInfo> parseMember(std::string_view json)
+{
+    try {
+        const nlohmann::json in = nlohmann::json::parse(json);
+        MemberInfo member;
+        member.name = MemberName(in.at("member").get<std::string>());
+        member.zone = ZoneName(in.at("zone").get<std::string>());
+        member.vm = VmName(in.at("vm").get<std::string>());
+        member.callerAddress = in.at("http").get<std::string>();
+        member.peerAddress = in.at("peer").get<std::string>();
+        member.incarnation = Incarnation {in.at("incarnation").get<std::uint64_t>()};
+        member.leaving = in.at("leaving").get<bool>();
+        if (member.name.empty())
+            return fail(ResultCode::StoreProtocol, "a member's key has no name");
+        return member;
+    } catch (const nlohmann::json::exception &error) {
+        return fail(ResultCode::StoreProtocol,
+                    std::string("a member's key is not readable: ") + error.what());
+    }
+}
+
+} // namespace fescue::node
--- a/src/peer/codec.cpp
+++ b/src/peer/codec.cpp
@@ -166,41 +166,51 @@
     return item;
 }
 
-Json writeDemand(const EndpointDemand &demand)
+Json writeDemand(const EntryDemand &demand)
 {
-    return {{"e", demand.endpoint.text()},
-            {"r", demand.running},
-            {"p", demand.promisedTokens},
-            {"q", demand.queuedWanted},
-            {"w", demand.tokensWanted}};
+    return {{"e", demand.endpoint.text()},  {"ha", demand.heldAuthority.value},
+            {"hs", demand.heldSerial},      {"r", demand.running},
+            {"p", demand.promisedTokens},   {"q", demand.queuedWanted},
+            {"w", demand.minimumTokensWanted}, {"f", demand.finishedTotal},
+            {"i", demand.incarnation.value}, {"at", demand.sentAt.count}};
 }
 
-EndpointDemand readDemand(const Json &in)
+EntryDemand readDemand(const Json &in)
 {
-    EndpointDemand demand;
+    EntryDemand demand;
     demand.endpoint = EndpointName(readText(in, "e"));
+    demand.heldAuthority = FencingNumber {readUnsigned<std::uint64_t>(in, "ha")};
+    demand.heldSerial = readUnsigned<std::uint64_t>(in, "hs");
     demand.running = readUnsigned<std::uint32_t>(in, "r");
     demand.promisedTokens = readUnsigned<std::uint64_t>(in, "p");
     demand.queuedWanted = readUnsigned<std::uint32_t>(in, "q");
-    demand.tokensWanted = readUnsigned<std::uint64_t>(in, "w");
+    demand.minimumTokensWanted = readUnsigned<std::uint64_t>(in, "w");
+    demand.finishedTotal = readUnsigned<std::uint64_t>(in, "f");
+    demand.incarnation = Incarnation {readUnsigned<std::uint64_t>(in, "i")};
+    demand.sentAt = Millis {readSigned(in, "at")};
     return demand;
 }
 
-Json writeGrant(const EndpointGrant &grant)
+Json writeGrant(const CreditGrant &grant)
 {
-    return {{"e", grant.endpoint.text()}, {"i", grant.endpointIncarnation.value},
-            {"f", grant.fence.value},     {"s", grant.slots},
-            {"k", grant.memoryTokens},    {"ms", grant.term.count}};
+    return {{"e", grant.endpoint.text()}, {"i", grant.incarnation.value},
+            {"a", grant.authority.value}, {"n", grant.serial},
+            {"s", grant.slots},           {"k", grant.memoryTokens},
+            {"b", grant.busyPercent},     {"at", grant.demandSentAt.count},
+            {"ms", grant.term.count}};
 }
 
-EndpointGrant readGrant(const Json &in)
+CreditGrant readGrant(const Json &in)
 {
-    EndpointGrant grant;
+    CreditGrant grant;
     grant.endpoint = EndpointName(readText(in, "e"));
-    grant.endpointIncarnation = Incarnation {readUnsigned<std::uint64_t>(in, "i")};
-    grant.fence = FencingNumber {readUnsigned<std::uint64_t>(in, "f")};
+    grant.incarnation = Incarnation {readUnsigned<std::uint64_t>(in, "i")};
+    grant.authority = FencingNumber {readUnsigned<std::uint64_t>(in, "a")};
+    grant.serial = readUnsigned<std::uint64_t>(in, "n");
     grant.slots = readUnsigned<std::uint32_t>(in, "s");
     grant.memoryTokens = readUnsigned<std::uint64_t>(in, "k");
+    grant.busyPercent = readUnsigned<std::uint32_t>(in, "b");
+    grant.demandSentAt = Millis {readSigned(in, "at")};
     grant.term = Millis {readSigned(in, "ms")};
     return grant;
 }
@@ -217,25 +227,25 @@
         out["role"] = enumNumber(m.role);
         out["i"] = m.incarnation.value;
         out["z"] = m.zone.text();
-        out["http"] = m.httpAddress;
+        out["vm"] = m.vm.text();
+        out["http"] = m.callerAddress;
         out["peer"] = m.peerAddress;
     }
     void operator()(const Heartbeat &m) const
     {
         out["t"] = "hb";
-        out["s"] = m.seq;
+        out["s"] = m.number;
+        out["r"] = m.received;
         out["c"] = m.configVersion.value;
-        out["r"] = m.storeRevision;
-        out["mr"] = m.membersRevision;
         out["a"] = m.storeContactAgeMs;
+        out["ac"] = m.contactVersion.value;
+        out["mr"] = m.membersRevision;
         out["l"] = m.leaving;
-        out["i"] = m.incarnation.value;
     }
     void operator()(const VersionNotice &m) const
     {
         out["t"] = "vn";
         out["c"] = m.version.value;
-        out["r"] = m.storeRevision;
     }
     void operator()(const ConfigRequest &m) const
     {
@@ -246,6 +256,7 @@
     {
         out["t"] = "cb";
         out["c"] = m.version.value;
+        out["r"] = m.revision;
         out["b"] = m.body;
     }
     void operator()(const MembersRequest &m) const
@@ -260,17 +271,15 @@
         out["r"] = m.revision;
         out["n"] = writeList(m.items, writeMemberItem);
     }
-    void operator()(const CreditDemand &m) const
+    void operator()(const CreditDemands &m) const
     {
         out["t"] = "cd";
-        out["s"] = m.seq;
-        out["n"] = writeList(m.endpoints, writeDemand);
+        out["n"] = writeList(m.demands, writeDemand);
     }
-    void operator()(const CreditGrant &m) const
+    void operator()(const CreditGrants &m) const
     {
         out["t"] = "cg";
-        out["s"] = m.demandSeq;
-        out["n"] = writeList(m.endpoints, writeGrant);
+        out["n"] = writeList(m.grants, writeGrant);
     }
     void operator()(const EndpointEvent &m) const
     {
@@ -294,7 +303,8 @@
     m.role = readEnum(in, "role", Role::Admission);
     m.incarnation = Incarnation {readUnsigned<std::uint64_t>(in, "i")};
     m.zone = ZoneName(readText(in, "z"));
-    m.httpAddress = readText(in, "http");
+    m.vm = VmName(readText(in, "vm"));
+    m.callerAddress = readText(in, "http");
     m.peerAddress = readText(in, "peer");
     return m;
 }
@@ -302,20 +312,19 @@
 Message readHeartbeat(const Json &in)
 {
     Heartbeat m;
-    m.seq = readUnsigned<std::uint64_t>(in, "s");
+    m.number = readUnsigned<std::uint64_t>(in, "s");
+    m.received = readUnsigned<std::uint64_t>(in, "r");
     m.configVersion = ConfigVersion {readUnsigned<std::uint64_t>(in, "c")};
-    m.storeRevision = readUnsigned<std::uint64_t>(in, "r");
-    m.membersRevision = readUnsigned<std::uint64_t>(in, "mr");
     m.storeContactAgeMs = readSigned(in, "a");
+    m.contactVersion = ConfigVersion {readUnsigned<std::uint64_t>(in, "ac")};
+    m.membersRevision = readUnsigned<std::uint64_t>(in, "mr");
     m.leaving = readBool(in, "l");
-    m.incarnation = Incarnation {readUnsigned<std::uint64_t>(in, "i")};
     return m;
 }
 
 Message readVersionNotice(const Json &in)
 {
-    return VersionNotice {ConfigVersion {readUnsigned<std::uint64_t>(in, "c")},
-                          readUnsigned<std::uint64_t>(in, "r")};
+    return VersionNotice {ConfigVersion {readUnsigned<std::uint64_t>(in, "c")}};
 }
 
 Message readConfigRequest(const Json &in)
@@ -325,7 +334,11 @@
 
 Message readConfigBody(const Json &in)
 {
-    return ConfigBody {ConfigVersion {readUnsigned<std::uint64_t>(in, "c")}, readText(in, "b")};
+    ConfigBody m;
+    m.version = ConfigVersion {readUnsigned<std::uint64_t>(in, "c")};
+    m.revision = readUnsigned<std::uint64_t>(in, "r");
+    m.body = readText(in, "b");
+    return m;
 }
 
 Message readMembersRequest(const Json &in)
@@ -339,14 +352,14 @@
                         readList(in, "n", readMemberItem)};
 }
 
-Message readCreditDemand(const Json &in)
+Message readCreditDemands(const Json &in)
 {
-    return CreditDemand {readUnsigned<std::uint64_t>(in, "s"), readList(in, "n", readDemand)};
+    return CreditDemands {readList(in, "n", readDemand)};
 }
 
-Message readCreditGrant(const Json &in)
+Message readCreditGrants(const Json &in)
 {
-    return CreditGrant {readUnsigned<std::uint64_t>(in, "s"), readList(in, "n", readGrant)};
+    return CreditGrants {readList(in, "n", readGrant)};
 }
 
 Message readEndpointEvent(const Json &in)
@@ -373,7 +386,7 @@
 constexpr Reader readers[] = {
     {"hi", readHello},         {"hb", readHeartbeat},    {"vn", readVersionNotice},
     {"cr", readConfigRequest}, {"cb", readConfigBody},   {"mr", readMembersRequest},
-    {"mb", readMembersBody},   {"cd", readCreditDemand}, {"cg", readCreditGrant},
+    {"mb", readMembersBody},   {"cd", readCreditDemands}, {"cg", readCreditGrants},
     {"ev", readEndpointEvent}, {"by", readGoodbye},
 };
 static_assert(std::size(readers) == messageTypeCount);
--- a/src/peer/peerlinks.cpp
+++ b/src/peer/peerlinks.cpp
@@ -8,6 +8,7 @@
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/post.hpp>
 #include <boost/asio/steady_timer.hpp>
+#include <deque>
 #include <map>
 #include <mutex>
 #include <optional>
@@ -56,18 +57,32 @@
 using Connection = Server::connection_type;
 static_assert(std::is_same_v<Connection, Client::connection_type>);
 
+struct SentHeartbeat
+{
+    std::uint64_t number = 0;
+    Millis at;
+};
+
+constexpr std::size_t maxSentHeartbeats = 16;
+
 // One WebSocket connection, from the dial or the accept on.
 struct Link
 {
     Connection::ptr connection;
     // The member that was dialled; none for an accepted link.
     std::optional<MemberName> dialled;
-    bool open = false;
     // The greeting of the other side, once it has come.
     std::optional<Hello> remote;
-    Millis lastReceived;
-    Millis lastSent;
-    std::uint64_t nextHeartbeat = 1;
+    // Set once the connection is open.
+    std::optional<LinkMonitor> monitor;
+    // The latest heartbeats that were sent, oldest first.
+    std::deque<SentHeartbeat> sent;
+
+    // The member at the other end, as far as it is known.
+    [[nodiscard]] std::optional<MemberName> member() const
+    {
+        return remote ? std::optional<MemberName>(remote->member) : dialled;
+    }
 };
 
 using LinkPtr = std::shared_ptr<Link>;
@@ -75,8 +90,7 @@
 struct Target
 {
     PeerTarget peer;
-    Millis nextDial;
-    int failures = 0;
+    ReconnectTimer reconnect;
 };
 
 std::optional<asio::ip::tcp::endpoint> parseAddress(std::string_view address)
@@ -175,9 +189,11 @@
     void attach(const LinkPtr &link);
     void opened(const LinkPtr &link);
     void received(const LinkPtr &link, const std::string &bytes);
+    void heartbeatReceived(const LinkPtr &link, const Heartbeat &heartbeat);
     void greeted(const LinkPtr &link, const Hello &hello);
+    bool acceptsAny(const Link &link) const;
     bool replaces(const Link &fresh, const Link &existing) const;
-    void closed(const LinkPtr &link);
+    void closed(const LinkPtr &link, LinkState state = LinkState::Down);
     void drop(const LinkPtr &link);
     void closeWith(const LinkPtr &link, GoodbyeReason reason);
     LinkPtr forget(const LinkPtr &link, bool &wasUp);
@@ -186,16 +202,11 @@
     void count(const Message &message, std::size_t bytes);
     void scheduleTick();
     void tick();
-    void closeSilentLinks(Millis now);
-    void sendHeartbeats(Millis now);
+    void checkLink(const LinkPtr &link, Millis now);
+    void sendHeartbeat(const LinkPtr &link, Millis now);
     void dialMissing(Millis now);
-    void dial(const PeerTarget &target, Millis now);
+    void dial(const PeerTarget &target);
     void dialFailed(const MemberName &member);
-    bool dialsFirst(const PeerTarget &target) const
-    {
-        return !target.mutual || m_self.member < target.member;
-    }
-    Millis backOff(int failures);
     void closeUnwanted(const std::set<MemberName> &wanted);
 
     Hello m_self;
@@ -285,7 +296,6 @@
 void PeerLinks::Impl::setPeers(std::vector<PeerTarget> targets)
 {
     std::set<MemberName> wanted;
-    const Millis now = m_clock.now();
     {
         const std::lock_guard<std::mutex> lock(m_mutex);
         std::map<MemberName, Target> next;
@@ -295,10 +305,10 @@
             wanted.insert(peer.member);
             const std::map<MemberName, Target>::iterator old = m_targets.find(peer.member);
             const bool same = old != m_targets.end() && old->second.peer == peer;
-            const Millis firstDial = dialsFirst(peer) ? now : now + m_options.dialGrace;
             const MemberName member = peer.member;
             next.insert_or_assign(member,
-                                  same ? old->second : Target {std::move(peer), firstDial, 0});
+                                  same ? old->second
+                                       : Target {std::move(peer), ReconnectTimer(m_options.redial)});
         }
         m_targets.swap(next);
     }
@@ -314,7 +324,8 @@
     {
         const std::lock_guard<std::mutex> lock(m_mutex);
         for (const LinkPtr &link : m_links) {
-            if (link->dialled && !wanted.contains(*link->dialled))
+            const bool known = link->dialled && wanted.contains(*link->dialled);
+            if (link->dialled && !known && !wanted.contains(*link->member()))
                 unwanted.push_back(link);
         }
     }
@@ -370,7 +381,6 @@
         drop(link);
         return;
     }
-    link->lastSent = m_clock.now();
     // A failed write closes the connection, which the close handler reports.
     static_cast<void>(link->connection->send(bytes, websocketpp::frame::opcode::binary));
 }
@@ -385,7 +395,6 @@
 
 void PeerLinks::Impl::attach(const LinkPtr &link)
 {
-    link->lastReceived = m_clock.now();
     const std::weak_ptr<Link> weak = link;
     link->connection->set_message_handler(
         [this, weak](const websocketpp::connection_hdl &, const Connection::message_ptr &message) {
@@ -405,8 +414,7 @@
 
 void PeerLinks::Impl::opened(const LinkPtr &link)
 {
-    link->open = true;
-    link->lastReceived = m_clock.now();
+    link->monitor.emplace(m_clock.now(), m_options.limits);
     {
         const std::lock_guard<std::mutex> lock(m_mutex);
         ++m_counters.linksOpened;
@@ -416,7 +424,8 @@
 
 void PeerLinks::Impl::received(const LinkPtr &link, const std::string &bytes)
 {
-    link->lastReceived = m_clock.now();
+    if (link->monitor)
+        link->monitor->received(m_clock.now());
     const Result<Message> message = decode(bytes);
     {
         const std::lock_guard<std::mutex> lock(m_mutex);
@@ -442,14 +451,38 @@
         drop(link);
         return;
     }
-    if (std::holds_alternative<Goodbye>(*message)) {
-        closed(link);
+    if (const Heartbeat *heartbeat = std::get_if<Heartbeat>(&*message)) {
+        heartbeatReceived(link, *heartbeat);
+        return;
+    }
+    if (const Goodbye *goodbye = std::get_if<Goodbye>(&*message)) {
+        const bool duplicate = goodbye->reason == GoodbyeReason::Duplicate;
+        closed(link, duplicate ? LinkState::Down : LinkState::Left);
         return;
     }
     if (m_callbacks.onMessage)
         m_callbacks.onMessage(link->remote->member, *message);
 }
 
+void PeerLinks::Impl::heartbeatReceived(const LinkPtr &link, const Heartbeat &heartbeat)
+{
+    link->monitor->received(m_clock.now(), LinkHeartbeat {heartbeat.number, heartbeat.received});
+    std::optional<Millis> askedAt;
+    for (const SentHeartbeat &sent : link->sent) {
+        if (sent.number <= heartbeat.received)
+            askedAt = sent.at;
+    }
+    if (m_callbacks.onHeartbeat)
+        m_callbacks.onHeartbeat(link->remote->member, heartbeat, askedAt);
+}
+
+bool PeerLinks::Impl::acceptsAny(const Link &link) const
+{
+    const std::lock_guard<std::mutex> lock(m_mutex);
+    const std::map<MemberName, Target>::const_iterator it = m_targets.find(*link.dialled);
+    return it != m_targets.end() && it->second.peer.anyMember;
+}
+
 bool PeerLinks::Impl::replaces(const Link &fresh, const Link &existing) const
 {
     if (fresh.remote->incarnation != existing.remote->incarnation)
@@ -464,7 +497,7 @@
 
 void PeerLinks::Impl::greeted(const LinkPtr &link, const Hello &hello)
 {
-    const bool otherProcess = link->dialled && *link->dialled != hello.member;
+    const bool otherProcess = link->dialled && *link->dialled != hello.member && !acceptsAny(*link);
     if (link->remote || otherProcess || hello.member == m_self.member) {
         drop(link);
         return;
@@ -483,7 +516,7 @@
         }
         const std::map<MemberName, Target>::iterator target = m_targets.find(hello.member);
         if (target != m_targets.end())
-            target->second.failures = 0;
+            target->second.reconnect.established();
     }
     if (loser != link && (!loser || restarted) && m_callbacks.onLink) {
         if (restarted)
@@ -512,17 +545,17 @@
     return link;
 }
 
-void PeerLinks::Impl::closed(const LinkPtr &link)
+void PeerLinks::Impl::closed(const LinkPtr &link, LinkState state)
 {
     bool wasUp = false;
     if (!forget(link, wasUp))
         return;
     if (wasUp)
         dialFailed(link->remote->member);
-    else if (link->dialled)
+    if (link->dialled)
         dialFailed(*link->dialled);
     if (wasUp && m_callbacks.onLink)
-        m_callbacks.onLink(*link->remote, LinkState::Down);
+        m_callbacks.onLink(*link->remote, state);
     websocketpp::lib::error_code ec;
     link->connection->close(websocketpp::close::status::normal, "", ec);
 }
@@ -530,37 +563,25 @@
 void PeerLinks::Impl::drop(const LinkPtr &link)
 {
     closed(link);
-    if (link->open)
+    if (link->monitor)
         link->connection->terminate(websocketpp::lib::error_code {});
 }
 
 void PeerLinks::Impl::closeWith(const LinkPtr &link, GoodbyeReason reason)
 {
-    if (link->open)
+    if (link->monitor)
         sendNow(link, Goodbye {reason});
     closed(link);
 }
 
-Millis PeerLinks::Impl::backOff(int failures)
-{
-    const int doublings = std::min(failures, 6);
-    const std::int64_t ceiling =
-        std::min(m_options.redialMax.count, m_options.redialMin.count << doublings);
-    std::uniform_int_distribution<std::int64_t> jitter(ceiling / 2, ceiling);
-    return Millis {jitter(m_random)};
-}
-
 void PeerLinks::Impl::dialFailed(const MemberName &member)
 {
     const std::lock_guard<std::mutex> lock(m_mutex);
     const std::map<MemberName, Target>::iterator it = m_targets.find(member);
     if (it == m_targets.end())
         return;
-    Target &target = it->second;
-    target.nextDial = m_clock.now() + backOff(target.failures);
-    if (!dialsFirst(target.peer))
-        target.nextDial += m_options.dialGrace;
-    ++target.failures;
+    std::uniform_real_distribution<double> uniform(0.0, 1.0);
+    it->second.reconnect.lost(m_clock.now(), uniform(m_random));
 }
 
 void PeerLinks::Impl::scheduleTick()
@@ -577,44 +598,47 @@
 void PeerLinks::Impl::tick()
 {
     const Millis now = m_clock.now();
-    closeSilentLinks(now);
-    sendHeartbeats(now);
+    std::set<LinkPtr> links;
+    {
+        const std::lock_guard<std::mutex> lock(m_mutex);
+        links = m_links;
+    }
+    for (const LinkPtr &link : links) {
+        if (link->monitor)
+            checkLink(link, now);
+    }
     dialMissing(now);
 }
 
-void PeerLinks::Impl::closeSilentLinks(Millis now)
+void PeerLinks::Impl::checkLink(const LinkPtr &link, Millis now)
 {
-    std::vector<LinkPtr> silent;
+    switch (link->monitor->tick(now)) {
+    case LinkStep::None:
+        return;
+    case LinkStep::SendHeartbeat:
+        sendHeartbeat(link, now);
+        return;
+    case LinkStep::CloseNothingReceived:
+    case LinkStep::CloseNothingAcknowledged:
+        break;
+    }
     {
         const std::lock_guard<std::mutex> lock(m_mutex);
-        for (const LinkPtr &link : m_links) {
-            if (link->open && now - link->lastReceived > m_options.silenceLimit)
-                silent.push_back(link);
-        }
-        m_counters.linksSilent += silent.size();
+        ++m_counters.linksSilent;
     }
-    for (const LinkPtr &link : silent)
-        drop(link);
+    drop(link);
 }
 
-void PeerLinks::Impl::sendHeartbeats(Millis now)
+void PeerLinks::Impl::sendHeartbeat(const LinkPtr &link, Millis now)
 {
-    std::vector<LinkPtr> due;
-    {
-        const std::lock_guard<std::mutex> lock(m_mutex);
-        for (const std::pair<const MemberName, LinkPtr> &entry : m_byMember) {
-            if (now - entry.second->lastSent >= m_options.heartbeatInterval)
-                due.push_back(entry.second);
-        }
-    }
-    if (due.empty())
-        return;
     Heartbeat heartbeat = m_callbacks.heartbeat ? m_callbacks.heartbeat() : Heartbeat {};
-    heartbeat.incarnation = m_self.incarnation;
-    for (const LinkPtr &link : due) {
-        heartbeat.seq = link->nextHeartbeat++;
-        sendNow(link, heartbeat);
-    }
+    const LinkHeartbeat numbers = link->monitor->nextHeartbeat(now);
+    heartbeat.number = numbers.number;
+    heartbeat.received = numbers.received;
+    link->sent.push_back({numbers.number, now});
+    if (link->sent.size() > maxSentHeartbeats)
+        link->sent.pop_front();
+    sendNow(link, heartbeat);
 }
 
 void PeerLinks::Impl::dialMissing(Millis now)
@@ -631,16 +655,16 @@
         }
         for (const std::pair<const MemberName, Target> &entry : m_targets) {
             const bool wanted = !m_byMember.contains(entry.first) && !pending.contains(entry.first);
-            if (wanted && now >= entry.second.nextDial)
+            if (wanted && entry.second.reconnect.due(now))
                 due.push_back(entry.second.peer);
         }
         m_counters.dials += due.size();
     }
     for (const PeerTarget &target : due)
-        dial(target, now);
+        dial(target);
 }
 
-void PeerLinks::Impl::dial(const PeerTarget &target, Millis now)
+void PeerLinks::Impl::dial(const PeerTarget &target)
 {
     websocketpp::lib::error_code ec;
     const Connection::ptr connection = m_client.get_connection("ws://" + target.address + "/", ec);
@@ -651,7 +675,6 @@
     const LinkPtr link = std::make_shared<Link>();
     link->connection = connection;
     link->dialled = target.member;
-    link->lastReceived = now;
     attach(link);
     const std::weak_ptr<Link> weak = link;
     connection->set_open_handler([this, weak](const websocketpp::connection_hdl &) {
--- a/tests/peer/codec_test.cpp
+++ b/tests/peer/codec_test.cpp
@@ -24,20 +24,35 @@
     return *rc::gen::arbitrary<T>();
 }
 
-EndpointDemand anyDemand()
-{
-    return {EndpointName(anyText()), anyNumber<std::uint32_t>(), anyNumber<std::uint64_t>(),
-            anyNumber<std::uint32_t>(), anyNumber<std::uint64_t>()};
-}
-
-EndpointGrant anyGrant()
-{
-    return {EndpointName(anyText()),
-            Incarnation {anyNumber<std::uint64_t>()},
-            FencingNumber {anyNumber<std::uint64_t>()},
-            anyNumber<std::uint32_t>(),
-            anyNumber<std::uint64_t>(),
-            Millis {anyNumber<std::int64_t>()}};
+EntryDemand anyDemand()
+{
+    EntryDemand demand;
+    demand.endpoint = EndpointName(anyText());
+    demand.heldAuthority = FencingNumber {anyNumber<std::uint64_t>()};
+    demand.heldSerial = anyNumber<std::uint64_t>();
+    demand.running = anyNumber<std::uint32_t>();
+    demand.promisedTokens = anyNumber<std::uint64_t>();
+    demand.queuedWanted = anyNumber<std::uint32_t>();
+    demand.minimumTokensWanted = anyNumber<std::uint64_t>();
+    demand.finishedTotal = anyNumber<std::uint64_t>();
+    demand.incarnation = Incarnation {anyNumber<std::uint64_t>()};
+    demand.sentAt = Millis {anyNumber<std::int64_t>()};
+    return demand;
+}
+
+CreditGrant anyGrant()
+{
+    CreditGrant grant;
+    grant.endpoint = EndpointName(anyText());
+    grant.incarnation = Incarnation {anyNumber<std::uint64_t>()};
+    grant.authority = FencingNumber {anyNumber<std::uint64_t>()};
+    grant.serial = anyNumber<std::uint64_t>();
+    grant.slots = anyNumber<std::uint32_t>();
+    grant.memoryTokens = anyNumber<std::uint64_t>();
+    grant.busyPercent = anyNumber<std::uint32_t>();
+    grant.demandSentAt = Millis {anyNumber<std::int64_t>()};
+    grant.term = Millis {anyNumber<std::int64_t>()};
+    return grant;
 }
 
 MemberItem anyItem()
@@ -64,28 +79,27 @@
             ZoneName(anyText()),   anyText(),       anyText()};
     case 1:
         return Heartbeat {anyNumber<std::uint64_t>(),
-                          ConfigVersion {anyNumber<std::uint64_t>()},
-                          anyNumber<std::uint64_t>(),
                           anyNumber<std::uint64_t>(),
+                          ConfigVersion {anyNumber<std::uint64_t>()},
                           anyNumber<std::int64_t>(),
-                          anyNumber<bool>(),
-                          Incarnation {anyNumber<std::uint64_t>()}};
+                          ConfigVersion {anyNumber<std::uint64_t>()},
+                          anyNumber<std::uint64_t>(),
+                          anyNumber<bool>()};
     case 2:
-        return VersionNotice {ConfigVersion {anyNumber<std::uint64_t>()},
-                              anyNumber<std::uint64_t>()};
+        return VersionNotice {ConfigVersion {anyNumber<std::uint64_t>()}};
     case 3:
         return ConfigRequest {ConfigVersion {anyNumber<std::uint64_t>()}};
     case 4:
-        return ConfigBody {ConfigVersion {anyNumber<std::uint64_t>()}, anyText()};
+        return ConfigBody {ConfigVersion {anyNumber<std::uint64_t>()}, anyNumber<std::uint64_t>(), anyText()};
     case 5:
         return MembersRequest {anyNumber<std::uint64_t>()};
     case 6:
         return MembersBody {anyNumber<std::uint64_t>(), anyNumber<std::uint64_t>(),
                             anyList(anyItem)};
     case 7:
-        return CreditDemand {anyNumber<std::uint64_t>(), anyList(anyDemand)};
+        return CreditDemands {anyList(anyDemand)};
     case 8:
-        return CreditGrant {anyNumber<std::uint64_t>(), anyList(anyGrant)};
+        return CreditGrants {anyList(anyGrant)};
     case 9:
         return EndpointEvent {EndpointName(anyText()), EndpointSign::FirstTokenSlow,
                               Incarnation {anyNumber<std::uint64_t>()},
@@ -142,9 +156,9 @@
 
 TEST(Codec, EveryTruncationIsMalformed)
 {
-    EndpointGrant grant;
+    CreditGrant grant;
     grant.endpoint = EndpointName("e1");
-    const std::string bytes = encode(CreditGrant {7, {grant}});
+    const std::string bytes = encode(CreditGrants {{grant}});
     for (std::size_t n = 0; n < bytes.size(); ++n) {
         const Result<Message> back = decode(std::string_view(bytes).substr(0, n));
         ASSERT_FALSE(back.has_value()) << n;
@@ -190,14 +204,14 @@
 
 TEST(Codec, TooLargeIsMalformed)
 {
-    const std::string bytes = encode(ConfigBody {ConfigVersion {1}, std::string(2 << 20, 'x')});
+    const std::string bytes = encode(ConfigBody {ConfigVersion {1}, 1, std::string(2 << 20, 'x')});
     ASSERT_FALSE(decode(bytes).has_value());
     EXPECT_EQ(decode(bytes).error().code, ResultCode::MessageMalformed);
 }
 
 TEST(Codec, LargestConfigurationFits)
 {
-    const Message message = ConfigBody {ConfigVersion {1}, std::string(1 << 20, 'x')};
+    const Message message = ConfigBody {ConfigVersion {1}, 1, std::string(1 << 20, 'x')};
     const Result<Message> back = decode(encode(message));
     ASSERT_TRUE(back.has_value());
     EXPECT_EQ(*back, message);
