--- a/include/fescue/node/creditclient.h
+++ b/include/fescue/node/creditclient.h
@@ -2,67 +2,57 @@
 
 #include "fescue/core/clock.h"
 #include "fescue/core/ids.h"
-#include "fescue/node/nodeview.h"
 #include "fescue/peer/messages.h"
-#include "fescue/peer/peerlinks.h"
+#include "fescue/policy/credit.h"
 
 #include <functional>
-#include <map>
 #include <memory>
-#include <mutex>
 #include <vector>
 
 namespace fescue::node {
 
 class NodeControl;
 
-// One grant as the wallet of an entry takes it.
-struct ReceivedGrant
+struct CreditClientOptions
 {
-    peer::EndpointGrant grant;
-    MemberName authority;
-    // End of the term by the steady clock of this process.
-    Millis validUntil;
+    // Interval at which the demands are looked at; one that wants more is sent then.
+    Millis checkInterval = 200_ms;
+    // Every demand is repeated after this time, so that its credit is renewed before the term ends.
+    Millis refreshInterval = 600_ms;
 };
 
-struct CreditClientOptions
+// What the client needs from the entry. Both are called on the control worker and must not wait.
+struct CreditClientHooks
 {
-    // Demands that change within this time go out together.
-    Millis coalesceInterval = 200_ms;
-    // Unchanged demands are repeated, so that the terms of their credits are renewed.
-    Millis refreshInterval = 600_ms;
+    // Returns one demand for each endpoint that the entry uses or wants to use, sent at that time.
+    std::function<std::vector<EntryDemand>(Millis)> demands;
+    // A grant for this entry, to be applied to its wallet.
+    std::function<void(const CreditGrant &)> granted;
 };
 
-// Carries the demands of an entry to the authorities of its endpoints, and their grants back.
-// Holds links to exactly the authorities whose endpoints it has a demand for. Every method may be
-// called from any thread.
+// Carries the demands of an entry to the authorities of its endpoints, and their grants back. Holds
+// links to exactly the authorities of the endpoints that it has a demand for. An authority that
+// does not own an endpoint grants nothing for it, and is asked again. Every method may be called
+// from any thread.
 class CreditClient
 {
 public:
-    // The callback runs on the control worker; an authority that has no say over an endpoint
-    // causes no call for it.
-    using GrantCallback = std::function<void(const ReceivedGrant &)>;
-
-    CreditClient(NodeControl &node, CreditClientOptions options, GrantCallback onGrant);
+    CreditClient(NodeControl &node, CreditClientHooks hooks, CreditClientOptions options = {});
     ~CreditClient();
     CreditClient(const CreditClient &) = delete;
     CreditClient &operator=(const CreditClient &) = delete;
 
-    // Starts the fiber on the control worker. Call after NodeControl::start().
+    // Starts on the control worker. Call after NodeControl::start(). It ends with the worker, which
+    // has to be stopped before what the hooks refer to is destroyed.
     void start();
-    // Stops sending and calling back.
-    void stop();
-
-    // Replaces the demands, one for each endpoint that the entry uses or wants to use.
-    void setDemands(std::vector<peer::EndpointDemand> demands);
 
-    // Sends changed demands at once instead of at the end of the interval.
+    // Sends demands that want more at once instead of at the end of the interval.
     void flush();
 
     // Tells the authority of an endpoint what was seen there; lost where there is no link.
     void report(const peer::EndpointEvent &event);
 
-    // Hand in what NodeCallbacks::onMessage got. Returns true where it was a grant.
+    // Takes what NodeCallbacks::onMessage got. Returns true where it was an answer to demands.
     bool handleMessage(const MemberName &from, const peer::Message &message);
 
 private:
--- a/src/node/configsync.cpp
+++ b/src/node/configsync.cpp
@@ -11,8 +11,7 @@
 {
     if (!m_watchedVersion)
         return readStore(now);
-    const net::StoreResult<net::StoreList> answer =
-        m_store.watch(configKeyPrefix, m_watched, wait);
+    const net::StoreResult<net::StoreList> answer = m_store.watch(configKeyPrefix, m_watched, wait);
     if (!answer)
         return false;
     for (const net::StoreItem &item : answer->items) {
--- a/src/node/membersync.cpp
+++ b/src/node/membersync.cpp
@@ -63,11 +63,11 @@
     return true;
 }
 
-void MemberSync::storeLost(Millis now)
+void MemberSync::storeLost()
 {
     m_storeOut = true;
     m_needsList = true;
-    m_table.storeLost(now);
+    m_table.storeLost();
 }
 
 void MemberSync::heartbeat(Millis now, const MemberInfo &member, std::uint64_t revision)
@@ -103,8 +103,7 @@
 }
 
 // A list that a peer passes on while the store is out adds members, but drops none.
-void MemberSync::replaceAll(Millis now, std::vector<peer::MemberItem> items,
-                            std::uint64_t revision)
+void MemberSync::replaceAll(Millis now, std::vector<peer::MemberItem> items, std::uint64_t revision)
 {
     m_known = true;
     std::vector<MemberInfo> members;
--- a/src/node/membersync.h
+++ b/src/node/membersync.h
@@ -33,7 +33,7 @@
     [[nodiscard]] bool needsList() const noexcept { return m_needsList; }
 
     // Records that the store does not answer.
-    void storeLost(Millis now);
+    void storeLost();
 
     // Records a heartbeat of a member, and asks it for changes that are not known here.
     void heartbeat(Millis now, const MemberInfo &member, std::uint64_t revision);
--- a/src/node/nodecontrol.cpp
+++ b/src/node/nodecontrol.cpp
@@ -48,9 +48,9 @@
           m_metrics(metrics), m_store(m_http, m_options.store, m_calls, m_options.storeTimeout),
           m_inbox([this](std::function<void()> task) { m_pool.spawn(0, std::move(task)); }),
           m_config(m_store, configHooks()),
-          m_members(m_store, [this](const MemberName &to, const peer::Message &message) {
-              send(to, message);
-          }),
+          m_members(
+              m_store,
+              [this](const MemberName &to, const peer::Message &message) { send(to, message); }),
           m_judge(m_options.freshness), m_random(std::random_device {}())
     { }
 
@@ -163,7 +163,8 @@
     };
     hooks.warn = [this](std::string_view what, std::string_view detail) {
         m_timeline.record(what, "config", detail);
-        m_metrics.counter("fescue_config_warnings_total", {{"kind", std::string(what)}}).Increment();
+        m_metrics.counter("fescue_config_warnings_total", {{"kind", std::string(what)}})
+            .Increment();
         observe::logChange(observe::LogLevel::Warning, what, {{"detail", detail}});
     };
     return hooks;
@@ -180,9 +181,8 @@
     };
     callbacks.onHeartbeat = [this](const MemberName &from, const peer::Heartbeat &heartbeat,
                                    std::optional<Millis> askedAt) {
-        m_inbox.post([this, from, heartbeat, askedAt] {
-            heartbeatReceived(from, heartbeat, askedAt);
-        });
+        m_inbox.post(
+            [this, from, heartbeat, askedAt] { heartbeatReceived(from, heartbeat, askedAt); });
     };
     callbacks.heartbeat = [this] {
         const std::lock_guard<std::mutex> lock(m_heartbeatMutex);
@@ -330,8 +330,8 @@
             net::sleepFor(tickInterval);
             continue;
         }
-        const bool answered
-            = m_config.checkStore(now, watcher ? m_options.configWatchWait : Millis {0});
+        const bool answered =
+            m_config.checkStore(now, watcher ? m_options.configWatchWait : Millis {0});
         storeAnswered(answered);
         if (!answered || !watcher)
             pauseAfterFailure();
@@ -392,7 +392,7 @@
     }
     if (++m_storeFailures != failuresUntilLost)
         return;
-    m_members.storeLost(m_clock.now());
+    m_members.storeLost();
     m_timeline.record("store-lost", m_self.name.text());
 }
 
@@ -493,8 +493,8 @@
         names.push_back(member.info.name.text());
         listed = listed || member.info.name == m_self.name;
     }
-    const std::size_t count
-        = std::max(m_options.minWatchers, names.size() / m_options.membersPerWatcher);
+    const std::size_t count =
+        std::max(m_options.minWatchers, names.size() / m_options.membersPerWatcher);
     if (!listed || names.size() <= count)
         return true;
     const std::vector<std::size_t> order = rendezvousOrder("watchers", names);
@@ -569,8 +569,7 @@
     const bool same = next.freshness == before->freshness && next.ready == before->ready
         && next.leaving == before->leaving && next.snapshot == before->snapshot
         && (!membersDue
-            || (before->members == m_lastMembers
-                && before->vms.revision() == m_vms.revision()));
+            || (before->members == m_lastMembers && before->vms.revision() == m_vms.revision()));
     if (same)
         return;
     next.members = m_lastMembers;
--- a/src/node/nodeview.cpp
+++ b/src/node/nodeview.cpp
@@ -32,8 +32,8 @@
     const MemberInfo *best = nullptr;
     std::uint64_t bestScore = 0;
     for (const MemberView &member : members) {
-        const bool candidate = member.state == MemberState::Live
-            || member.state == MemberState::Suspect;
+        const bool candidate =
+            member.state == MemberState::Live || member.state == MemberState::Suspect;
         if (!candidate || roleOf(member.info) != peer::Role::Admission)
             continue;
         const std::uint64_t score = rendezvousScore(endpoint.text(), member.info.name.text());
--- a/src/peer/codec.cpp
+++ b/src/peer/codec.cpp
@@ -168,11 +168,11 @@
 
 Json writeDemand(const EntryDemand &demand)
 {
-    return {{"e", demand.endpoint.text()},  {"ha", demand.heldAuthority.value},
-            {"hs", demand.heldSerial},      {"r", demand.running},
-            {"p", demand.promisedTokens},   {"q", demand.queuedWanted},
+    return {{"e", demand.endpoint.text()},     {"ha", demand.heldAuthority.value},
+            {"hs", demand.heldSerial},         {"r", demand.running},
+            {"p", demand.promisedTokens},      {"q", demand.queuedWanted},
             {"w", demand.minimumTokensWanted}, {"f", demand.finishedTotal},
-            {"i", demand.incarnation.value}, {"at", demand.sentAt.count}};
+            {"i", demand.incarnation.value},   {"at", demand.sentAt.count}};
 }
 
 EntryDemand readDemand(const Json &in)
@@ -384,8 +384,8 @@
 };
 
 constexpr Reader readers[] = {
-    {"hi", readHello},         {"hb", readHeartbeat},    {"vn", readVersionNotice},
-    {"cr", readConfigRequest}, {"cb", readConfigBody},   {"mr", readMembersRequest},
+    {"hi", readHello},         {"hb", readHeartbeat},     {"vn", readVersionNotice},
+    {"cr", readConfigRequest}, {"cb", readConfigBody},    {"mr", readMembersRequest},
     {"mb", readMembersBody},   {"cd", readCreditDemands}, {"cg", readCreditGrants},
     {"ev", readEndpointEvent}, {"by", readGoodbye},
 };
--- a/src/peer/peerlinks.cpp
+++ b/src/peer/peerlinks.cpp
@@ -28,7 +28,9 @@
 
 constexpr long dialTimeoutMs = 1000;
 
-// Configuration of both roles, so that accepted and dialled connections have one type.
+// Configuration of both roles, so that accepted and dialled connections have one type. No
+// extension is configured; enable_extensions stays on, since without it this client refuses every
+// handshake.
 struct LinkConfig : public websocketpp::config::asio_client
 {
     using type = LinkConfig;
@@ -48,7 +50,6 @@
     static const websocketpp::log::level alog_level = websocketpp::log::alevel::none;
     static const std::size_t max_message_size = maxMessageBytes;
     static const std::size_t max_http_body_size = 4096;
-    static const bool enable_extensions = false;
     static const bool silent_close = true;
 };
 
@@ -306,9 +307,9 @@
             const std::map<MemberName, Target>::iterator old = m_targets.find(peer.member);
             const bool same = old != m_targets.end() && old->second.peer == peer;
             const MemberName member = peer.member;
-            next.insert_or_assign(member,
-                                  same ? old->second
-                                       : Target {std::move(peer), ReconnectTimer(m_options.redial)});
+            next.insert_or_assign(
+                member,
+                same ? old->second : Target {std::move(peer), ReconnectTimer(m_options.redial)});
         }
         m_targets.swap(next);
     }
--- a/tests/peer/codec_test.cpp
+++ b/tests/peer/codec_test.cpp
@@ -74,9 +74,13 @@
 {
     switch (*rc::gen::inRange(0, static_cast<int>(messageTypeCount))) {
     case 0:
-        return Hello {
-            MemberName(anyText()), Role::Admission, Incarnation {anyNumber<std::uint64_t>()},
-            ZoneName(anyText()),   anyText(),       anyText()};
+        return Hello {MemberName(anyText()),
+                      Role::Admission,
+                      Incarnation {anyNumber<std::uint64_t>()},
+                      ZoneName(anyText()),
+                      VmName(anyText()),
+                      anyText(),
+                      anyText()};
     case 1:
         return Heartbeat {anyNumber<std::uint64_t>(),
                           anyNumber<std::uint64_t>(),
@@ -90,7 +94,8 @@
     case 3:
         return ConfigRequest {ConfigVersion {anyNumber<std::uint64_t>()}};
     case 4:
-        return ConfigBody {ConfigVersion {anyNumber<std::uint64_t>()}, anyNumber<std::uint64_t>(), anyText()};
+        return ConfigBody {ConfigVersion {anyNumber<std::uint64_t>()}, anyNumber<std::uint64_t>(),
+                           anyText()};
     case 5:
         return MembersRequest {anyNumber<std::uint64_t>()};
     case 6:
