--- a/include/fescue/policy/fairqueue.h
+++ b/include/fescue/policy/fairqueue.h
@@ -35,8 +35,8 @@
 
     [[nodiscard]] std::size_t size() const noexcept { return m_size; }
     [[nodiscard]] bool empty() const noexcept { return m_size == 0; }
-    // Number of requests that would be served before a new one of the account, if requests of all
-    // accounts were equally large.
+    // Number of queued requests that are expected to be served before a new one of the account, if
+    // each costs what requests cost on average.
     [[nodiscard]] std::size_t aheadOfNew(const AccountName &account) const;
 
 private:
@@ -49,11 +49,16 @@
 
     // An account that was idle does not keep what it did not use in the meantime.
     void liftToActive(AccountState &state);
+    [[nodiscard]] double activeFloor() const;
+    // Mean tokens for each request served of late.
+    [[nodiscard]] double meanCost() const;
 
     std::map<AccountName, AccountState> m_accounts;
     std::size_t m_size = 0;
     // Greatest counter at which a request was served; the floor for idle accounts.
     double m_servedAt = 0;
+    double m_chargedTokens = 0;
+    double m_served = 0;
 };
 
 } // namespace fescue
--- a/src/policy/fairqueue.cpp
+++ b/src/policy/fairqueue.cpp
@@ -4,22 +4,38 @@
 
 namespace fescue {
 
+namespace {
+
+// Number of requests after which the mean cost forgets half of the past.
+constexpr double meanCostWindow = 256;
+
+} // namespace
+
 void FairQueue::setWeight(const AccountName &account, double weight)
 {
     if (weight > 0)
         m_accounts[account].weight = weight;
 }
 
-void FairQueue::liftToActive(AccountState &state)
+double FairQueue::activeFloor() const
 {
-    if (!state.queue.empty())
-        return;
     double floor = m_servedAt;
     for (const std::pair<const AccountName, AccountState> &entry : m_accounts) {
         if (!entry.second.queue.empty())
             floor = std::min(floor, entry.second.counter);
     }
-    state.counter = std::max(state.counter, floor);
+    return floor;
+}
+
+void FairQueue::liftToActive(AccountState &state)
+{
+    if (state.queue.empty())
+        state.counter = std::max(state.counter, activeFloor());
+}
+
+double FairQueue::meanCost() const
+{
+    return m_served > 0 ? m_chargedTokens / m_served : 0;
 }
 
 void FairQueue::push(const AccountName &account, RequestId id)
@@ -42,6 +58,7 @@
 {
     AccountState &state = m_accounts[account];
     state.counter += static_cast<double>(tokens) / state.weight;
+    m_chargedTokens += static_cast<double>(tokens);
 }
 
 std::vector<AccountName> FairQueue::order() const
@@ -81,6 +98,11 @@
     m_servedAt = std::max(m_servedAt, it->second.counter);
     it->second.queue.pop_front();
     --m_size;
+    m_served += 1;
+    if (m_served < meanCostWindow)
+        return;
+    m_served /= 2;
+    m_chargedTokens /= 2;
 }
 
 bool FairQueue::remove(const AccountName &account, RequestId id)
@@ -96,11 +118,21 @@
 std::size_t FairQueue::aheadOfNew(const AccountName &account) const
 {
     const auto own = m_accounts.find(account);
-    const std::size_t ownLength = own == m_accounts.end() ? 0 : own->second.queue.size();
-    std::size_t ahead = ownLength;
+    const AccountState idle;
+    const AccountState &state = own == m_accounts.end() ? idle : own->second;
+    const double cost = meanCost();
+    const double from =
+        state.queue.empty() ? std::max(state.counter, activeFloor()) : state.counter;
+    const double turn = from + static_cast<double>(state.queue.size()) * cost / state.weight;
+    std::size_t ahead = state.queue.size();
     for (const std::pair<const AccountName, AccountState> &entry : m_accounts) {
-        if (entry.first != account)
-            ahead += std::min(entry.second.queue.size(), ownLength + 1);
+        const AccountState &other = entry.second;
+        if (entry.first == account || other.queue.empty() || other.counter >= turn)
+            continue;
+        const std::size_t queued = other.queue.size();
+        const double turns = cost > 0 ? (turn - other.counter) * other.weight / cost + 1
+                                      : static_cast<double>(queued);
+        ahead += turns >= static_cast<double>(queued) ? queued : static_cast<std::size_t>(turns);
     }
     return ahead;
 }
--- a/src/programs/load/experiment.h
+++ b/src/programs/load/experiment.h
@@ -51,6 +51,7 @@
         std::uint32_t deliveredInWindow = 0;
         std::uint32_t deliveredAway = 0;
         std::uint32_t ends = 0;
+        Millis firstTokenAt {0};
         Millis lastTokenAt {0};
     };
 
--- a/src/programs/load/measures.h
+++ b/src/programs/load/measures.h
@@ -54,7 +54,11 @@
     std::uint64_t cut = 0;
     std::map<ResultCode, std::uint64_t> refusals;
     std::uint64_t tokensDelivered = 0;
+    // Requests that completed, but whose first token came after the callers' patience.
+    std::uint64_t late = 0;
     // Tokens delivered of requests that were completed at last.
+    std::uint64_t completedTokens = 0;
+    // The same without late requests.
     std::uint64_t goodTokens = 0;
     std::uint64_t goodTokensAway = 0;
     std::uint64_t offeredTokens = 0;
@@ -78,6 +82,7 @@
     double capacityTokensPerSecond = 0;
 
     [[nodiscard]] std::uint64_t refused() const;
+    // Tokens per second of requests that were completed and not late.
     [[nodiscard]] double goodput() const;
     // Goodput while a zone is out over the smaller of offered load and remaining capacity.
     [[nodiscard]] double awayGoodputPart() const;
--- a/src/programs/load/recorder.cpp
+++ b/src/programs/load/recorder.cpp
@@ -10,6 +10,8 @@
 constexpr Millis stallLimit = 200_ms;
 // Time after a zone went out from which the goodput without it is measured.
 constexpr Millis awaySettling = 10_s;
+// Time from the start of a request to its first token that callers allow beyond their patience.
+constexpr Millis startAllowance = 1_s;
 constexpr std::int64_t millisPerSecond = 1000;
 
 } // namespace
@@ -85,6 +87,8 @@
     const Millis before = track.delivered == 0 ? m_arrivals[request].at : track.lastTokenAt;
     const Millis waited = event.at - before;
     const bool isFirst = track.delivered == 0;
+    if (isFirst)
+        track.firstTokenAt = event.at;
     track.lastTokenAt = event.at;
     ++track.delivered;
     pointAt(event.at).tokens += 1;
@@ -119,11 +123,16 @@
     const Track &track = m_tracks[request];
     if (track.delivered != arrival.outputTokens)
         ++m_measures.lost;
-    m_measures.goodTokens += track.deliveredInWindow;
-    m_measures.goodTokensAway += track.deliveredAway;
+    const bool late = track.firstTokenAt - arrival.at > m_scenario.patience + startAllowance;
+    m_measures.completedTokens += track.deliveredInWindow;
+    if (!late) {
+        m_measures.goodTokens += track.deliveredInWindow;
+        m_measures.goodTokensAway += track.deliveredAway;
+    }
     if (!inWindow(arrival.at))
         return;
     ++m_measures.completed;
+    m_measures.late += late ? 1 : 0;
     m_measures.accounts[arrival.account].deliveredTokens += arrival.outputTokens;
 }
 
--- a/src/programs/load/report.cpp
+++ b/src/programs/load/report.cpp
@@ -63,24 +63,28 @@
 std::string toTable(const std::vector<RunResult> &runs)
 {
     std::ostringstream out;
-    out << "scenario   policy           load  seed  arrived  done  cut  refused  goodput  stall/1k"
-           "  preempt  ft50  ft95   ft99  gap50 gap95 gap99  crash overcold lost doubled  fair"
+    out << "scenario   policy           load  seed  arrived  done  late  cut  refused  goodput  "
+           "stall/1k"
+           "  preempt  ft50  ft95   ft99  gap50 gap95 gap99 gap999  crash overcold lost doubled  "
+           "fair"
            "  away\n";
     out << std::fixed;
     for (const RunResult &run : runs) {
         const Measures &m = run.measures;
         out << std::left << std::setw(11) << run.scenario << std::setw(17) << run.policy
             << std::right << std::setprecision(2) << std::setw(4) << run.load << std::setw(6)
-            << run.seed << std::setw(9) << m.arrived << std::setw(6) << m.completed << std::setw(5)
-            << m.cut << std::setw(9) << m.refused() << std::setprecision(0) << std::setw(9)
-            << m.goodput() << std::setw(10) << m.stallPerThousand() << std::setw(9) << m.preemptions
-            << std::setw(6) << m.firstToken.quantile(0.5).count << std::setw(6)
-            << m.firstToken.quantile(0.95).count << std::setw(7)
-            << m.firstToken.quantile(0.99).count << std::setw(7) << m.gap.quantile(0.5).count
-            << std::setw(6) << m.gap.quantile(0.95).count << std::setw(6)
-            << m.gap.quantile(0.99).count << std::setw(7) << m.crashes << std::setw(9) << m.overCold
-            << std::setw(5) << m.lost << std::setw(8) << m.doubled << std::setprecision(2)
-            << std::setw(6) << m.leastFairPart() << std::setw(6) << m.awayGoodputPart() << '\n';
+            << run.seed << std::setw(9) << m.arrived << std::setw(6) << m.completed << std::setw(6)
+            << m.late << std::setw(5) << m.cut << std::setw(9) << m.refused()
+            << std::setprecision(0) << std::setw(9) << m.goodput() << std::setw(10)
+            << m.stallPerThousand() << std::setw(9) << m.preemptions << std::setw(6)
+            << m.firstToken.quantile(0.5).count << std::setw(6) << m.firstToken.quantile(0.95).count
+            << std::setw(7) << m.firstToken.quantile(0.99).count << std::setw(7)
+            << m.gap.quantile(0.5).count << std::setw(6) << m.gap.quantile(0.95).count
+            << std::setw(6) << m.gap.quantile(0.99).count << std::setw(7)
+            << m.gap.quantile(0.999).count << std::setw(7) << m.crashes << std::setw(9)
+            << m.overCold << std::setw(5) << m.lost << std::setw(8) << m.doubled
+            << std::setprecision(2) << std::setw(6) << m.leastFairPart() << std::setw(6)
+            << m.awayGoodputPart() << '\n';
     }
     return out.str();
 }
@@ -91,6 +95,11 @@
     nlohmann::json refusals = nlohmann::json::object();
     for (const std::pair<const ResultCode, std::uint64_t> &entry : m.refusals)
         refusals[std::string(toString(entry.first))] = entry.second;
+    nlohmann::json accounts = nlohmann::json::array();
+    for (const AccountMeasures &account : m.accounts)
+        accounts.push_back({{"account", account.name},
+                            {"offered_tokens", account.offeredTokens},
+                            {"delivered_tokens", account.deliveredTokens}});
     return {
         {"scenario", run.scenario},
         {"policy", run.policy},
@@ -98,9 +107,13 @@
         {"seed", run.seed},
         {"arrived", m.arrived},
         {"completed", m.completed},
+        {"late", m.late},
         {"cut", m.cut},
         {"refusals", refusals},
+        {"accounts", accounts},
         {"goodput_tokens_per_s", m.goodput()},
+        {"completed_tokens", m.completedTokens},
+        {"measured_ms", m.measuredTime.count},
         {"capacity_tokens_per_s", m.capacityTokensPerSecond},
         {"stall_ms", m.stall.count},
         {"stall_ms_per_1000_tokens", m.stallPerThousand()},
@@ -112,7 +125,8 @@
         {"token_gap_ms",
          {{"p50", m.gap.quantile(0.5).count},
           {"p95", m.gap.quantile(0.95).count},
-          {"p99", m.gap.quantile(0.99).count}}},
+          {"p99", m.gap.quantile(0.99).count},
+          {"p999", m.gap.quantile(0.999).count}}},
         {"crashes", m.crashes},
         {"over_cold_limit", m.overCold},
         {"lost", m.lost},
