--- a/include/fescue/core/freshness.h
+++ b/include/fescue/core/freshness.h
@@ -44,7 +44,8 @@
 //
 // Ages are counted pessimistically: a contact counts from the time at which its request was sent,
 // not from the time at which the answer came. After a pause of this process, only what was asked
-// for after the pause counts.
+// for after the pause counts. A process that was isolated stays so until the newest version that it
+// knows of is in force.
 class FreshnessJudge
 {
 public:
@@ -57,6 +58,10 @@
     // Records a peer's answer to a heartbeat that was sent at `askedAt`.
     void peerAnswered(const MemberName &peer, Millis askedAt, const StoreVouch &vouch);
 
+    // Records that a configuration version is known to exist, for example because a peer has it in
+    // force. A store that shows an earlier one from now on has gone back, and confirms nothing.
+    void versionExists(ConfigVersion version) noexcept;
+
     // Forgets a peer that has left the fleet.
     void forgetPeer(const MemberName &peer);
 
@@ -86,6 +91,10 @@
     std::map<ConfigVersion, Millis> m_contacts;
     // Time of sending of the latest heartbeat that each peer has answered.
     std::map<MemberName, Millis> m_peers;
+    ConfigVersion m_newest;
+    // Time at which the newest version became known here.
+    Millis m_newestSince {0};
+    bool m_isolated = false;
     std::optional<Millis> m_lastTick;
     // What was asked for before this time does not count.
     Millis m_resumedAt {0};
--- a/src/core/freshness.cpp
+++ b/src/core/freshness.cpp
@@ -17,6 +17,14 @@
         noteContact(askedAt - *vouch.contactAge, vouch.version);
 }
 
+void FreshnessJudge::versionExists(ConfigVersion version) noexcept
+{
+    if (version <= m_newest)
+        return;
+    m_newest = version;
+    m_newestSince = m_lastTick.value_or(Millis {0});
+}
+
 void FreshnessJudge::forgetPeer(const MemberName &peer)
 {
     m_peers.erase(peer);
@@ -33,14 +41,15 @@
                                          std::size_t expectedPeers)
 {
     tick(now);
-    if (isFresh(now, inForce))
+    const bool newerExists = m_newest > inForce;
+    if (isFresh(now, inForce) && !(m_isolated && newerExists)) {
+        m_isolated = false;
         return FreshnessVerdict::Fresh;
-    const bool newerExists = !m_contacts.empty() && m_contacts.rbegin()->first > inForce;
-    if (newerExists)
-        return FreshnessVerdict::Isolated;
+    }
     // Counts this process on both sides.
     const bool reachesMost = (reachablePeers(now) + 1) * 2 > expectedPeers + 1;
-    return reachesMost ? FreshnessVerdict::Outage : FreshnessVerdict::Isolated;
+    m_isolated = newerExists || !reachesMost;
+    return m_isolated ? FreshnessVerdict::Isolated : FreshnessVerdict::Outage;
 }
 
 StoreVouch FreshnessJudge::ownVouch(Millis now) const
@@ -58,6 +67,7 @@
 
 void FreshnessJudge::noteContact(Millis at, ConfigVersion version)
 {
+    versionExists(version);
     Millis &latest = m_contacts.try_emplace(version, at).first->second;
     latest = std::max(latest, at);
     while (m_contacts.size() > maxVersions)
@@ -70,7 +80,8 @@
         if (contact.first > inForce)
             break;
         const bool sincePause = contact.second >= m_resumedAt;
-        if (sincePause && now - contact.second <= m_limits.contactLimit)
+        const bool wentBack = contact.first < m_newest && contact.second > m_newestSince;
+        if (sincePause && !wentBack && now - contact.second <= m_limits.contactLimit)
             return true;
     }
     return false;
--- a/tests/core/matrix_views_test.cpp
+++ b/tests/core/matrix_views_test.cpp
@@ -43,6 +43,8 @@
     ZoneCutOff,
     ZoneCutFromPeers,
     PeersSlow,
+    // Heartbeats pass, and bodies that are read from peers do not.
+    FetchesLost,
     Count,
 };
 
@@ -85,6 +87,8 @@
     std::size_t to = 0;
     StoreVouch vouch;
     ConfigVersion inForce;
+    // True where this is a configuration that a peer sends.
+    bool isBody = false;
 };
 
 Snapshot makeSnapshot(ConfigVersion version)
@@ -274,6 +278,10 @@
         for (const Answer &answer : m_answers) {
             if (answer.to != self || answer.arrivesAt > m_now)
                 continue;
+            if (answer.isBody) {
+                offer(member, answer.inForce, ConfigSource::Peer);
+                continue;
+            }
             if (answer.from == memberCount) {
                 member.judge->storeContact(answer.askedAt, answer.inForce);
                 offer(member, answer.inForce, ConfigSource::Store);
@@ -282,6 +290,7 @@
             const MemberName &peer = m_members[answer.from].info.name;
             member.judge->peerAnswered(peer, answer.askedAt, answer.vouch);
             member.config->peerHas(m_now, peer, answer.inForce);
+            member.judge->versionExists(answer.inForce);
         }
         std::erase_if(m_answers, [&](const Answer &answer) {
             return answer.to == self && answer.arrivesAt <= m_now;
@@ -296,8 +305,10 @@
             return;
         }
         const std::size_t peer = indexOf(fetch.peer);
-        if (reaches(self, peer) && !m_members[peer].paused)
-            offer(member, m_members[peer].config->inForce(), ConfigSource::Peer);
+        if (!reaches(self, peer) || m_members[peer].paused || active(Fault::FetchesLost))
+            return;
+        const ConfigVersion body = m_members[peer].config->inForce();
+        m_answers.push_back({m_now + delay(Fault::PeersSlow), m_now, peer, self, {}, body, true});
     }
 
     static void offer(Member &member, ConfigVersion version, ConfigSource source)
@@ -401,12 +412,20 @@
     case Fault::ZoneCutOff:
     case Fault::ZoneCutFromPeers:
     case Fault::PeersSlow:
+    case Fault::FetchesLost:
         return true;
     default:
         return false;
     }
 }
 
+TEST(ViewMatrixService, AZoneThatIsCutFromTheStoreGoesOnByItsPeers)
+{
+    ViewWorld world;
+    EXPECT_EQ(world.run(std::array {FaultWindow {Fault::StoreCutFromZone, 3_s, 17_s}}), "");
+    EXPECT_EQ(world.refusedSteps(), 0U);
+}
+
 RC_GTEST_PROP(ViewMatrixRandom, ManyFaults, (const std::vector<std::uint16_t> &draws))
 {
     const bool showsOlder = std::any_of(draws.begin(), draws.end(), [](std::uint16_t draw) {
