--- a/include/fescue/core/ownership.h
+++ b/include/fescue/core/ownership.h
@@ -128,6 +128,8 @@
     // Requests to the store that were sent before this time prove nothing about the lease.
     Millis m_resumedAt {0};
     StoreRevision m_revision;
+    // Greatest revision of the key that this process has seen.
+    StoreRevision m_seen;
     Millis m_takenAt {0};
     std::optional<OwnerKey> m_known;
     std::optional<Millis> m_lastLook;
--- a/src/core/ownership.cpp
+++ b/src/core/ownership.cpp
@@ -70,6 +70,7 @@
     m_known = key;
     if (!key)
         return tryCreate(now);
+    m_seen = std::max(m_seen, key->revision);
     if (key->holder == m_self)
         return take(now, key->revision);
     return OwnershipStep::None;
@@ -78,9 +79,10 @@
 OwnershipStep OwnershipMachine::keyChanged(Millis now, StoreRevision at,
                                            const std::optional<OwnerKey> &key)
 {
-    // Watches lag: what they show may be older than the key that this process wrote.
-    if (at <= m_revision)
+    // Watches lag: what they show may be older than the key that this process wrote or read.
+    if (at <= m_seen)
         return OwnershipStep::None;
+    m_seen = at;
     const bool own = key && key->holder == m_self;
     if (m_holds && !own)
         m_holds = false;
@@ -159,6 +161,7 @@
 {
     m_pending = Pending::Nothing;
     m_revision = revision;
+    m_seen = std::max(m_seen, revision);
     m_takenAt = now;
     m_known = OwnerKey {m_self, revision};
     if (!m_wanted) {
--- a/tests/core/ownership_test.cpp
+++ b/tests/core/ownership_test.cpp
@@ -66,6 +66,15 @@
     EXPECT_FALSE(machine.mayOrder(7800_ms));
 }
 
+TEST(Ownership, KeyEndsWithTheLeaseThatItIsBoundTo)
+{
+    OwnershipMachine machine = makeOwner(FencingSupport::Checks);
+    machine.leaseGranted(1_ms);
+    EXPECT_FALSE(machine.holdsKey());
+    EXPECT_FALSE(machine.mayOrder(2_ms));
+    EXPECT_EQ(machine.tick(2_ms), OwnershipStep::CreateKey);
+}
+
 TEST(Ownership, LostAnswerIsResolvedByReading)
 {
     OwnershipMachine machine(self, FencingSupport::Checks);
@@ -87,6 +96,18 @@
     EXPECT_EQ(machine.keyChanged(2_ms, {7}, std::nullopt), OwnershipStep::CreateKey);
 }
 
+TEST(Ownership, KeyOfAnotherIsNotTaken)
+{
+    OwnershipMachine machine(self, FencingSupport::Checks);
+    machine.leaseGranted(0_ms);
+    EXPECT_EQ(machine.setWanted(0_ms, true), OwnershipStep::CreateKey);
+    EXPECT_EQ(machine.keyExists(0_ms), OwnershipStep::ReadKey);
+    EXPECT_EQ(machine.keyRead(0_ms, OwnerKey {other, {8}}), OwnershipStep::None);
+    EXPECT_FALSE(machine.holdsKey());
+    EXPECT_EQ(machine.keyChanged(1_ms, {7}, std::nullopt), OwnershipStep::None) << "older";
+    EXPECT_EQ(machine.keyChanged(1_ms, {9}, std::nullopt), OwnershipStep::CreateKey);
+}
+
 TEST(Ownership, OutdatedFenceEndsTheOwnership)
 {
     OwnershipMachine machine = makeOwner(FencingSupport::Checks);
