--- a/src/programs/entry/entrydaemon.cpp
+++ b/src/programs/entry/entrydaemon.cpp
@@ -42,8 +42,6 @@
 EntryDaemon::~EntryDaemon()
 {
     m_statusSource = nullptr;
-    if (m_credits)
-        m_credits->stop();
     if (m_node)
         m_node->stop();
     m_server.reset();
@@ -70,9 +68,10 @@
     };
     m_node = std::make_unique<node::NodeControl>(nodeOptions(), m_timeline, m_metrics,
                                                  std::move(callbacks));
-    m_credits = std::make_unique<node::CreditClient>(
-        *m_node, node::CreditClientOptions {},
-        [this](const CreditGrant &grant) { m_admission.grantReceived(grant); });
+    node::CreditClientHooks hooks;
+    hooks.demands = [this](Millis) { return m_admission.demands(); };
+    hooks.granted = [this](const CreditGrant &grant) { m_admission.grantReceived(grant); };
+    m_credits = std::make_unique<node::CreditClient>(*m_node, std::move(hooks));
     Result<void> started = m_node->start();
     if (!started)
         return started;
@@ -120,7 +119,8 @@
 {
     while (!net::stopRequested()) {
         m_admission.tick();
-        m_credits->setDemands(m_admission.demands());
+        if (m_admission.queued() > 0)
+            m_credits->flush();
         net::sleepFor(admissionTickInterval);
     }
 }
