Share credit by weight, also against what already runs

Cause: an entry with many requests kept its slots for ever, since the authority counted its running requests first and a slot that became free was reused at once by the same entry's own queue; small accounts at other entries were refused. Ruled out: the order within one entry's queue (small accounts are first there). Change: the authority gives slots by weight of the entries' active accounts from zero, so a grant may be below what runs, and shrinks as requests end; a blocked request is no longer overtaken after a quarter of the longest wait; a successor waits for a load report newer than the last old grant; reported load is compared with what entries had running at the time of the report.

--- a/include/fescue/policy/admissionqueue.inl
+++ b/include/fescue/policy/admissionqueue.inl
@@ -9,8 +9,10 @@
 
 // An endpoint that gave a request back is avoided for this long.
 constexpr Millis avoidTime {500};
-// A request that could not be placed for this long is no longer overtaken by other accounts.
+// A request that could not be placed for this long, or for this part of the longest wait, is no
+// longer overtaken by other accounts.
 constexpr Millis bypassLimit {2000};
+constexpr std::int64_t bypassPart = 4;
 constexpr Millis leastRetryAfter {1000};
 constexpr Millis largestRetryAfter {120000};
 // Retry time where nothing is known about the queue.
@@ -79,6 +81,7 @@
     m_wallet.release(running.endpoint, running.promised, completed);
     if (completed && running.queued.request.maxTokens > 0)
         m_forecast.observe(running.queued.request.account, m_service, running.produced);
+    m_queue.runningEnded(running.queued.request.account);
     m_running.erase(it);
     ++m_counters.ended;
     drain(decisions, now);
@@ -95,6 +98,7 @@
     RunningRequest running = std::move(it->second);
     m_running.erase(it);
     m_wallet.release(running.endpoint, running.promised, false);
+    m_queue.runningEnded(running.queued.request.account);
     m_avoid[running.endpoint] = now + detail::avoidTime;
     ++m_counters.returned;
     ++running.queued.attempts;
@@ -157,10 +161,13 @@
     const bool isEligible = std::any_of(
         m_eligible.begin(), m_eligible.end(),
         [&endpoint](const EligibleEndpoint &item) { return item.endpoint == endpoint; });
+    EntryDemand made = m_wallet.demand(endpoint, 0, m_usualPromise, now);
+    made.weight = m_queue.activeWeight();
     if (!isEligible || m_queue.empty())
-        return m_wallet.demand(endpoint, 0, m_usualPromise, now);
-    const std::size_t wanted = (m_queue.size() + endpoints - 1) / endpoints;
-    return m_wallet.demand(endpoint, static_cast<std::uint32_t>(wanted), nextPromise(), now);
+        return made;
+    made.queuedWanted = static_cast<std::uint32_t>((m_queue.size() + endpoints - 1) / endpoints);
+    made.minimumTokensWanted = nextPromise();
+    return made;
 }
 
 template <AdmissionPolicy Policy>
@@ -175,6 +182,8 @@
 template <AdmissionPolicy Policy>
 void AdmissionQueue<Policy>::drain(Decisions &decisions, Millis now)
 {
+    const Millis bypassLimit =
+        std::min(detail::bypassLimit, m_policy.queueLimit() / detail::bypassPart);
     bool progress = true;
     while (progress && !m_queue.empty()) {
         progress = false;
@@ -186,7 +195,7 @@
                 progress = true;
                 break;
             }
-            if (now - m_waiting.at(*id).arrivedAt > detail::bypassLimit)
+            if (now - m_waiting.at(*id).arrivedAt > bypassLimit)
                 break;
         }
     }
--- a/include/fescue/policy/credit.h
+++ b/include/fescue/policy/credit.h
@@ -40,6 +40,9 @@
     // Memory, in tokens, without which the next queued request cannot start; where none is queued,
     // what recent requests needed. 0 where that is not known.
     std::uint64_t minimumTokensWanted = 0;
+    // Sum of the weights of the accounts that have requests queued or running at this entry for the
+    // endpoint's service; entries share by it under contention.
+    double weight = 1;
     // Calls that the endpoint has finished for this entry, ever.
     std::uint64_t finishedTotal = 0;
     // Greatest incarnation that the entry has seen; 0 where it has seen none.
--- a/include/fescue/policy/creditauthority.h
+++ b/include/fescue/policy/creditauthority.h
@@ -6,6 +6,7 @@
 #include "fescue/policy/slowstart.h"
 
 #include <cstdint>
+#include <deque>
 #include <map>
 #include <optional>
 #include <vector>
@@ -35,7 +36,8 @@
 
 // Splits what one endpoint can bear among the entries. All grants that have not ended stay within
 // the endpoint's limit, also across a change of authority: a successor grants nothing before all
-// grants of its predecessor have ended, and no grant outlives the authority's own lease.
+// grants of its predecessor have ended and the endpoint has reported what runs since, and no grant
+// outlives the authority's own lease.
 class CreditAuthority
 {
 public:
@@ -79,8 +81,6 @@
     {
         EntryDemand demand;
         Millis heardAt {0};
-        // Greatest number running in the last two demands, for comparison with lagging reports.
-        std::uint32_t recentRunning = 0;
         bool left = false;
         std::vector<LiveGrant> grants;
     };
@@ -93,9 +93,22 @@
     struct Claim
     {
         Amount share;
-        std::uint32_t queued = 0;
-        // Memory that one more request needs.
+        std::uint32_t running = 0;
+        // Running and queued requests.
+        std::uint32_t wanted = 0;
+        // Memory of each running request, and of one more.
+        std::uint64_t runningTokens = 0;
         std::uint64_t unitTokens = 0;
+        double weight = 1;
+
+        [[nodiscard]] std::uint64_t nextTokens() const noexcept
+        {
+            return share.slots < running ? runningTokens : unitTokens;
+        }
+        [[nodiscard]] double filled() const noexcept
+        {
+            return static_cast<double>(share.slots) / weight;
+        }
     };
     using Members = std::map<MemberName, MemberState>;
 
@@ -103,9 +116,13 @@
     void expire(Millis now);
     [[nodiscard]] Amount committed(const MemberState &state) const noexcept;
     [[nodiscard]] Amount committedByOthers(const MemberName &member) const noexcept;
-    // Load that the endpoint reports and no known entry accounts for.
-    [[nodiscard]] Amount unaccounted(Millis now) const noexcept;
+    // Load in a report that no known entry accounted for at the time of the report.
+    [[nodiscard]] Amount unaccountedIn(const LoadReport &report) const noexcept;
+    // Whether what runs on the endpoint is known well enough to grant anything.
+    [[nodiscard]] bool mayGrant(Millis now) const noexcept;
+    void recordRunning(Millis now);
     [[nodiscard]] Amount target(const MemberName &member, Millis now) const;
+    [[nodiscard]] static Claim claimOf(const EntryDemand &demand) noexcept;
     static void giveUnits(std::vector<Claim> &claims, Amount &left, std::size_t first, bool spare);
     [[nodiscard]] Millis termFor(Millis now) const noexcept;
     [[nodiscard]] std::uint32_t busyPercent() const noexcept;
@@ -117,7 +134,16 @@
     Members m_members;
     std::optional<LoadReport> m_report;
     Millis m_reportAt {0};
+    Amount m_unaccounted;
+    // Requests running for all known entries, over the time that a lagging report may refer to.
+    struct RunningSample
+    {
+        Millis at {0};
+        std::uint64_t running = 0;
+    };
+    std::deque<RunningSample> m_runningHistory;
     Millis m_assumedUntil {0};
+    bool m_isSuccessor = false;
     std::optional<Millis> m_leaseEnd;
     bool m_serving = true;
     std::uint64_t m_nextSerial = 1;
--- a/include/fescue/policy/fairqueue.h
+++ b/include/fescue/policy/fairqueue.h
@@ -29,7 +29,12 @@
     [[nodiscard]] std::vector<AccountName> order() const;
     // The oldest request of an account.
     [[nodiscard]] std::optional<RequestId> front(const AccountName &account) const;
+    // Removes the oldest request of an account, which starts to run.
     void popFront(const AccountName &account);
+    // A request that was removed by popFront() no longer runs.
+    void runningEnded(const AccountName &account);
+    // Sum of the weights of the accounts with requests queued or running.
+    [[nodiscard]] double activeWeight() const;
     // Removes a request from wherever it is. Returns false where it is not queued.
     bool remove(const AccountName &account, RequestId id);
 
@@ -44,6 +49,7 @@
     {
         double counter = 0;
         double weight = 1;
+        std::uint32_t running = 0;
         std::deque<RequestId> queue;
     };
 
--- a/src/policy/creditauthority.cpp
+++ b/src/policy/creditauthority.cpp
@@ -9,6 +9,8 @@
 
 // Reports older than this say nothing about the present load.
 constexpr Millis maxReportAge = 5_s;
+// Longest time from a start at an entry until a demand tells of it.
+constexpr Millis demandLag = 600_ms;
 constexpr std::uint64_t percent = 100;
 
 std::uint64_t minus(std::uint64_t a, std::uint64_t b) noexcept
@@ -27,6 +29,7 @@
 constexpr Millis rotationInterval = 2_s;
 // Memory of a spare slot where no entry has said what its requests need.
 constexpr std::uint64_t defaultUnitTokens = 1024;
+constexpr double leastWeight = 0.01;
 
 } // namespace
 
@@ -38,6 +41,7 @@
 
 void CreditAuthority::startAsSuccessor(Millis now) noexcept
 {
+    m_isSuccessor = true;
     m_assumedUntil = now + m_settings.term;
 }
 
@@ -61,12 +65,15 @@
         return;
     m_report = report;
     m_reportAt = now - report.age;
+    m_unaccounted = unaccountedIn(report);
 }
 
 void CreditAuthority::observeIncarnation(Incarnation incarnation) noexcept
 {
     if (m_slowStart.observeIncarnation(incarnation))
         m_report.reset();
+    if (!m_report)
+        m_unaccounted = {};
 }
 
 CreditGrant CreditAuthority::answer(const EntryDemand &demand, Millis now)
@@ -83,11 +90,11 @@
     grant.busyPercent = busyPercent();
     grant.demandSentAt = demand.sentAt;
     grant.term = termFor(now);
-    if (!m_serving || now < m_assumedUntil || grant.term <= Millis {0})
+    if (!mayGrant(now) || grant.term <= Millis {0})
         return grant;
     const Amount wanted = target(demand.member, now);
     const Amount others = committedByOthers(demand.member);
-    const Amount unknown = unaccounted(now);
+    const Amount unknown = now - m_reportAt <= maxReportAge ? m_unaccounted : Amount {};
     const std::uint64_t slotsLeft = minus(slotLimit(), others.slots + unknown.slots);
     const std::uint64_t memoryLeft =
         minus(memoryLimit(), others.memoryTokens + unknown.memoryTokens);
@@ -142,10 +149,10 @@
     if (m_capacity.memoryTokens == 0 && demand.finishedTotal > state.demand.finishedTotal
         && state.heardAt > Millis {0})
         m_slowStart.callsFinished(demand.finishedTotal - state.demand.finishedTotal);
-    state.recentRunning = std::max(demand.running, state.demand.running);
     state.demand = demand;
     state.heardAt = now;
     state.left = false;
+    recordRunning(now);
     if (demand.heldAuthority != m_authority)
         return;
     std::erase_if(state.grants,
@@ -185,18 +192,37 @@
     return sum;
 }
 
-CreditAuthority::Amount CreditAuthority::unaccounted(Millis now) const noexcept
+void CreditAuthority::recordRunning(Millis now)
 {
-    if (!m_report || now - m_reportAt > maxReportAge)
-        return {};
-    std::uint64_t known = 0;
+    std::uint64_t running = 0;
     for (const std::pair<const MemberName, MemberState> &entry : m_members)
-        known += entry.second.recentRunning;
-    const std::uint64_t reported = m_report->running + m_report->waiting;
+        running += entry.second.demand.running;
+    m_runningHistory.push_back({now, running});
+    while (m_runningHistory.front().at + maxReportAge < now)
+        m_runningHistory.pop_front();
+}
+
+CreditAuthority::Amount CreditAuthority::unaccountedIn(const LoadReport &report) const noexcept
+{
+    std::uint64_t known = 0;
+    for (const RunningSample &sample : m_runningHistory) {
+        if (sample.at + demandLag >= m_reportAt && sample.at <= m_reportAt + demandLag)
+            known = std::max(known, sample.running);
+    }
+    const std::uint64_t reported = std::uint64_t {report.running} + report.waiting;
     const std::uint64_t extra = minus(reported, known);
     if (extra == 0)
         return {};
-    return {extra, m_report->memoryUsed * extra / reported};
+    return {extra, report.memoryUsed * extra / reported};
+}
+
+bool CreditAuthority::mayGrant(Millis now) const noexcept
+{
+    if (!m_serving || now < m_assumedUntil)
+        return false;
+    // Without any report, all entries have been heard of by the member timeout.
+    const bool reported = m_report && m_reportAt >= m_assumedUntil;
+    return !m_isSuccessor || reported || now >= m_assumedUntil + m_settings.memberTimeout;
 }
 
 CreditAuthority::Amount CreditAuthority::target(const MemberName &member, Millis now) const
@@ -208,16 +234,9 @@
             continue;
         if (entry.first == member)
             own = claims.size();
-        const EntryDemand &demand = entry.second.demand;
-        const std::uint64_t unit =
-            demand.minimumTokensWanted > 0 ? demand.minimumTokensWanted : defaultUnitTokens;
-        claims.push_back({{demand.running, demand.promisedTokens}, demand.queuedWanted, unit});
+        claims.push_back(claimOf(entry.second.demand));
     }
     Amount left {slotLimit(), memoryLimit()};
-    for (const Claim &claim : claims) {
-        left.slots = minus(left.slots, claim.share.slots);
-        left.memoryTokens = minus(left.memoryTokens, claim.share.memoryTokens);
-    }
     const std::size_t first =
         static_cast<std::size_t>(now.count / rotationInterval.count) % claims.size();
     giveUnits(claims, left, first, false);
@@ -225,25 +244,41 @@
     return claims[own].share;
 }
 
-// Gives out slots, each with the memory that a request needs, one by one to each entry in turn:
-// for queued requests, or as spares for requests to come.
+CreditAuthority::Claim CreditAuthority::claimOf(const EntryDemand &demand) noexcept
+{
+    Claim claim;
+    claim.running = demand.running;
+    claim.wanted = demand.running + demand.queuedWanted;
+    claim.runningTokens = demand.running > 0 ? demand.promisedTokens / demand.running : 0;
+    claim.unitTokens =
+        demand.minimumTokensWanted > 0 ? demand.minimumTokensWanted : defaultUnitTokens;
+    claim.weight = std::max(leastWeight, demand.weight);
+    return claim;
+}
+
+// Gives out slots, each with the memory that a request needs, one by one to the entry that has the
+// fewest for its weight: for running and queued requests, or as spares for requests to come. An
+// entry may get fewer than it has running; it then starts none until enough have ended.
 void CreditAuthority::giveUnits(std::vector<Claim> &claims, Amount &left, std::size_t first,
                                 bool spare)
 {
-    bool given = true;
-    while (given && left.slots > 0) {
-        given = false;
-        for (std::size_t i = 0; i < claims.size() && left.slots > 0; ++i) {
+    while (left.slots > 0) {
+        Claim *next = nullptr;
+        for (std::size_t i = 0; i < claims.size(); ++i) {
             Claim &claim = claims[(first + i) % claims.size()];
-            if ((!spare && claim.queued == 0) || claim.unitTokens > left.memoryTokens)
+            if ((!spare && claim.share.slots >= claim.wanted)
+                || claim.nextTokens() > left.memoryTokens)
                 continue;
-            claim.queued -= spare ? 0 : 1;
-            claim.share.slots += 1;
-            claim.share.memoryTokens += claim.unitTokens;
-            left.slots -= 1;
-            left.memoryTokens -= claim.unitTokens;
-            given = true;
+            if (next == nullptr || claim.filled() < next->filled())
+                next = &claim;
         }
+        if (next == nullptr)
+            return;
+        const std::uint64_t tokens = next->nextTokens();
+        next->share.slots += 1;
+        next->share.memoryTokens += tokens;
+        left.slots -= 1;
+        left.memoryTokens -= tokens;
     }
 }
 
--- a/src/policy/fairqueue.cpp
+++ b/src/policy/fairqueue.cpp
@@ -97,6 +97,7 @@
         return;
     m_servedAt = std::max(m_servedAt, it->second.counter);
     it->second.queue.pop_front();
+    ++it->second.running;
     --m_size;
     m_served += 1;
     if (m_served < meanCostWindow)
@@ -105,6 +106,22 @@
     m_chargedTokens /= 2;
 }
 
+void FairQueue::runningEnded(const AccountName &account)
+{
+    AccountState &state = m_accounts[account];
+    state.running -= std::min<std::uint32_t>(1, state.running);
+}
+
+double FairQueue::activeWeight() const
+{
+    double sum = 0;
+    for (const std::pair<const AccountName, AccountState> &entry : m_accounts) {
+        if (entry.second.running > 0 || !entry.second.queue.empty())
+            sum += entry.second.weight;
+    }
+    return sum;
+}
+
 bool FairQueue::remove(const AccountName &account, RequestId id)
 {
     const auto it = m_accounts.find(account);
--- a/src/programs/load/main.cpp
+++ b/src/programs/load/main.cpp
@@ -1,6 +1,7 @@
 #include "experiment.h"
 #include "report.h"
 #include "scenario.h"
+#include "summary.h"
 #include "workload.h"
 
 #include <CLI/CLI.hpp>
@@ -72,7 +73,10 @@
                     runPolicy(policy, scenario, mechanisms, arrivals, capacity);
                 if (!measures)
                     return tl::make_unexpected(measures.error());
-                runs.push_back({scenario.name, policy, load, seed, std::move(*measures)});
+                const std::string profile =
+                    scenario.profile == Profile::Finish ? "finish" : "latency";
+                runs.push_back({scenario.name, policy, profile, options.zoneOutage, load, seed,
+                                std::move(*measures)});
             }
         }
     }
@@ -106,6 +110,18 @@
     return written ? 0 : 1;
 }
 
+int runSummary(const std::vector<std::string> &paths, const std::string &outPath)
+{
+    const Result<std::string> page = summarise(paths);
+    if (!page)
+        return printError(page.error());
+    if (outPath.empty()) {
+        std::cout << *page;
+        return 0;
+    }
+    return writeFile(outPath, *page) ? 0 : 1;
+}
+
 } // namespace
 
 int main(int argc, char **argv)
@@ -131,6 +147,14 @@
                          "Take zone 0 out for the middle third of the measured time");
     experiment->add_option("--json", options.jsonPath, "Write the results to this file");
     experiment->add_option("--svg", options.svgPath, "Write a plot of the first run to this file");
+    std::vector<std::string> resultPaths;
+    std::string pagePath;
+    CLI::App *summary = app.add_subcommand(
+        "summary", "Print medians, ranges and targets over result files of experiment --json");
+    summary->add_option("results", resultPaths, "Result files")->required();
+    summary->add_option("--out", pagePath, "Write the page to this file");
     CLI11_PARSE(app, argc, argv);
+    if (summary->parsed())
+        return runSummary(resultPaths, pagePath);
     return runExperiment(options);
 }
--- a/src/programs/load/report.h
+++ b/src/programs/load/report.h
@@ -14,6 +14,9 @@
 {
     std::string scenario;
     std::string policy;
+    // Policy that suits the scenario's profile.
+    std::string profile;
+    bool zoneOutage = false;
     double load = 0;
     std::uint64_t seed = 0;
     Measures measures;
