Share credit among accounts that wait, not among all that are active

Cause: an entry's weight counted accounts that had all they asked for, so what these left went to a large account at the same entry; and accounts with long outputs, whose larger memory promise did not fit, were overtaken until they timed out. Change: weight and share count accounts with queued requests only; a blocked request is overtaken for a fortieth of the longest wait instead of a quarter.

--- a/include/fescue/policy/admissionqueue.inl
+++ b/include/fescue/policy/admissionqueue.inl
@@ -12,7 +12,7 @@
 // A request that could not be placed for this long, or for this part of the longest wait, is no
 // longer overtaken by other accounts.
 constexpr Millis bypassLimit {2000};
-constexpr std::int64_t bypassPart = 4;
+constexpr std::int64_t bypassPart = 40;
 constexpr Millis leastRetryAfter {1000};
 constexpr Millis largestRetryAfter {120000};
 // Retry time where nothing is known about the queue.
@@ -162,7 +162,8 @@
         m_eligible.begin(), m_eligible.end(),
         [&endpoint](const EligibleEndpoint &item) { return item.endpoint == endpoint; });
     EntryDemand made = m_wallet.demand(endpoint, 0, m_usualPromise, now);
-    made.weight = m_queue.activeWeight();
+    made.weight = m_queue.queuedWeight();
+    made.settledRunning = static_cast<std::uint32_t>(made.running * m_queue.settledPart());
     if (!isEligible || m_queue.empty())
         return made;
     made.queuedWanted = static_cast<std::uint32_t>((m_queue.size() + endpoints - 1) / endpoints);
--- a/include/fescue/policy/credit.h
+++ b/include/fescue/policy/credit.h
@@ -40,8 +40,11 @@
     // Memory, in tokens, without which the next queued request cannot start; where none is queued,
     // what recent requests needed. 0 where that is not known.
     std::uint64_t minimumTokensWanted = 0;
-    // Sum of the weights of the accounts that have requests queued or running at this entry for the
-    // endpoint's service; entries share by it under contention.
+    // Of the running requests, those of accounts that have none queued at this entry: they have
+    // what they need, and do not count when entries share by weight.
+    std::uint32_t settledRunning = 0;
+    // Sum of the weights of the accounts that have requests queued at this entry for the endpoint's
+    // service; entries share by it under contention.
     double weight = 1;
     // Calls that the endpoint has finished for this entry, ever.
     std::uint64_t finishedTotal = 0;
--- a/include/fescue/policy/creditauthority.h
+++ b/include/fescue/policy/creditauthority.h
@@ -94,6 +94,7 @@
     {
         Amount share;
         std::uint32_t running = 0;
+        std::uint32_t settled = 0;
         // Running and queued requests.
         std::uint32_t wanted = 0;
         // Memory of each running request, and of one more.
@@ -107,7 +108,7 @@
         }
         [[nodiscard]] double filled() const noexcept
         {
-            return static_cast<double>(share.slots) / weight;
+            return (static_cast<double>(share.slots) - settled) / weight;
         }
     };
     using Members = std::map<MemberName, MemberState>;
--- a/include/fescue/policy/fairqueue.h
+++ b/include/fescue/policy/fairqueue.h
@@ -33,8 +33,10 @@
     void popFront(const AccountName &account);
     // A request that was removed by popFront() no longer runs.
     void runningEnded(const AccountName &account);
-    // Sum of the weights of the accounts with requests queued or running.
-    [[nodiscard]] double activeWeight() const;
+    // Sum of the weights of the accounts with queued requests.
+    [[nodiscard]] double queuedWeight() const;
+    // Part of the running requests that belong to accounts with none queued; 0 where none run.
+    [[nodiscard]] double settledPart() const;
     // Removes a request from wherever it is. Returns false where it is not queued.
     bool remove(const AccountName &account, RequestId id);
 
--- a/src/policy/fairqueue.cpp
+++ b/src/policy/fairqueue.cpp
@@ -112,14 +112,23 @@
     state.running -= std::min<std::uint32_t>(1, state.running);
 }
 
-double FairQueue::activeWeight() const
+double FairQueue::queuedWeight() const
 {
     double sum = 0;
+    for (const std::pair<const AccountName, AccountState> &entry : m_accounts)
+        sum += entry.second.queue.empty() ? 0 : entry.second.weight;
+    return sum;
+}
+
+double FairQueue::settledPart() const
+{
+    double settled = 0;
+    double running = 0;
     for (const std::pair<const AccountName, AccountState> &entry : m_accounts) {
-        if (entry.second.running > 0 || !entry.second.queue.empty())
-            sum += entry.second.weight;
+        running += entry.second.running;
+        settled += entry.second.queue.empty() ? entry.second.running : 0;
     }
-    return sum;
+    return running > 0 ? settled / running : 0;
 }
 
 bool FairQueue::remove(const AccountName &account, RequestId id)
