--- a/src/policy/policies.cpp
+++ b/src/policy/policies.cpp
@@ -29,7 +29,7 @@
     settings.horizonTokens = 1024;
     settings.queueLimit =
         std::min(service.queueLimit, service.firstTokenTarget * latencyQueueFactor);
-    settings.router.affinityPercent = 40;
+    settings.router.affinityPercent = 15;
     return settings;
 }
 
