--- a/include/fescue/policy/fairqueue.h
+++ b/include/fescue/policy/fairqueue.h
@@ -29,7 +29,14 @@
     [[nodiscard]] std::vector<AccountName> order() const;
     // The oldest request of an account.
     [[nodiscard]] std::optional<RequestId> front(const AccountName &account) const;
+    // Removes the oldest request of an account, which starts to run.
     void popFront(const AccountName &account);
+    // A request that was removed by popFront() no longer runs.
+    void runningEnded(const AccountName &account);
+    // Sum of the weights of the accounts with queued requests.
+    [[nodiscard]] double queuedWeight() const;
+    // Part of the running requests that belong to accounts with none queued; 0 where none run.
+    [[nodiscard]] double settledPart() const;
     // Removes a request from wherever it is. Returns false where it is not queued.
     bool remove(const AccountName &account, RequestId id);
 
@@ -44,6 +51,7 @@
     {
         double counter = 0;
         double weight = 1;
+        std::uint32_t running = 0;
         std::deque<RequestId> queue;
     };
 
