--- a/include/fescue/config/sectionreader.h
+++ b/include/fescue/config/sectionreader.h
@@ -51,6 +51,9 @@
     bool readList(std::string_view key, std::vector<std::string> &target);
     bool readAddress(std::string_view key, HostPort &target, PortRule rule = PortRule::Fixed);
 
+    // Addresses between commas.
+    bool readAddressList(std::string_view key, std::vector<HostPort> &target);
+
     template <std::unsigned_integral T>
     bool readInteger(std::string_view key, T &target, ValueRange<T> range)
     {
--- a/include/fescue/config/settings.h
+++ b/include/fescue/config/settings.h
@@ -9,6 +9,7 @@
 #include <optional>
 #include <string>
 #include <string_view>
+#include <vector>
 
 namespace fescue {
 
@@ -35,6 +36,8 @@
     HostPort listen;
     // Where the other daemons connect.
     HostPort peerListen;
+    // Listeners of other daemons to ask for the configuration when the store is down at the start.
+    std::vector<HostPort> seedPeers;
     HostPort store;
     Millis storeTimeout = 1_s;
     std::optional<HostPort> vmList;
--- a/src/config/sectionreader.cpp
+++ b/src/config/sectionreader.cpp
@@ -28,8 +28,8 @@
     Unit {"", 1},
     Unit {"B", 1},
     Unit {"KB", 1024},
-    Unit {"MB", 1024 * 1024},
-    Unit {"GB", 1024 * 1024 * 1024},
+    Unit {"MB", 1024ULL * 1024},
+    Unit {"GB", 1024ULL * 1024 * 1024},
 };
 
 std::string quoted(std::string_view text)
@@ -306,6 +306,25 @@
     return true;
 }
 
+bool SectionReader::readAddressList(std::string_view key, std::vector<HostPort> &target)
+{
+    std::vector<std::string> words;
+    if (!readList(key, words))
+        return false;
+    std::vector<HostPort> addresses;
+    for (const std::string &word : words) {
+        const Result<HostPort> value = parseHostPort(word);
+        if (!value || value->port == 0) {
+            report(key,
+                   value ? quoted(word) + " needs a port other than 0" : value.error().message);
+            return false;
+        }
+        addresses.push_back(*value);
+    }
+    target = std::move(addresses);
+    return true;
+}
+
 void SectionReader::finish()
 {
     for (const IniEntry &entry : m_section->entries) {
--- a/src/config/servicefile.cpp
+++ b/src/config/servicefile.cpp
@@ -58,6 +58,7 @@
     void reportUnknown(const IniSection &section)
     {
         std::vector<std::string> names;
+        names.reserve(kinds.size());
         for (const Kind &kind : kinds)
             names.emplace_back(kind.name);
         report(section,
--- a/src/config/settings.cpp
+++ b/src/config/settings.cpp
@@ -38,6 +38,7 @@
         reader.readAddress("listen", settings.listen, PortRule::Ephemeral);
     if (reader.require("peer-listen"))
         reader.readAddress("peer-listen", settings.peerListen, PortRule::Ephemeral);
+    reader.readAddressList("seed-peers", settings.seedPeers);
     reader.readInteger<std::uint32_t>("workers", settings.workers, {1, 64});
     reader.readDuration("drain-grace", settings.drainGrace, {0_ms, 86400_s});
     reader.finish();
--- a/tests/config/settings_test.cpp
+++ b/tests/config/settings_test.cpp
@@ -13,6 +13,7 @@
 vm = vm-1
 listen = 127.0.0.1:0
 peer-listen = [::1]:7301
+seed-peers = 127.0.0.1:7302, 127.0.0.1:7303
 workers = 4
 drain-grace = 5m
 
@@ -43,6 +44,8 @@
     EXPECT_EQ(settings->vm, VmName("vm-1"));
     EXPECT_EQ(settings->listen, (HostPort {"127.0.0.1", 0}));
     EXPECT_EQ(settings->peerListen.toString(), "[::1]:7301");
+    ASSERT_EQ(settings->seedPeers.size(), 2U);
+    EXPECT_EQ(settings->seedPeers[1], (HostPort {"127.0.0.1", 7303}));
     EXPECT_EQ(settings->workers, 4U);
     EXPECT_EQ(settings->drainGrace, 300_s);
     EXPECT_EQ(settings->storeTimeout, 250_ms);
@@ -68,6 +71,8 @@
     {"NoUnit", "drain-grace = 5", 6, 15, ResultCode::ConfigBadValue, "250ms"},
     {"WrongUnit", "drain-grace = 5KB", 6, 15, ResultCode::ConfigBadValue, "250ms"},
     {"TooLong", "drain-grace = 25h", 6, 15, ResultCode::ConfigBadValue, "86400000ms"},
+    {"Seed", "seed-peers = 127.0.0.1:1, 127.0.0.1:0", 6, 14, ResultCode::ConfigBadValue,
+     "\"127.0.0.1:0\" needs"},
     {"UnknownSection", "[stroe]", 6, 1, ResultCode::ConfigUnknownKey, "\"store\""},
     {"SectionName", "[log x]", 6, 1, ResultCode::ConfigSyntax, "takes no name"},
     {"Size", "[limits]\nmax-body = 1KiB", 7, 12, ResultCode::ConfigBadValue, "64KB"},
