--- a/tests/config/examples_test.cpp
+++ b/tests/config/examples_test.cpp
@@ -42,9 +42,9 @@
     std::size_t accounts;
 };
 
-void PrintTo(const ExampleSize &size, std::ostream *stream)
+std::ostream &operator<<(std::ostream &stream, const ExampleSize &size)
 {
-    *stream << size.name;
+    return stream << size.name;
 }
 
 const ExampleSize exampleSizes[] = {
--- a/tests/config/snapshotjson_test.cpp
+++ b/tests/config/snapshotjson_test.cpp
@@ -89,9 +89,9 @@
     const char *message;
 };
 
-void PrintTo(const Damage &damage, std::ostream *stream)
+std::ostream &operator<<(std::ostream &stream, const Damage &damage)
 {
-    *stream << damage.label;
+    return stream << damage.label;
 }
 
 const Damage damages[] = {
--- a/tests/config/support.h
+++ b/tests/config/support.h
@@ -20,9 +20,9 @@
 };
 
 // Prints the label only.
-inline void PrintTo(const Mistake &mistake, std::ostream *stream)
+inline std::ostream &operator<<(std::ostream &stream, const Mistake &mistake)
 {
-    *stream << mistake.label;
+    return stream << mistake.label;
 }
 
 // Returns whether the list holds the mistake at its place, and nothing where it is alone.
--- a/tests/tools/blockinghttp_test.cpp
+++ b/tests/tools/blockinghttp_test.cpp
@@ -134,9 +134,9 @@
     ResultCode code;
 };
 
-void PrintTo(const AnswerCase &item, std::ostream *stream)
+std::ostream &operator<<(std::ostream &stream, const AnswerCase &item)
 {
-    *stream << item.label;
+    return stream << item.label;
 }
 
 const AnswerCase answerCases[] = {
--- a/tests/tools/publication_test.cpp
+++ b/tests/tools/publication_test.cpp
@@ -159,9 +159,9 @@
     std::vector<CallFault> reads;
 };
 
-void PrintTo(const LostCase &lost, std::ostream *stream)
+std::ostream &operator<<(std::ostream &stream, const LostCase &lost)
 {
-    *stream << lost.label;
+    return stream << lost.label;
 }
 
 const LostCase lostCases[] = {
