--- a/include/fescue/tools/publication.h
+++ b/include/fescue/tools/publication.h
@@ -51,13 +51,14 @@
     OnConflict onConflict = OnConflict::Report;
 };
 
-// A publishing that took effect.
+// A publishing that took effect, or that would have changed nothing.
 struct Published
 {
     ConfigVersion version;
     // Greater than the version where another publishing has followed already.
     ConfigVersion current;
-    // What changed.
+    // What changed. Empty where the published configuration is as wanted already: then nothing
+    // was written, and the version is the one that was found.
     std::vector<std::string> changes;
 };
 
--- a/include/fescue/tools/publication.inl
+++ b/include/fescue/tools/publication.inl
@@ -30,6 +30,13 @@
         std::move(error), version, diffSnapshots(current.stored.snapshot, refused)});
 }
 
+// Returns whether an edit changes anything but the version.
+[[nodiscard]] inline bool isChange(const Snapshot &before, Snapshot next)
+{
+    next.version = before.version;
+    return !(next == before);
+}
+
 // How one round of reading, editing and writing ended.
 enum class RoundEnd : std::uint8_t
 {
@@ -145,6 +152,8 @@
             return detail::failPublish(next.error());
         if (request.baseVersion && *request.baseVersion != before.version)
             return detail::failConflict(*base, *next, *request.baseVersion);
+        if (before.version != ConfigVersion {} && !detail::isChange(before, *next))
+            return Published {before.version, before.version, {}};
         detail::PublishRound<Store> round(store, *base, *next, request.nonce);
         const Result<detail::RoundEnd> end = round.run();
         if (!end)
--- a/src/programs/ctl/report.cpp
+++ b/src/programs/ctl/report.cpp
@@ -154,7 +154,10 @@
                {"members", toJson(statuses, published.version)}});
         return;
     }
-    std::cout << "published version " << published.version.value << '\n';
+    if (published.changes.empty())
+        std::cout << "nothing to change: version " << published.version.value << " is as wanted\n";
+    else
+        std::cout << "published version " << published.version.value << '\n';
     if (published.current > published.version)
         std::cout << "version " << published.current.value << " has followed meanwhile\n";
     printLines(published.changes);
--- a/tests/tools/publication_test.cpp
+++ b/tests/tools/publication_test.cpp
@@ -141,6 +141,17 @@
     EXPECT_EQ(stored(store).zones.size(), 1U);
 }
 
+TEST(Publication, WritesNothingWhereNothingChanges)
+{
+    FakeStore store;
+    ASSERT_TRUE(publishEdit(store, addZone, request()));
+    const tl::expected<Published, PublishFailure> again = publishEdit(store, addZone, request());
+    ASSERT_TRUE(again);
+    EXPECT_EQ(again->version, ConfigVersion {1});
+    EXPECT_TRUE(again->changes.empty());
+    EXPECT_EQ(store.m_writes, 1);
+}
+
 TEST(Publication, KeepsTheNoncesOfEarlierVersions)
 {
     FakeStore store;
