Publish above the versions that daemons have in force

Daemons never go back to a lower version. After the store has lost its data, a publishing would have started at version 1 again and never come into force.

--- a/include/fescue/tools/publication.h
+++ b/include/fescue/tools/publication.h
@@ -48,6 +48,9 @@
     std::string nonce;
     // Refuse to publish on top of any other version.
     std::optional<ConfigVersion> baseVersion;
+    // Highest version that a daemon has in force. Daemons never go back, so after the store has
+    // lost its data the next version has to be above this one.
+    ConfigVersion versionInForce;
     OnConflict onConflict = OnConflict::Report;
 };
 
--- a/include/fescue/tools/publication.inl
+++ b/include/fescue/tools/publication.inl
@@ -57,9 +57,7 @@
     // Writes, and reads back as long as it is not known whether the write took effect.
     [[nodiscard]] Result<RoundEnd> run()
     {
-        std::vector<std::string> nonces = {*m_nonce};
-        const std::vector<std::string> &earlier = m_base->stored.nonces;
-        nonces.insert(nonces.end(), earlier.begin(), earlier.end());
+        const std::vector<std::string> nonces = nextNonces();
         const Result<std::string> text = serializeSnapshot(*m_next, nonces);
         if (!text)
             return tl::unexpected<Error>(text.error());
@@ -85,6 +83,16 @@
     [[nodiscard]] const CurrentConfig &current() const noexcept { return m_current; }
 
 private:
+    // The kept nonces stand for consecutive versions, so a gap ends them.
+    [[nodiscard]] std::vector<std::string> nextNonces() const
+    {
+        std::vector<std::string> nonces = {*m_nonce};
+        const StoredSnapshot &base = m_base->stored;
+        if (m_next->version.value == base.snapshot.version.value + 1)
+            nonces.insert(nonces.end(), base.nonces.begin(), base.nonces.end());
+        return nonces;
+    }
+
     // Returns how the round ended, or nothing where the same write has to be repeated.
     [[nodiscard]] std::optional<Result<RoundEnd>> readBack(Error &last)
     {
@@ -147,12 +155,15 @@
         if (!base)
             return detail::failPublish(base.error());
         const Snapshot &before = base->stored.snapshot;
-        const Result<Snapshot> next = edit(before);
+        Result<Snapshot> next = edit(before);
         if (!next)
             return detail::failPublish(next.error());
+        if (next->version <= request.versionInForce)
+            next->version = ConfigVersion {request.versionInForce.value + 1};
         if (request.baseVersion && *request.baseVersion != before.version)
             return detail::failConflict(*base, *next, *request.baseVersion);
-        if (before.version != ConfigVersion {} && !detail::isChange(before, *next))
+        const bool outdated = before.version < request.versionInForce;
+        if (before.version != ConfigVersion {} && !outdated && !detail::isChange(before, *next))
             return Published {before.version, before.version, {}};
         detail::PublishRound<Store> round(store, *base, *next, request.nonce);
         const Result<detail::RoundEnd> end = round.run();
--- a/src/programs/ctl/commands.cpp
+++ b/src/programs/ctl/commands.cpp
@@ -4,6 +4,7 @@
 #include "fescue/tools.h"
 #include "report.h"
 
+#include <algorithm>
 #include <iostream>
 #include <utility>
 
@@ -115,10 +116,24 @@
     return ExitCode::Ok;
 }
 
+// Returns the highest version that a registered daemon has in force. Daemons that do not answer
+// are passed over: the version in the store is at least theirs unless the store has lost its data.
+ConfigVersion versionInForce(BlockingStore &store, Millis timeout)
+{
+    ConfigVersion highest;
+    const Result<std::vector<tools::MemberAddress>> members = tools::readMembers(store);
+    if (!members)
+        return highest;
+    for (const MemberStatus &status : tools::askMembers(*members, timeout))
+        highest = std::max(highest, status.version.value_or(ConfigVersion {}));
+    return highest;
+}
+
 ExitCode publishEdit(const Options &options, const tools::SnapshotEdit &edit, OnConflict onConflict)
 {
     BlockingStore store = storeOf(options);
-    const PublishRequest request {tools::makeNonce(), options.baseVersion, onConflict};
+    const PublishRequest request {tools::makeNonce(), options.baseVersion,
+                                  versionInForce(store, options.storeTimeout), onConflict};
     const tl::expected<Published, PublishFailure> published =
         tools::publishEdit(store, edit, request);
     if (!published) {
--- a/tests/tools/publication_test.cpp
+++ b/tests/tools/publication_test.cpp
@@ -122,7 +122,7 @@
 
 PublishRequest request(OnConflict onConflict = OnConflict::Report)
 {
-    return {"mine", {}, onConflict};
+    return {"mine", {}, {}, onConflict};
 }
 
 Snapshot stored(FakeStore &store)
@@ -152,6 +152,29 @@
     EXPECT_EQ(store.m_writes, 1);
 }
 
+TEST(Publication, ExceedsWhatDaemonsHaveAfterTheStoreLostItsData)
+{
+    FakeStore store;
+    PublishRequest above = request();
+    above.versionInForce = ConfigVersion {41};
+    EXPECT_EQ(publishEdit(store, addZone, above)->version, ConfigVersion {42});
+    EXPECT_EQ(stored(store).version, ConfigVersion {42});
+}
+
+TEST(Publication, ExceedsWhatDaemonsHaveWhereTheStoreHoldsAnOldVersion)
+{
+    FakeStore store;
+    ASSERT_TRUE(publishEdit(store, addZone, request()));
+    PublishRequest above = request();
+    above.nonce = "again";
+    above.versionInForce = ConfigVersion {41};
+    store.m_writeFaults = {CallFault::AnswerLost};
+    EXPECT_EQ(publishEdit(store, addZone, above)->version, ConfigVersion {42});
+    const StoredSnapshot found = readCurrentConfig(store)->stored;
+    EXPECT_EQ(found.versionOf("again"), ConfigVersion {42});
+    EXPECT_FALSE(found.versionOf("mine"));
+}
+
 TEST(Publication, KeepsTheNoncesOfEarlierVersions)
 {
     FakeStore store;
