--- a/src/programs/entry/entrydaemon.cpp
+++ b/src/programs/entry/entrydaemon.cpp
@@ -95,6 +95,8 @@
     options.store = toAddress(m_settings.store);
     if (m_settings.vmList)
         options.vmList = toAddress(*m_settings.vmList);
+    for (const HostPort &seed : m_settings.seedPeers)
+        options.seedPeers.push_back(seed.toString());
     options.storeTimeout = m_settings.storeTimeout;
     return options;
 }
