--- a/src/net/httpserver.cpp
+++ b/src/net/httpserver.cpp
@@ -34,6 +34,8 @@
 
     Result<void> bind();
     void acceptAll();
+    // Hands over the connections that the kernel has set up already, and closes the listener.
+    void closeAcceptor();
     void dispatch(tcp::socket socket, std::size_t worker);
     void serve(tcp::socket socket);
     void serveRequests(ServerConnection &connection);
@@ -96,6 +98,20 @@
     }
 }
 
+void HttpServer::Shared::closeAcceptor()
+{
+    boost::system::error_code ec;
+    acceptor.non_blocking(true, ec);
+    for (std::size_t i = 0; !ec; ++i) {
+        const std::size_t worker = i % pool.size();
+        tcp::socket socket(pool.context(worker));
+        acceptor.accept(socket, ec);
+        if (!ec)
+            dispatch(std::move(socket), worker);
+    }
+    acceptor.close(ec);
+}
+
 void HttpServer::Shared::dispatch(tcp::socket socket, std::size_t worker)
 {
     const std::shared_ptr<tcp::socket> accepted = std::make_shared<tcp::socket>(std::move(socket));
@@ -195,9 +211,8 @@
         return;
     asio::post(m_shared->pool.context(0), [weak = std::weak_ptr<Shared>(m_shared)] {
         const std::shared_ptr<Shared> shared = weak.lock();
-        boost::system::error_code ignored;
         if (shared)
-            shared->acceptor.close(ignored);
+            shared->closeAcceptor();
     });
 }
 
--- a/src/net/serverconnection.cpp
+++ b/src/net/serverconnection.cpp
@@ -60,6 +60,7 @@
     m_phase = Phase::Waiting;
     m_keepAlive = true;
     m_chunked = true;
+    m_headOnly = false;
     m_version = 11;
     if (m_buffer.size() == 0 && !readMore(deadlineAfter(m_limits.idleTimeout)))
         return false;
@@ -70,6 +71,7 @@
     m_keepAlive = parser.keep_alive();
     m_version = message.version();
     m_chunked = m_version >= 11;
+    m_headOnly = message.method() == http::verb::head;
     request = {};
     request.method = std::string(message.method_string());
     splitTarget(message.target(), request);
@@ -201,6 +203,8 @@
     message.keep_alive(m_keepAlive);
     message.body() = response.body;
     message.prepare_payload();
+    if (m_headOnly)
+        message.body().clear();
     m_phase = Phase::Finished;
     http::response_serializer<http::string_body> serializer(message);
     IoOutcome outcome;
--- a/src/net/serverconnection.h
+++ b/src/net/serverconnection.h
@@ -64,6 +64,8 @@
     Phase m_phase = Phase::Waiting;
     bool m_keepAlive = true;
     bool m_chunked = true;
+    // The request is a HEAD, whose answer has no body.
+    bool m_headOnly = false;
     unsigned m_version = 11;
 };
 
--- a/tests/net/http_test.cpp
+++ b/tests/net/http_test.cpp
@@ -199,6 +199,13 @@
     EXPECT_TRUE(exchange("GET / HT", false).starts_with("HTTP/1.1 408"));
 }
 
+TEST_F(HttpTest, HeadHasNoBody)
+{
+    const std::string answer = exchange("HEAD /throw HTTP/1.1\r\n\r\n");
+    EXPECT_TRUE(answer.starts_with("HTTP/1.1 500"));
+    EXPECT_TRUE(answer.ends_with("\r\n\r\n"));
+}
+
 TEST_F(HttpTest, PipelinedAndOldRequestsAreServed)
 {
     const std::string one = "POST /echo HTTP/1.1\r\nContent-Length: 3\r\n\r\n";
@@ -249,6 +256,78 @@
     EXPECT_TRUE(code == ResultCode::LinkSilent || code == ResultCode::LinkClosed);
 }
 
+// A server that closes the connection of its second request without an answer.
+class ResendTest : public ::testing::Test
+{
+protected:
+    ResendTest() { EXPECT_TRUE(m_server.start()); }
+
+    Result<HttpResponse> requestTwice(const HttpRequest &request)
+    {
+        Result<HttpResponse> second = fail(ResultCode::Internal, "not run");
+        runOn(m_pool, 0, [&] {
+            ASSERT_TRUE(m_client.request(m_server.address(), request, 5_s));
+            second = m_client.request(m_server.address(), request, 5_s);
+        });
+        return second;
+    }
+
+    int m_requests = 0;
+    WorkerPool m_pool {1};
+    HttpServer m_server {m_pool, anyPort, {}, [this](const HttpRequest &, ResponseWriter &writer) {
+                             if (++m_requests == 2)
+                                 writer.abort();
+                             else
+                                 static_cast<void>(writer.send({}));
+                         }};
+    HttpClient m_client;
+};
+
+TEST_F(ResendTest, RequestIsSentOnceUnlessItMayBeResent)
+{
+    EXPECT_EQ(requestTwice({}).error().code, ResultCode::BackEndLost);
+    EXPECT_EQ(m_requests, 2);
+}
+
+TEST_F(ResendTest, RequestThatMayBeResentIs)
+{
+    HttpRequest request;
+    request.mayResend = true;
+    EXPECT_TRUE(requestTwice(request));
+    EXPECT_EQ(m_requests, 3);
+}
+
+TEST_F(ResendTest, FreshConnectionIsNotRetried)
+{
+    HttpRequest request;
+    request.mayResend = true;
+    request.freshConnection = true;
+    EXPECT_EQ(requestTwice(request).error().code, ResultCode::BackEndLost);
+    EXPECT_EQ(m_requests, 2);
+}
+
+TEST(HttpServerTest, RequestsInProgressOutliveTheListener)
+{
+    WorkerPool pool(1);
+    HttpServer *running = nullptr;
+    HttpServer server(pool, anyPort, {}, [&](const HttpRequest &, ResponseWriter &writer) {
+        static_cast<void>(writer.startStream(200, {}));
+        running->stopAccepting();
+        sleepFor(5_ms);
+        static_cast<void>(writer.write("whole"));
+        static_cast<void>(writer.finish());
+    });
+    running = &server;
+    ASSERT_TRUE(server.start());
+    HttpClient client;
+    runOn(pool, 0, [&] {
+        EXPECT_EQ(client.request(server.address(), {}, 5_s)->body, "whole");
+        EXPECT_EQ(client.request(server.address(), {}, 5_s).error().code,
+                  ResultCode::ConnectFailed);
+    });
+    EXPECT_EQ(server.activeRequests(), 0U);
+}
+
 TEST(HttpServerTest, TooManyConnectionsAreRefused)
 {
     WorkerPool pool(1);
