--- a/include/fescue/node/fwd.h
+++ b/include/fescue/node/fwd.h
@@ -2,10 +2,9 @@
 
 namespace fescue::node {
 
-struct MemberInfo;
 struct NodeOptions;
 struct NodeView;
-struct ReceivedGrant;
+struct NodeCallbacks;
 class CreditClient;
 class NodeControl;
 
--- a/src/node/nodecontrol.cpp
+++ b/src/node/nodecontrol.cpp
@@ -473,7 +473,8 @@
     static_cast<void>(m_links->broadcast(peer::VersionNotice {snapshot.version}));
     updateHeartbeat(m_clock.now());
     m_viewDue = true;
-    updateView(m_clock.now());
+    // The caller first records what the store has confirmed by this.
+    m_inbox.post([this] { updateView(m_clock.now()); });
 }
 
 void NodeControl::Impl::fetchConfig()
