--- a/src/programs/admission/main.cpp
+++ b/src/programs/admission/main.cpp
@@ -1,4 +1,4 @@
-#include "admissiondaemon.h"
+#include "admission/admissiondaemon.h"
 
 #include "fescue/config/settings.h"
 #include "fescue/observe/log.h"
