--- a/src/admission/admissiondaemon.cpp
+++ b/src/admission/admissiondaemon.cpp
@@ -82,9 +82,7 @@
         linkChanged(hello, state);
     };
     callbacks.onLease = [this](node::LeaseChange change, Millis sentAt) {
-        for (const std::pair<const EndpointName, std::shared_ptr<EndpointKeeper>> &entry :
-             m_keepers)
-            entry.second->leaseChanged(change, sentAt);
+        leaseChanged(change, sentAt);
     };
     m_node = std::make_unique<node::NodeControl>(nodeOptions(), m_timeline, m_metrics,
                                                  std::move(callbacks));
@@ -120,6 +118,15 @@
     }
 }
 
+void AdmissionDaemon::leaseChanged(node::LeaseChange change, Millis sentAt)
+{
+    m_leasedAt.reset();
+    if (change != node::LeaseChange::Lost)
+        m_leasedAt = sentAt;
+    for (const std::pair<const EndpointName, std::shared_ptr<EndpointKeeper>> &entry : m_keepers)
+        entry.second->leaseChanged(change, sentAt);
+}
+
 void AdmissionDaemon::takeView(const node::NodeViewPtr &view)
 {
     if (view->snapshot != m_snapshot) {
@@ -147,7 +154,11 @@
         }
         const Service *service = view.snapshot->findService(endpoint.service);
         const ServiceKind kind = service ? service->kind : ServiceKind::Model;
-        next.emplace(endpoint.name, std::make_shared<EndpointKeeper>(*m_context, endpoint, kind));
+        const std::shared_ptr<EndpointKeeper> keeper =
+            std::make_shared<EndpointKeeper>(*m_context, endpoint, kind);
+        if (m_leasedAt)
+            keeper->leaseChanged(node::LeaseChange::Renewed, *m_leasedAt);
+        next.emplace(endpoint.name, keeper);
     }
     for (const std::pair<const EndpointName, std::shared_ptr<EndpointKeeper>> &entry : m_keepers)
         entry.second->release(now);
--- a/src/admission/admissiondaemon.h
+++ b/src/admission/admissiondaemon.h
@@ -13,6 +13,7 @@
 #include <cstddef>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 
 namespace fescue::admission {
@@ -41,6 +42,7 @@
 private:
     void serve(const net::HttpRequest &request, net::ResponseWriter &writer);
     void tickLoop();
+    void leaseChanged(node::LeaseChange change, Millis sentAt);
     void takeView(const node::NodeViewPtr &view);
     void configureEndpoints(const node::NodeView &view);
     void handleMessage(const MemberName &from, const peer::Message &message);
@@ -59,6 +61,8 @@
     std::map<EndpointName, std::shared_ptr<EndpointKeeper>> m_keepers;
     // Configuration that the table was made from.
     std::shared_ptr<const Snapshot> m_snapshot;
+    // When the latest request that granted or renewed the lease was sent.
+    std::optional<Millis> m_leasedAt;
     std::atomic<std::size_t> m_owned {0};
     std::atomic<bool> m_serving {false};
 };
