--- a/include/fescue/tools/publication.h
+++ b/include/fescue/tools/publication.h
@@ -48,16 +48,20 @@
     std::string nonce;
     // Refuse to publish on top of any other version.
     std::optional<ConfigVersion> baseVersion;
+    // Highest version that a daemon has in force. Daemons never go back, so after the store has
+    // lost its data the next version has to be above this one.
+    ConfigVersion versionInForce;
     OnConflict onConflict = OnConflict::Report;
 };
 
-// A publishing that took effect.
+// A publishing that took effect, or that would have changed nothing.
 struct Published
 {
     ConfigVersion version;
     // Greater than the version where another publishing has followed already.
     ConfigVersion current;
-    // What changed.
+    // What changed. Empty where the published configuration is as wanted already: then nothing
+    // was written, and the version is the one that was found.
     std::vector<std::string> changes;
 };
 
