--- a/tests/core/generation_test.cpp
+++ b/tests/core/generation_test.cpp
@@ -100,6 +100,20 @@
     }
 }
 
+TEST_F(GenerationTest, LateTokensOfAGivenUpGenerationAreDropped)
+{
+    startStream(0);
+    const ExchangeNumber givenUp = exchange;
+    const generation::Actions lost = report(engine::Lost {EngineLoss::Silent});
+    ASSERT_TRUE(onlyAction<generation::Resume>(lost));
+    exchange = onlyAction<generation::Resume>(lost)->exchange;
+    EXPECT_TRUE(onlyAction<generation::StartAfresh>(report(engine::StreamNotFound {})));
+    exchange = *machine.dispatch(now, EndpointName {"engine-2"});
+    EXPECT_TRUE(report(engine::HeadReceived {{EndpointName {"engine-2"}, {1}, "9"}}).empty());
+    EXPECT_TRUE(onlyAction<generation::DropToken>(machine.onToken(now, givenUp, 0)));
+    EXPECT_TRUE(onlyAction<generation::ForwardToken>(machine.onToken(now, exchange, 0)));
+}
+
 TEST_F(GenerationTest, EndMarkWithoutAHeadEndsNothing)
 {
     startStream(2);
