--- a/tests/core/freshness_test.cpp
+++ b/tests/core/freshness_test.cpp
@@ -50,6 +50,18 @@
     EXPECT_EQ(judge.verdict(2100_ms, two, 1), FreshnessVerdict::Fresh);
 }
 
+TEST(FreshnessJudge, StoreThatWentBackConfirmsNothing)
+{
+    FreshnessJudge judge;
+    run(judge, 0_ms, 1_s);
+    judge.storeContact(900_ms, one);
+    judge.versionExists(two);
+    EXPECT_EQ(judge.verdict(1100_ms, one, 0), FreshnessVerdict::Fresh) << "asked before";
+    run(judge, 1100_ms, 2500_ms);
+    judge.storeContact(2500_ms, one);
+    EXPECT_EQ(judge.verdict(2901_ms, one, 0), FreshnessVerdict::Isolated);
+}
+
 TEST(FreshnessJudge, OutageNeedsMostPeers)
 {
     FreshnessJudge judge;
