One credit policy with two profiles; apply configuration changes to the entry's queues

The two profile classes were the same but for their settings. Removed services refuse what is queued and keep what runs; a changed profile applies to all further decisions.

--- a/include/fescue/policy/admissionqueue.h
+++ b/include/fescue/policy/admissionqueue.h
@@ -74,6 +74,10 @@
     [[nodiscard]] std::vector<Decision> creditChanged(Millis now);
     // To be called every few ten milliseconds.
     [[nodiscard]] std::vector<Decision> tick(Millis now);
+    // Refuses all queued requests.
+    [[nodiscard]] std::vector<Decision> refuseAll(ResultCode code, Millis now);
+    // Replaces the policy for all further decisions.
+    void setPolicy(Policy policy) { m_policy = std::move(policy); }
     void setWeight(const AccountName &account, double weight)
     {
         m_queue.setWeight(account, weight);
--- a/include/fescue/policy/admissionqueue.inl
+++ b/include/fescue/policy/admissionqueue.inl
@@ -154,6 +154,15 @@
     return decisions;
 }
 
+template <AdmissionPolicy Policy>
+std::vector<Decision> AdmissionQueue<Policy>::refuseAll(ResultCode code, Millis now)
+{
+    Decisions decisions;
+    while (!m_waiting.empty())
+        refuse(m_waiting.begin()->first, code, decisions, now);
+    return decisions;
+}
+
 template <AdmissionPolicy Policy>
 EntryDemand AdmissionQueue<Policy>::demand(const EndpointName &endpoint, Millis now) const
 {
--- a/include/fescue/policy/entryadmission.h
+++ b/include/fescue/policy/entryadmission.h
@@ -6,8 +6,8 @@
 
 #include <cstddef>
 #include <map>
+#include <set>
 #include <span>
-#include <variant>
 #include <vector>
 
 namespace fescue {
@@ -29,7 +29,8 @@
     EntryAdmission &operator=(const EntryAdmission &) = delete;
     ~EntryAdmission() = default;
 
-    // Applies a configuration. Queued requests of services that are gone are refused.
+    // Applies a configuration: settings, weights, and which services there are. Queued requests of
+    // services that are gone are refused; what runs goes on.
     [[nodiscard]] std::vector<Decision>
     applyServices(std::span<const Service> services, std::span<const Account> accounts, Millis now);
     // Replaces the list of endpoints that may be given work.
@@ -58,9 +59,8 @@
     [[nodiscard]] const CreditWallet &wallet() const noexcept { return m_wallet; }
 
 private:
-    using Queue = std::variant<AdmissionQueue<FinishPolicy>, AdmissionQueue<LatencyPolicy>>;
+    using Queue = AdmissionQueue<CreditPolicy>;
 
-    [[nodiscard]] Queue makeQueue(const Service &service);
     [[nodiscard]] Queue *queueOf(RequestId id);
     // Forgets the requests that the decisions refuse.
     void forgetRefused(std::span<const Decision> decisions);
@@ -68,7 +68,7 @@
     CreditWallet m_wallet;
     LengthForecast m_forecast;
     std::map<ServiceName, Queue> m_queues;
-    std::map<ServiceName, Profile> m_profiles;
+    std::set<ServiceName> m_configured;
     std::map<RequestId, ServiceName> m_services;
     std::map<EndpointName, ServiceName> m_endpoints;
 };
--- a/include/fescue/policy/policies.h
+++ b/include/fescue/policy/policies.h
@@ -52,40 +52,21 @@
 // Defaults of the two profiles for a service.
 [[nodiscard]] ProfileSettings finishSettings(const Service &service);
 [[nodiscard]] ProfileSettings latencySettings(const Service &service);
+// Settings of the service's own profile.
+[[nodiscard]] ProfileSettings profileSettings(const Service &service);
 
 // Memory, in tokens, that a request is predicted to need within the horizon.
 [[nodiscard]] std::uint64_t predictedTokens(const ProfileSettings &settings,
                                             const LengthForecast &forecast, const Request &request,
                                             std::uint32_t produced);
 
-// Long generations must end: reserves far ahead, so that few are preempted, and lets others wait.
-class FinishPolicy
+// Starts within credit by predicted memory. The two profiles differ in their settings only: finish
+// reserves far ahead, so that few are preempted, and lets others wait; latency keeps a short queue
+// and refuses early.
+class CreditPolicy
 {
 public:
-    explicit FinishPolicy(ProfileSettings settings) noexcept : m_settings(settings) { }
-    [[nodiscard]] bool usesCredit() const noexcept { return true; }
-    [[nodiscard]] std::uint64_t promise(const LengthForecast &forecast, const Request &request,
-                                        std::uint32_t produced) const
-    {
-        return predictedTokens(m_settings, forecast, request, produced);
-    }
-    [[nodiscard]] Millis queueLimit() const noexcept { return m_settings.queueLimit; }
-    [[nodiscard]] bool refusesEarly() const noexcept { return m_settings.refusesEarly; }
-    [[nodiscard]] std::optional<std::size_t> choose(const Request &request,
-                                                    std::span<const Candidate> candidates) const
-    {
-        return chooseEndpoint(request, candidates, m_settings.router);
-    }
-
-private:
-    ProfileSettings m_settings;
-};
-
-// Late answers lose their value: short queue, early refusal, even load before cached prefixes.
-class LatencyPolicy
-{
-public:
-    explicit LatencyPolicy(ProfileSettings settings) noexcept : m_settings(settings) { }
+    explicit CreditPolicy(ProfileSettings settings) noexcept : m_settings(settings) { }
     [[nodiscard]] bool usesCredit() const noexcept { return true; }
     [[nodiscard]] std::uint64_t promise(const LengthForecast &forecast, const Request &request,
                                         std::uint32_t produced) const
@@ -143,8 +124,7 @@
     std::size_t m_next = 0;
 };
 
-static_assert(AdmissionPolicy<FinishPolicy>);
-static_assert(AdmissionPolicy<LatencyPolicy>);
+static_assert(AdmissionPolicy<CreditPolicy>);
 static_assert(AdmissionPolicy<RoundRobinPolicy>);
 static_assert(AdmissionPolicy<LeastInFlightPolicy>);
 
--- a/src/policy/entryadmission.cpp
+++ b/src/policy/entryadmission.cpp
@@ -20,16 +20,6 @@
 
 EntryAdmission::EntryAdmission(MemberName member) : m_wallet(std::move(member)) { }
 
-EntryAdmission::Queue EntryAdmission::makeQueue(const Service &service)
-{
-    if (service.profile == Profile::Latency) {
-        return AdmissionQueue<LatencyPolicy>(service.name, LatencyPolicy(latencySettings(service)),
-                                             m_wallet, m_forecast);
-    }
-    return AdmissionQueue<FinishPolicy>(service.name, FinishPolicy(finishSettings(service)),
-                                        m_wallet, m_forecast);
-}
-
 EntryAdmission::Queue *EntryAdmission::queueOf(RequestId id)
 {
     const auto service = m_services.find(id);
@@ -42,24 +32,39 @@
 std::vector<Decision> EntryAdmission::applyServices(std::span<const Service> services,
                                                     std::span<const Account> accounts, Millis now)
 {
+    m_configured.clear();
     for (const Service &service : services) {
-        if (!m_queues.contains(service.name))
-            m_queues.emplace(service.name, makeQueue(service));
+        m_configured.insert(service.name);
+        const CreditPolicy policy(profileSettings(service));
+        const auto it = m_queues.find(service.name);
+        if (it != m_queues.end())
+            it->second.setPolicy(policy);
+        else
+            m_queues.emplace(service.name, Queue(service.name, policy, m_wallet, m_forecast));
     }
+    std::vector<Decision> decisions;
     for (std::pair<const ServiceName, Queue> &entry : m_queues) {
-        std::visit(
-            [&accounts](auto &queue) {
-                for (const Account &account : accounts)
-                    queue.setWeight(account.name, account.weight);
-            },
-            entry.second);
+        for (const Account &account : accounts)
+            entry.second.setWeight(account.name, account.weight);
+        if (!m_configured.contains(entry.first))
+            append(decisions, entry.second.refuseAll(ResultCode::UnknownService, now));
     }
-    return tick(now);
+    std::erase_if(m_queues, [this](const std::pair<const ServiceName, Queue> &entry) {
+        return !m_configured.contains(entry.first) && entry.second.running() == 0;
+    });
+    forgetRefused(decisions);
+    append(decisions, tick(now));
+    return decisions;
 }
 
 std::vector<Decision> EntryAdmission::setEligible(std::span<const ServiceEndpoint> endpoints,
                                                   Millis now)
 {
+    // Endpoints on which requests run stay known, so that their demands go on.
+    std::erase_if(m_endpoints,
+                  [this, now](const std::pair<const EndpointName, ServiceName> &entry) {
+                      return m_wallet.available(entry.first, now).running == 0;
+                  });
     for (const ServiceEndpoint &item : endpoints)
         m_endpoints[item.endpoint.endpoint] = item.service;
     std::vector<Decision> decisions;
@@ -69,9 +74,7 @@
             if (item.service == entry.first)
                 own.push_back(item.endpoint);
         }
-        append(decisions,
-               std::visit([&own, now](auto &queue) { return queue.setEligible(own, now); },
-                          entry.second));
+        append(decisions, entry.second.setEligible(std::move(own), now));
     }
     forgetRefused(decisions);
     return decisions;
@@ -80,12 +83,10 @@
 std::vector<Decision> EntryAdmission::arrival(Request request, Millis now)
 {
     const auto queue = m_queues.find(request.service);
-    if (queue == m_queues.end())
+    if (queue == m_queues.end() || !m_configured.contains(request.service))
         return {Refuse {request.id, ResultCode::UnknownService, unknownServiceRetry}};
     m_services.emplace(request.id, request.service);
-    std::vector<Decision> decisions =
-        std::visit([&request, now](auto &item) { return item.arrival(std::move(request), now); },
-                   queue->second);
+    std::vector<Decision> decisions = queue->second.arrival(std::move(request), now);
     forgetRefused(decisions);
     return decisions;
 }
@@ -94,7 +95,7 @@
 {
     Queue *queue = queueOf(id);
     if (queue != nullptr)
-        std::visit([id, n, now](auto &item) { item.tokensProduced(id, n, now); }, *queue);
+        queue->tokensProduced(id, n, now);
 }
 
 std::vector<Decision> EntryAdmission::ended(RequestId id, EndKind kind, Millis now)
@@ -103,8 +104,7 @@
     if (queue == nullptr)
         return {};
     m_services.erase(id);
-    std::vector<Decision> decisions =
-        std::visit([id, kind, now](auto &item) { return item.ended(id, kind, now); }, *queue);
+    std::vector<Decision> decisions = queue->ended(id, kind, now);
     forgetRefused(decisions);
     return decisions;
 }
@@ -114,8 +114,7 @@
     Queue *queue = queueOf(id);
     if (queue == nullptr)
         return {};
-    std::vector<Decision> decisions =
-        std::visit([id, now](auto &item) { return item.returned(id, now); }, *queue);
+    std::vector<Decision> decisions = queue->returned(id, now);
     forgetRefused(decisions);
     return decisions;
 }
@@ -123,13 +122,10 @@
 bool EntryAdmission::withdraw(RequestId id, Millis now)
 {
     Queue *queue = queueOf(id);
-    if (queue == nullptr)
+    if (queue == nullptr || !queue->withdraw(id, now))
         return false;
-    const bool wasQueued =
-        std::visit([id, now](auto &item) { return item.withdraw(id, now); }, *queue);
-    if (wasQueued)
-        m_services.erase(id);
-    return wasQueued;
+    m_services.erase(id);
+    return true;
 }
 
 std::vector<Decision> EntryAdmission::grantReceived(const CreditGrant &grant, Millis now)
@@ -142,8 +138,7 @@
     const auto queue = m_queues.find(service->second);
     if (queue == m_queues.end())
         return {};
-    std::vector<Decision> decisions =
-        std::visit([now](auto &item) { return item.creditChanged(now); }, queue->second);
+    std::vector<Decision> decisions = queue->second.creditChanged(now);
     forgetRefused(decisions);
     return decisions;
 }
@@ -152,7 +147,7 @@
 {
     std::vector<Decision> decisions;
     for (std::pair<const ServiceName, Queue> &entry : m_queues)
-        append(decisions, std::visit([now](auto &queue) { return queue.tick(now); }, entry.second));
+        append(decisions, entry.second.tick(now));
     forgetRefused(decisions);
     return decisions;
 }
@@ -162,11 +157,8 @@
     std::vector<EntryDemand> made;
     for (const std::pair<const EndpointName, ServiceName> &entry : m_endpoints) {
         const auto queue = m_queues.find(entry.second);
-        if (queue == m_queues.end())
-            continue;
-        made.push_back(
-            std::visit([&entry, now](const auto &item) { return item.demand(entry.first, now); },
-                       queue->second));
+        if (queue != m_queues.end())
+            made.push_back(queue->second.demand(entry.first, now));
     }
     return made;
 }
@@ -175,7 +167,7 @@
 {
     std::size_t n = 0;
     for (const std::pair<const ServiceName, Queue> &entry : m_queues)
-        n += std::visit([](const auto &queue) { return queue.queued(); }, entry.second);
+        n += entry.second.queued();
     return n;
 }
 
@@ -183,7 +175,7 @@
 {
     std::size_t n = 0;
     for (const std::pair<const ServiceName, Queue> &entry : m_queues)
-        n += std::visit([](const auto &queue) { return queue.running(); }, entry.second);
+        n += entry.second.running();
     return n;
 }
 
--- a/src/policy/policies.cpp
+++ b/src/policy/policies.cpp
@@ -33,6 +33,11 @@
     return settings;
 }
 
+ProfileSettings profileSettings(const Service &service)
+{
+    return service.profile == Profile::Latency ? latencySettings(service) : finishSettings(service);
+}
+
 std::uint64_t predictedTokens(const ProfileSettings &settings, const LengthForecast &forecast,
                               const Request &request, std::uint32_t produced)
 {
--- a/src/programs/load/experiment.cpp
+++ b/src/programs/load/experiment.cpp
@@ -49,12 +49,12 @@
     if (policy == "finish") {
         const ProfileSettings settings =
             withMechanisms(finishSettings(service), mechanisms, scenario);
-        return runWith(FinishPolicy(settings), scenario, mechanisms, arrivals, capacity);
+        return runWith(CreditPolicy(settings), scenario, mechanisms, arrivals, capacity);
     }
     if (policy == "latency") {
         const ProfileSettings settings =
             withMechanisms(latencySettings(service), mechanisms, scenario);
-        return runWith(LatencyPolicy(settings), scenario, mechanisms, arrivals, capacity);
+        return runWith(CreditPolicy(settings), scenario, mechanisms, arrivals, capacity);
     }
     if (policy == "least-in-flight")
         return runWith(LeastInFlightPolicy {}, scenario, mechanisms, arrivals, capacity);
