--- a/src/policy/creditauthority.cpp
+++ b/src/policy/creditauthority.cpp
@@ -218,9 +218,10 @@
 
 bool CreditAuthority::mayGrant(Millis now) const noexcept
 {
-    if (!m_serving || now < m_assumedUntil)
+    if (!m_serving)
         return false;
-    // Without any report, all entries have been heard of by the member timeout.
+    // A report of a later time shows all that was started under old grants. Without any report, all
+    // entries have been heard of by the member timeout.
     const bool reported = m_report && m_reportAt >= m_assumedUntil;
     return !m_isSuccessor || reported || now >= m_assumedUntil + m_settings.memberTimeout;
 }
--- a/src/programs/load/summary.cpp
+++ b/src/programs/load/summary.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <array>
+#include <cmath>
 #include <fstream>
 #include <iomanip>
 #include <map>
@@ -72,7 +73,7 @@
 std::string caseName(const GroupKey &key)
 {
     std::ostringstream out;
-    out << key.scenario << " " << static_cast<int>(key.load * 100 + 0.5) << "%"
+    out << key.scenario << " " << std::lround(key.load * 100) << "%"
         << (key.outage ? ", zone out and in" : "");
     return out.str();
 }
--- a/tests/policy/creditauthority_test.cpp
+++ b/tests/policy/creditauthority_test.cpp
@@ -26,7 +26,7 @@
     demand.endpoint = engineName;
     demand.member = MemberName(member);
     demand.running = running;
-    demand.promisedTokens = running * 1000;
+    demand.promisedTokens = std::uint64_t {running} * 1000;
     demand.queuedWanted = queued;
     demand.minimumTokensWanted = 1000;
     return demand;
@@ -37,7 +37,7 @@
     LoadReport report;
     report.incarnation = Incarnation {1};
     report.running = running;
-    report.memoryUsed = running * 1000;
+    report.memoryUsed = std::uint64_t {running} * 1000;
     report.age = age;
     return report;
 }
@@ -231,7 +231,7 @@
         else if (kind < 80)
             world.end(member);
         else if (kind < 92)
-            world.advance(Millis {100 * (1 + event / 100)});
+            world.advance(100_ms * (1 + event / 100));
         else if (kind < 98)
             world.renewLease();
         else
--- a/tests/policy/startrate_test.cpp
+++ b/tests/policy/startrate_test.cpp
@@ -18,7 +18,7 @@
     StartRate rate;
     rate.setBacklogged(true, 0_ms);
     for (int i = 1; i <= 100; ++i)
-        rate.started({i * 200});
+        rate.started(200_ms * i);
     const Millis wait = rate.waitFor(9, 20_s).value();
     EXPECT_NEAR(static_cast<double>(wait.count), 2000, 200);
 }
@@ -28,7 +28,7 @@
     StartRate rate;
     rate.setBacklogged(true, 0_ms);
     for (int i = 1; i <= 100; ++i)
-        rate.started({i * 200});
+        rate.started(200_ms * i);
     rate.setBacklogged(false, 20_s);
     const Millis before = rate.waitFor(9, 20_s).value();
     EXPECT_EQ(rate.waitFor(9, 500_s).value(), before);
