--- a/src/policy/fairqueue.cpp
+++ b/src/policy/fairqueue.cpp
@@ -97,6 +97,7 @@
         return;
     m_servedAt = std::max(m_servedAt, it->second.counter);
     it->second.queue.pop_front();
+    ++it->second.running;
     --m_size;
     m_served += 1;
     if (m_served < meanCostWindow)
@@ -105,6 +106,31 @@
     m_chargedTokens /= 2;
 }
 
+void FairQueue::runningEnded(const AccountName &account)
+{
+    AccountState &state = m_accounts[account];
+    state.running -= std::min<std::uint32_t>(1, state.running);
+}
+
+double FairQueue::queuedWeight() const
+{
+    double sum = 0;
+    for (const std::pair<const AccountName, AccountState> &entry : m_accounts)
+        sum += entry.second.queue.empty() ? 0 : entry.second.weight;
+    return sum;
+}
+
+double FairQueue::settledPart() const
+{
+    double settled = 0;
+    double running = 0;
+    for (const std::pair<const AccountName, AccountState> &entry : m_accounts) {
+        running += entry.second.running;
+        settled += entry.second.queue.empty() ? entry.second.running : 0;
+    }
+    return running > 0 ? settled / running : 0;
+}
+
 bool FairQueue::remove(const AccountName &account, RequestId id)
 {
     const auto it = m_accounts.find(account);
--- a/tests/tools/publishrace_test.cpp
+++ b/tests/tools/publishrace_test.cpp
@@ -73,6 +73,7 @@
     {
         std::vector<PublishResult> results(operatorCount);
         std::vector<std::thread> threads;
+        threads.reserve(operatorCount);
         for (int n = 0; n < operatorCount; ++n) {
             threads.emplace_back([&, n] {
                 const VmName vm("vm-" + std::to_string(n));
