--- a/tests/config/operationspage_test.cpp
+++ b/tests/config/operationspage_test.cpp
@@ -2,7 +2,9 @@
 #include "fescue/config/servicefile.h"
 #include "fescue/config/settings.h"
 
+#include <filesystem>
 #include <gtest/gtest.h>
+#include <regex>
 #include <set>
 
 namespace {
@@ -62,4 +64,31 @@
     expectListed(knownKeys(errors), 20);
 }
 
+// Returns the names of the metrics that the sources register.
+std::set<std::string> registeredMetrics()
+{
+    const std::regex registration(R"re((?:counter|gauge|histogram)\(\s*"(fescue_[a-z_]+)")re");
+    std::set<std::string> names;
+    for (const std::filesystem::directory_entry &entry :
+         std::filesystem::recursive_directory_iterator(FESCUE_SOURCE_DIR "/src")) {
+        if (!entry.is_regular_file())
+            continue;
+        const std::string text = readTextFile(entry.path().string()).value_or("");
+        const std::sregex_iterator end;
+        for (std::sregex_iterator it(text.begin(), text.end(), registration); it != end; ++it)
+            names.insert((*it)[1].str());
+    }
+    return names;
+}
+
+TEST(OperationsPage, ListsEveryMetric)
+{
+    const Result<std::string> page = readTextFile(FESCUE_SOURCE_DIR "/docs/OPERATIONS.md");
+    ASSERT_TRUE(page) << page.error().toString();
+    const std::set<std::string> names = registeredMetrics();
+    EXPECT_FALSE(names.empty());
+    for (const std::string &name : names)
+        EXPECT_NE(page->find('`' + name), std::string::npos) << name;
+}
+
 } // namespace
