--- a/include/fescue/config.h
+++ b/include/fescue/config.h
@@ -13,3 +13,4 @@
 #include "fescue/config/snapshotcheck.h"
 #include "fescue/config/snapshotdiff.h"
 #include "fescue/config/snapshotjson.h"
+#include "fescue/config/words.h"
--- a/src/config/servicefile.cpp
+++ b/src/config/servicefile.cpp
@@ -2,6 +2,7 @@
 
 #include "fescue/config/naming.h"
 #include "fescue/config/sectionreader.h"
+#include "fescue/config/words.h"
 
 #include <algorithm>
 #include <array>
@@ -83,22 +84,22 @@
             target = NameType(std::move(text));
     }
 
+    // Reads the word for one of two values.
     template <typename Enum>
-    void readChoice(SectionReader &reader, std::string_view key, Enum &target,
-                    const std::pair<std::string_view, Enum> &first,
-                    const std::pair<std::string_view, Enum> &second)
+    void readChoice(SectionReader &reader, std::string_view key, Enum &target, Enum first,
+                    Enum second)
     {
         std::string text;
         if (!reader.readText(key, text))
             return;
-        if (text == first.first)
-            target = first.second;
-        else if (text == second.first)
-            target = second.second;
+        if (text == toWord(first))
+            target = first;
+        else if (text == toWord(second))
+            target = second;
         else
             reader.report(key,
-                          '"' + std::string(key) + "\" must be " + std::string(first.first) + " or "
-                              + std::string(second.first) + ", not \"" + text + '"');
+                          '"' + std::string(key) + "\" must be " + std::string(toWord(first))
+                              + " or " + std::string(toWord(second)) + ", not \"" + text + '"');
     }
 
     std::optional<bool> readOut(SectionReader &reader)
@@ -133,10 +134,8 @@
         service.name = nameOf<ServiceName>(section);
         SectionReader reader(section, *m_errors);
         reader.require("kind");
-        readChoice<ServiceKind>(reader, "kind", service.kind, {"model", ServiceKind::Model},
-                                {"plain", ServiceKind::Plain});
-        readChoice<Profile>(reader, "profile", service.profile, {"finish", Profile::Finish},
-                            {"latency", Profile::Latency});
+        readChoice(reader, "kind", service.kind, ServiceKind::Model, ServiceKind::Plain);
+        readChoice(reader, "profile", service.profile, Profile::Finish, Profile::Latency);
         reader.readDuration("first-token-target", service.firstTokenTarget, {1_ms, 3600_s});
         reader.readDuration("token-gap-target", service.tokenGapTarget, {1_ms, 3600_s});
         reader.readDuration("queue-limit", service.queueLimit, {1_ms, 86400_s});
@@ -174,9 +173,8 @@
             endpoint.coldSlots = std::min(endpoint.coldSlots, endpoint.slots);
         reader.readInteger<std::uint64_t>("memory-tokens", endpoint.memoryTokens,
                                           {0, maxMemoryTokens});
-        readChoice<FencingSupport>(reader, "fencing", endpoint.fencing,
-                                   {"checks", FencingSupport::Checks},
-                                   {"ignores", FencingSupport::Ignores});
+        readChoice(reader, "fencing", endpoint.fencing, FencingSupport::Checks,
+                   FencingSupport::Ignores);
         reader.finish();
         m_file->endpoints.push_back({std::move(endpoint), section});
     }
--- a/src/config/snapshotdiff.cpp
+++ b/src/config/snapshotdiff.cpp
@@ -1,7 +1,11 @@
 #include "fescue/config/snapshotdiff.h"
 
+#include "fescue/config/words.h"
+
 #include <sstream>
 #include <string_view>
+#include <type_traits>
+#include <utility>
 
 namespace fescue {
 
@@ -39,19 +43,10 @@
     return std::to_string(value.count) + "ms";
 }
 
-std::string toText(ServiceKind value)
-{
-    return value == ServiceKind::Model ? "model" : "plain";
-}
-
-std::string toText(Profile value)
-{
-    return value == Profile::Finish ? "finish" : "latency";
-}
-
-std::string toText(FencingSupport value)
+template <typename Enum>
+requires std::is_enum_v<Enum> std::string toText(Enum value)
 {
-    return value == FencingSupport::Checks ? "checks" : "ignores";
+    return std::string(toWord(value));
 }
 
 template <typename Tag>
--- a/src/config/snapshotjson.cpp
+++ b/src/config/snapshotjson.cpp
@@ -2,6 +2,7 @@
 
 #include "config/jsonobject.h"
 #include "fescue/config/snapshotcheck.h"
+#include "fescue/config/words.h"
 
 #include <algorithm>
 #include <nlohmann/json.hpp>
@@ -13,21 +14,6 @@
 
 using nlohmann::json;
 
-std::string_view toText(ServiceKind kind) noexcept
-{
-    return kind == ServiceKind::Model ? "model" : "plain";
-}
-
-std::string_view toText(Profile profile) noexcept
-{
-    return profile == Profile::Finish ? "finish" : "latency";
-}
-
-std::string_view toText(FencingSupport fencing) noexcept
-{
-    return fencing == FencingSupport::Checks ? "checks" : "ignores";
-}
-
 json toJson(const Zone &zone)
 {
     return {{"name", zone.name.text()}, {"region", zone.region}, {"out", zone.out}};
@@ -46,8 +32,8 @@
     for (const CallContract &call : service.calls)
         calls.push_back(toJson(call));
     return {{"name", service.name.text()},
-            {"kind", toText(service.kind)},
-            {"profile", toText(service.profile)},
+            {"kind", toWord(service.kind)},
+            {"profile", toWord(service.profile)},
             {"first_token_target_ms", service.firstTokenTarget.count},
             {"token_gap_target_ms", service.tokenGapTarget.count},
             {"queue_limit_ms", service.queueLimit.count},
@@ -61,7 +47,7 @@
             {"zone", endpoint.zone.text()},       {"vm", endpoint.vm.text()},
             {"address", endpoint.address},        {"slots", endpoint.slots},
             {"cold_slots", endpoint.coldSlots},   {"memory_tokens", endpoint.memoryTokens},
-            {"fencing", toText(endpoint.fencing)}};
+            {"fencing", toWord(endpoint.fencing)}};
 }
 
 json toJson(const Account &account)
@@ -99,14 +85,14 @@
 {
     std::string text;
     object.read(key, text);
-    if (text == toText(first))
+    if (text == toWord(first))
         target = first;
-    else if (text == toText(second))
+    else if (text == toWord(second))
         target = second;
     else
         object.report(key,
-                      "must be \"" + std::string(toText(first)) + "\" or \""
-                          + std::string(toText(second)) + '"');
+                      "must be \"" + std::string(toWord(first)) + "\" or \""
+                          + std::string(toWord(second)) + '"');
 }
 
 Zone readZone(const json &value, const std::string &path, ErrorList &errors)
