--- a/include/fescue/net/workerpool.h
+++ b/include/fescue/net/workerpool.h
@@ -26,6 +26,9 @@
 // A fixed number of threads. Each thread has one io_context and runs its handlers and its fibers
 // in turn, so that objects used by one worker only need no lock. A fiber never changes its worker.
 //
+// A timed wait of Boost.Fiber may end 50 ms late on an idle worker; sleepFor() does not. A fiber
+// must not wait inside a catch block, since the list of caught exceptions belongs to the thread.
+//
 // Sockets and clients that belong to a context must be destroyed before the pool.
 class WorkerPool
 {
