--- a/src/node/configsync.h
+++ b/src/node/configsync.h
@@ -37,7 +37,7 @@
 {
 public:
     ConfigSync(net::StoreClient store, ConfigHooks hooks)
-        : m_store(store), m_hooks(std::move(hooks))
+        : m_store(std::move(store)), m_hooks(std::move(hooks))
     { }
 
     // Asks the store for a newer configuration, waiting for at most that time. False where it did
--- a/src/node/membersync.h
+++ b/src/node/membersync.h
@@ -9,6 +9,7 @@
 #include <functional>
 #include <optional>
 #include <span>
+#include <utility>
 #include <vector>
 
 namespace fescue::node {
@@ -21,7 +22,9 @@
     // Sends a message to a peer.
     using Send = std::function<void(const MemberName &, const peer::Message &)>;
 
-    MemberSync(net::StoreClient store, Send send) : m_store(store), m_send(std::move(send)) { }
+    MemberSync(net::StoreClient store, Send send)
+        : m_store(std::move(store)), m_send(std::move(send))
+    { }
 
     // Reads all member keys. False where the store did not answer.
     bool list(Millis now);
--- a/src/node/registration.h
+++ b/src/node/registration.h
@@ -18,7 +18,8 @@
     using LeaseCallback = std::function<void(LeaseChange, Millis)>;
 
     Registration(net::StoreClient store, MemberInfo self, Millis ttl, LeaseCallback onLease)
-        : m_store(store), m_self(std::move(self)), m_ttl(ttl), m_onLease(std::move(onLease))
+        : m_store(std::move(store)), m_self(std::move(self)), m_ttl(ttl),
+          m_onLease(std::move(onLease))
     { }
 
     // Creates or renews the lease, and writes the key where it is missing or outdated. False where
--- a/src/peer/codec.cpp
+++ b/src/peer/codec.cpp
@@ -92,6 +92,8 @@
     using string_t = Json::string_t;
     using binary_t = Json::binary_t;
 
+    // The library calls these by name.
+    // NOLINTBEGIN(readability-identifier-naming)
     bool null() { return true; }
     bool boolean(bool) { return true; }
     bool number_integer(number_integer_t) { return true; }
@@ -105,6 +107,7 @@
     bool start_array(std::size_t) { return ++m_depth <= maxDepth; }
     bool end_array() { return leave(); }
     bool parse_error(std::size_t, const std::string &, const Json::exception &) { return false; }
+    // NOLINTEND(readability-identifier-naming)
 
 private:
     static constexpr int maxDepth = 8;
--- a/src/peer/peerlinks.cpp
+++ b/src/peer/peerlinks.cpp
@@ -31,6 +31,8 @@
 // Configuration of both roles, so that accepted and dialled connections have one type. No
 // extension is configured; enable_extensions stays on, since without it this client refuses every
 // handshake.
+// The names are the library's.
+// NOLINTBEGIN(readability-identifier-naming)
 struct LinkConfig : public websocketpp::config::asio_client
 {
     using type = LinkConfig;
@@ -52,6 +54,7 @@
     static const std::size_t max_http_body_size = 4096;
     static const bool silent_close = true;
 };
+// NOLINTEND(readability-identifier-naming)
 
 using Server = websocketpp::server<LinkConfig>;
 using Client = websocketpp::client<LinkConfig>;
--- a/tests/peer/codec_test.cpp
+++ b/tests/peer/codec_test.cpp
@@ -65,6 +65,7 @@
 {
     const int n = *rc::gen::inRange(0, 5);
     std::vector<T> items;
+    items.reserve(static_cast<std::size_t>(n));
     for (int i = 0; i < n; ++i)
         items.push_back(make());
     return items;
