Register the address where operators read a daemon's status

An admission daemon serves no callers and registers no caller address, so that fescuectl could not ask it for its version, and one such member made the whole list unreadable. The registration now has an address of its own for operators, and a member whose address cannot be read is reported beside the others.

--- a/include/fescue/core/memberinfo.h
+++ b/include/fescue/core/memberinfo.h
@@ -16,6 +16,9 @@
     VmName vm;
     // IP number and port that callers connect to; empty for members that serve no callers.
     std::string callerAddress;
+    // IP number and port where operators read status, metrics and time line. Stands in the
+    // registration only: members do not tell it to each other, and it is empty for others.
+    std::string operatorAddress;
     // IP number and port that other members connect to.
     std::string peerAddress;
     // True once the member has begun to shut down.
--- a/include/fescue/node/nodeoptions.h
+++ b/include/fescue/node/nodeoptions.h
@@ -24,6 +24,8 @@
     VmName vm;
     // Greater for each start of the process; wall clock milliseconds serve.
     Incarnation incarnation;
+    // Where operators read /status, as registered in the store.
+    std::string operatorAddress;
     // Where callers connect, as told to others. Only entries have one.
     std::string callerAddress;
     // "ip:port" of the listener for other daemons; port 0 takes a free one.
--- a/include/fescue/tools/rollout.h
+++ b/include/fescue/tools/rollout.h
@@ -22,6 +22,8 @@
 {
     MemberName name;
     HostPort http;
+    // Why the address is not known; empty where it is.
+    std::string problem;
 };
 
 // What one daemon says about itself, or why it did not.
@@ -47,7 +49,7 @@
 // Reads the answer to GET /status.
 [[nodiscard]] MemberStatus parseMemberStatus(const MemberAddress &member, std::string_view json);
 
-// Returns the daemons that are registered in the store.
+// Returns the daemons that are registered in the store, those with an unreadable address included.
 [[nodiscard]] Result<std::vector<MemberAddress>> readMembers(BlockingStore &store);
 
 // Asks every daemon for its version, several at a time, in the order given.
--- a/src/node/memberjson.cpp
+++ b/src/node/memberjson.cpp
@@ -12,10 +12,11 @@
 std::string toJson(const MemberInfo &member)
 {
     const nlohmann::json out {
-        {"member", member.name.text()}, {"role", peer::toString(roleOf(member))},
-        {"zone", member.zone.text()},   {"vm", member.vm.text()},
-        {"http", member.callerAddress}, {"peer", member.peerAddress},
-        {"leaving", member.leaving},    {"incarnation", member.incarnation.value},
+        {"member", member.name.text()},       {"role", peer::toString(roleOf(member))},
+        {"zone", member.zone.text()},         {"vm", member.vm.text()},
+        {"http", member.callerAddress},       {"peer", member.peerAddress},
+        {"leaving", member.leaving},          {"incarnation", member.incarnation.value},
+        {"operator", member.operatorAddress},
     };
     return out.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
 }
--- a/src/programs/entry/entrydaemon.cpp
+++ b/src/programs/entry/entrydaemon.cpp
@@ -90,6 +90,7 @@
     options.vm = m_settings.vm;
     options.incarnation = m_incarnation;
     options.callerAddress = m_server->address().toString();
+    options.operatorAddress = options.callerAddress;
     options.peerListen = m_settings.peerListen.toString();
     options.store = toAddress(m_settings.store);
     if (m_settings.vmList)
--- a/src/programs/timeline/main.cpp
+++ b/src/programs/timeline/main.cpp
@@ -63,7 +63,10 @@
         if (!members)
             return tl::unexpected<Error>(members.error());
         for (const tools::MemberAddress &member : *members)
-            add(member.name.text(), fetch(member.http));
+            add(member.name.text(),
+                member.problem.empty()
+                    ? fetch(member.http)
+                    : Result<std::string>(fail(ResultCode::StoreProtocol, member.problem)));
         return {};
     }
 
--- a/src/tools/rollout.cpp
+++ b/src/tools/rollout.cpp
@@ -22,6 +22,8 @@
 
 MemberStatus askMember(const MemberAddress &member, Millis timeout)
 {
+    if (!member.problem.empty())
+        return {member.name, {}, {}, {}, member.problem};
     HttpCall call;
     call.target = "/status";
     const Result<HttpReply> reply = callHttp(member.http, call, timeout);
@@ -44,13 +46,14 @@
 Result<MemberAddress> parseMemberAddress(std::string_view name, std::string_view text)
 {
     const json value = json::parse(text, nullptr, false);
-    if (!value.is_object() || !value.contains("http") || !value["http"].is_string())
+    if (!value.is_object() || !value.contains("operator") || !value["operator"].is_string())
         return fail(ResultCode::StoreProtocol,
-                    "member " + std::string(name) + " has no address \"http\" in the store");
-    const Result<HostPort> address = parseHostPort(value["http"].get_ref<const std::string &>());
+                    "member " + std::string(name) + " has no address \"operator\" in the store");
+    const Result<HostPort> address =
+        parseHostPort(value["operator"].get_ref<const std::string &>());
     if (!address)
         return tl::unexpected<Error>(address.error());
-    return MemberAddress {MemberName(name), *address};
+    return MemberAddress {MemberName(name), *address, {}};
 }
 
 MemberStatus parseMemberStatus(const MemberAddress &member, std::string_view text)
@@ -78,9 +81,10 @@
         const std::string_view name =
             std::string_view(item.key).substr(std::min(membersPrefix.size(), item.key.size()));
         Result<MemberAddress> member = parseMemberAddress(name, item.value);
-        if (!member)
-            return tl::unexpected<Error>(member.error());
-        members.push_back(std::move(*member));
+        if (member)
+            members.push_back(std::move(*member));
+        else
+            members.push_back({MemberName(name), {}, member.error().message});
     }
     return members;
 }
--- a/tests/tools/publishrace_test.cpp
+++ b/tests/tools/publishrace_test.cpp
@@ -153,7 +153,7 @@
 
     [[nodiscard]] std::string memberValue() const
     {
-        return nlohmann::json {{"http", m_server.address().toString()}}.dump();
+        return nlohmann::json {{"operator", m_server.address().toString()}}.dump();
     }
 
 private:
@@ -182,10 +182,23 @@
     EXPECT_EQ(statuses->front().version, ConfigVersion {3});
 }
 
+TEST_F(PublishRace, AMemberWithoutAddressHidesNoOther)
+{
+    BlockingStore own = store();
+    ASSERT_TRUE(own.putIf("members/a", R"({"operator":""})", 0));
+    ASSERT_TRUE(own.putIf("members/b", R"({"operator":"127.0.0.1:1"})", 0));
+    const Result<std::vector<MemberAddress>> members = readMembers(own);
+    ASSERT_TRUE(members) << members.error().toString();
+    ASSERT_EQ(members->size(), 2U);
+    EXPECT_FALSE(members->at(0).problem.empty());
+    EXPECT_TRUE(members->at(1).problem.empty());
+    EXPECT_EQ(askMembers(*members, 1_s)[0].problem, members->at(0).problem);
+}
+
 TEST_F(PublishRace, SaysWhichDaemonDoesNotHaveTheVersionInTime)
 {
     BlockingStore own = store();
-    ASSERT_TRUE(own.putIf("members/gone", R"({"http":"127.0.0.1:1"})", 0));
+    ASSERT_TRUE(own.putIf("members/gone", R"({"operator":"127.0.0.1:1"})", 0));
     const Result<std::vector<MemberStatus>> statuses = awaitVersion(own, ConfigVersion {1}, 0_ms);
     ASSERT_TRUE(statuses) << statuses.error().toString();
     EXPECT_FALSE(statuses->at(0).hasAtLeast(ConfigVersion {1}));
--- a/tests/tools/rollout_test.cpp
+++ b/tests/tools/rollout_test.cpp
@@ -7,12 +7,12 @@
 using namespace fescue;
 using namespace fescue::tools;
 
-const MemberAddress entry {MemberName("entry-1"), {"127.0.0.1", 7000}};
+const MemberAddress entry {MemberName("entry-1"), {"127.0.0.1", 7000}, {}};
 
 TEST(Rollout, ReadsTheAddressOfAMember)
 {
     const Result<MemberAddress> member =
-        parseMemberAddress("entry-1", R"({"name":"entry-1","http":"127.0.0.1:7000"})");
+        parseMemberAddress("entry-1", R"({"name":"entry-1","operator":"127.0.0.1:7000"})");
     ASSERT_TRUE(member);
     EXPECT_EQ(member->name, entry.name);
     EXPECT_EQ(member->http, entry.http);
@@ -20,7 +20,7 @@
 
 TEST(Rollout, RefusesAMemberWithoutAddress)
 {
-    for (const char *text : {"", "[]", "{}", R"({"http":7})", R"({"http":"host:1"})"})
+    for (const char *text : {"", "[]", "{}", R"({"operator":7})", R"({"operator":"host:1"})"})
         EXPECT_FALSE(parseMemberAddress("entry-1", text)) << text;
 }
 
@@ -47,7 +47,7 @@
 TEST(Rollout, SaysWhichMemberDoesNotAnswer)
 {
     const std::vector<MemberStatus> statuses =
-        askMembers({{MemberName("gone"), {"127.0.0.1", 1}}}, 1_s);
+        askMembers({{MemberName("gone"), {"127.0.0.1", 1}, {}}}, 1_s);
     ASSERT_EQ(statuses.size(), 1U);
     EXPECT_EQ(statuses[0].name, MemberName("gone"));
     EXPECT_FALSE(statuses[0].version);
