--- a/install.sh
+++ b/install.sh
@@ -3,7 +3,7 @@
 set -euo pipefail
 
 packages=(
-    clang clang-format clang-tidy lld cmake ninja-build pkg-config curl
+    clang clang-format clang-tidy lld cmake ninja-build pkg-config curl jq
     libboost1.81-dev libboost-fiber1.81-dev libboost-context1.81-dev libboost-log1.81-dev
     libboost-thread1.81-dev libboost-filesystem1.81-dev
     libwebsocketpp-dev nlohmann-json3-dev prometheus-cpp-dev libcli11-dev libexpected-dev
--- a/src/node/nodecontrol.cpp
+++ b/src/node/nodecontrol.cpp
@@ -220,7 +220,7 @@
     if (!port)
         return tl::unexpected<Error>(port.error());
     m_self = describeSelf(*m_links);
-    m_registration.emplace(m_store, m_self, m_options.leaseTtl,
+    m_registration.emplace(m_store, m_self, m_options.httpAddress, m_options.leaseTtl,
                            [this](LeaseChange change, Millis sentAt) {
                                if (change == LeaseChange::Lost)
                                    m_timeline.record("lease-lost", m_self.name.text());
--- a/src/programs/entry/entrydaemon.cpp
+++ b/src/programs/entry/entrydaemon.cpp
@@ -9,6 +9,8 @@
 namespace {
 
 constexpr Millis admissionTickInterval = 20_ms;
+// Demands are renewed this rarely while no request waits.
+constexpr std::uint32_t ticksPerDemand = 10;
 
 net::Address toAddress(const HostPort &hostPort)
 {
@@ -42,6 +44,8 @@
 EntryDaemon::~EntryDaemon()
 {
     m_statusSource = nullptr;
+    if (m_credits)
+        m_credits->stop();
     if (m_node)
         m_node->stop();
     m_server.reset();
@@ -68,10 +72,9 @@
     };
     m_node = std::make_unique<node::NodeControl>(nodeOptions(), m_timeline, m_metrics,
                                                  std::move(callbacks));
-    node::CreditClientHooks hooks;
-    hooks.demands = [this](Millis) { return m_admission.demands(); };
-    hooks.granted = [this](const CreditGrant &grant) { m_admission.grantReceived(grant); };
-    m_credits = std::make_unique<node::CreditClient>(*m_node, std::move(hooks));
+    m_credits = std::make_unique<node::CreditClient>(
+        *m_node, node::CreditClientOptions {},
+        [this](const CreditGrant &grant) { m_admission.grantReceived(grant); });
     Result<void> started = m_node->start();
     if (!started)
         return started;
@@ -90,6 +93,7 @@
     options.vm = m_settings.vm;
     options.incarnation = m_incarnation;
     options.callerAddress = m_server->address().toString();
+    options.httpAddress = options.callerAddress;
     options.peerListen = m_settings.peerListen.toString();
     options.store = toAddress(m_settings.store);
     if (m_settings.vmList)
@@ -119,10 +123,11 @@
 
 void EntryDaemon::pumpAdmission()
 {
+    std::uint32_t ticks = 0;
     while (!net::stopRequested()) {
         m_admission.tick();
-        if (m_admission.queued() > 0)
-            m_credits->flush();
+        if (ticks++ % ticksPerDemand == 0 || m_admission.queued() > 0)
+            m_credits->setDemands(m_admission.demands());
         net::sleepFor(admissionTickInterval);
     }
 }
--- a/tests/node/nodecontrol_test.cpp
+++ b/tests/node/nodecontrol_test.cpp
@@ -187,9 +187,13 @@
     member.callerAddress = "127.0.0.1:80";
     member.peerAddress = "127.0.0.1:81";
     member.leaving = true;
-    const Result<MemberInfo> back = parseMember(toJson(member));
+    const Result<MemberInfo> back = parseMember(toJson(member, member.callerAddress));
     ASSERT_TRUE(back.has_value());
     EXPECT_EQ(*back, member);
+    member.callerAddress.clear();
+    const std::string admission = toJson(member, "127.0.0.1:82");
+    EXPECT_NE(admission.find(R"("http":"127.0.0.1:82")"), std::string::npos) << admission;
+    EXPECT_EQ(parseMember(admission), member);
     EXPECT_FALSE(parseMember("{}").has_value());
     EXPECT_FALSE(parseMember("[").has_value());
 }
