--- a/tests/observe/timeline_test.cpp
+++ b/tests/observe/timeline_test.cpp
@@ -55,6 +55,7 @@
     constexpr int perThread = 500;
     Timeline timeline("entry-1", 100);
     std::vector<std::thread> threads;
+    threads.reserve(threadCount);
     for (int n = 0; n < threadCount; ++n) {
         threads.emplace_back([&timeline] {
             for (int i = 0; i < perThread; ++i)
--- a/tests/tools/publication_test.cpp
+++ b/tests/tools/publication_test.cpp
@@ -27,47 +27,47 @@
 public:
     Result<StoreValue> get(std::string_view key)
     {
-        ++m_reads;
-        const CallFault fault = nextFault(m_readFaults);
+        ++reads;
+        const CallFault fault = nextFault(readFaults);
         if (fault == CallFault::Refused)
             return fail(ResultCode::StoreUnavailable, "refused");
         if (fault != CallFault::None)
             return fail(ResultCode::StoreTimeout, "no answer");
-        StoreValue value {std::string(key), m_value, m_revision};
+        StoreValue found {std::string(key), value, revision};
         applyDelayed();
-        return value;
+        return found;
     }
 
-    Result<std::uint64_t> putIf(std::string_view, std::string_view value, std::uint64_t revision)
+    Result<std::uint64_t> putIf(std::string_view, std::string_view text, std::uint64_t condition)
     {
-        ++m_writes;
-        if (m_beforeWrite)
-            std::exchange(m_beforeWrite, nullptr)();
-        const CallFault fault = nextFault(m_writeFaults);
+        ++writes;
+        if (beforeWrite)
+            std::exchange(beforeWrite, nullptr)();
+        const CallFault fault = nextFault(writeFaults);
         if (fault == CallFault::Refused)
             return fail(ResultCode::StoreUnavailable, "refused");
         if (fault == CallFault::Delayed)
-            m_delayed.push_back({std::string(value), revision});
+            delayed.push_back({std::string(text), condition});
         if (fault == CallFault::RequestLost || fault == CallFault::Delayed)
             return fail(ResultCode::StoreTimeout, "no answer");
-        const bool applied = apply(value, revision);
+        const bool applied = apply(text, condition);
         if (fault == CallFault::AnswerLost) {
-            if (m_afterLostAnswer)
-                std::exchange(m_afterLostAnswer, nullptr)();
+            if (afterLostAnswer)
+                std::exchange(afterLostAnswer, nullptr)();
             return fail(ResultCode::StoreTimeout, "no answer");
         }
         if (!applied)
             return fail(ResultCode::StoreConflict, "changed");
-        return m_revision;
+        return revision;
     }
 
-    bool apply(std::string_view value, std::uint64_t revision)
+    bool apply(std::string_view text, std::uint64_t condition)
     {
-        if (revision != m_revision)
+        if (condition != revision)
             return false;
-        m_value = value;
-        m_revision += 3;
-        ++m_changes;
+        value = text;
+        revision += 3;
+        ++changes;
         return true;
     }
 
@@ -80,12 +80,12 @@
         next.streamSecret = "ffffffffffffffffffffffffffffffff";
         std::vector<std::string> nonces = {nonce};
         nonces.insert(nonces.end(), current.stored.nonces.begin(), current.stored.nonces.end());
-        EXPECT_TRUE(apply(serializeSnapshot(next, nonces).value(), m_revision));
+        EXPECT_TRUE(apply(serializeSnapshot(next, nonces).value(), revision));
     }
 
     void applyDelayed()
     {
-        for (const std::pair<std::string, std::uint64_t> &write : std::exchange(m_delayed, {}))
+        for (const std::pair<std::string, std::uint64_t> &write : std::exchange(delayed, {}))
             apply(write.first, write.second);
     }
 
@@ -98,16 +98,16 @@
         return fault;
     }
 
-    std::vector<CallFault> m_readFaults;
-    std::vector<CallFault> m_writeFaults;
-    std::function<void()> m_beforeWrite;
-    std::function<void()> m_afterLostAnswer;
-    std::vector<std::pair<std::string, std::uint64_t>> m_delayed;
-    std::string m_value;
-    std::uint64_t m_revision = 0;
-    int m_changes = 0;
-    int m_reads = 0;
-    int m_writes = 0;
+    std::vector<CallFault> readFaults;
+    std::vector<CallFault> writeFaults;
+    std::function<void()> beforeWrite;
+    std::function<void()> afterLostAnswer;
+    std::vector<std::pair<std::string, std::uint64_t>> delayed;
+    std::string value;
+    std::uint64_t revision = 0;
+    int changes = 0;
+    int reads = 0;
+    int writes = 0;
 };
 
 Result<Snapshot> addZone(const Snapshot &current)
@@ -149,7 +149,7 @@
     ASSERT_TRUE(again);
     EXPECT_EQ(again->version, ConfigVersion {1});
     EXPECT_TRUE(again->changes.empty());
-    EXPECT_EQ(store.m_writes, 1);
+    EXPECT_EQ(store.writes, 1);
 }
 
 TEST(Publication, ExceedsWhatDaemonsHaveAfterTheStoreLostItsData)
@@ -168,7 +168,7 @@
     PublishRequest above = request();
     above.nonce = "again";
     above.versionInForce = ConfigVersion {41};
-    store.m_writeFaults = {CallFault::AnswerLost};
+    store.writeFaults = {CallFault::AnswerLost};
     EXPECT_EQ(publishEdit(store, addZone, above)->version, ConfigVersion {42});
     const StoredSnapshot found = readCurrentConfig(store)->stored;
     EXPECT_EQ(found.versionOf("again"), ConfigVersion {42});
@@ -218,15 +218,15 @@
 {
     FakeStore store;
     store.publishAsOther("other");
-    const int before = store.m_changes;
-    store.m_writeFaults = GetParam().writes;
-    store.m_readFaults = GetParam().reads;
+    const int before = store.changes;
+    store.writeFaults = GetParam().writes;
+    store.readFaults = GetParam().reads;
     const tl::expected<Published, PublishFailure> published =
         publishEdit(store, addZone, request());
     ASSERT_TRUE(published) << published.error().error.toString();
     store.applyDelayed();
     EXPECT_EQ(published->version, ConfigVersion {2});
-    EXPECT_EQ(store.m_changes, before + 1);
+    EXPECT_EQ(store.changes, before + 1);
     EXPECT_EQ(stored(store).version, ConfigVersion {2});
 }
 
@@ -238,8 +238,8 @@
 TEST(Publication, FindsItsWriteUnderALaterOne)
 {
     FakeStore store;
-    store.m_writeFaults = {CallFault::AnswerLost};
-    store.m_afterLostAnswer = [&store] { store.publishAsOther("other"); };
+    store.writeFaults = {CallFault::AnswerLost};
+    store.afterLostAnswer = [&store] { store.publishAsOther("other"); };
     const tl::expected<Published, PublishFailure> published =
         publishEdit(store, addZone, request());
     ASSERT_TRUE(published);
@@ -251,25 +251,25 @@
 TEST(Publication, TheSecondOfTwoOperatorsIsToldTheNewerVersion)
 {
     FakeStore store;
-    store.m_beforeWrite = [&store] { store.publishAsOther("other"); };
+    store.beforeWrite = [&store] { store.publishAsOther("other"); };
     const tl::expected<Published, PublishFailure> published =
         publishEdit(store, addZone, request());
     ASSERT_FALSE(published);
     EXPECT_EQ(published.error().error.code, ResultCode::ConfigVersionConflict);
     EXPECT_EQ(published.error().current, ConfigVersion {1});
     EXPECT_EQ(published.error().differences.back(), "+ zone north");
-    EXPECT_EQ(store.m_changes, 1);
+    EXPECT_EQ(store.changes, 1);
 }
 
 TEST(Publication, AnEditThatHoldsOnAnyVersionIsRepeated)
 {
     FakeStore store;
-    store.m_beforeWrite = [&store] { store.publishAsOther("other"); };
+    store.beforeWrite = [&store] { store.publishAsOther("other"); };
     const tl::expected<Published, PublishFailure> published =
         publishEdit(store, addZone, request(OnConflict::Repeat));
     ASSERT_TRUE(published);
     EXPECT_EQ(published->version, ConfigVersion {2});
-    EXPECT_EQ(store.m_changes, 2);
+    EXPECT_EQ(store.changes, 2);
 }
 
 TEST(Publication, RefusesAnotherBaseVersion)
@@ -281,13 +281,13 @@
     const tl::expected<Published, PublishFailure> published = publishEdit(store, addZone, based);
     ASSERT_FALSE(published);
     EXPECT_EQ(published.error().error.code, ResultCode::ConfigVersionConflict);
-    EXPECT_EQ(store.m_writes, 0);
+    EXPECT_EQ(store.writes, 0);
 }
 
 TEST(Publication, SaysThatTheOutcomeIsUnknown)
 {
     FakeStore store;
-    store.m_writeFaults = std::vector<CallFault>(maxPublishAttempts, CallFault::RequestLost);
+    store.writeFaults = std::vector<CallFault>(maxPublishAttempts, CallFault::RequestLost);
     const tl::expected<Published, PublishFailure> published =
         publishEdit(store, addZone, request());
     ASSERT_FALSE(published);
@@ -297,12 +297,12 @@
 TEST(Publication, SaysThatNothingWasWrittenWhereAllWritesWereRefused)
 {
     FakeStore store;
-    store.m_writeFaults = std::vector<CallFault>(maxPublishAttempts, CallFault::Refused);
+    store.writeFaults = std::vector<CallFault>(maxPublishAttempts, CallFault::Refused);
     const tl::expected<Published, PublishFailure> published =
         publishEdit(store, addZone, request());
     ASSERT_FALSE(published);
     EXPECT_EQ(published.error().error.code, ResultCode::StoreUnavailable);
-    EXPECT_EQ(store.m_changes, 0);
+    EXPECT_EQ(store.changes, 0);
 }
 
 TEST(Publication, AStoreWithAForeignValueIsLeftAlone)
@@ -310,7 +310,7 @@
     FakeStore store;
     store.apply("not a snapshot", 0);
     EXPECT_FALSE(publishEdit(store, addZone, request()));
-    EXPECT_EQ(store.m_value, "not a snapshot");
+    EXPECT_EQ(store.value, "not a snapshot");
 }
 
 TEST(Publication, AFailedEditWritesNothing)
@@ -320,7 +320,7 @@
         return Result<Snapshot>(fail(ResultCode::ConfigMissing, "no such zone"));
     };
     EXPECT_EQ(publishEdit(store, edit, request()).error().error.code, ResultCode::ConfigMissing);
-    EXPECT_EQ(store.m_writes, 0);
+    EXPECT_EQ(store.writes, 0);
 }
 
 TEST(Publication, NoncesDiffer)
