--- a/src/peer/codec.cpp
+++ b/src/peer/codec.cpp
@@ -54,6 +54,14 @@
     return value.get<std::int64_t>();
 }
 
+double readDouble(const Json &object, const char *key)
+{
+    const Json &value = field(object, key);
+    if (!value.is_number())
+        throw FieldError(std::string("field is not a number: ") + key);
+    return value.get<double>();
+}
+
 std::string readText(const Json &object, const char *key)
 {
     const Json &value = field(object, key);
@@ -172,7 +180,8 @@
             {"hs", demand.heldSerial},         {"r", demand.running},
             {"p", demand.promisedTokens},      {"q", demand.queuedWanted},
             {"w", demand.minimumTokensWanted}, {"f", demand.finishedTotal},
-            {"i", demand.incarnation.value},   {"at", demand.sentAt.count}};
+            {"i", demand.incarnation.value},   {"at", demand.sentAt.count},
+            {"sr", demand.settledRunning},     {"wt", demand.weight}};
 }
 
 EntryDemand readDemand(const Json &in)
@@ -188,6 +197,8 @@
     demand.finishedTotal = readUnsigned<std::uint64_t>(in, "f");
     demand.incarnation = Incarnation {readUnsigned<std::uint64_t>(in, "i")};
     demand.sentAt = Millis {readSigned(in, "at")};
+    demand.settledRunning = readUnsigned<std::uint32_t>(in, "sr");
+    demand.weight = readDouble(in, "wt");
     return demand;
 }
 
