--- a/src/tools/rollout.cpp
+++ b/src/tools/rollout.cpp
@@ -46,11 +46,10 @@
 Result<MemberAddress> parseMemberAddress(std::string_view name, std::string_view text)
 {
     const json value = json::parse(text, nullptr, false);
-    if (!value.is_object() || !value.contains("operator") || !value["operator"].is_string())
+    if (!value.is_object() || !value.contains("http") || !value["http"].is_string())
         return fail(ResultCode::StoreProtocol,
-                    "member " + std::string(name) + " has no address \"operator\" in the store");
-    const Result<HostPort> address =
-        parseHostPort(value["operator"].get_ref<const std::string &>());
+                    "member " + std::string(name) + " has no address \"http\" in the store");
+    const Result<HostPort> address = parseHostPort(value["http"].get_ref<const std::string &>());
     if (!address)
         return tl::unexpected<Error>(address.error());
     return MemberAddress {MemberName(name), *address, {}};
