Let the credit client ask the entry for its demands; forget peers that are gone

The client asks for demands when it sends them, so that they say what runs at that time. Daemons that were replaced, and peers that this one no longer dials, counted for ever as peers that cannot be reached, and would have turned an outage of the store into being cut off.

--- a/include/fescue/node/creditclient.h
+++ b/include/fescue/node/creditclient.h
@@ -15,12 +15,23 @@
 
 struct CreditClientOptions
 {
-    // A demand that wants more is sent at once, but not again within this time.
+    // Interval at which the demands are looked at.
+    Millis checkInterval = 100_ms;
+    // A demand that wants more is sent when it is looked at, but not again within this time.
     Millis coalesceInterval = 200_ms;
     // Every demand is repeated after this time, so that its credit is renewed before the term ends.
     Millis refreshInterval = 600_ms;
 };
 
+// What the client needs from the entry. Both are called on the control worker and must not wait.
+struct CreditClientHooks
+{
+    // Returns one demand for each endpoint that the entry uses or wants to use, sent at that time.
+    std::function<std::vector<EntryDemand>(Millis)> demands;
+    // A grant for this entry, to be applied to its wallet.
+    std::function<void(const CreditGrant &)> granted;
+};
+
 // Carries the demands of an entry to the authorities of its endpoints, and their grants back. Holds
 // links to exactly the authorities of the endpoints that it has a demand for. An authority that
 // does not own an endpoint grants nothing for it, and is asked again. Every method may be called
@@ -28,24 +39,19 @@
 class CreditClient
 {
 public:
-    // Called on the control worker with a grant for this entry; must not wait.
-    using GrantCallback = std::function<void(const CreditGrant &)>;
-
-    CreditClient(NodeControl &node, CreditClientOptions options, GrantCallback onGrant);
+    CreditClient(NodeControl &node, CreditClientHooks hooks, CreditClientOptions options = {});
     ~CreditClient();
     CreditClient(const CreditClient &) = delete;
     CreditClient &operator=(const CreditClient &) = delete;
 
     // Starts on the control worker. Call after NodeControl::start().
     void start();
-    // Ends sending and calling back. A callback that runs may still finish, unless the control
-    // worker has been stopped.
+    // Ends sending and calling back. A hook that runs may still finish, unless the control worker
+    // has been stopped.
     void stop();
 
-    // Replaces the demands: one for each endpoint that the entry uses or wants to use. A grant ends
-    // its term after the time at which the demand says that it was sent, so give fresh demands
-    // several times within each refresh interval.
-    void setDemands(std::vector<EntryDemand> demands);
+    // Sends demands that want more without waiting for the next look at them.
+    void flush();
 
     // Tells the authority of an endpoint what was seen there; lost where there is no link.
     void report(const peer::EndpointEvent &event);
--- a/include/fescue/peer/peerlinks.h
+++ b/include/fescue/peer/peerlinks.h
@@ -104,6 +104,9 @@
     // Says goodbye on every link, closes them and joins the thread. Callbacks stop.
     void stop();
 
+    // Ends the thread without a word to the other sides, as a crash does. Callbacks stop.
+    void abandon();
+
     // Replaces the set of wanted members. Links to others that this side dialled are closed.
     void setPeers(std::vector<PeerTarget> targets);
 
--- a/src/admission/admissiondaemon.cpp
+++ b/src/admission/admissiondaemon.cpp
@@ -56,6 +56,8 @@
     options.store = toAddress(m_settings.store);
     if (m_settings.vmList)
         options.vmList = toAddress(*m_settings.vmList);
+    for (const HostPort &seed : m_settings.seedPeers)
+        options.seedPeers.push_back(seed.toString());
     options.storeTimeout = m_settings.storeTimeout;
     options.leaseTtl = ownerLeaseTtl;
     options.leaseRenewInterval = ownerLeaseRenewInterval;
--- a/src/node/creditclient.cpp
+++ b/src/node/creditclient.cpp
@@ -4,68 +4,46 @@
 
 #include <atomic>
 #include <map>
-#include <mutex>
 #include <set>
 #include <utility>
 
 namespace fescue::node {
 
-namespace {
-
-// Interval at which the client looks for demands that have to be repeated.
-constexpr Millis checkInterval = 100_ms;
-
-} // namespace
-
-// m_mutex guards the demands as they were handed in, and is a leaf. What was sent belongs to the
-// control worker.
+// What was sent belongs to the control worker.
 class CreditClient::Impl : public std::enable_shared_from_this<CreditClient::Impl>
 {
 public:
-    Impl(NodeControl &node, CreditClientOptions options, GrantCallback onGrant)
-        : m_node(node), m_options(options), m_onGrant(std::move(onGrant))
+    Impl(NodeControl &node, CreditClientHooks hooks, CreditClientOptions options)
+        : m_node(node), m_hooks(std::move(hooks)), m_options(options)
     { }
 
     void loop()
     {
         while (!m_stopped) {
             sendDue();
-            net::sleepFor(checkInterval);
+            net::sleepFor(m_options.checkInterval);
         }
     }
 
+    // Marks a flush as pending. False where one is pending already.
+    [[nodiscard]] bool beginFlush() { return !m_stopped && !m_flushing.exchange(true); }
+
     void flush()
     {
         m_flushing = false;
-        sendDue();
+        if (!m_stopped)
+            sendDue();
     }
 
     void stop() noexcept { m_stopped = true; }
 
-    // Takes over demands. True where one wants more than before, and no flush is pending.
-    bool set(std::vector<EntryDemand> demands)
-    {
-        bool wantsMore = false;
-        const std::lock_guard<std::mutex> lock(m_mutex);
-        std::map<EndpointName, std::uint32_t> wanted;
-        for (const EntryDemand &demand : demands) {
-            const std::map<EndpointName, std::uint32_t>::const_iterator it =
-                m_wanted.find(demand.endpoint);
-            wantsMore = wantsMore || demand.queuedWanted > (it == m_wanted.end() ? 0 : it->second);
-            wanted.emplace(demand.endpoint, demand.queuedWanted);
-        }
-        m_wanted.swap(wanted);
-        m_demands = std::move(demands);
-        return wantsMore && !m_flushing.exchange(true);
-    }
-
     void received(const peer::CreditGrants &message)
     {
         for (CreditGrant grant : message.grants) {
             if (m_stopped)
                 return;
             grant.member = m_node.options().member;
-            m_onGrant(grant);
+            m_hooks.granted(grant);
         }
     }
 
@@ -84,30 +62,22 @@
     void updateLinks(std::set<MemberName> authorities);
 
     NodeControl &m_node;
+    const CreditClientHooks m_hooks;
     const CreditClientOptions m_options;
-    const GrantCallback m_onGrant;
     const SteadyClock m_clock;
     std::atomic<bool> m_flushing {false};
     std::atomic<bool> m_stopped {false};
-    std::mutex m_mutex;
-    std::vector<EntryDemand> m_demands;
-    std::map<EndpointName, std::uint32_t> m_wanted;
     std::map<EndpointName, Sent> m_sent;
     std::set<MemberName> m_authorities;
 };
 
 void CreditClient::Impl::sendDue()
 {
-    std::vector<EntryDemand> demands;
-    {
-        const std::lock_guard<std::mutex> lock(m_mutex);
-        demands = m_demands;
-    }
     const Millis now = m_clock.now();
     const NodeViewPtr view = m_node.currentView();
     std::map<MemberName, peer::CreditDemands> due;
     std::set<MemberName> authorities;
-    for (EntryDemand &demand : demands) {
+    for (EntryDemand &demand : m_hooks.demands(now)) {
         const MemberInfo *authority = view->authorityOf(demand.endpoint);
         if (!authority)
             continue;
@@ -147,8 +117,8 @@
     m_node.setExtraPeers({m_authorities.begin(), m_authorities.end()});
 }
 
-CreditClient::CreditClient(NodeControl &node, CreditClientOptions options, GrantCallback onGrant)
-    : m_impl(std::make_shared<Impl>(node, options, std::move(onGrant)))
+CreditClient::CreditClient(NodeControl &node, CreditClientHooks hooks, CreditClientOptions options)
+    : m_impl(std::make_shared<Impl>(node, std::move(hooks), options))
 { }
 
 CreditClient::~CreditClient()
@@ -166,9 +136,9 @@
     m_impl->stop();
 }
 
-void CreditClient::setDemands(std::vector<EntryDemand> demands)
+void CreditClient::flush()
 {
-    if (m_impl->set(std::move(demands)))
+    if (m_impl->beginFlush())
         m_impl->node().controlPool().spawn(0, [impl = m_impl] { impl->flush(); });
 }
 
--- a/src/node/nodecontrol.cpp
+++ b/src/node/nodecontrol.cpp
@@ -104,6 +104,8 @@
     bool ownCheckDue(Millis now) const;
     void pauseAfterFailure();
     void updatePeers();
+    void stopExpecting(const MemberName &member);
+    void forgetGoneMembers();
     void updateHeartbeat(Millis now);
     void updateView(Millis now);
     bool differs(const NodeView &view) const;
@@ -415,10 +417,8 @@
     } else {
         m_members.linkDown(now, hello.member);
     }
-    if (state == peer::LinkState::Left) {
-        m_expected.erase(hello.member);
-        m_judge.forgetPeer(hello.member);
-    }
+    if (state == peer::LinkState::Left)
+        stopExpecting(hello.member);
     m_viewDue = true;
     if (m_callbacks.onLink)
         m_callbacks.onLink(hello, state);
@@ -431,6 +431,7 @@
     const std::map<MemberName, MemberInfo>::iterator it = m_greeted.find(from);
     if (it == m_greeted.end())
         return;
+    m_expected.insert(from);
     m_viewDue = m_viewDue || it->second.leaving != heartbeat.leaving;
     it->second.leaving = heartbeat.leaving;
     m_members.heartbeat(now, it->second, heartbeat.membersRevision);
@@ -528,12 +529,45 @@
     }
     if (targets == m_targets)
         return;
-    for (const peer::PeerTarget &target : targets)
-        m_expected.insert(target.member);
+    for (const peer::PeerTarget &target : m_targets) {
+        if (!wanted.contains(target.member))
+            stopExpecting(target.member);
+    }
+    for (const peer::PeerTarget &target : targets) {
+        if (!target.anyMember)
+            m_expected.insert(target.member);
+    }
     m_targets = std::move(targets);
     m_links->setPeers(m_targets);
 }
 
+// Forgets a peer that this daemon no longer dials. If the peer dials this one, its next heartbeat
+// makes it expected again.
+void NodeControl::Impl::stopExpecting(const MemberName &member)
+{
+    m_expected.erase(member);
+    m_judge.forgetPeer(member);
+}
+
+// Forgets everything about members that are gone, so that replaced daemons do not count as peers
+// that cannot be reached.
+void NodeControl::Impl::forgetGoneMembers()
+{
+    std::set<MemberName> known;
+    for (const MemberView &member : m_lastMembers) {
+        if (member.state != MemberState::Gone)
+            known.insert(member.info.name);
+    }
+    const std::set<MemberName> expected = m_expected;
+    for (const MemberName &member : expected) {
+        if (!known.contains(member))
+            stopExpecting(member);
+    }
+    std::erase_if(m_greeted, [&known](const std::pair<const MemberName, MemberInfo> &entry) {
+        return !known.contains(entry.first);
+    });
+}
+
 void NodeControl::Impl::updateHeartbeat(Millis now)
 {
     const StoreVouch vouch = m_judge.ownVouch(now);
@@ -557,6 +591,7 @@
         std::vector<MemberView> members = m_members.table().members(now);
         if (members != m_lastMembers || m_targets.empty()) {
             m_lastMembers = std::move(members);
+            forgetGoneMembers();
             updatePeers();
         }
     }
--- a/src/peer/peerlinks.cpp
+++ b/src/peer/peerlinks.cpp
@@ -147,6 +147,7 @@
     Result<std::uint16_t> listen(std::string_view address);
     void start();
     void stop();
+    void abandon();
     void setPeers(std::vector<PeerTarget> targets);
     bool send(const MemberName &member, const Message &message);
     std::size_t broadcast(const Message &message);
@@ -297,6 +298,14 @@
     m_thread.join();
 }
 
+void PeerLinks::Impl::abandon()
+{
+    if (m_stopping.exchange(true) || !m_thread.joinable())
+        return;
+    m_io.stop();
+    m_thread.join();
+}
+
 void PeerLinks::Impl::setPeers(std::vector<PeerTarget> targets)
 {
     std::set<MemberName> wanted;
@@ -712,6 +721,11 @@
     m_impl->stop();
 }
 
+void PeerLinks::abandon()
+{
+    m_impl->abandon();
+}
+
 void PeerLinks::setPeers(std::vector<PeerTarget> targets)
 {
     m_impl->setPeers(std::move(targets));
--- a/tests/admission/admissiondaemon_test.cpp
+++ b/tests/admission/admissiondaemon_test.cpp
@@ -97,10 +97,14 @@
 {
 public:
     TestEntry(std::string_view name, const net::Address &store)
-        : m_wallet(MemberName(name)), m_node(name, store),
-          m_credits(m_node.control(), {}, [this](const CreditGrant &grant) { granted(grant); })
+        : m_wallet(MemberName(name)), m_node(name, store), m_credits(m_node.control(), hooks())
     {
-        m_node.control().controlPool().spawn(0, [this] { demandLoop(); });
+        // Messages reach the client from here on, on the worker that it runs on.
+        m_node.control().controlPool().spawn(0, [this] {
+            m_node.onMessage = [this](const MemberName &from, const peer::Message &message) {
+                m_credits.handleMessage(from, message);
+            };
+        });
         m_credits.start();
     }
 
@@ -133,20 +137,17 @@
     }
 
 private:
-    void demandLoop()
+    node::CreditClientHooks hooks()
     {
-        // Messages reach the client from here on, on the same worker.
-        m_node.onMessage = [this](const MemberName &from, const peer::Message &message) {
-            m_credits.handleMessage(from, message);
-        };
-        for (;;) {
-            const Millis now = SteadyClock {}.now();
+        node::CreditClientHooks hooks;
+        hooks.demands = [this](Millis now) {
             std::vector<EntryDemand> demands;
             for (const Endpoint &endpoint : m_node.view()->snapshot->endpoints)
                 demands.push_back(m_wallet.demand(endpoint.name, 20, 100, now));
-            m_credits.setDemands(std::move(demands));
-            net::sleepFor(50_ms);
-        }
+            return demands;
+        };
+        hooks.granted = [this](const CreditGrant &grant) { granted(grant); };
+        return hooks;
     }
 
     void granted(const CreditGrant &grant)
--- a/tests/node/nodecontrol_test.cpp
+++ b/tests/node/nodecontrol_test.cpp
@@ -177,6 +177,32 @@
     EXPECT_TRUE(a.waitForVersion(3));
 }
 
+// A daemon whose links are all silent, and which does not reach the store, is cut off; one that
+// reaches its peers knows that the store is out for all.
+TEST(NodeControl, TellsBeingCutOffFromAnOutage)
+{
+    TestStore store;
+    store.publish(makeSnapshot(1));
+    TestNode a("a", store.address());
+    TestNode b("b", store.address());
+    TestNode c("c", store.address());
+    for (TestNode *node : {&a, &b, &c}) {
+        ASSERT_TRUE(node->waitForVersion(1));
+        ASSERT_TRUE(node->waitForMembers(3));
+    }
+    store.control(R"({"outage": "hang"})");
+    ASSERT_TRUE(
+        a.waitFor([](const NodeView &view) { return view.freshness == FreshnessVerdict::Outage; }));
+    // The links of the others end without a word, and their listeners with them.
+    b.control().links().abandon();
+    c.control().links().abandon();
+    EXPECT_TRUE(a.waitFor(
+        [](const NodeView &view) { return view.freshness == FreshnessVerdict::Isolated; }));
+    store.control(R"({"outage": false})");
+    EXPECT_TRUE(
+        a.waitFor([](const NodeView &view) { return view.freshness == FreshnessVerdict::Fresh; }));
+}
+
 TEST(MemberJson, RoundTrip)
 {
     MemberInfo member;
