Publish where operators reach an admission daemon

The key of an admission daemon had no HTTP address, so publishing could not ask it which version it has in force. The role now says whether the address serves callers.

--- a/include/fescue/node/nodeoptions.h
+++ b/include/fescue/node/nodeoptions.h
@@ -26,6 +26,8 @@
     Incarnation incarnation;
     // Where callers connect, as told to others. Only entries have one.
     std::string callerAddress;
+    // Where operators ask for the status; empty: the same.
+    std::string operatorAddress;
     // "ip:port" of the listener for other daemons; port 0 takes a free one.
     std::string peerListen;
     net::Address store;
--- a/src/admission/admissiondaemon.cpp
+++ b/src/admission/admissiondaemon.cpp
@@ -52,6 +52,7 @@
     options.zone = m_settings.zone;
     options.vm = m_settings.vm;
     options.incarnation = m_incarnation;
+    options.operatorAddress = m_server->address().toString();
     options.peerListen = m_settings.peerListen.toString();
     options.store = toAddress(m_settings.store);
     if (m_settings.vmList)
--- a/src/node/memberjson.cpp
+++ b/src/node/memberjson.cpp
@@ -9,12 +9,12 @@
     return member.callerAddress.empty() ? peer::Role::Admission : peer::Role::Entry;
 }
 
-std::string toJson(const MemberInfo &member)
+std::string toJson(const MemberInfo &member, std::string_view httpAddress)
 {
     const nlohmann::json out {
         {"member", member.name.text()}, {"role", peer::toString(roleOf(member))},
         {"zone", member.zone.text()},   {"vm", member.vm.text()},
-        {"http", member.callerAddress}, {"peer", member.peerAddress},
+        {"http", httpAddress},          {"peer", member.peerAddress},
         {"leaving", member.leaving},    {"incarnation", member.incarnation.value},
     };
     return out.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
@@ -28,7 +28,8 @@
         member.name = MemberName(in.at("member").get<std::string>());
         member.zone = ZoneName(in.at("zone").get<std::string>());
         member.vm = VmName(in.at("vm").get<std::string>());
-        member.callerAddress = in.at("http").get<std::string>();
+        if (in.at("role") == peer::toString(peer::Role::Entry))
+            member.callerAddress = in.at("http").get<std::string>();
         member.peerAddress = in.at("peer").get<std::string>();
         member.incarnation = Incarnation {in.at("incarnation").get<std::uint64_t>()};
         member.leaving = in.at("leaving").get<bool>();
--- a/src/node/nodecontrol.cpp
+++ b/src/node/nodecontrol.cpp
@@ -222,7 +222,9 @@
     if (!port)
         return tl::unexpected<Error>(port.error());
     m_self = describeSelf(*m_links);
-    m_registration.emplace(m_store, m_self, m_options.leaseTtl,
+    const std::string &httpAddress =
+        m_options.operatorAddress.empty() ? m_options.callerAddress : m_options.operatorAddress;
+    m_registration.emplace(m_store, m_self, httpAddress, m_options.leaseTtl,
                            [this](LeaseChange change, Millis sentAt) {
                                if (change == LeaseChange::Lost)
                                    m_timeline.record("lease-lost", m_self.name.text());
--- a/src/node/registration.cpp
+++ b/src/node/registration.cpp
@@ -39,7 +39,7 @@
 bool Registration::writeKey()
 {
     const std::string key = std::string(memberKeyPrefix) + m_self.name.text();
-    const std::string value = toJson(m_self);
+    const std::string value = toJson(m_self, m_httpAddress);
     const net::StoreResult<net::StoreRevision> created = m_store.putIfAbsent(key, value, m_lease);
     if (created) {
         m_written = true;
--- a/src/node/registration.h
+++ b/src/node/registration.h
@@ -5,6 +5,7 @@
 #include "fescue/node/nodecontrol.h"
 
 #include <functional>
+#include <string>
 #include <string_view>
 #include <utility>
 
@@ -17,9 +18,10 @@
     // Called with the time at which the request was sent.
     using LeaseCallback = std::function<void(LeaseChange, Millis)>;
 
-    Registration(net::StoreClient store, MemberInfo self, Millis ttl, LeaseCallback onLease)
-        : m_store(std::move(store)), m_self(std::move(self)), m_ttl(ttl),
-          m_onLease(std::move(onLease))
+    Registration(net::StoreClient store, MemberInfo self, std::string httpAddress, Millis ttl,
+                 LeaseCallback onLease)
+        : m_store(std::move(store)), m_self(std::move(self)), m_httpAddress(std::move(httpAddress)),
+          m_ttl(ttl), m_onLease(std::move(onLease))
     { }
 
     // Creates or renews the lease, and writes the key where it is missing or outdated. False where
@@ -48,6 +50,7 @@
 
     net::StoreClient m_store;
     MemberInfo m_self;
+    std::string m_httpAddress;
     Millis m_ttl;
     LeaseCallback m_onLease;
     net::LeaseId m_lease;
--- a/tests/node/nodecontrol_test.cpp
+++ b/tests/node/nodecontrol_test.cpp
@@ -213,9 +213,14 @@
     member.callerAddress = "127.0.0.1:80";
     member.peerAddress = "127.0.0.1:81";
     member.leaving = true;
-    const Result<MemberInfo> back = parseMember(toJson(member));
+    const Result<MemberInfo> back = parseMember(toJson(member, member.callerAddress));
     ASSERT_TRUE(back.has_value());
     EXPECT_EQ(*back, member);
+    member.callerAddress.clear();
+    const std::string admission = toJson(member, "127.0.0.1:80");
+    ASSERT_TRUE(parseMember(admission).has_value());
+    EXPECT_EQ(roleOf(*parseMember(admission)), peer::Role::Admission);
+    EXPECT_EQ(nlohmann::json::parse(admission).at("http"), "127.0.0.1:80");
     EXPECT_FALSE(parseMember("{}").has_value());
     EXPECT_FALSE(parseMember("[").has_value());
 }
