--- a/src/node/memberjson.cpp
+++ b/src/node/memberjson.cpp
@@ -28,7 +28,7 @@
         member.name = MemberName(in.at("member").get<std::string>());
         member.zone = ZoneName(in.at("zone").get<std::string>());
         member.vm = VmName(in.at("vm").get<std::string>());
-        if (in.at("role").get<std::string>() == peer::toString(peer::Role::Entry))
+        if (in.at("role") == peer::toString(peer::Role::Entry))
             member.callerAddress = in.at("http").get<std::string>();
         member.peerAddress = in.at("peer").get<std::string>();
         member.incarnation = Incarnation {in.at("incarnation").get<std::uint64_t>()};
--- a/src/node/registration.h
+++ b/src/node/registration.h
@@ -5,6 +5,7 @@
 #include "fescue/node/nodecontrol.h"
 
 #include <functional>
+#include <string>
 #include <string_view>
 #include <utility>
 
@@ -17,7 +18,6 @@
     // Called with the time at which the request was sent.
     using LeaseCallback = std::function<void(LeaseChange, Millis)>;
 
-    // `httpAddress` is where operators reach this daemon.
     Registration(net::StoreClient store, MemberInfo self, std::string httpAddress, Millis ttl,
                  LeaseCallback onLease)
         : m_store(std::move(store)), m_self(std::move(self)), m_httpAddress(std::move(httpAddress)),
