--- a/bench/controltraffic.cpp
+++ b/bench/controltraffic.cpp
@@ -27,6 +27,8 @@
     int daemons = 20;
     int seconds = 10;
     int publishes = 5;
+    // Every daemon watches the store, for comparison.
+    bool everyDaemonWatches = false;
 };
 
 struct Daemon
@@ -52,6 +54,14 @@
     return seconds(usage.ru_utime) + seconds(usage.ru_stime);
 }
 
+// Memory of this process; with many daemons the part of the process itself hardly counts.
+long residentKilobytes()
+{
+    rusage usage {};
+    getrusage(RUSAGE_SELF, &usage);
+    return usage.ru_maxrss;
+}
+
 Snapshot makeSnapshot(std::uint64_t version)
 {
     Snapshot snapshot;
@@ -78,6 +88,8 @@
         node.callerAddress = "127.0.0.1:1";
         node.peerListen = "127.0.0.1:0";
         node.store = store;
+        if (options.everyDaemonWatches)
+            node.minWatchers = static_cast<std::size_t>(options.daemons);
         daemons.push_back(std::make_unique<Daemon>(std::move(node)));
         if (!daemons.back()->control.start())
             throw std::runtime_error("a daemon cannot listen");
@@ -147,6 +159,8 @@
               << static_cast<double>(after.calls.writes - before.calls.writes) / seconds
               << " watches "
               << static_cast<double>(after.calls.watches - before.calls.watches) / seconds << "\n";
+    std::cout << "  resident per daemon: " << static_cast<double>(residentKilobytes()) / n
+              << " KB\n";
     std::cout << "  share of a core per daemon: "
               << (after.processor - before.processor) / seconds / n * 100 << " %\n";
 }
@@ -196,6 +210,8 @@
     app.add_option("--store", options.store, "address of a store stand-in")->required();
     app.add_option("--daemons", options.daemons, "control parts to run");
     app.add_option("--seconds", options.seconds, "length of the measurement");
+    app.add_flag("--every-daemon-watches", options.everyDaemonWatches,
+                 "for comparison: no daemon relies on others");
     CLI11_PARSE(app, argc, argv);
     return run(options);
 }
--- a/include/fescue/node/nodecontrol.h
+++ b/include/fescue/node/nodecontrol.h
@@ -57,6 +57,8 @@
 
     // Marks this daemon as leaving: members learn it, and the view says so at once.
     void setLeaving();
+    // True once the store has confirmed that this daemon is marked as leaving.
+    [[nodiscard]] bool leavingConfirmed() const noexcept;
 
     // The latest view; never null. Callable from any thread.
     [[nodiscard]] NodeViewPtr currentView() const;
--- a/src/node/nodecontrol.cpp
+++ b/src/node/nodecontrol.cpp
@@ -57,6 +57,7 @@
     Result<void> start();
     void stop();
     void setLeaving();
+    bool leavingConfirmed() const noexcept { return m_leavingConfirmed; }
 
     NodeViewPtr currentView() const
     {
@@ -134,6 +135,7 @@
 
     int m_storeFailures = 0;
     bool m_leaving = false;
+    std::atomic<bool> m_leavingConfirmed {false};
     std::atomic<bool> m_stopped {false};
     std::vector<MemberName> m_extraPeers;
     std::vector<peer::PeerTarget> m_targets;
@@ -271,6 +273,7 @@
         m_viewDue = true;
         updateView(m_clock.now());
         storeAnswered(m_registration->keep(m_clock.now()));
+        m_leavingConfirmed = m_registration->leavingConfirmed();
     });
 }
 
@@ -317,6 +320,7 @@
 {
     while (!m_stopped) {
         const bool kept = m_registration->keep(m_clock.now());
+        m_leavingConfirmed = m_registration->leavingConfirmed();
         storeAnswered(kept || m_registration->superseded());
         if (kept)
             net::sleepFor(m_options.leaseRenewInterval);
@@ -437,6 +441,7 @@
     m_viewDue = m_viewDue || it->second.leaving != heartbeat.leaving;
     it->second.leaving = heartbeat.leaving;
     m_members.heartbeat(now, it->second, heartbeat.membersRevision);
+    m_judge.versionExists(heartbeat.configVersion);
     m_config.peerHas(now, from, heartbeat.configVersion);
     fetchConfig();
     if (!askedAt)
@@ -452,6 +457,7 @@
 {
     const Millis now = m_clock.now();
     if (const peer::VersionNotice *notice = std::get_if<peer::VersionNotice>(&message)) {
+        m_judge.versionExists(notice->version);
         m_config.peerHas(now, from, notice->version);
         fetchConfig();
     } else if (const peer::ConfigRequest *ask = std::get_if<peer::ConfigRequest>(&message)) {
@@ -672,6 +678,11 @@
     m_impl->setLeaving();
 }
 
+bool NodeControl::leavingConfirmed() const noexcept
+{
+    return m_impl->leavingConfirmed();
+}
+
 NodeViewPtr NodeControl::currentView() const
 {
     return m_impl->currentView();
--- a/src/node/registration.cpp
+++ b/src/node/registration.cpp
@@ -40,12 +40,13 @@
 {
     const std::string key = std::string(memberKeyPrefix) + m_self.name.text();
     const std::string value = toJson(m_self, m_httpAddress);
+    // The mark may be set while a write without it is under way, which must not count then.
+    const bool leaving = m_self.leaving;
     const net::StoreResult<net::StoreRevision> created = m_store.putIfAbsent(key, value, m_lease);
-    if (created) {
-        m_written = true;
-        return true;
-    }
-    return created.error().code == ResultCode::StoreConflict && takeOver(key, value);
+    const bool conflict = !created && created.error().code == ResultCode::StoreConflict;
+    const bool landed = created || (conflict && takeOver(key, value));
+    m_written = landed && leaving == m_self.leaving;
+    return landed;
 }
 
 // Replaces the key of an earlier start of this daemon.
@@ -58,8 +59,7 @@
     m_superseded = holder && holder->incarnation > m_self.incarnation;
     if (m_superseded)
         return false;
-    m_written = m_store.putIfMatch(key, value, present->revision, m_lease).has_value();
-    return m_written;
+    return m_store.putIfMatch(key, value, present->revision, m_lease).has_value();
 }
 
 void Registration::release()
--- a/src/node/registration.h
+++ b/src/node/registration.h
@@ -39,6 +39,8 @@
     void release();
 
     [[nodiscard]] net::LeaseId lease() const noexcept { return m_lease; }
+    // True once the store has confirmed the key with the mark.
+    [[nodiscard]] bool leavingConfirmed() const noexcept { return m_written && m_self.leaving; }
     // True where a later start of a process with the same name has taken the key.
     [[nodiscard]] bool superseded() const noexcept { return m_superseded; }
     [[nodiscard]] const MemberInfo &self() const noexcept { return m_self; }
--- a/src/programs/entry/entrydaemon.h
+++ b/src/programs/entry/entrydaemon.h
@@ -30,6 +30,8 @@
 
     // Leaves the directory; requests are still served.
     void leaveDirectory();
+    // True once the store has confirmed that this entry is leaving.
+    [[nodiscard]] bool leftDirectory() const noexcept { return m_node->leavingConfirmed(); }
     // Refuses new requests from now on; open ones go on.
     void refuseNew();
     // Requests and outcomes that are not finished.
--- a/src/programs/entry/main.cpp
+++ b/src/programs/entry/main.cpp
@@ -43,6 +43,8 @@
         const bool signalled = stopSignalled(signals);
         drain.raiseDirectoryTtl(daemon.directoryTtl());
         const Millis now = clock.now();
+        if (daemon.leftDirectory())
+            drain.withdrawalConfirmed(now);
         if (signalled && stopBy == Millis {0})
             stopBy = now + settings.drainGrace;
         DrainStep step = signalled ? drain.stop(now) : drain.tick(now, daemon.open());
--- a/test.sh
+++ b/test.sh
@@ -4,4 +4,4 @@
 cd "$(dirname "$0")"
 ./install.sh
 ./build.sh
-ctest --test-dir build --output-on-failure
+ctest --test-dir build --output-on-failure -j 6
