--- a/tests/node/nodecontrol_test.cpp
+++ b/tests/node/nodecontrol_test.cpp
@@ -53,6 +53,7 @@
     TestStore store;
     store.publish(makeSnapshot(1));
     std::vector<std::unique_ptr<TestNode>> nodes;
+    nodes.reserve(8);
     for (int i = 0; i < 8; ++i)
         nodes.push_back(std::make_unique<TestNode>("n" + std::to_string(i), store.address(),
                                                    peer::Role::Entry, [](NodeOptions &options) {
