Share the daemons' start, settings and operators' routes

Cause: both daemon programs and both daemons had the same command line, ports file, limits and routes, 4 pairs of 20 to 45 lines. No change of behaviour; fescue-admission now bounds writes to slow readers like fescue-entry.

--- a/include/fescue/gateway/gateway.h
+++ b/include/fescue/gateway/gateway.h
@@ -61,6 +61,8 @@
                                                                     const Caller &caller) const;
     [[nodiscard]] tl::expected<PlainRequest, net::Problem>
     parsePlain(const net::HttpRequest &request, const Caller &caller) const;
+    // Counts a request of the account as open, up to its limit.
+    [[nodiscard]] tl::expected<StreamTicket, net::Problem> takeTicket(const Caller &caller) const;
     [[nodiscard]] Result<Deadline> deadlineOf(const net::HttpRequest &request) const;
     void refuse(net::ResponseWriter &writer, const net::Problem &problem);
 
--- a/src/admission/admissiondaemon.cpp
+++ b/src/admission/admissiondaemon.cpp
@@ -1,6 +1,10 @@
 #include "admissiondaemon.h"
 
-#include <charconv>
+#include "fescue/node/daemonsupport.h"
+#include "fescue/node/operatorroutes.h"
+
+#include <optional>
+#include <string>
 #include <utility>
 
 namespace fescue::admission {
@@ -12,21 +16,6 @@
 constexpr Millis ownerLeaseTtl = 3_s;
 constexpr Millis ownerLeaseRenewInterval = 1_s;
 
-net::Address toAddress(const HostPort &hostPort)
-{
-    return {hostPort.ip, hostPort.port};
-}
-
-net::ServerLimits serverLimits(const LimitSettings &settings)
-{
-    net::ServerLimits limits;
-    limits.maxHeadBytes = static_cast<std::uint32_t>(settings.maxHeadBytes);
-    limits.maxBodyBytes = settings.maxBodyBytes;
-    limits.maxConnections = settings.maxConnections;
-    limits.idleTimeout = settings.idleTimeout;
-    return limits;
-}
-
 } // namespace
 
 AdmissionDaemon::AdmissionDaemon(const DaemonSettings &settings)
@@ -46,20 +35,8 @@
 
 node::NodeOptions AdmissionDaemon::nodeOptions() const
 {
-    node::NodeOptions options;
-    options.member = m_settings.name;
-    options.role = peer::Role::Admission;
-    options.zone = m_settings.zone;
-    options.vm = m_settings.vm;
-    options.incarnation = m_incarnation;
+    node::NodeOptions options = node::nodeOptions(m_settings, peer::Role::Admission, m_incarnation);
     options.operatorAddress = m_server->address().toString();
-    options.peerListen = m_settings.peerListen.toString();
-    options.store = toAddress(m_settings.store);
-    if (m_settings.vmList)
-        options.vmList = toAddress(*m_settings.vmList);
-    for (const HostPort &seed : m_settings.seedPeers)
-        options.seedPeers.push_back(seed.toString());
-    options.storeTimeout = m_settings.storeTimeout;
     options.leaseTtl = ownerLeaseTtl;
     options.leaseRenewInterval = ownerLeaseRenewInterval;
     return options;
@@ -68,7 +45,7 @@
 Result<void> AdmissionDaemon::start()
 {
     m_server = std::make_unique<net::HttpServer>(
-        m_pool, toAddress(m_settings.listen), serverLimits(m_settings.limits),
+        m_pool, node::toAddress(m_settings.listen), node::serverLimits(m_settings.limits),
         [this](const net::HttpRequest &request, net::ResponseWriter &writer) {
             serve(request, writer);
         });
@@ -209,30 +186,14 @@
 
 void AdmissionDaemon::serve(const net::HttpRequest &request, net::ResponseWriter &writer)
 {
-    net::HttpResponse response;
-    const bool ready = m_serving && m_node->currentView()->ready;
-    if (request.method != "GET") {
-        response.status = 405;
-    } else if (request.target == "/metrics") {
-        response.headers.push_back({"Content-Type", "text/plain; version=0.0.4"});
-        response.body = m_metrics.serialize();
-    } else if (request.target == "/healthz") {
-        response.body = "ok\n";
-    } else if (request.target == "/readyz") {
-        response.status = ready ? 200 : 503;
-        response.body = ready ? "ready\n" : "not ready\n";
-    } else if (request.target == "/status") {
-        response = net::jsonResponse(200, m_serving ? m_node->status() : "{\"ready\":false}");
-    } else if (request.target == "/timeline") {
-        std::int64_t since = 0;
-        const std::string text = request.queryValue("since").value_or("0");
-        std::from_chars(text.data(), text.data() + text.size(), since);
-        response = net::jsonResponse(200, m_timeline.toJson(since));
-    } else {
-        response = net::problemResponse(
+    const node::OperatorSources sources {
+        m_metrics, m_timeline, [this] { return m_serving && m_node->currentView()->ready; },
+        [this] { return m_serving ? m_node->status() : std::string("{\"ready\":false}"); }};
+    std::optional<net::HttpResponse> answer = node::answerOperator(request, sources);
+    if (!answer)
+        answer = net::problemResponse(
             {404, ResultCode::NoSuchRoute, RunState::NotRun, "no route for " + request.target, {}});
-    }
-    static_cast<void>(writer.send(response));
+    static_cast<void>(writer.send(*answer));
 }
 
 } // namespace fescue::admission
--- a/src/admission/admissiondaemon.h
+++ b/src/admission/admissiondaemon.h
@@ -5,6 +5,7 @@
 #include "fescue/config/settings.h"
 #include "fescue/net/httpserver.h"
 #include "fescue/net/workerpool.h"
+#include "fescue/node/daemonprogram.h"
 #include "fescue/node/nodecontrol.h"
 #include "fescue/observe/metrics.h"
 #include "fescue/observe/timeline.h"
@@ -38,6 +39,10 @@
 
     [[nodiscard]] net::Address httpAddress() const { return m_server->address(); }
     [[nodiscard]] const std::string &peerAddress() const { return m_node->peerAddress(); }
+    [[nodiscard]] node::ListenAddresses addresses() const
+    {
+        return {httpAddress().toString(), peerAddress()};
+    }
 
 private:
     void serve(const net::HttpRequest &request, net::ResponseWriter &writer);
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -4,6 +4,7 @@
 #include "fescue/gateway/plaincall.h"
 #include "fescue/gateway/plainexchange.h"
 #include "fescue/gateway/problem.h"
+#include "fescue/node/operatorroutes.h"
 
 #include <algorithm>
 #include <charconv>
@@ -89,29 +90,13 @@
 
 bool Gateway::serveOperators(const net::HttpRequest &request, net::ResponseWriter &writer)
 {
-    if (request.method != "GET")
-        return false;
-    net::HttpResponse response;
-    if (request.target == "/metrics") {
-        response.headers.push_back({"Content-Type", "text/plain; version=0.0.4"});
-        response.body = m_parts.metrics.serialize();
-    } else if (request.target == "/healthz") {
-        response.body = "ok\n";
-    } else if (request.target == "/readyz") {
-        const bool ready = m_parts.views.current()->ready && m_intake.open();
-        response.status = ready ? 200 : 503;
-        response.body = ready ? "ready\n" : "not ready\n";
-    } else if (request.target == "/status") {
-        response = net::jsonResponse(200, m_status());
-    } else if (request.target == "/timeline") {
-        std::int64_t since = 0;
-        const std::string text = request.queryValue("since").value_or("0");
-        std::from_chars(text.data(), text.data() + text.size(), since);
-        response = net::jsonResponse(200, m_parts.timeline.toJson(since));
-    } else {
+    const node::OperatorSources sources {
+        m_parts.metrics, m_parts.timeline,
+        [this] { return m_parts.views.current()->ready && m_intake.open(); }, m_status};
+    const std::optional<net::HttpResponse> answer = node::answerOperator(request, sources);
+    if (!answer)
         return false;
-    }
-    static_cast<void>(writer.send(response));
+    static_cast<void>(writer.send(*answer));
     return true;
 }
 
@@ -149,6 +134,16 @@
     return caller;
 }
 
+tl::expected<StreamTicket, net::Problem> Gateway::takeTicket(const Caller &caller) const
+{
+    std::optional<StreamTicket> ticket =
+        m_parts.streams.open(caller.account->name, caller.account->maxStreams);
+    if (!ticket)
+        return refusal(ResultCode::AccountStreamLimit,
+                       "the account has as many requests open as it may", streamLimitDelay);
+    return std::move(*ticket);
+}
+
 Result<Deadline> Gateway::deadlineOf(const net::HttpRequest &request) const
 {
     const std::string_view header = request.header("X-Deadline-Ms");
@@ -212,13 +207,9 @@
         return refuse(writer,
                       makeProblem(ResultCode::NotAllowed, RunState::NotRun,
                                   "the account may not use this model"));
-    const std::optional<StreamTicket> ticket =
-        m_parts.streams.open(caller->account->name, caller->account->maxStreams);
+    const tl::expected<StreamTicket, net::Problem> ticket = takeTicket(*caller);
     if (!ticket)
-        return refuse(writer,
-                      makeProblem(ResultCode::AccountStreamLimit, RunState::NotRun,
-                                  "the account has as many requests open as it may",
-                                  streamLimitDelay));
+        return refuse(writer, ticket.error());
     const std::uint32_t limit = service->maxOutputTokens;
     const std::uint32_t maxTokens =
         completion->maxTokens == 0 ? limit : std::min(completion->maxTokens, limit);
@@ -253,13 +244,9 @@
     if (!deadline)
         return refuse(
             writer, makeProblem(deadline.error().code, RunState::NotRun, deadline.error().message));
-    const std::optional<StreamTicket> ticket =
-        m_parts.streams.open(caller->account->name, caller->account->maxStreams);
+    const tl::expected<StreamTicket, net::Problem> ticket = takeTicket(*caller);
     if (!ticket)
-        return refuse(writer,
-                      makeProblem(ResultCode::AccountStreamLimit, RunState::NotRun,
-                                  "the account has as many requests open as it may",
-                                  streamLimitDelay));
+        return refuse(writer, ticket.error());
     m_parts.timeline.record("resume", id->stream, "from token " + std::to_string(id->index + 1));
     GenerationRelay relay(m_parts, writer,
                           {caller->account->name, caller->view->snapshot->streamSecret, *deadline});
@@ -343,13 +330,9 @@
     tl::expected<PlainRequest, net::Problem> plain = parsePlain(request, *caller);
     if (!plain)
         return refuse(writer, plain.error());
-    const std::optional<StreamTicket> ticket =
-        m_parts.streams.open(caller->account->name, caller->account->maxStreams);
+    const tl::expected<StreamTicket, net::Problem> ticket = takeTicket(*caller);
     if (!ticket)
-        return refuse(writer,
-                      makeProblem(ResultCode::AccountStreamLimit, RunState::NotRun,
-                                  "the account has as many requests open as it may",
-                                  streamLimitDelay));
+        return refuse(writer, ticket.error());
     if (plain->contract.repeatable) {
         PlainCall call(m_parts, writer, std::move(*plain));
         call.runRepeatable();
--- a/src/programs/entry/entrydaemon.cpp
+++ b/src/programs/entry/entrydaemon.cpp
@@ -1,6 +1,6 @@
 #include "entrydaemon.h"
 
-#include "fescue/observe/log.h"
+#include "fescue/node/daemonsupport.h"
 
 #include <utility>
 
@@ -10,28 +10,12 @@
 
 constexpr Millis admissionTickInterval = 20_ms;
 
-net::Address toAddress(const HostPort &hostPort)
-{
-    return {hostPort.ip, hostPort.port};
-}
-
-net::ServerLimits serverLimits(const LimitSettings &settings)
-{
-    net::ServerLimits limits;
-    limits.maxHeadBytes = static_cast<std::uint32_t>(settings.maxHeadBytes);
-    limits.maxBodyBytes = settings.maxBodyBytes;
-    limits.maxConnections = settings.maxConnections;
-    limits.idleTimeout = settings.idleTimeout;
-    limits.writeTimeout = settings.callerWriteTimeout;
-    return limits;
-}
-
 } // namespace
 
 EntryDaemon::EntryDaemon(const DaemonSettings &settings)
     : m_settings(settings), m_incarnation {static_cast<std::uint64_t>(observe::wallMillisNow())},
       m_timeline(settings.name.text()), m_pool(settings.workers),
-      m_claims(m_client, toAddress(settings.store), m_claimCalls, settings.storeTimeout),
+      m_claims(m_client, node::toAddress(settings.store), m_claimCalls, settings.storeTimeout),
       m_admission(settings.name), m_parts {settings.name, m_incarnation, {},        {},
                                            m_views,       m_admission,   m_budgets, m_streams,
                                            m_pool,        m_client,      m_claims,  m_metrics,
@@ -52,7 +36,7 @@
 Result<void> EntryDaemon::start()
 {
     m_server = std::make_unique<net::HttpServer>(
-        m_pool, toAddress(m_settings.listen), serverLimits(m_settings.limits),
+        m_pool, node::toAddress(m_settings.listen), node::serverLimits(m_settings.limits),
         [this](const net::HttpRequest &request, net::ResponseWriter &writer) {
             m_gateway.handle(request, writer);
         });
@@ -83,20 +67,8 @@
 
 node::NodeOptions EntryDaemon::nodeOptions() const
 {
-    node::NodeOptions options;
-    options.member = m_settings.name;
-    options.role = peer::Role::Entry;
-    options.zone = m_settings.zone;
-    options.vm = m_settings.vm;
-    options.incarnation = m_incarnation;
+    node::NodeOptions options = node::nodeOptions(m_settings, peer::Role::Entry, m_incarnation);
     options.callerAddress = m_server->address().toString();
-    options.peerListen = m_settings.peerListen.toString();
-    options.store = toAddress(m_settings.store);
-    if (m_settings.vmList)
-        options.vmList = toAddress(*m_settings.vmList);
-    for (const HostPort &seed : m_settings.seedPeers)
-        options.seedPeers.push_back(seed.toString());
-    options.storeTimeout = m_settings.storeTimeout;
     return options;
 }
 
@@ -147,14 +119,9 @@
     return m_views.current()->snapshot->directoryTtl;
 }
 
-net::Address EntryDaemon::callerAddress() const
-{
-    return m_server->address();
-}
-
-std::string EntryDaemon::peerAddress() const
+node::ListenAddresses EntryDaemon::addresses() const
 {
-    return m_node->peerAddress();
+    return {m_server->address().toString(), m_node->peerAddress()};
 }
 
 std::string EntryDaemon::status() const
--- a/src/programs/entry/entrydaemon.h
+++ b/src/programs/entry/entrydaemon.h
@@ -5,6 +5,7 @@
 #include "fescue/net/httpserver.h"
 #include "fescue/net/workerpool.h"
 #include "fescue/node/creditclient.h"
+#include "fescue/node/daemonprogram.h"
 #include "fescue/node/nodecontrol.h"
 #include "fescue/observe/metrics.h"
 #include "fescue/observe/timeline.h"
@@ -38,8 +39,7 @@
     [[nodiscard]] std::size_t open() const noexcept;
     [[nodiscard]] Millis directoryTtl() const;
 
-    [[nodiscard]] net::Address callerAddress() const;
-    [[nodiscard]] std::string peerAddress() const;
+    [[nodiscard]] node::ListenAddresses addresses() const;
 
 private:
     void takeView(const node::NodeViewPtr &view);
--- a/tests/gateway/gatewayfixture.h
+++ b/tests/gateway/gatewayfixture.h
@@ -8,6 +8,7 @@
 #include <future>
 #include <gtest/gtest.h>
 #include <memory>
+#include <numeric>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -177,9 +178,8 @@
 // The numbers [0, n).
 inline std::vector<int> upTo(int n)
 {
-    std::vector<int> numbers;
-    for (int each = 0; each < n; ++each)
-        numbers.push_back(each);
+    std::vector<int> numbers(static_cast<std::size_t>(n));
+    std::iota(numbers.begin(), numbers.end(), 0);
     return numbers;
 }
 
