Halve the read buffer of a relay

Cause: an open stream took 39 KB, of which 16 KB were the zeroed read buffer. Ruled out: the fiber stack, whose touched pages are the same for every request.

--- a/include/fescue/gateway/gatewayparts.h
+++ b/include/fescue/gateway/gatewayparts.h
@@ -28,7 +28,7 @@
     Millis engineHeadTimeout = 5_s;
     // Interval of comments to the caller while there are no tokens.
     Millis callerKeepAlive = 1_s;
-    std::size_t readBufferBytes = std::size_t {16} * 1024;
+    std::size_t readBufferBytes = std::size_t {8} * 1024;
     // Longest idempotency key, in bytes.
     std::size_t maxKeyBytes = 256;
 };
