--- a/src/gateway/generationrelay.cpp
+++ b/src/gateway/generationrelay.cpp
@@ -359,22 +359,24 @@
 
 void GenerationRelay::performOne(const generation::Action &action, std::string_view data)
 {
-    if (const auto *token = std::get_if<generation::ForwardToken>(&action)) {
+    if (const generation::ForwardToken *token = std::get_if<generation::ForwardToken>(&action)) {
         appendToken(token->index, data);
-    } else if (const auto *resume = std::get_if<generation::Resume>(&action)) {
+    } else if (const generation::Resume *resume = std::get_if<generation::Resume>(&action)) {
         m_stream.close();
         m_resume = *resume;
         m_delay = resume->delay;
         m_next = Next::Resume;
-    } else if (const auto *afresh = std::get_if<generation::StartAfresh>(&action)) {
+    } else if (const generation::StartAfresh *afresh =
+                   std::get_if<generation::StartAfresh>(&action)) {
         m_stream.close();
         m_delay = afresh->delay;
         m_next = Next::Admit;
     } else if (std::holds_alternative<generation::Finish>(action)) {
         finish();
-    } else if (const auto *failure = std::get_if<generation::FailFinal>(&action)) {
+    } else if (const generation::FailFinal *failure = std::get_if<generation::FailFinal>(&action)) {
         fail(*failure);
-    } else if (const auto *cancel = std::get_if<generation::CancelAtEngine>(&action)) {
+    } else if (const generation::CancelAtEngine *cancel =
+                   std::get_if<generation::CancelAtEngine>(&action)) {
         cancelAtEngine(cancel->generation);
     } else if (std::holds_alternative<generation::Detach>(action)) {
         m_stream.close();
--- a/src/gateway/plaincall.cpp
+++ b/src/gateway/plaincall.cpp
@@ -162,17 +162,17 @@
 
 void ClaimedCall::perform(const claim::Action &action, net::ResponseWriter *writer)
 {
-    if (const auto *create = std::get_if<claim::CreateClaim>(&action)) {
+    if (const claim::CreateClaim *create = std::get_if<claim::CreateClaim>(&action)) {
         write(create->record, std::nullopt);
-    } else if (const auto *replace = std::get_if<claim::ReplaceClaim>(&action)) {
+    } else if (const claim::ReplaceClaim *replace = std::get_if<claim::ReplaceClaim>(&action)) {
         write(replace->record, replace->revision);
     } else if (std::holds_alternative<claim::ReadClaim>(action)) {
         read();
     } else if (std::holds_alternative<claim::Dispatch>(action)) {
         dispatch();
-    } else if (const auto *outcome = std::get_if<claim::KeepOutcome>(&action)) {
+    } else if (const claim::KeepOutcome *outcome = std::get_if<claim::KeepOutcome>(&action)) {
         keep(*outcome);
-    } else if (const auto *answer = std::get_if<claim::AnswerCaller>(&action)) {
+    } else if (const claim::AnswerCaller *answer = std::get_if<claim::AnswerCaller>(&action)) {
         if (writer == nullptr)
             return;
         net::HttpResponse response;
@@ -183,7 +183,7 @@
         if (answer->replayed)
             response.headers.push_back({"Idempotent-Replayed", "true"});
         static_cast<void>(writer->send(response));
-    } else if (const auto *refuse = std::get_if<claim::RefuseCaller>(&action)) {
+    } else if (const claim::RefuseCaller *refuse = std::get_if<claim::RefuseCaller>(&action)) {
         if (writer == nullptr)
             return;
         static_cast<void>(writer->send(net::problemResponse(
