--- a/tests/node/nodecontrol_test.cpp
+++ b/tests/node/nodecontrol_test.cpp
@@ -2,10 +2,12 @@
 
 #include "fescue/node/memberjson.h"
 
+#include <chrono>
 #include <gtest/gtest.h>
 #include <memory>
 #include <nlohmann/json.hpp>
 #include <string>
+#include <thread>
 #include <vector>
 
 namespace fescue::node {
@@ -147,6 +149,27 @@
     EXPECT_TRUE(a.waitForMembers(1));
 }
 
+TEST(NodeControl, LeavingIsConfirmedOnlyOnceTheStoreHasTheMark)
+{
+    TestStore store;
+    store.publish(makeSnapshot(1));
+    TestNode a("a", store.address());
+    ASSERT_TRUE(a.waitForLease(LeaseChange::Renewed, 1));
+    store.control(R"({"outage": "refuse"})");
+    a.control().setLeaving();
+    ASSERT_TRUE(a.waitFor([](const NodeView &view) { return view.leaving; }));
+    EXPECT_FALSE(a.control().leavingConfirmed());
+    store.control(R"({"outage": false})");
+    const std::chrono::steady_clock::time_point guard =
+        std::chrono::steady_clock::now() + testing::hangGuard;
+    while (!a.control().leavingConfirmed() && std::chrono::steady_clock::now() < guard)
+        std::this_thread::yield();
+    EXPECT_TRUE(a.control().leavingConfirmed());
+    const net::StoreList members = store.list("members/");
+    ASSERT_EQ(members.items.size(), 1U);
+    EXPECT_NE(members.items.front().value.find(R"("leaving":true)"), std::string::npos);
+}
+
 TEST(NodeControl, LaterStartOfTheSameNameTakesTheKey)
 {
     TestStore store;
