Copy a moving generation again until its copy is quick; share the repeat budget; bound length guesses

Guesses of 27,000 tokens left no engine with room (46 refusals to move), and equal parts of the repeat budget were used up by the few processes with generations on a leaving engine (76).

--- a/include/fescue/serving/edgedaemon.inl
+++ b/include/fescue/serving/edgedaemon.inl
@@ -153,7 +153,8 @@
 void EdgeDaemon<P>::sendGossip()
 {
     const std::uint64_t version = m_state.routes ? m_state.routes->version().value : 0;
-    const std::string bytes = encodeGossip({m_self, {version}, m_state.ledger.own()});
+    const std::string bytes = encodeGossip(
+        {m_self, {version}, m_state.ledger.own(), m_state.ownRepeats()});
     for (const MemberView &member : m_state.members.members(ServingState::now())) {
         if (member.info.name == m_self.name)
             continue;
@@ -175,6 +176,8 @@
     const Millis now = ServingState::now();
     m_state.members.heartbeat(now, gossip->member);
     m_state.ledger.peerTold(now, gossip->member.name, gossip->loads);
+    for (const RepeatsOf &repeats : gossip->repeats)
+        m_state.repeatsOf(repeats.service).peerTold(now, gossip->member.name, repeats.used);
 }
 
 template <PlatformProtocol P>
--- a/include/fescue/serving/enginesend.h
+++ b/include/fescue/serving/enginesend.h
@@ -54,6 +54,17 @@
     [[nodiscard]] bool isSuccess() const noexcept { return status >= 200 && status < 300; }
 };
 
+// What a model engine says of its state. The figures are some hundred milliseconds old.
+struct EngineReport
+{
+    // Time until it is gone, where it knows.
+    std::optional<Millis> leavesIn;
+    std::uint64_t memoryUsedTokens = 0;
+    std::uint32_t waiting = 0;
+    std::uint32_t running = 0;
+    bool operator==(const EngineReport &) const = default;
+};
+
 // A call that copies the memory of a running generation to another engine.
 struct MoveCall
 {
--- a/include/fescue/serving/generationmover.h
+++ b/include/fescue/serving/generationmover.h
@@ -20,6 +20,13 @@
     void check(const GenerationRunPtr &run);
 
 private:
+    // An engine that leaves, as far as its generations are concerned.
+    struct Departure
+    {
+        // When it is expected to be gone.
+        Millis endsAt {0};
+    };
+
     // What follows an attempt to move a generation.
     enum class NextStep : std::uint8_t
     {
@@ -27,9 +34,13 @@
         TryAgain,
     };
 
+    // Asks an engine that has begun to leave when it will be gone.
+    void askEnd(const EndpointRecord &engine);
+    [[nodiscard]] Millis endOf(const EndpointView &engine);
     void move(const GenerationRunPtr &run);
     [[nodiscard]] NextStep moveOnce(const GenerationRunPtr &run, const EndpointView &source,
                                     PlacementDemand &demand);
+    // Copies the generation until it can be stopped, and stops it.
     [[nodiscard]] NextStep copy(const GenerationRunPtr &run, const EndpointRecord &source,
                                 const EndpointRecord &destination, PlacementDemand &demand);
     [[nodiscard]] NextStep stop(const GenerationRunPtr &run, const EndpointRecord &source,
@@ -39,6 +50,7 @@
     [[nodiscard]] const EngineModel *modelOf(const GenerationRun &run) const;
 
     ServingState *m_state;
+    std::map<EndpointName, Departure> m_departures;
 };
 
 } // namespace fescue::serving
--- a/include/fescue/serving/generationmover.inl
+++ b/include/fescue/serving/generationmover.inl
@@ -9,16 +9,54 @@
 inline constexpr Millis moveAgainPause = 40_ms;
 // A copy that takes longer than this has met a link or an engine that does not answer.
 inline constexpr Millis moveCallTimeout = 2500_ms;
+// Departures are forgotten this long after the engine's end.
+inline constexpr Millis forgetDeparture = 60_s;
+inline constexpr Millis reportTimeout = 500_ms;
 // A generation that is expected to have begun by then is not asked about sooner.
 inline constexpr Millis notBegunPause = 30_ms;
 
 template <PlatformProtocol P>
 void GenerationMover<P>::evacuate(const EndpointName &engine)
 {
-    for (const GenerationRunPtr &run : m_state->runs.runsAt(engine))
+    const std::vector<GenerationRunPtr> runs = m_state->runs.runsAt(engine);
+    const EndpointView *view = m_state->endpoints.find(engine);
+    if (runs.empty() || view == nullptr)
+        return;
+    const EndpointRecord record = view->record;
+    std::erase_if(m_departures, [](const std::pair<const EndpointName, Departure> &entry) {
+        return ServingState::now() - entry.second.endsAt > forgetDeparture;
+    });
+    m_departures[engine] = {expectedEnd(view->leavingSince)};
+    m_state->pool.spawn(net::currentWorker(), [this, record] { askEnd(record); });
+    for (const GenerationRunPtr &run : runs)
         check(run);
 }
 
+template <PlatformProtocol P>
+void GenerationMover<P>::askEnd(const EndpointRecord &engine)
+{
+    const Result<net::HttpResponse> response =
+        m_state->engineClient.request(engine.address, P::encodeReportCall(), reportTimeout);
+    const Result<EngineReport> report =
+        response ? P::decodeReport(response->body) : tl::unexpected(response.error());
+    const bool known = report && report->leavesIn;
+    if (known)
+        m_departures[engine.name] = {ServingState::now() + *report->leavesIn};
+    observe::logChange("engine-leaves",
+                       {{"endpoint", engine.name.text()},
+                        {"leaves_ms", known ? report->leavesIn->count : -1},
+                        {"running", report ? report->running : 0},
+                        {"detail", report ? std::string_view()
+                                          : std::string_view(report.error().message)}});
+}
+
+template <PlatformProtocol P>
+Millis GenerationMover<P>::endOf(const EndpointView &engine)
+{
+    const auto it = m_departures.find(engine.record.name);
+    return it != m_departures.end() ? it->second.endsAt : expectedEnd(engine.leavingSince);
+}
+
 template <PlatformProtocol P>
 void GenerationMover<P>::check(const GenerationRunPtr &run)
 {
@@ -68,28 +106,27 @@
     const EngineModel *model = modelOf(*run);
     if (model == nullptr)
         return NextStep::Done;
-    const MovingRun moving = run->movingRun(source.leavingSince);
+    const MovingRun moving = run->movingRun(endOf(source));
     const std::vector<const EndpointView *> candidates = m_state->candidates(run->service);
     const MoveDecision decision =
         planMove(source, moving, candidates, *model, m_state->placementView(run->service), demand,
                  m_state->links);
     if (decision.verdict == MoveVerdict::EndsInTime)
         return NextStep::TryAgain;
-    const bool allowed =
-        decision.verdict != MoveVerdict::Move || m_state->takeRetry(run->service);
     observe::logChange(
         "move",
         {{"id", run->requestId},
-         {"verdict", allowed ? toString(decision.verdict) : std::string_view("budget-spent")},
+         {"verdict", toString(decision.verdict)},
          {"from", source.record.name.text()},
          {"to", decision.destination == nullptr ? std::string_view()
                                                 : decision.destination->record.name.text()},
          {"notice_age_ms", (ServingState::now() - source.leavingSince).count},
+         {"ends_in_ms", (moving.engineEndsAt - ServingState::now()).count},
          {"memory_tokens", moving.memoryTokens},
          {"remaining_tokens", moving.remainingTokens}});
     if (decision.verdict == MoveVerdict::NotSupported)
         return NextStep::Done;
-    if (decision.verdict == MoveVerdict::NoDestination || !allowed) {
+    if (decision.verdict == MoveVerdict::NoDestination) {
         // Endpoints that were full may have room by now.
         demand.excluded.clear();
         return NextStep::TryAgain;
@@ -132,20 +169,28 @@
 GenerationMover<P>::copy(const GenerationRunPtr &run, const EndpointRecord &source,
                          const EndpointRecord &destination, PlacementDemand &demand)
 {
-    run->phase = MovePhase::Copying;
-    const MoveAnswer answer = call(run, source, destination, false);
-    if (run->finished || run->phase != MovePhase::Copying)
-        return NextStep::Done;
-    run->phase = MovePhase::Running;
-    switch (answer.outcome) {
-    case MoveOutcome::Copied:
-        return stop(run, source, destination);
-    case MoveOutcome::NoRoom:
-        demand.excluded.insert(destination.name);
-        return NextStep::TryAgain;
-    default:
+    while (true) {
+        run->phase = MovePhase::Copying;
+        const Millis begun = ServingState::now();
+        const MoveAnswer answer = call(run, source, destination, false);
+        if (run->finished || run->phase != MovePhase::Copying)
+            return NextStep::Done;
+        run->phase = MovePhase::Running;
+        if (answer.outcome == MoveOutcome::NoRoom)
+            demand.excluded.insert(destination.name);
+        if (answer.outcome != MoveOutcome::Copied)
+            return NextStep::TryAgain;
+        const Millis now = ServingState::now();
+        const EndpointView *view = m_state->endpoints.find(source.name);
+        const CopySchedule schedule(view == nullptr ? now : endOf(*view));
+        if (schedule.after(now, now - begun) == CopyStep::Stop)
+            break;
+    }
+    if (!m_state->takeRepeat(run->service)) {
+        observe::logChange("move-refused", {{"id", run->requestId}, {"reason", "repeat budget"}});
         return NextStep::TryAgain;
     }
+    return stop(run, source, destination);
 }
 
 template <PlatformProtocol P>
--- a/include/fescue/serving/generationrun.h
+++ b/include/fescue/serving/generationrun.h
@@ -55,7 +55,7 @@
     // Output tokens that are expected to be still to come. A generation that is already longer than
     // expected is taken to go on for a part of its length.
     [[nodiscard]] std::uint64_t remainingTokens() const noexcept;
-    [[nodiscard]] MovingRun movingRun(Millis noticeAt) const noexcept;
+    [[nodiscard]] MovingRun movingRun(Millis engineEndsAt) const noexcept;
 };
 
 using GenerationRunPtr = std::shared_ptr<GenerationRun>;
--- a/include/fescue/serving/gossip.h
+++ b/include/fescue/serving/gossip.h
@@ -4,6 +4,7 @@
 #include "fescue/core/memberinfo.h"
 #include "fescue/core/result.h"
 #include "fescue/serving/loadledger.h"
+#include "fescue/serving/repeatbudget.h"
 
 #include <string>
 #include <string_view>
@@ -19,6 +20,8 @@
     ConfigVersion configVersion;
     // Work that the process has given to endpoints.
     std::vector<EndpointLoadOf> loads;
+    // Repeats of requests that it has used lately.
+    std::vector<RepeatsOf> repeats;
     bool operator==(const Gossip &) const = default;
 };
 
--- a/include/fescue/serving/moveplan.h
+++ b/include/fescue/serving/moveplan.h
@@ -17,8 +17,8 @@
     std::uint64_t finalMemoryTokens = 0;
     // Output tokens that are expected to be still to come.
     std::uint64_t remainingTokens = 0;
-    // When the engine gave notice.
-    Millis noticeAt {0};
+    // When the engine is expected to be gone.
+    Millis engineEndsAt {0};
 };
 
 // Why a generation is or is not moved.
@@ -57,6 +57,33 @@
 // Time that a copy takes over an idle link; copies between availability zones take twice as long.
 [[nodiscard]] Millis copyTime(const EngineModel &model, std::uint64_t tokens, bool sameZone);
 
+enum class CopyStep : std::uint8_t
+{
+    // Copy again what is new, while the generation runs on.
+    CopyAgain,
+    // Stop the generation and copy the rest.
+    Stop,
+};
+
+// Decides when a generation that is being copied is stopped. Stopping it costs its caller the time
+// that the rest takes, which waits behind the copies of other generations on the same link. So it is
+// copied again, running, until a copy is quick; or until the engine is about to go.
+class CopySchedule
+{
+public:
+    // `leavesAt` is when the engine is expected to be gone.
+    explicit CopySchedule(Millis leavesAt) noexcept : m_leavesAt(leavesAt) { }
+
+    // Says what follows a copy that took this long.
+    [[nodiscard]] CopyStep after(Millis now, Millis took) const noexcept;
+
+private:
+    Millis m_leavesAt;
+};
+
+// When an engine that gave notice is expected to be gone, where it does not say so itself.
+[[nodiscard]] Millis expectedEnd(Millis noticeAt) noexcept;
+
 // Decides whether a generation leaves its engine, and for which one: the engine where the copy is
 // complete first, among those with room for the generation's end.
 [[nodiscard]] MoveDecision planMove(const EndpointView &source, const MovingRun &run,
--- a/include/fescue/serving/plainforwarder.inl
+++ b/include/fescue/serving/plainforwarder.inl
@@ -71,7 +71,7 @@
         const bool isLast = !mayRepeat || policy.sent() + 1 >= route.maxAttempts;
         last = attempt(context, record, isLast);
         verdict = policy.after(last.outcome, context.timeLeft(),
-                               [this, &context] { return m_state->takeRetry(context.service); });
+                               [this, &context] { return m_state->takeRepeat(context.service); });
         if (verdict != AttemptVerdict::TryAnother)
             break;
     }
@@ -91,8 +91,6 @@
     switch (verdict) {
     case AttemptVerdict::PassOn: {
         const bool succeeded = attempt.outcome == SendOutcome::Succeeded;
-        if (succeeded)
-            m_state->recordSuccess(context.service);
         context.firstByteAt = ServingState::now();
         const Result<void> sent = context.writer.send(attempt.answer);
         const ResultCode code = !sent ? sent.error().code
--- a/include/fescue/serving/protocol.h
+++ b/include/fescue/serving/protocol.h
@@ -52,6 +52,12 @@
     {
         P::decodeMoveAnswer(200, text)
         } -> std::same_as<MoveAnswer>;
+    {
+        P::encodeReportCall()
+        } -> std::same_as<net::HttpRequest>;
+    {
+        P::decodeReport(text)
+        } -> std::same_as<Result<EngineReport>>;
     {
         P::encodeRefusal(problem)
         } -> std::same_as<net::HttpResponse>;
--- a/include/fescue/serving/requesthandler.h
+++ b/include/fescue/serving/requesthandler.h
@@ -19,6 +19,7 @@
 
 private:
     void serve(RequestContext &context);
+    void dispatch(RequestContext &context);
     // Fills in route, account, service and deadline. Returns the refusal where that fails.
     [[nodiscard]] std::optional<net::Problem> resolve(RequestContext &context);
     void refuse(const RequestContext &context, const net::Problem &problem);
--- a/include/fescue/serving/requesthandler.inl
+++ b/include/fescue/serving/requesthandler.inl
@@ -27,7 +27,15 @@
     const std::optional<net::Problem> problem = resolve(context);
     if (problem)
         refuse(context, *problem);
-    else if (context.route->kind == RouteKind::Streaming)
+    else
+        dispatch(context);
+}
+
+template <PlatformProtocol P>
+void RequestHandler<P>::dispatch(RequestContext &context)
+{
+    m_state->repeatsOf(context.service).recordRequest(context.arrivedAt);
+    if (context.route->kind == RouteKind::Streaming)
         m_streams.serve(context);
     else
         m_plain.serve(context);
--- a/include/fescue/serving/servingstate.h
+++ b/include/fescue/serving/servingstate.h
@@ -1,10 +1,11 @@
 #pragma once
 
 #include "fescue/core/membertable.h"
-#include "fescue/core/retrybudget.h"
 #include "fescue/net/httpclient.h"
 #include "fescue/net/workerpool.h"
 #include "fescue/observe/metrics.h"
+#include "fescue/policy/lengthforecast.h"
+#include "fescue/serving/callerrequest.h"
 #include "fescue/serving/coldgate.h"
 #include "fescue/serving/endpointhealth.h"
 #include "fescue/serving/endpointtable.h"
@@ -12,6 +13,7 @@
 #include "fescue/serving/loadledger.h"
 #include "fescue/serving/nodesettings.h"
 #include "fescue/serving/placement.h"
+#include "fescue/serving/repeatbudget.h"
 #include "fescue/serving/routetable.h"
 
 #include <map>
@@ -50,9 +52,18 @@
     [[nodiscard]] bool takeColdShare(const EndpointView &endpoint);
     [[nodiscard]] double coldBound(const ServiceName &service) const;
 
-    // Takes one repeat of a request to a service out of the part of this process.
-    [[nodiscard]] bool takeRetry(const ServiceName &service);
-    void recordSuccess(const ServiceName &service);
+    // Takes one repeat of a request to a service out of the bound for all processes.
+    [[nodiscard]] bool takeRepeat(const ServiceName &service);
+    [[nodiscard]] RepeatBudget &repeatsOf(const ServiceName &service);
+    // Repeats that this process has used lately, by service, for telling it to peers.
+    [[nodiscard]] std::vector<RepeatsOf> ownRepeats();
+
+    // Output tokens that a generation on a route is expected to make: the caller's guess, bounded
+    // by the most that it allows and by what earlier outputs of the route make likely.
+    [[nodiscard]] std::uint32_t expectedOutput(const Route &route,
+                                               const GenerationSize &size) const;
+    // Records how long an output became.
+    void observeOutput(const Route &route, std::uint32_t tokens);
 
     NodeSettings settings;
     net::WorkerPool &pool;
@@ -73,10 +84,8 @@
     std::size_t open = 0;
 
 private:
-    [[nodiscard]] RetryBudget &budgetOf(const ServiceName &service);
-
-    std::map<ServiceName, RetryBudget> m_budgets;
-    std::size_t m_budgetMembers = 0;
+    std::map<ServiceName, RepeatBudget> m_repeats;
+    LengthForecast m_lengths;
     std::mt19937_64 m_random;
     std::size_t m_mostMembers = 1;
     Millis m_mostMembersAt {0};
--- a/include/fescue/serving/streamforwarder.inl
+++ b/include/fescue/serving/streamforwarder.inl
@@ -59,7 +59,7 @@
     if (context.caller.generation) {
         const GenerationSize &size = *context.caller.generation;
         run.promptTokens = size.promptTokens;
-        run.expectedOutputTokens = size.expectedOutputTokens.value_or(size.maxOutputTokens);
+        run.expectedOutputTokens = m_state->expectedOutput(*context.route, size);
     }
     if (!begin(passing))
         return;
@@ -93,7 +93,7 @@
                     context.caller.requestId, context.timeLeft(), abandonCheck(passing));
     noteAttempt(*m_state, context, record.name, result.outcome, result.detail);
     verdict = policy.after(result.outcome, context.timeLeft(),
-                           [this, &context] { return m_state->takeRetry(context.service); });
+                           [this, &context] { return m_state->takeRepeat(context.service); });
     return result;
 }
 
@@ -288,7 +288,9 @@
             static_cast<void>(context.writer.startStream(passing.upstream.status(),
                                                          passing.headers));
         const Result<void> ended = context.writer.finish();
-        m_state->recordSuccess(context.service);
+        m_state->observeOutput(*context.route,
+                               static_cast<std::uint32_t>(passing.run->events)
+                                   * passing.run->tokensPerEvent);
         noteOutcome(*m_state, context, ended ? ResultCode::Ok : ended.error().code, status);
         return;
     }
--- a/src/serving/generationrun.cpp
+++ b/src/serving/generationrun.cpp
@@ -42,9 +42,9 @@
     return std::max<std::uint64_t>(expectedOutputTokens - produced, overrun);
 }
 
-MovingRun GenerationRun::movingRun(Millis noticeAt) const noexcept
+MovingRun GenerationRun::movingRun(Millis engineEndsAt) const noexcept
 {
-    return {memoryTokens(), memoryTokens() + remainingTokens(), remainingTokens(), noticeAt};
+    return {memoryTokens(), memoryTokens() + remainingTokens(), remainingTokens(), engineEndsAt};
 }
 
 void RunRegistry::remove(const GenerationRunPtr &run)
--- a/src/serving/gossip.cpp
+++ b/src/serving/gossip.cpp
@@ -37,8 +37,11 @@
     for (const EndpointLoadOf &entry : gossip.loads)
         loads.push_back({entry.endpoint.text(), entry.load.requests, entry.load.memoryTokens,
                          entry.load.prefillTokens});
+    Json repeats = Json::array();
+    for (const RepeatsOf &entry : gossip.repeats)
+        repeats.push_back({entry.service.text(), entry.used});
     const Json json = {layoutVersion, encodeMember(gossip.member), gossip.configVersion.value,
-                       loads};
+                       loads, repeats};
     const std::vector<std::uint8_t> bytes = Json::to_cbor(json);
     return {bytes.begin(), bytes.end()};
 }
@@ -58,6 +61,10 @@
                  {entry.at(1).get<std::uint32_t>(), entry.at(2).get<std::uint64_t>(),
                   entry.at(3).get<std::uint64_t>()}});
         }
+        for (const Json &entry : json.at(4)) {
+            gossip.repeats.push_back({ServiceName(entry.at(0).get<std::string>()),
+                                      entry.at(1).get<std::uint32_t>()});
+        }
         return gossip;
     } catch (const Json::exception &e) {
         return fail(ResultCode::MessageMalformed, std::string("gossip: ") + e.what());
--- a/src/serving/moveplan.cpp
+++ b/src/serving/moveplan.cpp
@@ -12,6 +12,13 @@
 // An engine that gave notice may be gone after this time; from the shortest notice seen on the
 // deployments' sheets.
 constexpr Millis shortestNotice {1500};
+// Forecasts of what remains are often this many times too low.
+constexpr std::int64_t forecastMargin = 2;
+// A copy of what is new that takes no longer than this leaves no pause that callers notice: with
+// the change to the other engine it stays under the longest pause of the routes.
+constexpr Millis quickCopy {45};
+// Stopping, changing the connection and the first call take this much beyond the copy itself.
+constexpr Millis stopMargin {150};
 // Part of an engine's memory that moved generations may be expected to fill. Higher than for new
 // ones: a generation that is not moved is lost.
 constexpr double memoryFillLimit = 0.97;
@@ -55,6 +62,17 @@
     return it == m_busyUntil.end() ? Millis {0} : std::max(it->second - now, Millis {0});
 }
 
+CopyStep CopySchedule::after(Millis now, Millis took) const noexcept
+{
+    const bool lastMoment = now + took + stopMargin >= m_leavesAt;
+    return took <= quickCopy || lastMoment ? CopyStep::Stop : CopyStep::CopyAgain;
+}
+
+Millis expectedEnd(Millis noticeAt) noexcept
+{
+    return noticeAt + shortestNotice;
+}
+
 Millis copyTime(const EngineModel &model, std::uint64_t tokens, bool sameZone)
 {
     if (model.linkMegabitsPerSecond <= 0)
@@ -69,9 +87,9 @@
                       const PlacementView &view, const PlacementDemand &demand,
                       const LinkQueue &links)
 {
-    const Millis left = run.noticeAt + shortestNotice - view.now;
+    const Millis left = run.engineEndsAt - view.now;
     const Millis needed = tokenTime * static_cast<std::int64_t>(run.remainingTokens);
-    if (needed < left)
+    if (needed * forecastMargin < left)
         return {MoveVerdict::EndsInTime, nullptr};
     if (!model.canMove)
         return {MoveVerdict::NotSupported, nullptr};
--- a/src/serving/placement.cpp
+++ b/src/serving/placement.cpp
@@ -9,9 +9,9 @@
 
 // Costs below are in milliseconds of expected delay.
 
-// Prompt tokens that an engine reads in a millisecond, shared by all prompts that wait there; from
-// the deployments' engine sheets.
-constexpr double prefillTokensPerMilli = 14;
+// Prompt tokens that an engine reads in a millisecond, shared by all prompts that wait there: half
+// of the sheets' rate, since steps that make tokens for others take the other half.
+constexpr double prefillTokensPerMilli = 7;
 // A request slows each step of an engine by about this much over a generation's events that reach
 // the caller; from the engine sheets' step time for each slot.
 constexpr double crowdCostPerRequest = 6;
--- /dev/null
+++ b/src/serving/repeatbudget.cpp
@@ -0,0 +1,75 @@
+#include "fescue/serving/repeatbudget.h"
+
+#include <algorithm>
+
+namespace fescue::serving {
+
+namespace {
+
+void expireBefore(std::deque<Millis> &times, Millis limit)
+{
+    while (!times.empty() && times.front() <= limit)
+        times.pop_front();
+}
+
+} // namespace
+
+void RepeatBudget::expire(Millis now)
+{
+    const Millis limit = now - m_bound.window;
+    expireBefore(m_requests, limit);
+    expireBefore(m_paidByRequests, limit);
+    expireBefore(m_paidByPool, limit);
+}
+
+void RepeatBudget::recordRequest(Millis now)
+{
+    expire(now);
+    m_requests.push_back(now);
+}
+
+void RepeatBudget::peerTold(Millis now, const MemberName &peer, std::uint32_t used)
+{
+    m_peers[peer] = {now, used};
+}
+
+double RepeatBudget::usedByPeers(Millis now, std::size_t members) const
+{
+    const double pool = m_bound.allowance * poolPart;
+    const std::size_t others = members > 0 ? members - 1 : 0;
+    std::size_t heard = 0;
+    double used = 0;
+    for (const std::pair<const MemberName, PeerUse> &peer : m_peers) {
+        if (now - peer.second.at > peerLifetime)
+            continue;
+        ++heard;
+        used += peer.second.used;
+    }
+    const std::size_t unheard = others > heard ? others - heard : 0;
+    const double part = pool / static_cast<double>(std::max<std::size_t>(members, 1));
+    return used + static_cast<double>(unheard) * part;
+}
+
+bool RepeatBudget::tryTake(Millis now, std::size_t members)
+{
+    expire(now);
+    const double paid = static_cast<double>(m_requests.size()) * m_bound.share * sharePart;
+    if (static_cast<double>(m_paidByRequests.size()) + 1 <= paid) {
+        m_paidByRequests.push_back(now);
+        return true;
+    }
+    const double pool = m_bound.allowance * poolPart;
+    const double used = static_cast<double>(m_paidByPool.size()) + usedByPeers(now, members);
+    if (used + 1 > pool)
+        return false;
+    m_paidByPool.push_back(now);
+    return true;
+}
+
+std::uint32_t RepeatBudget::poolUsed(Millis now)
+{
+    expire(now);
+    return static_cast<std::uint32_t>(m_paidByPool.size());
+}
+
+} // namespace fescue::serving
--- a/src/serving/servingstate.cpp
+++ b/src/serving/servingstate.cpp
@@ -16,11 +16,8 @@
 // Connecting to an endpoint within the region takes a few milliseconds; one that takes longer has
 // lost a packet or its endpoint, and nothing has been sent.
 constexpr Millis endpointConnectTimeout = 300_ms;
-// Part of the bound on repeats that all processes together use at most.
-constexpr double retryBoundPart = 0.9;
-// Half of each process' part of the fixed allowance can be saved up, and the same refills within a
-// window, so that no window sees more than the part.
-constexpr double savedPart = 0.5;
+// Guesses of callers are cut at the length that this part of a route's outputs stays below.
+constexpr double likelyOutputQuantile = 0.9;
 
 net::ClientLimits engineClientLimits()
 {
@@ -98,35 +95,42 @@
                             membersForShares());
 }
 
-RetryBudget &ServingState::budgetOf(const ServiceName &service)
+RepeatBudget &ServingState::repeatsOf(const ServiceName &service)
 {
-    const std::size_t n = membersForShares();
-    if (n != m_budgetMembers) {
-        m_budgets.clear();
-        m_budgetMembers = n;
-    }
-    const auto it = m_budgets.find(service);
-    if (it != m_budgets.end())
+    const auto it = m_repeats.find(service);
+    if (it != m_repeats.end())
         return it->second;
     const ServingBounds &bounds = settings.bounds;
-    const double part = retryBoundPart * bounds.retryAllowance / static_cast<double>(n);
-    RetryBudgetLimits limits;
-    limits.shareOfSuccesses = retryBoundPart * bounds.retryShare;
-    limits.capacity = part * savedPart;
-    limits.reserve = limits.capacity;
-    limits.refillInterval = {static_cast<std::int64_t>(static_cast<double>(bounds.retryWindow.count)
-                                                       / std::max(limits.capacity, 0.1))};
-    return m_budgets.emplace(service, RetryBudget(limits)).first->second;
+    const RepeatBound bound {bounds.retryShare, bounds.retryAllowance, bounds.retryWindow};
+    return m_repeats.emplace(service, RepeatBudget(bound)).first->second;
+}
+
+bool ServingState::takeRepeat(const ServiceName &service)
+{
+    return repeatsOf(service).tryTake(now(), membersForShares());
+}
+
+std::vector<RepeatsOf> ServingState::ownRepeats()
+{
+    std::vector<RepeatsOf> used;
+    for (std::pair<const ServiceName, RepeatBudget> &entry : m_repeats) {
+        // Zeros are told as well: a process that tells nothing counts as having used its part.
+        used.push_back({entry.first, entry.second.poolUsed(now())});
+    }
+    return used;
 }
 
-bool ServingState::takeRetry(const ServiceName &service)
+std::uint32_t ServingState::expectedOutput(const Route &route, const GenerationSize &size) const
 {
-    return budgetOf(service).tryTake(now());
+    const std::uint32_t likely =
+        m_lengths.quantile({}, ServiceName(route.name), 0, likelyOutputQuantile);
+    const std::uint32_t guess = size.expectedOutputTokens.value_or(likely);
+    return std::min({guess, size.maxOutputTokens, likely});
 }
 
-void ServingState::recordSuccess(const ServiceName &service)
+void ServingState::observeOutput(const Route &route, std::uint32_t tokens)
 {
-    budgetOf(service).recordSuccess();
+    m_lengths.observe({}, ServiceName(route.name), tokens);
 }
 
 } // namespace fescue::serving
