--- a/include/fescue/serving/generationmover.h
+++ b/include/fescue/serving/generationmover.h
@@ -47,6 +47,8 @@
                                 const EndpointRecord &destination);
     [[nodiscard]] MoveAnswer call(const GenerationRunPtr &run, const EndpointRecord &source,
                                   const EndpointRecord &destination, bool stop);
+    // True where the generation can go on from its backup.
+    [[nodiscard]] bool backupIsUsable(const GenerationRun &run) const;
     [[nodiscard]] const EngineModel *modelOf(const GenerationRun &run) const;
 
     ServingState *m_state;
--- a/include/fescue/serving/generationmover.inl
+++ b/include/fescue/serving/generationmover.inl
@@ -9,6 +9,8 @@
 inline constexpr Millis moveAgainPause = 40_ms;
 // A copy that takes longer than this has met a link or an engine that does not answer.
 inline constexpr Millis moveCallTimeout = 2500_ms;
+// Pause while the fiber that passes a stream on changes to the backup.
+inline constexpr Millis handOverPoll = 10_ms;
 // Departures are forgotten this long after the engine's end.
 inline constexpr Millis forgetDeparture = 60_s;
 inline constexpr Millis reportTimeout = 500_ms;
@@ -95,6 +97,16 @@
     }
 }
 
+template <PlatformProtocol P>
+bool GenerationMover<P>::backupIsUsable(const GenerationRun &run) const
+{
+    if (!run.backup)
+        return false;
+    const EndpointView *backup = m_state->endpoints.find(run.backup->name);
+    return backup != nullptr && !backup->leaving()
+        && !m_state->endpoints.zonesOut().contains(backup->record.zone);
+}
+
 template <PlatformProtocol P>
 typename GenerationMover<P>::NextStep
 GenerationMover<P>::moveOnce(const GenerationRunPtr &run, const EndpointView &source,
@@ -107,6 +119,16 @@
     if (model == nullptr)
         return NextStep::Done;
     const MovingRun moving = run->movingRun(endOf(source));
+    if (backupIsUsable(*run)) {
+        observe::logChange("hand-over", {{"id", run->requestId},
+                                         {"from", source.record.name.text()},
+                                         {"to", run->backup->name.text()},
+                                         {"events", run->events}});
+        run->phase = MovePhase::HandingOver;
+        while (!run->finished && run->phase == MovePhase::HandingOver)
+            net::sleepFor(handOverPoll);
+        return NextStep::TryAgain;
+    }
     const std::vector<const EndpointView *> candidates = m_state->candidates(run->service);
     const MoveDecision decision =
         planMove(source, moving, candidates, *model, m_state->placementView(run->service), demand,
--- a/include/fescue/serving/generationrun.h
+++ b/include/fescue/serving/generationrun.h
@@ -16,6 +16,8 @@
 {
     // It runs and is not being moved.
     Running,
+    // It is to go on from its backup; the fiber that passes its stream on does that.
+    HandingOver,
     // Its memory is copied while it runs on.
     Copying,
     // Its engine has been asked to stop it.
@@ -40,6 +42,9 @@
     std::uint32_t tokensPerEvent = 1;
     std::uint64_t events = 0;
 
+    // The engine that keeps a backup of its memory.
+    std::optional<EndpointRecord> backup;
+
     MovePhase phase = MovePhase::Running;
     // When it stopped; valid in phase Stopped.
     Millis stoppedAt {0};
--- a/include/fescue/serving/moveplan.h
+++ b/include/fescue/serving/moveplan.h
@@ -84,6 +84,15 @@
 // When an engine that gave notice is expected to be gone, where it does not say so itself.
 [[nodiscard]] Millis expectedEnd(Millis noticeAt) noexcept;
 
+// Chooses the engine that keeps a copy of a generation's memory as it grows, for the case that its
+// own engine goes: one in the same availability zone with the most room. Returns null where none
+// has room to spare.
+[[nodiscard]] const EndpointView *chooseBackup(const EndpointView &engine,
+                                               std::uint64_t finalMemoryTokens,
+                                               std::span<const EndpointView *const> candidates,
+                                               const EngineModel &model,
+                                               const PlacementView &view);
+
 // Decides whether a generation leaves its engine, and for which one: the engine where the copy is
 // complete first, among those with room for the generation's end.
 [[nodiscard]] MoveDecision planMove(const EndpointView &source, const MovingRun &run,
--- a/include/fescue/serving/streamforwarder.h
+++ b/include/fescue/serving/streamforwarder.h
@@ -43,6 +43,7 @@
         EventSplitter events;
         net::ClientStream upstream;
         std::unique_ptr<LoadShare> load;
+        std::unique_ptr<LoadShare> backupLoad;
         std::vector<net::Header> headers;
         bool started = false;
     };
@@ -51,6 +52,8 @@
                                              const PlacementDemand &demand);
     // Sends the request until an engine answers. Answers the caller itself where none does.
     [[nodiscard]] bool begin(Passing &passing);
+    // Asks for a backup of the generation's memory where that is worth it.
+    void addBackup(Passing &passing, const EndpointView &engine, EngineSend &send);
     [[nodiscard]] std::optional<ExchangeResult> attempt(Passing &passing,
                                                         const PlacementDemand &demand,
                                                         AttemptPolicy &policy,
@@ -62,6 +65,10 @@
     void pass(Passing &passing);
     [[nodiscard]] StreamEnd passUntilBreak(Passing &passing);
     [[nodiscard]] bool forwardReady(Passing &passing);
+    // Changes to the backup while the engine still runs the generation; goes on with the engine where
+    // that fails.
+    void handOver(Passing &passing);
+    [[nodiscard]] bool resumeFromBackup(Passing &passing);
     // Waits for the end of a move and goes on at its destination. False where that is not possible.
     [[nodiscard]] bool resume(Passing &passing);
     [[nodiscard]] bool resumeAt(Passing &passing, const EndpointRecord &engine);
--- a/include/fescue/serving/streamforwarder.inl
+++ b/include/fescue/serving/streamforwarder.inl
@@ -14,6 +14,8 @@
 // A stream whose engine has been asked to stop it ends within this time; after it the connection
 // counts as silent.
 inline constexpr Millis stoppedStreamGrace = 150_ms;
+// Shorter generations are seldom met by the loss of their engine.
+inline constexpr std::uint64_t fewestTokensForBackup = 200;
 // Pause while a stream that has ended waits for the end of its move.
 inline constexpr Millis resumePoll = 3_ms;
 // Longest wait for the end of a move after its stream has ended.
@@ -49,7 +51,7 @@
 template <PlatformProtocol P>
 void StreamForwarder<P>::serve(RequestContext &context)
 {
-    Passing passing {context, std::make_shared<GenerationRun>(), {}, {}, {}, {}, false};
+    Passing passing {context, std::make_shared<GenerationRun>(), {}, {}, {}, {}, {}, false};
     GenerationRun &run = *passing.run;
     run.requestId = context.caller.requestId;
     run.service = context.service;
@@ -88,6 +90,7 @@
     send.priority = context.account != nullptr && context.account->priority
         ? *context.account->priority
         : context.route->priority;
+    addBackup(passing, *endpoint, send);
     ExchangeResult result =
         exchange<P>(m_state->engineClient, record.address, context.request, send,
                     context.caller.requestId, context.timeLeft(), abandonCheck(passing));
@@ -97,6 +100,27 @@
     return result;
 }
 
+template <PlatformProtocol P>
+void StreamForwarder<P>::addBackup(Passing &passing, const EndpointView &engine, EngineSend &send)
+{
+    GenerationRun &run = *passing.run;
+    run.backup.reset();
+    passing.backupLoad.reset();
+    const ServiceSpec *spec = passing.context.routes->findService(run.service);
+    const std::uint64_t final = run.memoryTokens() + run.remainingTokens();
+    if (spec == nullptr || !spec->engine || run.remainingTokens() < fewestTokensForBackup)
+        return;
+    const std::vector<const EndpointView *> candidates = m_state->candidates(run.service);
+    const EndpointView *backup = chooseBackup(engine, final, candidates, *spec->engine,
+                                              m_state->placementView(run.service));
+    if (backup == nullptr)
+        return;
+    run.backup = backup->record;
+    send.backup = backup->record.address;
+    passing.backupLoad = std::make_unique<LoadShare>(m_state->ledger, backup->record.name,
+                                                     EndpointLoad {0, final, 0});
+}
+
 template <PlatformProtocol P>
 bool StreamForwarder<P>::begin(Passing &passing)
 {
@@ -194,9 +218,42 @@
             return StreamEnd::Malformed;
         if (!forwardReady(passing))
             return StreamEnd::CallerGone;
+        if (passing.run->phase == MovePhase::HandingOver)
+            handOver(passing);
     }
 }
 
+template <PlatformProtocol P>
+void StreamForwarder<P>::handOver(Passing &passing)
+{
+    GenerationRun &run = *passing.run;
+    net::ClientStream source = std::move(passing.upstream);
+    if (resumeFromBackup(passing)) {
+        // The engine may work on for a moment; closing the connection ends that.
+        source.close();
+        return;
+    }
+    passing.upstream = std::move(source);
+    run.phase = MovePhase::Running;
+}
+
+template <PlatformProtocol P>
+bool StreamForwarder<P>::resumeFromBackup(Passing &passing)
+{
+    GenerationRun &run = *passing.run;
+    if (!run.backup)
+        return false;
+    const EndpointRecord backup = *run.backup;
+    run.backup.reset();
+    passing.backupLoad.reset();
+    if (!m_state->takeRepeat(run.service)) {
+        observe::logChange("move-refused", {{"id", run.requestId}, {"reason", "repeat budget"}});
+        return false;
+    }
+    run.resume = ResumePoint {backup.address, run.requestId, passing.events.lastId()};
+    return resumeAt(passing, backup);
+}
+
 template <PlatformProtocol P>
 bool StreamForwarder<P>::forwardReady(Passing &passing)
 {
@@ -229,14 +286,16 @@
     const Millis until = ServingState::now() + resumeWait;
     while (run.phase == MovePhase::Stopping && ServingState::now() < until)
         net::sleepFor(resumePoll);
-    if (run.phase != MovePhase::Stopped)
-        return false;
-    run.resume->lastEventId = passing.events.lastId();
-    const EndpointRecord source = run.engine;
-    if (resumeAt(passing, run.destination))
-        return true;
-    // The engine that stopped the generation keeps its memory as well.
-    return run.destination.name != source.name && resumeAt(passing, source);
+    if (run.phase == MovePhase::Stopped) {
+        run.resume->lastEventId = passing.events.lastId();
+        const EndpointRecord source = run.engine;
+        if (resumeAt(passing, run.destination))
+            return true;
+        // The engine that stopped the generation keeps its memory as well.
+        if (run.destination.name != source.name && resumeAt(passing, source))
+            return true;
+    }
+    return resumeFromBackup(passing);
 }
 
 template <PlatformProtocol P>
@@ -251,6 +310,9 @@
         send.priority = context.account->priority;
     else
         send.priority = context.route->priority;
+    const EndpointView *view = m_state->endpoints.find(engine.name);
+    if (view != nullptr)
+        addBackup(passing, *view, send);
     net::ResponseWriter &writer = context.writer;
     ExchangeResult result = exchange<P>(
         m_state->engineClient, engine.address, context.request, send, run.requestId,
@@ -259,12 +321,16 @@
                        {{"id", run.requestId},
                         {"endpoint", engine.name.text()},
                         {"outcome", serving::toString(result.outcome)},
+                        {"from", run.resume->engine.toString()},
                         {"last_event", passing.events.lastId().value_or(0)},
                         {"events", passing.events.events()},
                         {"took_ms", (ServingState::now() - begun).count},
                         {"detail", result.detail}});
-    if (result.outcome != SendOutcome::Succeeded)
+    if (result.outcome != SendOutcome::Succeeded) {
+        run.backup.reset();
+        passing.backupLoad.reset();
         return false;
+    }
     passing.upstream = std::move(result.stream);
     passing.events.resume();
     passing.load = std::make_unique<LoadShare>(
--- a/src/serving/generationrun.cpp
+++ b/src/serving/generationrun.cpp
@@ -16,6 +16,8 @@
     switch (phase) {
     case MovePhase::Running:
         return "running";
+    case MovePhase::HandingOver:
+        return "handing-over";
     case MovePhase::Copying:
         return "copying";
     case MovePhase::Stopping:
--- a/src/serving/moveplan.cpp
+++ b/src/serving/moveplan.cpp
@@ -22,6 +22,11 @@
 // Part of an engine's memory that moved generations may be expected to fill. Higher than for new
 // ones: a generation that is not moved is lost.
 constexpr double memoryFillLimit = 0.97;
+// Part of an engine's memory that may be expected to fill where a backup is added; leaves room for
+// new generations.
+constexpr double backupFillLimit = 0.75;
+// Part of an engine's memory that a backup in another availability zone costs, for its traffic.
+constexpr double backupOtherZoneCost = 0.25;
 // Cost of memory in use at the destination, in milliseconds at a full engine.
 constexpr double fullMemoryCost = 300;
 // An endpoint that lately failed is the last choice.
@@ -82,6 +87,33 @@
     return {static_cast<std::int64_t>(sameZone ? millis : 2 * millis)};
 }
 
+const EndpointView *chooseBackup(const EndpointView &engine, std::uint64_t finalMemoryTokens,
+                                 std::span<const EndpointView *const> candidates,
+                                 const EngineModel &model, const PlacementView &view)
+{
+    if (!model.canBackUp)
+        return nullptr;
+    const double memory = static_cast<double>(std::max<std::uint64_t>(model.memoryTokens, 1));
+    const EndpointView *best = nullptr;
+    double least = std::numeric_limits<double>::infinity();
+    for (const EndpointView *candidate : candidates) {
+        const EndpointRecord &record = candidate->record;
+        if (record.name == engine.record.name || view.health.isSuspect(view.now, record.name))
+            continue;
+        const EndpointLoad load = view.ledger.total(view.now, record.name);
+        const double filled = static_cast<double>(load.memoryTokens + finalMemoryTokens) / memory;
+        if (filled > backupFillLimit)
+            continue;
+        const double cost =
+            filled + (record.zone == engine.record.zone ? 0 : backupOtherZoneCost);
+        if (cost < least) {
+            least = cost;
+            best = candidate;
+        }
+    }
+    return best;
+}
+
 MoveDecision planMove(const EndpointView &source, const MovingRun &run,
                       std::span<const EndpointView *const> candidates, const EngineModel &model,
                       const PlacementView &view, const PlacementDemand &demand,
