--- a/include/fescue/serving/edgedaemon.inl
+++ b/include/fescue/serving/edgedaemon.inl
@@ -71,6 +71,7 @@
     if (Result<void> opened = m_gossip.open(settings.peerAddress); !opened)
         return opened;
     m_state.members.heartbeat(ServingState::now(), m_self);
+    m_state.tellPeers = [this] { sendGossip(); };
     m_store.start();
     m_pool->spawn(net::currentWorker(), [this] { tick(); });
     observe::logChange("started", {{"zone", settings.zone.text()},
--- a/include/fescue/serving/generationmover.inl
+++ b/include/fescue/serving/generationmover.inl
@@ -132,7 +132,7 @@
     const std::vector<const EndpointView *> candidates = m_state->candidates(run->service);
     const MoveDecision decision =
         planMove(source, moving, candidates, *model, m_state->placementView(run->service), demand,
-                 m_state->links);
+                 m_state->links, m_state->uniform());
     if (decision.verdict == MoveVerdict::EndsInTime)
         return NextStep::TryAgain;
     observe::logChange(
@@ -157,7 +157,8 @@
     m_state->links.begin(destination.name, ServingState::now(),
                          copyTime(*model, moving.memoryTokens,
                                   destination.zone == source.record.zone));
-    const LoadShare load(m_state->ledger, destination.name, {1, moving.finalMemoryTokens, 0});
+    const LoadShare load(m_state->ledger, destination.name, {1, moving.reservedTokens, 0});
+    m_state->tellPeers();
     return copy(run, source.record, destination, demand);
 }
 
--- a/include/fescue/serving/generationrun.h
+++ b/include/fescue/serving/generationrun.h
@@ -60,6 +60,8 @@
     // Output tokens that are expected to be still to come. A generation that is already longer than
     // expected is taken to go on for a part of its length.
     [[nodiscard]] std::uint64_t remainingTokens() const noexcept;
+    // Memory that counts against an engine that takes the generation, over the rest of its run.
+    [[nodiscard]] std::uint64_t reservedTokens() const noexcept;
     [[nodiscard]] MovingRun movingRun(Millis engineEndsAt) const noexcept;
 };
 
--- a/include/fescue/serving/moveplan.h
+++ b/include/fescue/serving/moveplan.h
@@ -13,8 +13,8 @@
 {
     // Memory that it holds now, in tokens.
     std::uint64_t memoryTokens = 0;
-    // Memory that it is expected to need at its end.
-    std::uint64_t finalMemoryTokens = 0;
+    // Memory that counts against the engine that takes it.
+    std::uint64_t reservedTokens = 0;
     // Output tokens that are expected to be still to come.
     std::uint64_t remainingTokens = 0;
     // When the engine is expected to be gone.
@@ -88,16 +88,18 @@
 // own engine goes: one in the same availability zone with the most room. Returns null where none
 // has room to spare.
 [[nodiscard]] const EndpointView *chooseBackup(const EndpointView &engine,
-                                               std::uint64_t finalMemoryTokens,
+                                               std::uint64_t reservedTokens,
                                                std::span<const EndpointView *const> candidates,
                                                const EngineModel &model,
                                                const PlacementView &view);
 
 // Decides whether a generation leaves its engine, and for which one: the engine where the copy is
-// complete first, among those with room for the generation's end.
+// complete first, among those with room. `uniform` in [0, 1) spreads the
+// generations of many processes over the engines.
 [[nodiscard]] MoveDecision planMove(const EndpointView &source, const MovingRun &run,
                                     std::span<const EndpointView *const> candidates,
                                     const EngineModel &model, const PlacementView &view,
-                                    const PlacementDemand &demand, const LinkQueue &links);
+                                    const PlacementDemand &demand, const LinkQueue &links,
+                                    double uniform);
 
 } // namespace fescue::serving
--- a/include/fescue/serving/placement.h
+++ b/include/fescue/serving/placement.h
@@ -37,6 +37,9 @@
     std::set<EndpointName> excluded;
 };
 
+// Makes a number in [0, 1) for an endpoint from one random number for a whole choice.
+[[nodiscard]] double spread(double uniform, const EndpointName &name);
+
 // Chooses the endpoint of a plain service: the least part of its slots in use, endpoints in the
 // same availability zone first, suspect ones last. `uniform` in [0, 1) breaks ties. Returns null
 // where no endpoint may be used.
--- a/include/fescue/serving/servingstate.h
+++ b/include/fescue/serving/servingstate.h
@@ -16,6 +16,7 @@
 #include "fescue/serving/repeatbudget.h"
 #include "fescue/serving/routetable.h"
 
+#include <functional>
 #include <map>
 #include <optional>
 #include <random>
@@ -78,6 +79,8 @@
     LinkQueue links;
     MemberTable members;
     RunRegistry runs;
+    // Tells peers of new work at once; they choose endpoints by it.
+    std::function<void()> tellPeers = [] {};
     // True once the process has been asked to stop.
     bool draining = false;
     // Requests that have no final answer yet.
--- a/include/fescue/serving/streamforwarder.inl
+++ b/include/fescue/serving/streamforwarder.inl
@@ -86,6 +86,7 @@
     passing.load = std::make_unique<LoadShare>(
         m_state->ledger, record.name,
         EndpointLoad {1, demand.memoryTokens, demand.prefillTokens});
+    m_state->tellPeers();
     EngineSend send = makeSend(context, record);
     send.priority = context.account != nullptr && context.account->priority
         ? *context.account->priority
@@ -107,18 +108,18 @@
     run.backup.reset();
     passing.backupLoad.reset();
     const ServiceSpec *spec = passing.context.routes->findService(run.service);
-    const std::uint64_t final = run.memoryTokens() + run.remainingTokens();
+    const std::uint64_t reserved = run.reservedTokens();
     if (spec == nullptr || !spec->engine || run.remainingTokens() < fewestTokensForBackup)
         return;
     const std::vector<const EndpointView *> candidates = m_state->candidates(run.service);
-    const EndpointView *backup = chooseBackup(engine, final, candidates, *spec->engine,
+    const EndpointView *backup = chooseBackup(engine, reserved, candidates, *spec->engine,
                                               m_state->placementView(run.service));
     if (backup == nullptr)
         return;
     run.backup = backup->record;
     send.backup = backup->record.address;
     passing.backupLoad = std::make_unique<LoadShare>(m_state->ledger, backup->record.name,
-                                                     EndpointLoad {0, final, 0});
+                                                     EndpointLoad {0, reserved, 0});
 }
 
 template <PlatformProtocol P>
@@ -127,7 +128,7 @@
     RequestContext &context = passing.context;
     AttemptPolicy policy(RouteKind::Streaming, context.route->maxAttempts);
     PlacementDemand demand;
-    demand.memoryTokens = passing.run->promptTokens + passing.run->expectedOutputTokens;
+    demand.memoryTokens = passing.run->reservedTokens();
     demand.prefillTokens = passing.run->promptTokens;
     AttemptVerdict verdict = AttemptVerdict::RefuseNotRun;
     std::optional<ExchangeResult> result;
@@ -335,7 +336,8 @@
     passing.events.resume();
     passing.load = std::make_unique<LoadShare>(
         m_state->ledger, engine.name,
-        EndpointLoad {1, run.memoryTokens() + run.remainingTokens(), 0});
+        EndpointLoad {1, run.reservedTokens(), 0});
+    m_state->tellPeers();
     run.engine = engine;
     run.phase = MovePhase::Running;
     run.resume.reset();
--- a/src/serving/generationrun.cpp
+++ b/src/serving/generationrun.cpp
@@ -9,6 +9,10 @@
 // Part of its length for which a generation that is longer than expected is taken to go on.
 constexpr std::uint64_t overrunDivisor = 4;
 
+// Part of the output still to come that counts as memory in use: generations on one engine do not
+// reach their ends together.
+constexpr std::uint64_t reservedPercent = 60;
+
 } // namespace
 
 std::string_view toString(MovePhase phase) noexcept
@@ -44,9 +48,14 @@
     return std::max<std::uint64_t>(expectedOutputTokens - produced, overrun);
 }
 
+std::uint64_t GenerationRun::reservedTokens() const noexcept
+{
+    return memoryTokens() + remainingTokens() * reservedPercent / 100;
+}
+
 MovingRun GenerationRun::movingRun(Millis engineEndsAt) const noexcept
 {
-    return {memoryTokens(), memoryTokens() + remainingTokens(), remainingTokens(), engineEndsAt};
+    return {memoryTokens(), reservedTokens(), remainingTokens(), engineEndsAt};
 }
 
 void RunRegistry::remove(const GenerationRunPtr &run)
--- a/src/serving/moveplan.cpp
+++ b/src/serving/moveplan.cpp
@@ -24,11 +24,14 @@
 constexpr double memoryFillLimit = 0.97;
 // Part of an engine's memory that may be expected to fill where a backup is added; leaves room for
 // new generations.
-constexpr double backupFillLimit = 0.75;
+constexpr double backupFillLimit = 0.9;
 // Part of an engine's memory that a backup in another availability zone costs, for its traffic.
 constexpr double backupOtherZoneCost = 0.25;
 // Cost of memory in use at the destination, in milliseconds at a full engine.
 constexpr double fullMemoryCost = 300;
+// Random part of the cost, so that processes that see the same do not all choose the same engine:
+// the time of one copy over an idle link.
+constexpr double spreadCost = 250;
 // An endpoint that lately failed is the last choice.
 constexpr double suspectCost = 1e6;
 // A cold engine works more slowly, and takes few requests.
@@ -87,7 +90,7 @@
     return {static_cast<std::int64_t>(sameZone ? millis : 2 * millis)};
 }
 
-const EndpointView *chooseBackup(const EndpointView &engine, std::uint64_t finalMemoryTokens,
+const EndpointView *chooseBackup(const EndpointView &engine, std::uint64_t reservedTokens,
                                  std::span<const EndpointView *const> candidates,
                                  const EngineModel &model, const PlacementView &view)
 {
@@ -101,7 +104,7 @@
         if (record.name == engine.record.name || view.health.isSuspect(view.now, record.name))
             continue;
         const EndpointLoad load = view.ledger.total(view.now, record.name);
-        const double filled = static_cast<double>(load.memoryTokens + finalMemoryTokens) / memory;
+        const double filled = static_cast<double>(load.memoryTokens + reservedTokens) / memory;
         if (filled > backupFillLimit)
             continue;
         const double cost =
@@ -117,7 +120,7 @@
 MoveDecision planMove(const EndpointView &source, const MovingRun &run,
                       std::span<const EndpointView *const> candidates, const EngineModel &model,
                       const PlacementView &view, const PlacementDemand &demand,
-                      const LinkQueue &links)
+                      const LinkQueue &links, double uniform)
 {
     const Millis left = run.engineEndsAt - view.now;
     const Millis needed = tokenTime * static_cast<std::int64_t>(run.remainingTokens);
@@ -137,13 +140,14 @@
             continue;
         const EndpointLoad load = view.ledger.total(view.now, record.name);
         const double filled =
-            static_cast<double>(load.memoryTokens + run.finalMemoryTokens) / memory;
+            static_cast<double>(load.memoryTokens + run.reservedTokens) / memory;
         if (filled > memoryFillLimit || load.requests >= model.slots)
             continue;
         const bool sameZone = record.zone == source.record.zone;
         const Millis copy =
             links.backlog(record.name, view.now) + copyTime(model, run.memoryTokens, sameZone);
         double cost = static_cast<double>(copy.count) + filled * filled * fullMemoryCost;
+        cost += spreadCost * spread(uniform, record.name);
         if (candidate->isCold(view.now))
             cost += coldCost;
         if (view.health.isSuspect(view.now, record.name))
--- a/src/serving/placement.cpp
+++ b/src/serving/placement.cpp
@@ -1,6 +1,7 @@
 #include "fescue/serving/placement.h"
 
 #include <algorithm>
+#include <cmath>
 #include <limits>
 
 namespace fescue::serving {
@@ -30,15 +31,6 @@
 // Time that a plain request takes in a slot, for comparing load with distance.
 constexpr double plainServiceMillis = 30;
 
-// A random number in [0, 1) for each candidate, from one for the whole choice.
-double jitterFor(const EndpointView &endpoint, double uniform)
-{
-    const std::size_t hash = std::hash<EndpointName> {}(endpoint.record.name);
-    const double offset = static_cast<double>(hash % 10007) / 10007.0;
-    const double sum = uniform * 7 + offset;
-    return sum - static_cast<double>(static_cast<std::int64_t>(sum));
-}
-
 bool mayUse(const EndpointView &endpoint, const PlacementView &view, const PlacementDemand &demand)
 {
     if (demand.excluded.contains(endpoint.record.name))
@@ -50,7 +42,7 @@
 
 double commonCost(const EndpointView &endpoint, const PlacementView &view, double uniform)
 {
-    double cost = jitterCost * jitterFor(endpoint, uniform);
+    double cost = jitterCost * spread(uniform, endpoint.record.name);
     if (endpoint.record.zone != view.zone)
         cost += otherZoneCost;
     if (endpoint.isCold(view.now))
@@ -77,6 +69,16 @@
 
 } // namespace
 
+double spread(double uniform, const EndpointName &name)
+{
+    // Multiplied so that neighbouring numbers do not keep the order of the endpoints.
+    constexpr double stretch = 7;
+    const std::size_t hash = std::hash<EndpointName> {}(name);
+    const double offset = static_cast<double>(hash % 10007) / 10007.0;
+    const double sum = uniform * stretch + offset;
+    return sum - std::floor(sum);
+}
+
 const EndpointView *choosePlain(std::span<const EndpointView *const> candidates,
                                 const PlacementView &view, const PlacementDemand &demand,
                                 double uniform)
--- a/src/serving/servingstate.cpp
+++ b/src/serving/servingstate.cpp
@@ -16,8 +16,10 @@
 // Connecting to an endpoint within the region takes a few milliseconds; one that takes longer has
 // lost a packet or its endpoint, and nothing has been sent.
 constexpr Millis endpointConnectTimeout = 300_ms;
-// Guesses of callers are cut at the length that this part of a route's outputs stays below.
-constexpr double likelyOutputQuantile = 0.9;
+// Guesses of callers are often far off: they are kept between the lengths that these parts of a
+// route's outputs stay below.
+constexpr double shortOutputQuantile = 0.25;
+constexpr double longOutputQuantile = 0.9;
 
 net::ClientLimits engineClientLimits()
 {
@@ -122,10 +124,12 @@
 
 std::uint32_t ServingState::expectedOutput(const Route &route, const GenerationSize &size) const
 {
-    const std::uint32_t likely =
-        m_lengths.quantile({}, ServiceName(route.name), 0, likelyOutputQuantile);
-    const std::uint32_t guess = size.expectedOutputTokens.value_or(likely);
-    return std::min({guess, size.maxOutputTokens, likely});
+    const ServiceName key(route.name);
+    const std::uint32_t shortest = m_lengths.quantile({}, key, 0, shortOutputQuantile);
+    const std::uint32_t longest = m_lengths.quantile({}, key, 0, longOutputQuantile);
+    const std::uint32_t guess = size.expectedOutputTokens.value_or(longest);
+    return std::min(std::clamp(guess, shortest, std::max(shortest, longest)),
+                    size.maxOutputTokens);
 }
 
 void ServingState::observeOutput(const Route &route, std::uint32_t tokens)
