Test the decision modules and the adapter; spread choices evenly

Found by the new test of spread moves: the random part kept the cyclic order of the engines, so the one after the largest gap got 249 of 400 moves.

--- a/src/serving/placement.cpp
+++ b/src/serving/placement.cpp
@@ -71,12 +71,14 @@
 
 double spread(double uniform, const EndpointName &name)
 {
-    // Multiplied so that neighbouring numbers do not keep the order of the endpoints.
-    constexpr double stretch = 7;
-    const std::size_t hash = std::hash<EndpointName> {}(name);
-    const double offset = static_cast<double>(hash % 10007) / 10007.0;
-    const double sum = uniform * stretch + offset;
-    return sum - std::floor(sum);
+    // The finishing steps of SplitMix64, so that every endpoint is as likely as another to be
+    // first.
+    std::uint64_t bits = std::hash<EndpointName> {}(name);
+    bits ^= static_cast<std::uint64_t>(std::ldexp(uniform, 63));
+    bits = (bits ^ (bits >> 30)) * 0xbf58476d1ce4e5b9ULL;
+    bits = (bits ^ (bits >> 27)) * 0x94d049bb133111ebULL;
+    bits ^= bits >> 31;
+    return std::ldexp(static_cast<double>(bits >> 11), -53);
 }
 
 const EndpointView *choosePlain(std::span<const EndpointView *const> candidates,
--- /dev/null
+++ b/tests/platform/requestcodec_test.cpp
@@ -0,0 +1,187 @@
+#include "platform/codec.h"
+
+#include <algorithm>
+#include <gtest/gtest.h>
+
+namespace {
+
+using namespace fescue;
+using namespace fescue::serving;
+
+net::HttpRequest callerRequest()
+{
+    net::HttpRequest request;
+    request.method = "POST";
+    request.target = "/a/b";
+    request.query = "q=1";
+    request.body = "body";
+    request.headers = {{"Host", "a.example"},
+                       {"X-Attempt-Id", "id-1"},
+                       {"X-Model-Id", "m"},
+                       {"X-Token-Usage", "1460,80"},
+                       {"X-Prefix-Hash", "5c1e07a2:800,zz:1,91bd3f06:410"},
+                       {"X-Length-Hint", "60"},
+                       {"X-Deadline-Ms", "39000"},
+                       {"X-Tenant-Id", "forged"},
+                       {"X-Cache-Hold", "forged"},
+                       {"X-Pin-Ms", "1"},
+                       {"X-Kv-Backup", "10.0.0.1:1"},
+                       {"Kv-From", "10.0.0.1:1/x"},
+                       {"Connection", "keep-alive, X-Hop"},
+                       {"X-Hop", "1"},
+                       {"Authorization", "Token secret"},
+                       {"X-Free", "kept"}};
+    return request;
+}
+
+EngineSend makeSend()
+{
+    EngineSend send;
+    send.endpoint = EndpointName("i-1");
+    send.timeLeft = 1'234_ms;
+    send.account = AccountName("diner");
+    send.hideKey = true;
+    return send;
+}
+
+int countOf(const net::HttpRequest &request, std::string_view name)
+{
+    return static_cast<int>(
+        std::count_if(request.headers.begin(), request.headers.end(),
+                      [name](const net::Header &header) { return header.name == name; }));
+}
+
+TEST(RequestCodec, ReadsTheFieldsOfACaller)
+{
+    const Result<CallerRequest> caller = platform::decodeCaller(callerRequest());
+    ASSERT_TRUE(caller);
+    EXPECT_EQ(caller->requestId, "id-1");
+    EXPECT_EQ(caller->accountKey, "secret");
+    EXPECT_EQ(caller->patience, 39_s);
+    ASSERT_TRUE(caller->generation);
+    EXPECT_EQ(caller->generation->promptTokens, 1'460U);
+    EXPECT_EQ(caller->generation->maxOutputTokens, 80U);
+    EXPECT_EQ(caller->generation->expectedOutputTokens, 60U);
+    ASSERT_EQ(caller->generation->parts.size(), 2U);
+    EXPECT_EQ(caller->generation->parts[1], (PromptPart {0x91bd3f06, 410}));
+}
+
+TEST(RequestCodec, MalformedNumbersAreRefused)
+{
+    for (const char *name : {"X-Deadline-Ms", "X-Token-Usage"}) {
+        net::HttpRequest request = callerRequest();
+        for (net::Header &header : request.headers) {
+            if (header.name == name)
+                header.value = "12x";
+        }
+        EXPECT_FALSE(platform::decodeCaller(request)) << name;
+    }
+}
+
+TEST(RequestCodec, EndpointGetsTheRequestUnchangedButForTheSystemsFields)
+{
+    const net::HttpRequest out = platform::encodeSend(callerRequest(), makeSend());
+    EXPECT_EQ(out.method, "POST");
+    EXPECT_EQ(out.target, "/a/b");
+    EXPECT_EQ(out.query, "q=1");
+    EXPECT_EQ(out.body, "body");
+    EXPECT_EQ(out.header("Host"), "a.example");
+    EXPECT_EQ(out.header("X-Attempt-Id"), "id-1");
+    EXPECT_EQ(out.header("X-Token-Usage"), "1460,80");
+    EXPECT_EQ(out.header("X-Free"), "kept");
+    EXPECT_EQ(out.header("X-Expected-Instance"), "i-1");
+    EXPECT_EQ(out.header("X-Deadline-Ms"), "1234");
+    EXPECT_EQ(out.header("X-Tenant-Id"), "diner");
+    EXPECT_EQ(countOf(out, "X-Tenant-Id"), 1);
+    EXPECT_EQ(countOf(out, "X-Deadline-Ms"), 1);
+}
+
+TEST(RequestCodec, WhatACallerMayNotSetIsDropped)
+{
+    const net::HttpRequest out = platform::encodeSend(callerRequest(), makeSend());
+    for (const char *name : {"Authorization", "X-Cache-Hold", "X-Pin-Ms", "X-Kv-Backup", "Kv-From",
+                             "Connection", "X-Hop"})
+        EXPECT_EQ(countOf(out, name), 0) << name;
+}
+
+TEST(RequestCodec, ResumedGenerationNamesItsCopy)
+{
+    EngineSend send = makeSend();
+    send.resume = ResumePoint {{"10.0.0.9", 80}, "h7", 41};
+    send.backup = net::Address {"10.0.0.8", 81};
+    send.priority = 1;
+    const net::HttpRequest out = platform::encodeSend(callerRequest(), send);
+    EXPECT_EQ(out.header("Kv-From"), "10.0.0.9:80/h7");
+    EXPECT_EQ(out.header("Last-Event-Id"), "41");
+    EXPECT_EQ(out.header("X-Kv-Backup"), "10.0.0.8:81");
+    EXPECT_EQ(out.header("X-Request-Priority"), "1");
+}
+
+TEST(RequestCodec, AnswerHeadsTellWhatRan)
+{
+    EXPECT_TRUE(platform::decodeAnswerHead(503, {{"X-Not-Executed", "1"}}).notRun);
+    EXPECT_FALSE(platform::decodeAnswerHead(503, {}).notRun);
+    EXPECT_FALSE(platform::decodeAnswerHead(500, {}).notRun);
+    const EngineAnswerHead other = platform::decodeAnswerHead(421, {{"X-Instance-Id", "i-2"}});
+    EXPECT_TRUE(other.otherEndpoint);
+    EXPECT_TRUE(other.notRun);
+    EXPECT_EQ(platform::decodeAnswerHead(200, {{"X-Attempt-Id", "id-1"}}).requestId, "id-1");
+}
+
+TEST(RequestCodec, AnswersKeepTheirSignatureAndLoseConnectionHeaders)
+{
+    const std::vector<net::Header> headers = platform::answerHeaders(
+        {{"X-Server-Signature", "s"}, {"Keep-Alive", "timeout=5"}, {"Connection", "close"}});
+    ASSERT_EQ(headers.size(), 1U);
+    EXPECT_EQ(headers[0].value, "s");
+}
+
+TEST(RequestCodec, RefusalsAskBackInFractionsOfASecond)
+{
+    const net::HttpResponse response = platform::encodeRefusal(
+        {503, ResultCode::NoCapacity, RunState::NotRun, "full", Millis {250}});
+    EXPECT_EQ(response.header("Retry-After"), "0.250");
+}
+
+TEST(MoveCodec, AnswersOfACopy)
+{
+    EXPECT_EQ(platform::decodeMoveAnswer(200, R"({"Handle":"h","Created":12})"),
+              (MoveAnswer {MoveOutcome::Copied, "h", 12}));
+    EXPECT_EQ(platform::decodeMoveAnswer(503, R"({"Handle":7})"),
+              (MoveAnswer {MoveOutcome::NoRoom, "7", 0}));
+    EXPECT_EQ(platform::decodeMoveAnswer(404, "").outcome, MoveOutcome::NoSuchRun);
+    EXPECT_EQ(platform::decodeMoveAnswer(409, "{").outcome, MoveOutcome::Busy);
+    EXPECT_EQ(platform::decodeMoveAnswer(500, "").outcome, MoveOutcome::Unclear);
+}
+
+TEST(MoveCodec, CallNamesGenerationAndDestination)
+{
+    const net::HttpRequest request = platform::encodeMove({"id-1", {"10.0.0.8", 81}, true});
+    EXPECT_EQ(request.target, "/kv-move");
+    EXPECT_EQ(request.body, R"({"Final":true,"Id":"id-1","To":"10.0.0.8:81"})");
+}
+
+TEST(ReportCodec, ReadsWhatAnEngineKnows)
+{
+    const Result<EngineReport> report = platform::decodeReport(
+        R"({"Phase":"combined","Queued":1,"Active":12,"KvUsed":41000,"KvTotal":90000,"leaves_ms":800})");
+    ASSERT_TRUE(report);
+    EXPECT_EQ(report->leavesIn, 800_ms);
+    EXPECT_EQ(report->running, 12U);
+    EXPECT_FALSE(platform::decodeReport("{}"));
+    EXPECT_FALSE(platform::decodeReport("nonsense"));
+}
+
+TEST(DirectoryCodec, QuestionAndAnswer)
+{
+    net::HttpRequest request;
+    request.target = "/resolution";
+    request.query = "Name=a.example&Region=pnw&Zone=pnw-a";
+    EXPECT_EQ(platform::decodeResolution(request), ZoneName("pnw-a"));
+    request.target = "/other";
+    EXPECT_FALSE(platform::decodeResolution(request));
+    EXPECT_EQ(platform::encodeResolution({"10.0.0.1:80"}, 2_s).body,
+              R"({"Addresses":["10.0.0.1:80"],"TtlS":2.0})");
+}
+
+} // namespace
--- /dev/null
+++ b/tests/platform/settings_test.cpp
@@ -0,0 +1,43 @@
+#include "platform/settings.h"
+
+#include <gtest/gtest.h>
+
+namespace {
+
+using namespace fescue;
+
+constexpr std::string_view settingsText = R"({"NodeName":"edge-1","Role":"edge","Ip":"10.1.0.19",
+ "Zone":"pnw-a","Region":"pnw","Unknown":{"x":1},
+ "ListenAddresses":{"Frontend":"10.1.0.19:8740","Ready":"10.1.0.19:8749",
+  "DirectoryService":"10.1.0.19:8746"},"InternalPortRange":[7200,7215],
+ "Bounds":{"GraceS":8,"RetryBudgetRatio":0.2,"BudgetWindowS":10,"RetryAllowance":58,
+  "ColdOverrun":1.5,"ColdTolerance":5,"ttl_max_s":5},
+ "Platform":{"Address":"10.200.1.7:8742","form":"kv"}})";
+
+TEST(PlatformSettings, ReadsAWholeFile)
+{
+    const Result<serving::NodeSettings> settings =
+        platform::parseSettings(settingsText, "node.json");
+    ASSERT_TRUE(settings) << settings.error().toString();
+    EXPECT_EQ(settings->name, MemberName("edge-1"));
+    EXPECT_EQ(settings->frontAddress.toString(), "10.1.0.19:8740");
+    EXPECT_EQ(settings->metricsAddress.toString(), "10.1.0.19:7200");
+    EXPECT_EQ(settings->peerAddress.toString(), "10.1.0.19:7201");
+    EXPECT_EQ(settings->storeAddress.toString(), "10.200.1.7:8742");
+    EXPECT_EQ(settings->bounds.stopGrace, 8_s);
+    EXPECT_EQ(settings->bounds.retryAllowance, 58);
+}
+
+TEST(PlatformSettings, ErrorsNameTheFileAndTheField)
+{
+    std::string text(settingsText);
+    text.replace(text.find("10.200.1.7:8742"), 15, "somewhere:8742 ");
+    const Result<serving::NodeSettings> settings = platform::parseSettings(text, "node.json");
+    ASSERT_FALSE(settings);
+    EXPECT_EQ(settings.error().position.file, "node.json");
+    EXPECT_NE(settings.error().message.find("Address"), std::string::npos);
+    EXPECT_FALSE(platform::parseSettings("{", "node.json"));
+    EXPECT_FALSE(platform::loadSettings("/nowhere/node.json"));
+}
+
+} // namespace
--- /dev/null
+++ b/tests/serving/attemptpolicy_test.cpp
@@ -0,0 +1,77 @@
+#include "fescue/serving/attemptpolicy.h"
+
+#include <gtest/gtest.h>
+
+namespace {
+
+using namespace fescue;
+using namespace fescue::serving;
+
+constexpr Millis enough = 1_s;
+
+AttemptVerdict after(AttemptPolicy &policy, SendOutcome outcome, Millis left = enough,
+                     bool budget = true)
+{
+    return policy.after(outcome, left, [budget] { return budget; });
+}
+
+TEST(AttemptPolicy, NonRepeatableRequestIsNeverSentAgainOnceItMayHaveRun)
+{
+    for (const RouteKind kind : {RouteKind::NonIdempotent, RouteKind::Streaming}) {
+        for (const SendOutcome outcome : {SendOutcome::Lost, SendOutcome::TimedOut}) {
+            AttemptPolicy policy(kind, 5);
+            EXPECT_EQ(after(policy, outcome), AttemptVerdict::FailUnknown);
+        }
+        AttemptPolicy failed(kind, 5);
+        EXPECT_EQ(after(failed, SendOutcome::Failed), AttemptVerdict::PassOn);
+    }
+}
+
+TEST(AttemptPolicy, RefusalsSayNotRunOnlyWhereThatIsSure)
+{
+    AttemptPolicy shed(RouteKind::NonIdempotent, 1);
+    EXPECT_EQ(after(shed, SendOutcome::NotRun), AttemptVerdict::RefuseNotRun);
+    AttemptPolicy lostThenShed(RouteKind::Idempotent, 2);
+    EXPECT_EQ(after(lostThenShed, SendOutcome::Lost), AttemptVerdict::TryAnother);
+    EXPECT_EQ(after(lostThenShed, SendOutcome::NotRun), AttemptVerdict::FailUnknown);
+}
+
+TEST(AttemptPolicy, IdempotentRequestGoesToAsManyEndpointsAsItMay)
+{
+    AttemptPolicy policy(RouteKind::Idempotent, 2);
+    EXPECT_EQ(after(policy, SendOutcome::Failed), AttemptVerdict::TryAnother);
+    EXPECT_EQ(after(policy, SendOutcome::Failed), AttemptVerdict::PassOn);
+    EXPECT_EQ(policy.sent(), 2U);
+}
+
+TEST(AttemptPolicy, NothingIsRepeatedWithoutBudgetOrTime)
+{
+    AttemptPolicy poor(RouteKind::Idempotent, 3);
+    EXPECT_EQ(after(poor, SendOutcome::Lost, enough, false), AttemptVerdict::FailUnknown);
+    AttemptPolicy late(RouteKind::Idempotent, 3);
+    EXPECT_EQ(after(late, SendOutcome::Lost, 5_ms), AttemptVerdict::FailUnknown);
+}
+
+TEST(AttemptPolicy, AttemptsThatSentNothingAreFreeButBounded)
+{
+    AttemptPolicy policy(RouteKind::NonIdempotent, 1);
+    for (int n = 0; n < 4; ++n)
+        EXPECT_EQ(after(policy, SendOutcome::NotSent, enough, false), AttemptVerdict::TryAnother);
+    EXPECT_EQ(after(policy, SendOutcome::NotSent), AttemptVerdict::RefuseNotRun);
+}
+
+TEST(AttemptPolicy, AddressTakenOverByAnotherEndpointIsNoAttempt)
+{
+    AttemptPolicy policy(RouteKind::NonIdempotent, 1);
+    EXPECT_EQ(after(policy, SendOutcome::OtherEndpoint), AttemptVerdict::TryAnother);
+    EXPECT_EQ(policy.sent(), 0U);
+    EXPECT_EQ(after(policy, SendOutcome::Succeeded), AttemptVerdict::PassOn);
+}
+
+TEST(AttemptPolicy, NobodyIsAnsweredWhenTheCallerHasLeft)
+{
+    AttemptPolicy policy(RouteKind::Idempotent, 2);
+    EXPECT_EQ(after(policy, SendOutcome::CallerGone), AttemptVerdict::Abandon);
+}
+
+} // namespace
--- /dev/null
+++ b/tests/serving/endpointtable_test.cpp
@@ -0,0 +1,121 @@
+#include "fescue/serving/endpointtable.h"
+
+#include <gtest/gtest.h>
+
+namespace {
+
+using namespace fescue;
+using namespace fescue::serving;
+
+const ServiceName service("engines");
+
+EndpointRecord makeRecord(const char *name, std::uint64_t life = 1, const char *zone = "north")
+{
+    EndpointRecord record;
+    record.name = EndpointName(name);
+    record.service = service;
+    record.zone = ZoneName(zone);
+    record.incarnation = {life};
+    return record;
+}
+
+std::size_t usableCount(const EndpointTable &table)
+{
+    return table.usable(service).size();
+}
+
+TEST(EndpointTable, RemovedEndpointLeavesAtOnceWhileTheStoreAnswers)
+{
+    EndpointTable table;
+    table.listed(1_s, makeRecord("e1"));
+    table.removed(2_s, EndpointName("e1"));
+    EXPECT_EQ(usableCount(table), 0U);
+    EXPECT_TRUE(table.find(EndpointName("e1"))->leaving());
+}
+
+TEST(EndpointTable, DrainingEndpointKeepsTheTimeOfItsNotice)
+{
+    EndpointTable table;
+    EndpointRecord record = makeRecord("e1");
+    table.listed(1_s, record);
+    record.draining = true;
+    table.listed(2_s, record);
+    table.listed(3_s, record);
+    EXPECT_EQ(table.find(EndpointName("e1"))->leavingSince, 2_s);
+    EXPECT_EQ(usableCount(table), 0U);
+}
+
+TEST(EndpointTable, EntriesThatLapseInAnOutageStayUsableUntilTheGraceHasPassed)
+{
+    EndpointTable table;
+    table.listed(1_s, makeRecord("e1"));
+    table.listed(1_s, makeRecord("e2"));
+    table.storeReachable(10_s, false);
+    table.storeReachable(15_s, true);
+    table.removed(15_s, EndpointName("e1"));
+    table.removed(15_s, EndpointName("e2"));
+    EXPECT_EQ(usableCount(table), 2U);
+    table.listed(16_s, makeRecord("e2"));
+    EXPECT_TRUE(table.tick(Millis {16'900}).empty());
+    const std::vector<EndpointName> gone = table.tick(17_s);
+    ASSERT_EQ(gone.size(), 1U);
+    EXPECT_EQ(gone.front(), EndpointName("e1"));
+    EXPECT_EQ(usableCount(table), 1U);
+}
+
+TEST(EndpointTable, EndpointThatDrainedBeforeTheOutageIsNotDoubted)
+{
+    EndpointTable table;
+    EndpointRecord record = makeRecord("e1");
+    record.draining = true;
+    table.listed(1_s, record);
+    table.storeReachable(10_s, false);
+    table.removed(11_s, EndpointName("e1"));
+    EXPECT_TRUE(table.find(EndpointName("e1"))->leaving());
+    EXPECT_EQ(usableCount(table), 0U);
+}
+
+TEST(EndpointTable, SameNameInANewLifeIsUsableAgain)
+{
+    EndpointTable table;
+    table.listed(1_s, makeRecord("e1", 1));
+    table.removed(2_s, EndpointName("e1"));
+    table.listed(3_s, makeRecord("e1", 2));
+    EXPECT_EQ(usableCount(table), 1U);
+    EXPECT_EQ(table.find(EndpointName("e1"))->seenSince, 3_s);
+}
+
+TEST(EndpointTable, ZonesOutOfServiceGetNothing)
+{
+    EndpointTable table;
+    table.listed(1_s, makeRecord("e1", 1, "north"));
+    table.listed(1_s, makeRecord("e2", 1, "south"));
+    table.zoneOut(ZoneName("north"));
+    ASSERT_EQ(usableCount(table), 1U);
+    EXPECT_EQ(table.usable(service).front()->record.name, EndpointName("e2"));
+    table.zoneIn(ZoneName("north"));
+    EXPECT_EQ(usableCount(table), 2U);
+}
+
+TEST(EndpointTable, ColdTimeRunsFromTheRecord)
+{
+    EndpointTable table;
+    EndpointRecord record = makeRecord("e1");
+    record.coldRemaining = 900_ms;
+    table.listed(1_s, record);
+    EXPECT_TRUE(table.find(EndpointName("e1"))->isCold(Millis {1'899}));
+    EXPECT_FALSE(table.find(EndpointName("e1"))->isCold(Millis {1'900}));
+}
+
+TEST(EndpointTable, GoneEndpointsAreForgottenInTime)
+{
+    EndpointTable table;
+    table.listed(1_s, makeRecord("e1"));
+    table.removed(2_s, EndpointName("e1"));
+    static_cast<void>(table.tick(31_s));
+    EXPECT_NE(table.find(EndpointName("e1")), nullptr);
+    static_cast<void>(table.tick(33_s));
+    EXPECT_EQ(table.find(EndpointName("e1")), nullptr);
+}
+
+} // namespace
--- /dev/null
+++ b/tests/serving/eventsplitter_test.cpp
@@ -0,0 +1,65 @@
+#include "fescue/serving/eventsplitter.h"
+
+#include <gtest/gtest.h>
+#include <string>
+
+namespace {
+
+using namespace fescue::serving;
+
+std::string event(int id)
+{
+    return "id: " + std::to_string(id) + "\ndata: x" + std::to_string(id) + "\n\n";
+}
+
+TEST(EventSplitter, PassesWholeEventsUnchangedHoweverTheInputIsCut)
+{
+    const std::string stream = event(1) + "id: 2\r\ndata: y\r\n\r\n" + event(3);
+    for (std::size_t cut = 1; cut < stream.size(); ++cut) {
+        EventSplitter splitter;
+        ASSERT_TRUE(splitter.feed(stream.substr(0, cut)));
+        std::string out(splitter.ready());
+        splitter.clearReady();
+        ASSERT_TRUE(splitter.feed(stream.substr(cut)));
+        out += splitter.ready();
+        EXPECT_EQ(out, stream);
+        EXPECT_FALSE(splitter.midEvent());
+        EXPECT_EQ(splitter.lastId(), 3U);
+        EXPECT_EQ(splitter.events(), 3U);
+    }
+}
+
+TEST(EventSplitter, KeepsBackAnEventThatBreaksOff)
+{
+    EventSplitter splitter;
+    ASSERT_TRUE(splitter.feed(event(1) + "id: 2\nda"));
+    EXPECT_EQ(splitter.ready(), event(1));
+    EXPECT_TRUE(splitter.midEvent());
+    EXPECT_EQ(splitter.lastId(), 1U);
+}
+
+TEST(EventSplitter, ResumedStreamContinuesAfterTheLastWholeEvent)
+{
+    EventSplitter splitter;
+    ASSERT_TRUE(splitter.feed(event(1) + event(2) + "id: 3\nda"));
+    splitter.clearReady();
+    splitter.resume();
+    ASSERT_TRUE(splitter.feed(event(2) + event(3) + event(4)));
+    EXPECT_EQ(splitter.ready(), event(3) + event(4));
+}
+
+TEST(EventSplitter, GapAfterAResumeIsAnError)
+{
+    EventSplitter splitter;
+    ASSERT_TRUE(splitter.feed(event(1)));
+    splitter.resume();
+    EXPECT_FALSE(splitter.feed(event(3)));
+}
+
+TEST(EventSplitter, EndlessEventIsAnError)
+{
+    EventSplitter splitter;
+    EXPECT_FALSE(splitter.feed(std::string(EventSplitter::maxEventBytes + 1, 'x')));
+}
+
+} // namespace
--- /dev/null
+++ b/tests/serving/gossip_test.cpp
@@ -0,0 +1,37 @@
+#include "fescue/serving/gossip.h"
+
+#include <gtest/gtest.h>
+
+namespace {
+
+using namespace fescue;
+using namespace fescue::serving;
+
+Gossip makeGossip()
+{
+    Gossip gossip;
+    gossip.member = {MemberName("edge-1"), {77}, ZoneName("north"), VmName(), "10.0.0.1:80",
+                     "10.0.0.1:81",        true};
+    gossip.configVersion = {9};
+    gossip.loads = {{EndpointName("e1"), {3, 9'000, 500}}};
+    gossip.repeats = {{ServiceName("s"), 4}};
+    return gossip;
+}
+
+TEST(Gossip, ComesBackAsItWasSent)
+{
+    const Gossip gossip = makeGossip();
+    const Result<Gossip> decoded = decodeGossip(encodeGossip(gossip));
+    ASSERT_TRUE(decoded) << decoded.error().message;
+    EXPECT_EQ(*decoded, gossip);
+}
+
+TEST(Gossip, DamagedBytesAreAnError)
+{
+    const std::string bytes = encodeGossip(makeGossip());
+    for (std::size_t n = 0; n < bytes.size(); ++n)
+        EXPECT_FALSE(decodeGossip(std::string_view(bytes).substr(0, n)));
+    EXPECT_FALSE(decodeGossip("\xa0"));
+}
+
+} // namespace
--- /dev/null
+++ b/tests/serving/moveplan_test.cpp
@@ -0,0 +1,173 @@
+#include "fescue/serving/moveplan.h"
+
+#include <gtest/gtest.h>
+#include <map>
+#include <string>
+
+namespace {
+
+using namespace fescue;
+using namespace fescue::serving;
+
+// Engines of one service and what has been sent to them.
+class Fleet
+{
+public:
+    Fleet()
+    {
+        model.slots = 64;
+        model.memoryTokens = 34'631;
+        model.bytesPerToken = 18'432;
+        model.linkMegabitsPerSecond = 2'700;
+        model.canMove = true;
+        model.canBackUp = true;
+    }
+
+    void add(const char *name, const char *zone, Millis cold = 0_ms)
+    {
+        EndpointRecord record;
+        record.name = EndpointName(name);
+        record.service = ServiceName("engines");
+        record.zone = ZoneName(zone);
+        record.slots = 64;
+        record.coldRemaining = cold;
+        table.listed(now, record);
+    }
+
+    void leave(const char *name) { table.removed(now, EndpointName(name)); }
+
+    [[nodiscard]] PlacementView view()
+    {
+        return {ledger, health, gate, 50, 9, ZoneName("north"), now};
+    }
+
+    [[nodiscard]] MoveDecision plan(const char *source, const MovingRun &run, double uniform = 0)
+    {
+        const std::vector<const EndpointView *> candidates = table.usable(ServiceName("engines"));
+        return planMove(*table.find(EndpointName(source)), run, candidates, model, view(), {},
+                        links, uniform);
+    }
+
+    Millis now = 10_s;
+    EngineModel model;
+    EndpointTable table;
+    LoadLedger ledger;
+    EndpointHealth health;
+    ColdGate gate;
+    LinkQueue links;
+};
+
+const MovingRun longRun {4'000, 4'500, 800, Millis {11'500}};
+
+TEST(MovePlan, PrefersTheZoneWhereCopiesTakeHalfTheTime)
+{
+    Fleet fleet;
+    fleet.add("source", "north");
+    fleet.add("far", "south");
+    fleet.add("near", "north");
+    fleet.leave("source");
+    const MoveDecision decision = fleet.plan("source", longRun);
+    ASSERT_EQ(decision.verdict, MoveVerdict::Move);
+    EXPECT_EQ(decision.destination->record.name, EndpointName("near"));
+}
+
+TEST(MovePlan, CopyTimeFollowsTheLink)
+{
+    const Fleet fleet;
+    EXPECT_EQ(copyTime(fleet.model, 4'000, true), Millis {218});
+    EXPECT_EQ(copyTime(fleet.model, 4'000, false), Millis {436});
+}
+
+TEST(MovePlan, GenerationThatEndsWellBeforeItsEngineStays)
+{
+    Fleet fleet;
+    fleet.add("source", "north");
+    fleet.add("near", "north");
+    fleet.leave("source");
+    EXPECT_EQ(fleet.plan("source", {2'000, 2'020, 40, Millis {11'500}}).verdict,
+              MoveVerdict::EndsInTime);
+    EXPECT_EQ(fleet.plan("source", {2'000, 2'100, 100, Millis {11'500}}).verdict,
+              MoveVerdict::Move);
+}
+
+TEST(MovePlan, FullEnginesAreNoDestination)
+{
+    Fleet fleet;
+    fleet.add("source", "north");
+    fleet.add("near", "north");
+    fleet.leave("source");
+    fleet.ledger.add(EndpointName("near"), {8, 31'000, 0});
+    EXPECT_EQ(fleet.plan("source", longRun).verdict, MoveVerdict::NoDestination);
+}
+
+// Pattern: an engine with several generations gives notice, and each belongs to another process;
+// all of them see the same free engines.
+TEST(MovePlan, ProcessesThatSeeTheSameSpreadTheirMoves)
+{
+    Fleet fleet;
+    fleet.add("source", "north");
+    for (const char *name : {"n1", "n2", "n3", "n4"})
+        fleet.add(name, "north");
+    fleet.leave("source");
+    std::map<std::string, int> chosen;
+    for (int n = 0; n < 400; ++n)
+        ++chosen[fleet.plan("source", longRun, n / 400.0).destination->record.name.text()];
+    EXPECT_EQ(chosen.size(), 4U);
+    for (const std::pair<const std::string, int> &entry : chosen)
+        EXPECT_LT(entry.second, 200) << entry.first;
+}
+
+// Pattern: copies of many generations share one link. A generation that stops while the whole
+// copies of others are queued pauses for as long as they take.
+TEST(CopySchedule, RunsOnWhileTheLinkIsBusyAndStopsWhenItIsQuiet)
+{
+    const CopySchedule schedule(Millis {11'500});
+    EXPECT_EQ(schedule.after(Millis {10'300}, 300_ms), CopyStep::CopyAgain);
+    EXPECT_EQ(schedule.after(Millis {10'800}, 500_ms), CopyStep::CopyAgain);
+    EXPECT_EQ(schedule.after(Millis {10'820}, 20_ms), CopyStep::Stop);
+}
+
+TEST(CopySchedule, StopsInTimeBeforeTheEngineGoes)
+{
+    const CopySchedule schedule(Millis {11'500});
+    EXPECT_EQ(schedule.after(Millis {11'100}, 300_ms), CopyStep::Stop);
+}
+
+TEST(ChooseBackup, TakesTheEmptiestEngineOfTheZone)
+{
+    Fleet fleet;
+    fleet.add("source", "north");
+    fleet.add("near", "north");
+    fleet.add("empty", "north");
+    fleet.add("far", "south");
+    fleet.ledger.add(EndpointName("near"), {2, 8'000, 0});
+    const std::vector<const EndpointView *> candidates = fleet.table.usable(ServiceName("engines"));
+    const EndpointView *backup = chooseBackup(*fleet.table.find(EndpointName("source")), 4'000,
+                                              candidates, fleet.model, fleet.view());
+    ASSERT_NE(backup, nullptr);
+    EXPECT_EQ(backup->record.name, EndpointName("empty"));
+}
+
+TEST(ChooseBackup, LeavesRoomForNewGenerations)
+{
+    Fleet fleet;
+    fleet.add("source", "north");
+    fleet.add("near", "north");
+    fleet.ledger.add(EndpointName("near"), {6, 28'500, 0});
+    const std::vector<const EndpointView *> candidates = fleet.table.usable(ServiceName("engines"));
+    EXPECT_EQ(chooseBackup(*fleet.table.find(EndpointName("source")), 4'000, candidates,
+                           fleet.model, fleet.view()),
+              nullptr);
+}
+
+TEST(LinkQueue, CopiesToOneEngineWaitForEachOther)
+{
+    LinkQueue links;
+    links.begin(EndpointName("a"), 1_s, 200_ms);
+    links.begin(EndpointName("a"), 1_s, 300_ms);
+    EXPECT_EQ(links.backlog(EndpointName("a"), Millis {1'100}), 400_ms);
+    EXPECT_EQ(links.backlog(EndpointName("b"), Millis {1'100}), 0_ms);
+    EXPECT_EQ(links.backlog(EndpointName("a"), 2_s), 0_ms);
+}
+
+} // namespace
--- /dev/null
+++ b/tests/serving/placement_test.cpp
@@ -0,0 +1,134 @@
+#include "fescue/serving/placement.h"
+
+#include <gtest/gtest.h>
+#include <map>
+#include <string>
+
+namespace {
+
+using namespace fescue;
+using namespace fescue::serving;
+
+const ServiceName service("engines");
+
+class Placement : public testing::Test
+{
+protected:
+    void add(const char *name, const char *zone = "north", Millis cold = 0_ms)
+    {
+        EndpointRecord record;
+        record.name = EndpointName(name);
+        record.service = service;
+        record.zone = ZoneName(zone);
+        record.slots = 6;
+        record.coldRemaining = cold;
+        table.listed(now, record);
+    }
+
+    [[nodiscard]] PlacementView view() const
+    {
+        return {ledger, health, gate, 50, 9, ZoneName("north"), now};
+    }
+
+    [[nodiscard]] std::string plain(double uniform, const PlacementDemand &demand = {}) const
+    {
+        const EndpointView *chosen = choosePlain(table.usable(service), view(), demand, uniform);
+        return chosen == nullptr ? "none" : chosen->record.name.text();
+    }
+
+    [[nodiscard]] std::string engine(double uniform, std::uint64_t memory,
+                                     std::uint64_t prefill) const
+    {
+        EngineModel model;
+        model.slots = 64;
+        model.memoryTokens = 34'631;
+        const EndpointView *chosen =
+            chooseEngine(table.usable(service), model, view(), {memory, prefill, {}}, uniform);
+        return chosen == nullptr ? "none" : chosen->record.name.text();
+    }
+
+    Millis now = 10_s;
+    EndpointTable table;
+    LoadLedger ledger;
+    EndpointHealth health;
+    ColdGate gate;
+};
+
+TEST_F(Placement, PlainRequestsStayInTheZoneUntilItsEndpointsAreBusier)
+{
+    add("near", "north");
+    add("far", "south");
+    EXPECT_EQ(plain(0.1), "near");
+    ledger.add(EndpointName("near"), {6, 0, 0});
+    EXPECT_EQ(plain(0.1), "far");
+}
+
+TEST_F(Placement, ExcludedEndpointsAreNotChosen)
+{
+    add("a");
+    EXPECT_EQ(plain(0.5, {0, 0, {EndpointName("a")}}), "none");
+}
+
+// Pattern: an endpoint that answers its health check fails part of its requests.
+TEST_F(Placement, EndpointThatFailsManyRequestsIsTheLastChoice)
+{
+    add("grey", "north");
+    add("sound", "south");
+    for (int n = 0; n < 12; ++n)
+        health.record(now, EndpointName("grey"), n % 2 == 0);
+    EXPECT_EQ(plain(0.3), "sound");
+    EXPECT_EQ(plain(0.3, {0, 0, {EndpointName("sound")}}), "grey");
+    now += 5_s;
+    EXPECT_EQ(plain(0.3), "grey");
+}
+
+TEST_F(Placement, GenerationsAvoidEnginesThatReadOtherPrompts)
+{
+    add("reading");
+    add("free");
+    ledger.add(EndpointName("reading"), {1, 3'000, 3'000});
+    EXPECT_EQ(engine(0.2, 4'000, 3'000), "free");
+}
+
+TEST_F(Placement, GenerationsGoWhereTheirMemoryFits)
+{
+    add("full");
+    add("roomy", "south");
+    ledger.add(EndpointName("full"), {7, 30'000, 0});
+    EXPECT_EQ(engine(0.2, 4'000, 3'000), "roomy");
+    ledger.add(EndpointName("roomy"), {7, 30'000, 0});
+    EXPECT_EQ(engine(0.2, 4'000, 3'000), "none");
+}
+
+// Pattern: two processes choose within the time in which they cannot know of each other.
+TEST_F(Placement, ProcessesThatSeeTheSameSpreadTheirChoices)
+{
+    for (const char *name : {"a", "b", "c", "d"})
+        add(name);
+    std::map<std::string, int> chosen;
+    for (int n = 0; n < 400; ++n)
+        ++chosen[engine(n / 400.0, 4'000, 3'000)];
+    EXPECT_EQ(chosen.size(), 4U);
+}
+
+TEST_F(Placement, ColdEndpointsGetNoMoreThanTheirPart)
+{
+    add("cold", "north", 1_s);
+    EXPECT_EQ(plain(0.1), "cold");
+    while (gate.tryTake(now, EndpointName("cold"), 50, 9)) { }
+    EXPECT_EQ(plain(0.1), "none");
+}
+
+TEST(LoadLedger, PeersCountUntilTheyFallSilent)
+{
+    LoadLedger ledger;
+    const EndpointName endpoint("e");
+    ledger.add(endpoint, {1, 100, 50});
+    ledger.peerTold(1_s, MemberName("p"), {{endpoint, {2, 200, 0}}});
+    EXPECT_EQ(ledger.total(1_s, endpoint), (EndpointLoad {3, 300, 50}));
+    EXPECT_EQ(ledger.total(3_s, endpoint), (EndpointLoad {1, 100, 50}));
+    ledger.subtract(endpoint, {1, 100, 50});
+    EXPECT_TRUE(ledger.own().empty());
+}
+
+} // namespace
--- /dev/null
+++ b/tests/serving/repeatbudget_test.cpp
@@ -0,0 +1,90 @@
+#include "fescue/serving/repeatbudget.h"
+
+#include <gtest/gtest.h>
+#include <random>
+#include <string>
+#include <vector>
+
+namespace {
+
+using namespace fescue;
+using namespace fescue::serving;
+
+const RepeatBound bound {0.2, 58, 10_s};
+
+MemberName memberName(std::size_t n)
+{
+    return MemberName("entry-" + std::to_string(n));
+}
+
+TEST(RepeatBudget, OneProcessMayUseThePoolThatOthersLeave)
+{
+    RepeatBudget budget(bound);
+    for (std::size_t n = 1; n < 9; ++n)
+        budget.peerTold(1_s, memberName(n), 0);
+    int taken = 0;
+    while (budget.tryTake(1_s, 9))
+        ++taken;
+    EXPECT_EQ(taken, 40);
+}
+
+TEST(RepeatBudget, PeersThatAreNotHeardCountWithAnEqualPart)
+{
+    RepeatBudget budget(bound);
+    int taken = 0;
+    while (budget.tryTake(1_s, 9))
+        ++taken;
+    EXPECT_EQ(taken, 4);
+}
+
+TEST(RepeatBudget, RequestsPayForTheirPart)
+{
+    RepeatBudget budget(bound);
+    for (int n = 0; n < 100; ++n)
+        budget.recordRequest(1_s);
+    int taken = 0;
+    while (budget.tryTake(1_s, 9))
+        ++taken;
+    EXPECT_EQ(taken, 16 + 4);
+}
+
+TEST(RepeatBudget, RepeatsComeBackAfterTheWindow)
+{
+    RepeatBudget budget(bound);
+    while (budget.tryTake(1_s, 9)) { }
+    EXPECT_FALSE(budget.tryTake(Millis {10'999}, 9));
+    EXPECT_TRUE(budget.tryTake(11_s, 9));
+}
+
+// Pattern: engines leave all day and every process wants to repeat as often as it may, while
+// processes hear each other late, not at all, or in two halves.
+TEST(RepeatBudget, SumOfAllProcessesStaysBelowTheBound)
+{
+    constexpr std::size_t processes = 9;
+    std::mt19937_64 random(20261204);
+    for (int round = 0; round < 12; ++round) {
+        std::vector<RepeatBudget> budgets(processes, RepeatBudget(bound));
+        std::vector<Millis> taken;
+        const Millis cutFrom {static_cast<std::int64_t>(random() % 20'000)};
+        const Millis cutTo = cutFrom + 8_s;
+        for (Millis now {0}; now < 40_s; now += 25_ms) {
+            const bool tells = now.count % 250 == 0;
+            const bool cut = now >= cutFrom && now < cutTo;
+            for (std::size_t a = 0; a < processes; ++a) {
+                if (random() % 40 == 0 && budgets[a].tryTake(now, processes))
+                    taken.push_back(now);
+                for (std::size_t b = 0; tells && b < processes; ++b) {
+                    if (a != b && !(cut && a % 2 != b % 2))
+                        budgets[b].peerTold(now, memberName(a), budgets[a].poolUsed(now));
+                }
+            }
+        }
+        for (std::size_t i = 0, j = 0; i < taken.size(); ++i) {
+            while (taken[i] - taken[j] >= bound.window)
+                ++j;
+            ASSERT_LE(i - j + 1, static_cast<std::size_t>(bound.allowance));
+        }
+    }
+}
+
+} // namespace
