--- a/include/fescue/serving/generationmover.h
+++ b/include/fescue/serving/generationmover.h
@@ -19,6 +19,10 @@
     // Starts to move one generation where its engine leaves.
     void check(const GenerationRunPtr &run);
 
+    // Keeps a copy of a generation's memory at another engine while it has no backup, so that little
+    // is left to copy when its own engine leaves.
+    void guard(const GenerationRunPtr &run);
+
 private:
     // An engine that leaves, as far as its generations are concerned.
     struct Departure
@@ -36,6 +40,17 @@
 
     // Asks an engine that has begun to leave when it will be gone.
     void askEnd(const EndpointRecord &engine);
+    void keepCopy(const GenerationRunPtr &run);
+    // Makes or renews the copy. Returns the time until it has to be renewed.
+    [[nodiscard]] Millis copyAhead(const GenerationRunPtr &run, const EndpointView &source);
+    // Stops relying on an engine that leaves for backups and copies.
+    void replaceCopies(const EndpointName &engine);
+    // The engine that a generation is moved to: the one that holds a copy, where it can be used.
+    [[nodiscard]] MoveDecision chooseDestination(const GenerationRun &run,
+                                                 const EndpointView &source,
+                                                 const EngineModel &model,
+                                                 const PlacementDemand &demand);
+    [[nodiscard]] bool isUsable(const std::optional<EndpointRecord> &engine) const;
     [[nodiscard]] Millis endOf(const EndpointView &engine);
     void move(const GenerationRunPtr &run);
     [[nodiscard]] NextStep moveOnce(const GenerationRunPtr &run, const EndpointView &source,
@@ -47,8 +62,6 @@
                                 const EndpointRecord &destination);
     [[nodiscard]] MoveAnswer call(const GenerationRunPtr &run, const EndpointRecord &source,
                                   const EndpointRecord &destination, bool stop);
-    // True where the generation can go on from its backup.
-    [[nodiscard]] bool backupIsUsable(const GenerationRun &run) const;
     [[nodiscard]] const EngineModel *modelOf(const GenerationRun &run) const;
 
     ServingState *m_state;
--- a/include/fescue/serving/generationmover.inl
+++ b/include/fescue/serving/generationmover.inl
@@ -13,6 +13,12 @@
 inline constexpr Millis handOverPoll = 10_ms;
 // Departures are forgotten this long after the engine's end.
 inline constexpr Millis forgetDeparture = 60_s;
+// Pause before a generation without a copy is looked at again.
+inline constexpr Millis copyAheadPause = 200_ms;
+// A copy that waits for its use is renewed in this time, well within its lifetime at the engine.
+inline constexpr Millis copyRenewInterval = 2500_ms;
+// Shorter generations end before a copy pays.
+inline constexpr std::uint64_t fewestTokensForCopy = 200;
 inline constexpr Millis reportTimeout = 500_ms;
 // A generation that is expected to have begun by then is not asked about sooner.
 inline constexpr Millis notBegunPause = 30_ms;
@@ -20,6 +26,7 @@
 template <PlatformProtocol P>
 void GenerationMover<P>::evacuate(const EndpointName &engine)
 {
+    replaceCopies(engine);
     const std::vector<GenerationRunPtr> runs = m_state->runs.runsAt(engine);
     const EndpointView *view = m_state->endpoints.find(engine);
     if (runs.empty() || view == nullptr)
@@ -98,13 +105,95 @@
 }
 
 template <PlatformProtocol P>
-bool GenerationMover<P>::backupIsUsable(const GenerationRun &run) const
+bool GenerationMover<P>::isUsable(const std::optional<EndpointRecord> &engine) const
 {
-    if (!run.backup)
-        return false;
-    const EndpointView *backup = m_state->endpoints.find(run.backup->name);
-    return backup != nullptr && !backup->leaving()
-        && !m_state->endpoints.zonesOut().contains(backup->record.zone);
+    const EndpointView *view = engine ? m_state->endpoints.find(engine->name) : nullptr;
+    return view != nullptr && !view->leaving()
+        && !m_state->endpoints.zonesOut().contains(view->record.zone);
+}
+
+template <PlatformProtocol P>
+void GenerationMover<P>::replaceCopies(const EndpointName &engine)
+{
+    for (const GenerationRunPtr &run : m_state->runs.runsKeptAt(engine)) {
+        run->backup.reset();
+        run->copyAhead.reset();
+        guard(run);
+    }
+}
+
+template <PlatformProtocol P>
+void GenerationMover<P>::guard(const GenerationRunPtr &run)
+{
+    if (run->hasGuard || run->finished || run->backup
+        || run->remainingTokens() < fewestTokensForCopy)
+        return;
+    run->hasGuard = true;
+    m_state->pool.spawn(net::currentWorker(), [this, run] {
+        keepCopy(run);
+        run->hasGuard = false;
+    });
+}
+
+template <PlatformProtocol P>
+void GenerationMover<P>::keepCopy(const GenerationRunPtr &run)
+{
+    while (!run->finished && !run->backup) {
+        const EndpointView *source = m_state->endpoints.find(run->engine.name);
+        if (source == nullptr)
+            return;
+        const EndpointView view = *source;
+        const bool still = run->phase == MovePhase::Running && !view.leaving();
+        Millis pause = still ? copyAhead(run, view) : copyAheadPause;
+        while (pause > Millis {0} && !run->finished) {
+            // A copy that is lost is replaced at once.
+            if (still && !run->copyAhead && pause < copyRenewInterval)
+                break;
+            net::sleepFor(std::min(pause, copyAheadPause));
+            pause -= copyAheadPause;
+        }
+    }
+}
+
+template <PlatformProtocol P>
+Millis GenerationMover<P>::copyAhead(const GenerationRunPtr &run, const EndpointView &source)
+{
+    const EngineModel *model = modelOf(*run);
+    if (model == nullptr || !model->canMove || run->events == 0)
+        return copyAheadPause;
+    if (!isUsable(run->copyAhead)) {
+        const std::vector<const EndpointView *> candidates = m_state->candidates(run->service);
+        const EndpointView *destination =
+            chooseBackup(source, run->reservedTokens(), candidates, *model,
+                         m_state->placementView(run->service));
+        if (destination == nullptr)
+            return copyRenewInterval;
+        run->copyAhead = destination->record;
+    }
+    const EndpointRecord destination = *run->copyAhead;
+    const MoveAnswer answer = call(run, source.record, destination, false);
+    if (answer.outcome != MoveOutcome::Copied)
+        run->copyAhead.reset();
+    return copyRenewInterval;
+}
+
+template <PlatformProtocol P>
+MoveDecision GenerationMover<P>::chooseDestination(const GenerationRun &run,
+                                                   const EndpointView &source,
+                                                   const EngineModel &model,
+                                                   const PlacementDemand &demand)
+{
+    const MovingRun moving = run.movingRun(endOf(source));
+    const std::vector<const EndpointView *> candidates = m_state->candidates(run.service);
+    MoveDecision decision =
+        planMove(source, moving, candidates, model, m_state->placementView(run.service), demand,
+                 m_state->links, m_state->uniform());
+    const bool hasCopy = isUsable(run.copyAhead) && !demand.excluded.contains(run.copyAhead->name);
+    const bool moves = decision.verdict == MoveVerdict::Move
+        || decision.verdict == MoveVerdict::NoDestination;
+    if (hasCopy && moves)
+        decision = {MoveVerdict::Move, m_state->endpoints.find(run.copyAhead->name)};
+    return decision;
 }
 
 template <PlatformProtocol P>
@@ -119,7 +208,7 @@
     if (model == nullptr)
         return NextStep::Done;
     const MovingRun moving = run->movingRun(endOf(source));
-    if (backupIsUsable(*run)) {
+    if (isUsable(run->backup)) {
         observe::logChange("hand-over", {{"id", run->requestId},
                                          {"from", source.record.name.text()},
                                          {"to", run->backup->name.text()},
@@ -129,10 +218,7 @@
             net::sleepFor(handOverPoll);
         return NextStep::TryAgain;
     }
-    const std::vector<const EndpointView *> candidates = m_state->candidates(run->service);
-    const MoveDecision decision =
-        planMove(source, moving, candidates, *model, m_state->placementView(run->service), demand,
-                 m_state->links, m_state->uniform());
+    const MoveDecision decision = chooseDestination(*run, source, *model, demand);
     if (decision.verdict == MoveVerdict::EndsInTime)
         return NextStep::TryAgain;
     observe::logChange(
--- a/include/fescue/serving/generationrun.h
+++ b/include/fescue/serving/generationrun.h
@@ -42,8 +42,10 @@
     std::uint32_t tokensPerEvent = 1;
     std::uint64_t events = 0;
 
-    // The engine that keeps a backup of its memory.
+    // The engine that its own engine sends a backup of its memory to.
     std::optional<EndpointRecord> backup;
+    // The engine that holds a copy made ahead by the GenerationMover, in place of a backup.
+    std::optional<EndpointRecord> copyAhead;
 
     MovePhase phase = MovePhase::Running;
     // When it stopped; valid in phase Stopped.
@@ -54,6 +56,8 @@
     bool finished = false;
     // A fiber is moving it.
     bool hasMover = false;
+    // A fiber keeps a copy of its memory at another engine.
+    bool hasGuard = false;
 
     // Memory that it holds now, in tokens.
     [[nodiscard]] std::uint64_t memoryTokens() const noexcept;
@@ -74,6 +78,8 @@
     void add(const GenerationRunPtr &run) { m_runs[run->requestId] = run; }
     void remove(const GenerationRunPtr &run);
     [[nodiscard]] std::vector<GenerationRunPtr> runsAt(const EndpointName &endpoint) const;
+    // Generations whose backup or copy is kept by an engine.
+    [[nodiscard]] std::vector<GenerationRunPtr> runsKeptAt(const EndpointName &engine) const;
     [[nodiscard]] std::size_t size() const noexcept { return m_runs.size(); }
 
 private:
--- a/include/fescue/serving/streamforwarder.inl
+++ b/include/fescue/serving/streamforwarder.inl
@@ -14,8 +14,6 @@
 // A stream whose engine has been asked to stop it ends within this time; after it the connection
 // counts as silent.
 inline constexpr Millis stoppedStreamGrace = 150_ms;
-// Shorter generations are seldom met by the loss of their engine.
-inline constexpr std::uint64_t fewestTokensForBackup = 200;
 // Pause while a stream that has ended waits for the end of its move.
 inline constexpr Millis resumePoll = 3_ms;
 // Longest wait for the end of a move after its stream has ended.
@@ -109,7 +107,7 @@
     passing.backupLoad.reset();
     const ServiceSpec *spec = passing.context.routes->findService(run.service);
     const std::uint64_t reserved = run.reservedTokens();
-    if (spec == nullptr || !spec->engine || run.remainingTokens() < fewestTokensForBackup)
+    if (spec == nullptr || !spec->engine || run.remainingTokens() < fewestTokensForCopy)
         return;
     const std::vector<const EndpointView *> candidates = m_state->candidates(run.service);
     const EndpointView *backup = chooseBackup(engine, reserved, candidates, *spec->engine,
@@ -274,8 +272,10 @@
     passing.run->events = passing.events.events();
     const Result<void> written = context.writer.write(ready);
     passing.events.clearReady();
-    if (passing.run->events == 1)
+    if (passing.run->events == 1) {
         m_mover->check(passing.run);
+        m_mover->guard(passing.run);
+    }
     return written.has_value();
 }
 
@@ -342,7 +342,9 @@
     run.phase = MovePhase::Running;
     run.resume.reset();
     ++context.moves;
+    run.copyAhead.reset();
     m_mover->check(passing.run);
+    m_mover->guard(passing.run);
     return true;
 }
 
--- a/src/serving/generationrun.cpp
+++ b/src/serving/generationrun.cpp
@@ -75,4 +75,17 @@
     return runs;
 }
 
+std::vector<GenerationRunPtr> RunRegistry::runsKeptAt(const EndpointName &engine) const
+{
+    std::vector<GenerationRunPtr> runs;
+    for (const std::pair<const std::string, GenerationRunPtr> &entry : m_runs) {
+        const GenerationRun &run = *entry.second;
+        const bool backedUp = run.backup && run.backup->name == engine;
+        const bool copied = run.copyAhead && run.copyAhead->name == engine;
+        if (backedUp || copied)
+            runs.push_back(entry.second);
+    }
+    return runs;
+}
+
 } // namespace fescue::serving
