Free copies ahead when their generation ends or goes on elsewhere

Cause of the preemptions: a copy stays at its engine for 5 s and more after the generation has ended. Now the engine that made it is told.

--- a/include/fescue/serving/generationmover.inl
+++ b/include/fescue/serving/generationmover.inl
@@ -117,7 +117,7 @@
 {
     for (const GenerationRunPtr &run : m_state->runs.runsKeptAt(engine)) {
         run->backup.reset();
-        run->copyAhead.reset();
+        run->forgetCopy();
         guard(run);
     }
 }
@@ -131,6 +131,9 @@
     run->hasGuard = true;
     m_state->pool.spawn(net::currentWorker(), [this, run] {
         keepCopy(run);
+        if (run->finished && !run->copyHandle.empty())
+            freeCopy(run->engine.address, run->copyHandle);
+        run->forgetCopy();
         run->hasGuard = false;
     });
 }
@@ -155,6 +158,16 @@
     }
 }
 
+template <PlatformProtocol P>
+void GenerationMover<P>::freeCopy(const net::Address &source, const std::string &handle)
+{
+    const Result<net::HttpResponse> response =
+        m_state->engineClient.request(source, P::encodeFreeCopy(handle), reportTimeout);
+    // A copy that stays lapses at the engine by itself.
+    if (!response)
+        m_state->metrics.counter("fescue_copies_not_freed_total").Increment();
+}
+
 template <PlatformProtocol P>
 Millis GenerationMover<P>::copyAhead(const GenerationRunPtr &run, const EndpointView &source)
 {
@@ -169,11 +182,21 @@
         if (destination == nullptr)
             return copyRenewInterval;
         run->copyAhead = destination->record;
+        run->copyLoad = std::make_unique<LoadShare>(
+            m_state->ledger, destination->record.name,
+            EndpointLoad {1, run->reservedTokens(), 0});
+        m_state->tellPeers();
     }
     const EndpointRecord destination = *run->copyAhead;
     const MoveAnswer answer = call(run, source.record, destination, false);
-    if (answer.outcome != MoveOutcome::Copied)
-        run->copyAhead.reset();
+    if (answer.outcome == MoveOutcome::Copied)
+        run->copyHandle = answer.handle;
+    else
+        run->forgetCopy();
+    // The generation may have ended or gone on elsewhere while the copy was made.
+    const bool needless = run->finished || run->engine.name != source.record.name;
+    if (needless && answer.outcome == MoveOutcome::Copied)
+        freeCopy(source.record.address, answer.handle);
     return copyRenewInterval;
 }
 
--- a/include/fescue/serving/generationrun.h
+++ b/include/fescue/serving/generationrun.h
@@ -2,6 +2,7 @@
 
 #include "fescue/serving/endpointrecord.h"
 #include "fescue/serving/enginesend.h"
+#include "fescue/serving/loadledger.h"
 #include "fescue/serving/moveplan.h"
 
 #include <map>
@@ -46,6 +47,9 @@
     std::optional<EndpointRecord> backup;
     // The engine that holds a copy made ahead by the GenerationMover, in place of a backup.
     std::optional<EndpointRecord> copyAhead;
+    std::unique_ptr<LoadShare> copyLoad;
+    // Names the copy at the engine that made it.
+    std::string copyHandle;
 
     MovePhase phase = MovePhase::Running;
     // When it stopped; valid in phase Stopped.
@@ -59,6 +63,12 @@
     // A fiber keeps a copy of its memory at another engine.
     bool hasGuard = false;
 
+    void forgetCopy() noexcept
+    {
+        copyAhead.reset();
+        copyLoad.reset();
+        copyHandle.clear();
+    }
     // Memory that it holds now, in tokens.
     [[nodiscard]] std::uint64_t memoryTokens() const noexcept;
     // Output tokens that are expected to be still to come. A generation that is already longer than
--- a/include/fescue/serving/protocol.h
+++ b/include/fescue/serving/protocol.h
@@ -52,6 +52,9 @@
     {
         P::decodeMoveAnswer(200, text)
         } -> std::same_as<MoveAnswer>;
+    {
+        P::encodeFreeCopy(text)
+        } -> std::same_as<net::HttpRequest>;
     {
         P::encodeReportCall()
         } -> std::same_as<net::HttpRequest>;
--- a/include/fescue/serving/streamforwarder.inl
+++ b/include/fescue/serving/streamforwarder.inl
@@ -342,7 +342,7 @@
     run.phase = MovePhase::Running;
     run.resume.reset();
     ++context.moves;
-    run.copyAhead.reset();
+    run.forgetCopy();
     m_mover->check(passing.run);
     m_mover->guard(passing.run);
     return true;
