Let a few processes watch the store and tell the others

Three processes, the same in the view of all, now watch and pass changes on in datagrams; what is missed or too long is fetched from them; a process that hears none with a store that answers watches for itself. Gossip of loads stays within a zone in systems of more than 20 processes.

--- a/include/fescue/serving/edgedaemon.h
+++ b/include/fescue/serving/edgedaemon.h
@@ -34,8 +34,14 @@
     [[nodiscard]] bool ready() const noexcept;
     void applyLimits();
     void tick();
+    void answerPeer(const net::HttpRequest &request, net::ResponseWriter &writer);
     void sendGossip();
+    void broadcast(std::string_view bytes);
+    // Sends a datagram of one kind to a member; false where that fails.
+    bool sendTo(const MemberInfo &member, const std::string &datagram);
+    void takeDatagram(std::string_view bytes);
     void takeGossip(std::string_view bytes);
+    void takeNews(std::string_view bytes);
 
     net::WorkerPool *m_pool;
     MemberInfo m_self;
@@ -47,6 +53,9 @@
     GossipSocket m_gossip;
     std::vector<std::unique_ptr<net::HttpServer>> m_servers;
     net::HttpServer *m_front = nullptr;
+    observe::Counter &m_sent = m_metrics.counter("fescue_datagrams_sent_total");
+    observe::Counter &m_notSent = m_metrics.counter("fescue_datagrams_not_sent_total");
+    observe::Counter &m_malformed = m_metrics.counter("fescue_datagrams_malformed_total");
 };
 
 } // namespace fescue::serving
--- a/include/fescue/serving/edgedaemon.inl
+++ b/include/fescue/serving/edgedaemon.inl
@@ -10,6 +10,12 @@
 inline constexpr Millis directoryTtl = 2_s;
 // How often loads are told to peers and doubts about endpoints are looked at.
 inline constexpr Millis tickInterval = 250_ms;
+// The same in a system with more than this many entry processes, where each hears many others.
+inline constexpr std::size_t membersForFullGossip = 20;
+inline constexpr Millis largeTickInterval = 700_ms;
+// First bytes of the datagrams between entry processes.
+inline const std::string gossipKind = "G";
+inline const std::string newsKind = "N";
 // After a stop is asked for, callers that keep an old answer of the directory are served at least
 // this long.
 inline constexpr Millis drainLinger = 3500_ms;
@@ -30,8 +36,9 @@
       m_handler(m_state, m_mover),
       m_store(m_state, m_self,
               {[this] { applyLimits(); },
-               [this](const EndpointName &endpoint) { m_mover.evacuate(endpoint); }}),
-      m_gossip(pool.context(0), [this](std::string_view bytes) { takeGossip(bytes); })
+               [this](const EndpointName &endpoint) { m_mover.evacuate(endpoint); },
+               [this](std::string_view bytes) { broadcast(bytes); }}),
+      m_gossip(pool.context(0), [this](std::string_view bytes) { takeDatagram(bytes); })
 { }
 
 template <PlatformProtocol P>
@@ -64,6 +71,10 @@
         addServer(settings.metricsAddress, [this](const Request &request, Writer &writer) {
             answerMetrics(request, writer);
         }));
+    static_cast<void>(
+        addServer(settings.peerAddress, [this](const Request &request, Writer &writer) {
+            answerPeer(request, writer);
+        }));
     for (const std::unique_ptr<net::HttpServer> &server : m_servers) {
         if (Result<void> started = server->start(); !started)
             return started;
@@ -146,7 +157,8 @@
         m_state.health.purge(now);
         m_state.coldGate.purge(now);
         sendGossip();
-        net::sleepFor(tickInterval);
+        const std::size_t members = m_state.members.members(now).size();
+        net::sleepFor(members <= membersForFullGossip ? tickInterval : largeTickInterval);
     }
 }
 
@@ -154,24 +166,74 @@
 void EdgeDaemon<P>::sendGossip()
 {
     const std::uint64_t version = m_state.routes ? m_state.routes->version().value : 0;
-    const std::string bytes = encodeGossip(
-        {m_self, {version}, m_state.ledger.own(), m_state.ownRepeats()});
-    for (const MemberView &member : m_state.members.members(ServingState::now())) {
-        if (member.info.name == m_self.name)
-            continue;
-        const Result<net::Address> address = net::parseAddress(member.info.peerAddress);
-        const bool sent = address && m_gossip.send(*address, bytes);
-        m_metrics.counter(sent ? "fescue_gossip_sent_total" : "fescue_gossip_failed_total")
-            .Increment();
+    const std::string datagram = gossipKind
+        + encodeGossip({m_self, {version}, m_state.ledger.own(), m_state.ownRepeats()});
+    const std::vector<MemberView> members = m_state.members.members(ServingState::now());
+    // In a large system loads are told within a zone only: entries prefer endpoints of their zone.
+    const bool all = members.size() <= membersForFullGossip;
+    for (const MemberView &member : members) {
+        if (all || member.info.zone == m_self.zone)
+            sendTo(member.info, datagram);
+        else
+            m_state.members.stopExpecting(ServingState::now(), member.info.name);
     }
 }
 
+template <PlatformProtocol P>
+void EdgeDaemon<P>::broadcast(std::string_view bytes)
+{
+    const std::string datagram = newsKind + std::string(bytes);
+    for (const MemberView &member : m_state.members.members(ServingState::now()))
+        sendTo(member.info, datagram);
+}
+
+template <PlatformProtocol P>
+bool EdgeDaemon<P>::sendTo(const MemberInfo &member, const std::string &datagram)
+{
+    if (member.name == m_self.name)
+        return false;
+    const Result<net::Address> address = net::parseAddress(member.peerAddress);
+    const bool sent = address && m_gossip.send(*address, datagram);
+    (sent ? m_sent : m_notSent).Increment();
+    return sent;
+}
+
+template <PlatformProtocol P>
+void EdgeDaemon<P>::takeDatagram(std::string_view bytes)
+{
+    if (bytes.starts_with(gossipKind))
+        takeGossip(bytes.substr(gossipKind.size()));
+    else if (bytes.starts_with(newsKind))
+        takeNews(bytes.substr(newsKind.size()));
+    else
+        m_malformed.Increment();
+}
+
+template <PlatformProtocol P>
+void EdgeDaemon<P>::takeNews(std::string_view bytes)
+{
+    const Result<StoreNews> news = decodeNews(bytes);
+    if (news)
+        m_store.takeNews(*news);
+    else
+        m_malformed.Increment();
+}
+
+template <PlatformProtocol P>
+void EdgeDaemon<P>::answerPeer(const net::HttpRequest &request, net::ResponseWriter &writer)
+{
+    const bool known = request.target == storeCopyPath;
+    static_cast<void>(
+        writer.send(known ? net::HttpResponse {200, {}, encodeCopy(m_store.copy())}
+                          : net::HttpResponse {404, {}, {}}));
+}
+
 template <PlatformProtocol P>
 void EdgeDaemon<P>::takeGossip(std::string_view bytes)
 {
     const Result<Gossip> gossip = decodeGossip(bytes);
     if (!gossip) {
-        m_metrics.counter("fescue_gossip_malformed_total").Increment();
+        m_malformed.Increment();
         return;
     }
     const Millis now = ServingState::now();
--- a/include/fescue/serving/storemirror.h
+++ b/include/fescue/serving/storemirror.h
@@ -35,10 +35,13 @@
     // Takes the changes of a watch and returns those that are news.
     [[nodiscard]] std::vector<StoreChange> apply(const std::vector<net::StoreItem> &items);
 
+    // All keys with their values.
+    [[nodiscard]] std::vector<net::StoreItem> items() const;
+
 private:
     [[nodiscard]] bool isNews(const net::StoreItem &item) const;
 
-    std::map<std::string, net::StoreRevision> m_revisions;
+    std::map<std::string, net::StoreItem> m_items;
     std::set<std::string> m_missing;
 };
 
--- a/include/fescue/serving/storesession.h
+++ b/include/fescue/serving/storesession.h
@@ -4,6 +4,7 @@
 #include "fescue/core/memberinfo.h"
 #include "fescue/serving/protocol.h"
 #include "fescue/serving/servingstate.h"
+#include "fescue/serving/storefeed.h"
 #include "fescue/serving/storemirror.h"
 
 #include <functional>
@@ -19,6 +20,8 @@
     std::function<void()> configApplied;
     // An endpoint has begun to leave.
     std::function<void(const EndpointName &)> endpointLeaving;
+    // Sends a datagram to every other entry process.
+    std::function<void(std::string_view)> broadcast;
 };
 
 // Follows the platform's store: the configuration, the endpoints, the zones out of service and the
@@ -35,16 +38,26 @@
     // Writes that this process leaves.
     void announceLeaving();
 
-    // Latest revision that this process has seen.
-    [[nodiscard]] net::StoreRevision revision() const noexcept { return m_at; }
-    [[nodiscard]] bool reachable() const noexcept { return m_reachable; }
+    // Takes what a watcher passes on.
+    void takeNews(const StoreNews &news);
+    // Everything that this process knows of the store, for a peer that has missed changes.
+    [[nodiscard]] StoreCopy copy() const;
 
 private:
     using Store = typename P::Store;
 
     void follow();
+    // One step of following the store itself, or what peers tell of it. False where it failed.
+    [[nodiscard]] bool followStore();
+    [[nodiscard]] bool followPeers(const std::vector<MemberView> &members);
+    [[nodiscard]] bool fetchCopy(const MemberName &peer, const std::vector<MemberView> &members);
+    void adopt(const StoreCopy &copy);
+    // Passes changes on where this process is a watcher.
+    void tell(net::StoreRevision after, std::vector<net::StoreItem> items);
+    void beat();
     [[nodiscard]] bool listAll();
     [[nodiscard]] bool watchOnce();
+    void takeWatched(const net::StoreList &changes);
     void takeChanges(const std::vector<StoreChange> &changes);
     void takeChange(const StoreChange &change);
     void takeConfig(const StoreChange &change);
@@ -66,6 +79,10 @@
     Store m_store;
     Store m_watchStore;
     StoreMirror m_mirror;
+    FeedPolicy m_feed;
+    net::HttpClient m_peerClient;
+    // When a peer was first known to be ahead; 0 where none is.
+    Millis m_behindSince {0};
     net::StoreRevision m_at;
     bool m_listed = false;
     bool m_reachable = true;
--- a/include/fescue/serving/storesession.inl
+++ b/include/fescue/serving/storesession.inl
@@ -3,11 +3,17 @@
 #include "fescue/node/memberjson.h"
 #include "fescue/observe/log.h"
 
+#include <algorithm>
+
 namespace fescue::serving {
 
-// Longest time that one watch waits. Silent connections are found sooner, by keep-alive probes and
-// by the revisions that peers tell.
-inline constexpr Millis watchWait = 10_s;
+// Longest time that one watch waits: a connection that has gone silent is found after it. Only a
+// few processes watch, so short waits cost few calls.
+inline constexpr Millis watchWait = 2_s;
+// How often a process that relies on peers looks whether it has missed changes.
+inline constexpr Millis peerPollInterval = 150_ms;
+// Where peers ask for everything that this process knows of the store.
+inline constexpr const char *storeCopyPath = "/store-copy";
 // A store that answers at all answers within this time, even when it is slow.
 inline constexpr Millis storeCallTimeout = 1500_ms;
 // The registration lapses this long after the process or its path to the store has gone. Short
@@ -16,6 +22,9 @@
 inline constexpr Millis renewInterval = 1_s;
 // Pauses between calls that fail.
 inline constexpr BackoffLimits storeBackoff {60_ms, 500_ms};
+// The same for processes that are no watchers: there are many of them, and they are told as soon as
+// a watcher reaches the store again.
+inline constexpr BackoffLimits otherStoreBackoff {150_ms, 2_s};
 
 template <PlatformProtocol P>
 StoreSession<P>::StoreSession(ServingState &state, MemberInfo self, StoreSessionHooks hooks)
@@ -30,18 +39,136 @@
     const std::size_t worker = net::currentWorker();
     m_state->pool.spawn(worker, [this] { follow(); });
     m_state->pool.spawn(worker, [this] { keepRegistered(); });
+    m_state->pool.spawn(worker, [this] { beat(); });
 }
 
 template <PlatformProtocol P>
 void StoreSession<P>::follow()
 {
-    Backoff backoff(storeBackoff);
+    Backoff watcherBackoff(storeBackoff);
+    Backoff otherBackoff(otherStoreBackoff);
     while (!net::stopRequested()) {
-        if (m_listed ? watchOnce() : listAll()) {
-            backoff.reset();
+        const Millis now = ServingState::now();
+        const std::vector<MemberView> members = m_state->members.members(now);
+        const bool own = m_feed.mustWatch(now, m_self.name, members);
+        if (own ? followStore() : followPeers(members)) {
+            watcherBackoff.reset();
+            otherBackoff.reset();
             continue;
         }
-        net::sleepFor(backoff.next(m_state->uniform()));
+        const bool watcher = FeedPolicy::isWatcher(m_self.name, members);
+        net::sleepFor((watcher ? watcherBackoff : otherBackoff).next(m_state->uniform()));
+    }
+}
+
+template <PlatformProtocol P>
+bool StoreSession<P>::followStore()
+{
+    return m_listed ? watchOnce() : listAll();
+}
+
+template <PlatformProtocol P>
+bool StoreSession<P>::followPeers(const std::vector<MemberView> &members)
+{
+    const Millis now = ServingState::now();
+    const std::optional<MemberName> ahead = m_feed.fresher(now, m_at);
+    if (m_listed && !ahead) {
+        setReachable(true, "told by a peer");
+        m_behindSince = {};
+        net::sleepFor(peerPollInterval);
+        return true;
+    }
+    // The datagram with the changes may still be on its way.
+    if (m_listed && m_behindSince == Millis {0}) {
+        m_behindSince = now;
+        net::sleepFor(peerPollInterval);
+        return true;
+    }
+    if (ahead && fetchCopy(*ahead, members)) {
+        m_behindSince = {};
+        return true;
+    }
+    return listAll();
+}
+
+template <PlatformProtocol P>
+bool StoreSession<P>::fetchCopy(const MemberName &peer, const std::vector<MemberView> &members)
+{
+    const auto it = std::find_if(members.begin(), members.end(), [&peer](const MemberView &view) {
+        return view.info.name == peer;
+    });
+    if (it == members.end())
+        return false;
+    const Result<net::Address> address = net::parseAddress(it->info.peerAddress);
+    if (!address)
+        return false;
+    net::HttpRequest request;
+    request.target = storeCopyPath;
+    request.mayResend = true;
+    const Result<net::HttpResponse> response =
+        m_peerClient.request(*address, request, storeCallTimeout);
+    const Result<StoreCopy> copy =
+        response ? decodeCopy(response->body) : tl::unexpected(response.error());
+    observe::logChange("store-copy",
+                       {{"peer", peer.text()},
+                        {"revision", copy ? copy->at.value : 0},
+                        {"before", m_at.value},
+                        {"reason", copy ? std::string_view("missed changes")
+                                        : std::string_view(copy.error().message)}});
+    if (!copy)
+        return false;
+    adopt(*copy);
+    return true;
+}
+
+template <PlatformProtocol P>
+void StoreSession<P>::adopt(const StoreCopy &copy)
+{
+    if (copy.at <= m_at && m_listed)
+        return;
+    setReachable(true, "told by a peer");
+    m_mirror.beginListing();
+    takeChanges(m_mirror.addPage(copy.items));
+    takeChanges(m_mirror.endListing());
+    std::vector<MemberInfo> members;
+    collectMembers(copy.items, members);
+    m_state->members.storeListed(ServingState::now(), members);
+    m_at = copy.at;
+    m_listed = true;
+}
+
+template <PlatformProtocol P>
+StoreCopy StoreSession<P>::copy() const
+{
+    return {m_at, m_mirror.items()};
+}
+
+template <PlatformProtocol P>
+void StoreSession<P>::takeNews(const StoreNews &news)
+{
+    m_feed.heard(ServingState::now(), news);
+    const bool follows = m_listed && news.after <= m_at && news.at > m_at;
+    if (!follows)
+        return;
+    m_at = news.at;
+    takeChanges(m_mirror.apply(news.items));
+}
+
+template <PlatformProtocol P>
+void StoreSession<P>::tell(net::StoreRevision after, std::vector<net::StoreItem> items)
+{
+    const std::vector<MemberView> members = m_state->members.members(ServingState::now());
+    if (FeedPolicy::isWatcher(m_self.name, members))
+        m_hooks.broadcast(
+            encodeNews({m_self.name, after, m_at, m_reachable && m_listed, std::move(items)}));
+}
+
+template <PlatformProtocol P>
+void StoreSession<P>::beat()
+{
+    while (!net::stopRequested()) {
+        tell(m_at, {});
+        net::sleepFor(FeedPolicy::beatInterval);
     }
 }
 
@@ -70,8 +197,9 @@
     setReachable(true, "listed");
     takeChanges(m_mirror.endListing());
     m_state->members.storeListed(ServingState::now(), members);
-    m_at = *first;
+    m_at = std::max(m_at, *first);
     m_listed = true;
+    tell(m_at, {});
     observe::logChange("store-listed", {{"revision", m_at.value}});
     return true;
 }
@@ -82,8 +210,7 @@
     const auto changes = m_watchStore.watch({}, m_at, watchWait);
     if (changes) {
         setReachable(true, "watch");
-        m_at = std::max(m_at, changes->revision);
-        takeChanges(m_mirror.apply(changes->items));
+        takeWatched(*changes);
         return true;
     }
     if (changes.error().code == ResultCode::StoreNotFound) {
@@ -96,6 +223,24 @@
     return false;
 }
 
+template <PlatformProtocol P>
+void StoreSession<P>::takeWatched(const net::StoreList &changes)
+{
+    if (changes.revision <= m_at)
+        return;
+    // Peers may have told some of the changes while the watch waited.
+    const net::StoreRevision before = m_at;
+    std::vector<net::StoreItem> items;
+    for (const net::StoreItem &item : changes.items) {
+        if (item.revision > before)
+            items.push_back(item);
+    }
+    m_at = changes.revision;
+    const std::vector<StoreChange> news = m_mirror.apply(items);
+    tell(before, std::move(items));
+    takeChanges(news);
+}
+
 template <PlatformProtocol P>
 void StoreSession<P>::collectMembers(std::span<const net::StoreItem> items,
                                      std::vector<MemberInfo> &members)
--- /dev/null
+++ b/src/serving/storefeed.cpp
@@ -0,0 +1,157 @@
+#include "fescue/serving/storefeed.h"
+
+#include "fescue/core/rendezvous.h"
+
+#include <algorithm>
+#include <nlohmann/json.hpp>
+
+namespace fescue::serving {
+
+namespace {
+
+using Json = nlohmann::json;
+
+// Messages of a later layout are ignored.
+constexpr int layoutVersion = 1;
+
+Json encodeItem(const net::StoreItem &item)
+{
+    const std::vector<std::uint8_t> value(item.value.begin(), item.value.end());
+    return {item.key, item.revision.value, item.deleted, Json::binary(value)};
+}
+
+net::StoreItem decodeItem(const Json &json)
+{
+    net::StoreItem item;
+    item.key = json.at(0).get<std::string>();
+    item.revision = {json.at(1).get<std::uint64_t>()};
+    item.deleted = json.at(2).get<bool>();
+    const Json::binary_t &value = json.at(3).get_binary();
+    item.value.assign(value.begin(), value.end());
+    return item;
+}
+
+Json encodeItems(std::span<const net::StoreItem> items)
+{
+    Json list = Json::array();
+    for (const net::StoreItem &item : items)
+        list.push_back(encodeItem(item));
+    return list;
+}
+
+std::vector<net::StoreItem> decodeItems(const Json &list)
+{
+    std::vector<net::StoreItem> items;
+    for (const Json &item : list)
+        items.push_back(decodeItem(item));
+    return items;
+}
+
+std::string toBytes(const Json &json)
+{
+    const std::vector<std::uint8_t> bytes = Json::to_cbor(json);
+    return {bytes.begin(), bytes.end()};
+}
+
+// Runs a reader of CBOR, whose exceptions mean that the message has another shape.
+template <typename T, typename F>
+Result<T> readCbor(std::string_view bytes, F reader)
+{
+    try {
+        const Json json = Json::from_cbor(bytes.begin(), bytes.end());
+        if (json.at(0).get<int>() != layoutVersion)
+            return fail(ResultCode::MessageVersionUnknown, "store news of another layout");
+        return reader(json);
+    } catch (const Json::exception &e) {
+        return fail(ResultCode::MessageMalformed, std::string("store news: ") + e.what());
+    }
+}
+
+Json encodeHead(const StoreNews &news)
+{
+    return {layoutVersion, news.from.text(), news.after.value, news.at.value, news.reachable};
+}
+
+} // namespace
+
+std::string encodeNews(const StoreNews &news)
+{
+    Json json = encodeHead(news);
+    json.push_back(encodeItems(news.items));
+    std::string bytes = toBytes(json);
+    if (bytes.size() <= maxNewsBytes)
+        return bytes;
+    // Without the items the changes do not follow any revision that a receiver may have.
+    StoreNews head = news;
+    head.after = news.at;
+    json = encodeHead(head);
+    json.push_back(Json::array());
+    return toBytes(json);
+}
+
+Result<StoreNews> decodeNews(std::string_view bytes)
+{
+    return readCbor<StoreNews>(bytes, [](const Json &json) {
+        StoreNews news;
+        news.from = MemberName(json.at(1).get<std::string>());
+        news.after = {json.at(2).get<std::uint64_t>()};
+        news.at = {json.at(3).get<std::uint64_t>()};
+        news.reachable = json.at(4).get<bool>();
+        news.items = decodeItems(json.at(5));
+        return news;
+    });
+}
+
+std::string encodeCopy(const StoreCopy &copy)
+{
+    return toBytes({layoutVersion, copy.at.value, encodeItems(copy.items)});
+}
+
+Result<StoreCopy> decodeCopy(std::string_view bytes)
+{
+    return readCbor<StoreCopy>(bytes, [](const Json &json) {
+        return StoreCopy {{json.at(1).get<std::uint64_t>()}, decodeItems(json.at(2))};
+    });
+}
+
+void FeedPolicy::heard(Millis now, const StoreNews &news)
+{
+    Beat &beat = m_beats[news.from];
+    // Datagrams may overtake each other.
+    beat = {now, std::max(beat.revision, news.at), news.reachable};
+}
+
+bool FeedPolicy::isWatcher(const MemberName &self, std::span<const MemberView> members)
+{
+    std::vector<std::string_view> names;
+    for (const MemberView &member : members) {
+        if (member.state == MemberState::Live || member.info.name == self)
+            names.push_back(member.info.name.text());
+    }
+    const std::vector<std::size_t> order = rendezvousOrder("watchers", names);
+    const std::size_t n = std::min(order.size(), watchers);
+    return std::any_of(order.begin(), order.begin() + static_cast<std::ptrdiff_t>(n),
+                       [&](std::size_t i) { return names[i] == self.text(); });
+}
+
+bool FeedPolicy::mustWatch(Millis now, const MemberName &self,
+                           std::span<const MemberView> members) const
+{
+    if (isWatcher(self, members))
+        return true;
+    return std::none_of(m_beats.begin(), m_beats.end(),
+                        [now](const std::pair<const MemberName, Beat> &entry) {
+                            return entry.second.reachable && now - entry.second.at <= beatLifetime;
+                        });
+}
+
+std::optional<MemberName> FeedPolicy::fresher(Millis now, net::StoreRevision at) const
+{
+    for (const std::pair<const MemberName, Beat> &entry : m_beats) {
+        if (entry.second.revision > at && now - entry.second.at <= beatLifetime)
+            return entry.first;
+    }
+    return std::nullopt;
+}
+
+} // namespace fescue::serving
--- a/src/serving/storemirror.cpp
+++ b/src/serving/storemirror.cpp
@@ -4,14 +4,14 @@
 
 bool StoreMirror::isNews(const net::StoreItem &item) const
 {
-    const auto it = m_revisions.find(item.key);
-    return it == m_revisions.end() || it->second < item.revision;
+    const auto it = m_items.find(item.key);
+    return it == m_items.end() || it->second.revision < item.revision;
 }
 
 void StoreMirror::beginListing()
 {
     m_missing.clear();
-    for (const std::pair<const std::string, net::StoreRevision> &entry : m_revisions)
+    for (const std::pair<const std::string, net::StoreItem> &entry : m_items)
         m_missing.insert(entry.first);
 }
 
@@ -26,7 +26,7 @@
 {
     std::vector<StoreChange> changes;
     for (const std::string &key : m_missing) {
-        m_revisions.erase(key);
+        m_items.erase(key);
         changes.push_back({key, {}, {}, true});
     }
     m_missing.clear();
@@ -40,12 +40,21 @@
         if (!isNews(item))
             continue;
         if (item.deleted)
-            m_revisions.erase(item.key);
+            m_items.erase(item.key);
         else
-            m_revisions[item.key] = item.revision;
+            m_items[item.key] = item;
         changes.push_back({item.key, item.value, item.revision, item.deleted});
     }
     return changes;
 }
 
+std::vector<net::StoreItem> StoreMirror::items() const
+{
+    std::vector<net::StoreItem> all;
+    all.reserve(m_items.size());
+    for (const std::pair<const std::string, net::StoreItem> &entry : m_items)
+        all.push_back(entry.second);
+    return all;
+}
+
 } // namespace fescue::serving
