--- a/include/fescue/serving/edgedaemon.inl
+++ b/include/fescue/serving/edgedaemon.inl
@@ -125,6 +125,13 @@
 template <PlatformProtocol P>
 void EdgeDaemon<P>::answerMetrics(const net::HttpRequest &, net::ResponseWriter &writer)
 {
+    const double version = m_state.routes ? static_cast<double>(m_state.routes->version().value) : 0;
+    m_metrics.gauge("fescue_config_version").Set(version);
+    m_metrics.gauge("fescue_ready").Set(ready() ? 1 : 0);
+    m_metrics.gauge("fescue_open_requests").Set(static_cast<double>(m_state.open));
+    m_metrics.gauge("fescue_generations_open").Set(static_cast<double>(m_state.runs.size()));
+    m_metrics.gauge("fescue_log_lines_dropped")
+        .Set(static_cast<double>(observe::droppedLogLines()));
     static_cast<void>(writer.send(
         {200, {{"Content-Type", "text/plain; version=0.0.4"}}, m_metrics.serialize()}));
 }
--- a/include/fescue/serving/placement.h
+++ b/include/fescue/serving/placement.h
@@ -9,6 +9,7 @@
 #include <cstdint>
 #include <set>
 #include <span>
+#include <string>
 
 namespace fescue::serving {
 
@@ -47,6 +48,11 @@
                                               const PlacementView &view,
                                               const PlacementDemand &demand, double uniform);
 
+// Says for the log why chooseEngine() finds none, as in "usable=10 cold=2 full=8 excluded=0".
+[[nodiscard]] std::string describeShortage(std::span<const EndpointView *const> candidates,
+                                           const EngineModel &model, const PlacementView &view,
+                                           const PlacementDemand &demand);
+
 // Chooses the model engine for a new generation: one whose memory is expected to hold it to its
 // end, with the shortest expected time to the first event. Returns null where none has room.
 [[nodiscard]] const EndpointView *chooseEngine(std::span<const EndpointView *const> candidates,
--- a/include/fescue/serving/streamforwarder.inl
+++ b/include/fescue/serving/streamforwarder.inl
@@ -76,8 +76,15 @@
 {
     RequestContext &context = passing.context;
     const EndpointView *endpoint = choose(context, demand);
-    if (endpoint == nullptr)
+    if (endpoint == nullptr) {
+        const ServiceSpec *spec = context.routes->findService(context.service);
+        if (spec != nullptr && spec->engine) {
+            context.detail =
+                describeShortage(m_state->candidates(context.service), *spec->engine,
+                                 m_state->placementView(context.service), demand);
+        }
         return std::nullopt;
+    }
     noteEndpoint(context, *endpoint);
     passing.run->engine = endpoint->record;
     const EndpointRecord &record = passing.run->engine;
--- a/src/serving/placement.cpp
+++ b/src/serving/placement.cpp
@@ -40,6 +40,18 @@
                                    view.members);
 }
 
+// Part of the engine's memory that is in use with the new generation.
+double filledPart(const EndpointLoad &load, const EngineModel &model, const PlacementDemand &demand)
+{
+    const double memory = static_cast<double>(std::max<std::uint64_t>(model.memoryTokens, 1));
+    return static_cast<double>(load.memoryTokens + demand.memoryTokens) / memory;
+}
+
+bool hasRoom(const EndpointLoad &load, const EngineModel &model, const PlacementDemand &demand)
+{
+    return filledPart(load, model, demand) <= memoryFillLimit && load.requests < model.slots;
+}
+
 double commonCost(const EndpointView &endpoint, const PlacementView &view, double uniform)
 {
     double cost = jitterCost * spread(uniform, endpoint.record.name);
@@ -97,18 +109,37 @@
     });
 }
 
+std::string describeShortage(std::span<const EndpointView *const> candidates,
+                             const EngineModel &model, const PlacementView &view,
+                             const PlacementDemand &demand)
+{
+    std::size_t cold = 0;
+    std::size_t full = 0;
+    std::size_t excluded = 0;
+    for (const EndpointView *endpoint : candidates) {
+        const EndpointLoad load = view.ledger.total(view.now, endpoint->record.name);
+        if (demand.excluded.contains(endpoint->record.name))
+            ++excluded;
+        else if (!hasRoom(load, model, demand))
+            ++full;
+        else if (!mayUse(*endpoint, view, demand))
+            ++cold;
+    }
+    return "usable=" + std::to_string(candidates.size()) + " cold=" + std::to_string(cold)
+        + " full=" + std::to_string(full) + " excluded=" + std::to_string(excluded);
+}
+
 const EndpointView *chooseEngine(std::span<const EndpointView *const> candidates,
                                  const EngineModel &model, const PlacementView &view,
                                  const PlacementDemand &demand, double uniform)
 {
-    const double memory = static_cast<double>(std::max<std::uint64_t>(model.memoryTokens, 1));
     return cheapest(candidates, [&](const EndpointView &endpoint) {
         if (!mayUse(endpoint, view, demand))
             return std::numeric_limits<double>::infinity();
         const EndpointLoad load = view.ledger.total(view.now, endpoint.record.name);
-        const double filled = static_cast<double>(load.memoryTokens + demand.memoryTokens) / memory;
-        if (filled > memoryFillLimit || load.requests >= model.slots)
+        if (!hasRoom(load, model, demand))
             return std::numeric_limits<double>::infinity();
+        const double filled = filledPart(load, model, demand);
         const double prefill =
             static_cast<double>(load.prefillTokens + demand.prefillTokens) / prefillTokensPerMilli;
         return commonCost(endpoint, view, uniform) + prefill + load.requests * crowdCostPerRequest
--- a/tests/serving/placement_test.cpp
+++ b/tests/serving/placement_test.cpp
@@ -104,6 +104,21 @@
     EXPECT_EQ(engine(0.2, 4'000, 3'000), "none");
 }
 
+TEST_F(Placement, RefusalsAreExplained)
+{
+    add("full");
+    add("tried");
+    add("cold", "north", 1_s);
+    ledger.add(EndpointName("full"), {7, 34'000, 0});
+    while (gate.tryTake(now, EndpointName("cold"), 50, 9)) { }
+    EngineModel model;
+    model.slots = 64;
+    model.memoryTokens = 34'631;
+    EXPECT_EQ(describeShortage(table.usable(service), model, view(),
+                               {4'000, 3'000, {EndpointName("tried")}}),
+              "usable=3 cold=1 full=1 excluded=1");
+}
+
 // Pattern: two processes choose within the time in which they cannot know of each other.
 TEST_F(Placement, ProcessesThatSeeTheSameSpreadTheirChoices)
 {
