--- a/include/fescue/serving/edgedaemon.inl
+++ b/include/fescue/serving/edgedaemon.inl
@@ -10,8 +10,7 @@
 inline constexpr Millis directoryTtl = 2_s;
 // How often loads are told to peers and doubts about endpoints are looked at.
 inline constexpr Millis tickInterval = 250_ms;
-// The same in a system with more than this many entry processes, where each hears many others.
-inline constexpr std::size_t membersForFullGossip = 20;
+// The same in a large system, where each process hears many others.
 inline constexpr Millis largeTickInterval = 700_ms;
 // First bytes of the datagrams between entry processes.
 inline const std::string gossipKind = "G";
@@ -164,8 +163,7 @@
         m_state.health.purge(now);
         m_state.coldGate.purge(now);
         sendGossip();
-        const std::size_t members = m_state.members.members(now).size();
-        net::sleepFor(members <= membersForFullGossip ? tickInterval : largeTickInterval);
+        net::sleepFor(m_state.isLarge() ? largeTickInterval : tickInterval);
     }
 }
 
@@ -177,7 +175,7 @@
         + encodeGossip({m_self, {version}, m_state.ledger.own(), m_state.ownRepeats()});
     const std::vector<MemberView> members = m_state.members.members(ServingState::now());
     // In a large system loads are told within a zone only: entries prefer endpoints of their zone.
-    const bool all = members.size() <= membersForFullGossip;
+    const bool all = !m_state.isLarge();
     for (const MemberView &member : members) {
         if (all || member.info.zone == m_self.zone)
             sendTo(member.info, datagram);
--- a/include/fescue/serving/placement.h
+++ b/include/fescue/serving/placement.h
@@ -26,6 +26,11 @@
     // Availability zone of this process.
     ZoneName zone;
     Millis now {0};
+    // Loads of endpoints in other availability zones are not known here.
+    bool otherZonesUnknown = false;
+
+    // Cost of an endpoint in another availability zone, in milliseconds of expected delay.
+    [[nodiscard]] double otherZoneCost() const noexcept;
 };
 
 // The work to be placed.
--- a/include/fescue/serving/servingstate.h
+++ b/include/fescue/serving/servingstate.h
@@ -45,6 +45,10 @@
     // within the remembered time, since a process that cannot be seen may still send.
     [[nodiscard]] std::size_t membersForShares();
 
+    // True where loads are told within an availability zone only, because telling all processes
+    // would take too much of their links and processors.
+    [[nodiscard]] bool isLarge() const;
+
     [[nodiscard]] PlacementView placementView(const ServiceName &service);
     // Endpoints of a service that may be given new work.
     [[nodiscard]] std::vector<const EndpointView *> candidates(const ServiceName &service) const;
--- a/src/serving/moveplan.cpp
+++ b/src/serving/moveplan.cpp
@@ -107,8 +107,10 @@
         const double filled = static_cast<double>(load.memoryTokens + reservedTokens) / memory;
         if (filled > backupFillLimit)
             continue;
-        const double cost =
-            filled + (record.zone == engine.record.zone ? 0 : backupOtherZoneCost);
+        const double cost = filled + (record.zone == engine.record.zone ? 0 : backupOtherZoneCost);
+        // Without its load nothing says that an engine has room to spare.
+        if (view.otherZonesUnknown && record.zone != view.zone)
+            continue;
         if (cost < least) {
             least = cost;
             best = candidate;
@@ -139,14 +141,15 @@
             && !view.coldGate.wouldTake(view.now, record.name, view.coldPerSecond, view.members))
             continue;
         const EndpointLoad load = view.ledger.total(view.now, record.name);
-        const double filled =
-            static_cast<double>(load.memoryTokens + run.reservedTokens) / memory;
+        const double filled = static_cast<double>(load.memoryTokens + run.reservedTokens) / memory;
         if (filled > memoryFillLimit || load.requests >= model.slots)
             continue;
         const bool sameZone = record.zone == source.record.zone;
         const Millis copy =
             links.backlog(record.name, view.now) + copyTime(model, run.memoryTokens, sameZone);
         double cost = static_cast<double>(copy.count) + filled * filled * fullMemoryCost;
+        if (view.otherZonesUnknown && record.zone != view.zone)
+            cost += view.otherZoneCost();
         cost += spreadCost * spread(uniform, record.name);
         if (candidate->isCold(view.now))
             cost += coldCost;
--- a/src/serving/placement.cpp
+++ b/src/serving/placement.cpp
@@ -19,7 +19,10 @@
 // Memory in use raises the risk of preemption; cost at a full engine.
 constexpr double fullMemoryCost = 400;
 // Calls to another availability zone cost money and a few milliseconds.
-constexpr double otherZoneCost = 8;
+constexpr double nearZoneCost = 8;
+// Where the loads of other zones are not known, they are used when the own one is full: more than
+// the prompts that wait at a busy engine cost.
+constexpr double unknownZoneCost = 1500;
 // A cold engine works more slowly for a while.
 constexpr double coldCost = 60;
 // A suspect endpoint is chosen only where no other can be.
@@ -56,7 +59,7 @@
 {
     double cost = jitterCost * spread(uniform, endpoint.record.name);
     if (endpoint.record.zone != view.zone)
-        cost += otherZoneCost;
+        cost += view.otherZoneCost();
     if (endpoint.isCold(view.now))
         cost += coldCost;
     if (view.health.isSuspect(view.now, endpoint.record.name))
@@ -81,6 +84,11 @@
 
 } // namespace
 
+double PlacementView::otherZoneCost() const noexcept
+{
+    return otherZonesUnknown ? unknownZoneCost : nearZoneCost;
+}
+
 double spread(double uniform, const EndpointName &name)
 {
     // The finishing steps of SplitMix64, so that every endpoint is as likely as another to be
--- a/src/serving/servingstate.cpp
+++ b/src/serving/servingstate.cpp
@@ -13,6 +13,8 @@
 // Bounds are divided as if there were at least this many processes: one that has just started knows
 // few of the others. Deployments have 7 or more entry VMs.
 constexpr std::size_t fewestMembers = 7;
+// With more entry processes than this, each would hear a hundred datagrams a second and more.
+constexpr std::size_t membersForFullGossip = 20;
 // Connecting to an endpoint within the region takes a few milliseconds; one that takes longer has
 // lost a packet or its endpoint, and nothing has been sent.
 constexpr Millis endpointConnectTimeout = 300_ms;
@@ -78,9 +80,15 @@
     return rate * settings.bounds.coldOverrun + settings.bounds.coldAllowance;
 }
 
+bool ServingState::isLarge() const
+{
+    return members.members(now()).size() > membersForFullGossip;
+}
+
 PlacementView ServingState::placementView(const ServiceName &service)
 {
-    return {ledger, health, coldGate, coldBound(service), membersForShares(), settings.zone, now()};
+    return {ledger,        health, coldGate, coldBound(service), membersForShares(),
+            settings.zone, now(),  isLarge()};
 }
 
 std::vector<const EndpointView *> ServingState::candidates(const ServiceName &service) const
@@ -128,8 +136,7 @@
     const std::uint32_t shortest = m_lengths.quantile({}, key, 0, shortOutputQuantile);
     const std::uint32_t longest = m_lengths.quantile({}, key, 0, longOutputQuantile);
     const std::uint32_t guess = size.expectedOutputTokens.value_or(longest);
-    return std::min(std::clamp(guess, shortest, std::max(shortest, longest)),
-                    size.maxOutputTokens);
+    return std::min(std::clamp(guess, shortest, std::max(shortest, longest)), size.maxOutputTokens);
 }
 
 void ServingState::observeOutput(const Route &route, std::uint32_t tokens)
--- /dev/null
+++ b/tests/serving/exchange_test.cpp
@@ -0,0 +1,289 @@
+#include "fescue/serving/requesthandler.h"
+#include "tests/gateway/scriptedengine.h"
+#include "tests/serving/testprotocol.h"
+
+#include <atomic>
+#include <future>
+#include <gtest/gtest.h>
+#include <list>
+
+namespace {
+
+using namespace fescue;
+using namespace fescue::serving;
+using test::ScriptedEngine;
+
+net::HttpResponse answer(int status, std::string id, std::string body = "body")
+{
+    return {status, {{"Request", std::move(id)}, {"Signature", "s"}}, std::move(body)};
+}
+
+std::string eventText(int id)
+{
+    return "id: " + std::to_string(id) + "\ndata: x\n\n";
+}
+
+// A request handler on a loopback port before endpoints that the test scripts.
+class Exchange : public testing::Test
+{
+protected:
+    Exchange()
+        : pool(1), state(makeSettings(), pool, metrics), mover(state), handler(state, mover),
+          front(pool, {"127.0.0.1", 0}, {},
+                [this](const net::HttpRequest &request, net::ResponseWriter &writer) {
+                    handler.handle(request, writer);
+                })
+    {
+        config.version = {1};
+        addRoute("/once/", RouteKind::NonIdempotent, 1);
+        addRoute("/many/", RouteKind::Idempotent, 2);
+        addRoute("/stream/", RouteKind::Streaming, 1);
+        ServiceSpec service;
+        service.name = ServiceName("service");
+        service.engine = EngineModel {64, 30'000, 18'432, 2'700, true, true, 4, 5_s};
+        config.services = {service};
+        EXPECT_TRUE(front.start());
+    }
+
+    ~Exchange() override
+    {
+        pool.stop();
+        pool.join();
+    }
+
+    static NodeSettings makeSettings()
+    {
+        NodeSettings settings;
+        settings.name = MemberName("entry");
+        settings.zone = ZoneName("north");
+        return settings;
+    }
+
+    void addRoute(const char *prefix, RouteKind kind, std::uint32_t attempts)
+    {
+        Route route;
+        route.name = prefix;
+        route.host = "test";
+        route.prefix = prefix;
+        route.kind = kind;
+        route.timeout = 10_s;
+        route.targetLatency = 2_s;
+        route.services = {{ServiceName("service"), 1}};
+        route.maxAttempts = attempts;
+        config.routes.push_back(std::move(route));
+    }
+
+    void addEndpoint(const char *name, ScriptedEngine::Script script)
+    {
+        engines.emplace_back(pool, std::move(script));
+        EndpointRecord record;
+        record.name = EndpointName(name);
+        record.service = ServiceName("service");
+        record.zone = ZoneName("north");
+        record.slots = 64;
+        record.address = net::parseAddress(engines.back().address()).value();
+        onWorker([&] { state.endpoints.listed(ServingState::now(), record); });
+    }
+
+    // Runs a task on the worker and waits for its end.
+    void onWorker(const std::function<void()> &task)
+    {
+        std::promise<void> done;
+        pool.spawn(0, [&] {
+            task();
+            done.set_value();
+        });
+        done.get_future().wait();
+    }
+
+    Result<net::HttpResponse> call(std::string target, std::vector<net::Header> headers = {},
+                                   Millis timeout = 5_s)
+    {
+        Result<net::HttpResponse> response = fail(ResultCode::Internal, "not run");
+        onWorker([&] {
+            if (!state.routes)
+                EXPECT_TRUE(state.applyConfig(config));
+            net::HttpRequest request;
+            request.target = std::move(target);
+            request.headers = std::move(headers);
+            request.headers.push_back({"Request", "id-1"});
+            response = client.request(front.address(), request, timeout);
+        });
+        return response;
+    }
+
+    net::WorkerPool pool;
+    observe::Metrics metrics;
+    ServingConfig config;
+    ServingState state;
+    GenerationMover<test::TestProtocol> mover;
+    RequestHandler<test::TestProtocol> handler;
+    net::HttpServer front;
+    net::HttpClient client;
+    std::list<ScriptedEngine> engines;
+};
+
+TEST_F(Exchange, AnswerComesBackWholeWithItsSignature)
+{
+    addEndpoint("e1", [](const net::HttpRequest &, net::ResponseWriter &writer) {
+        static_cast<void>(writer.send(answer(200, "id-1")));
+    });
+    const Result<net::HttpResponse> response = call("/once/x");
+    ASSERT_TRUE(response);
+    EXPECT_EQ(response->status, 200);
+    EXPECT_EQ(response->body, "body");
+    EXPECT_EQ(response->header("Signature"), "s");
+}
+
+TEST_F(Exchange, AnswerThatBreaksOffIsAFailureWithoutASignature)
+{
+    addEndpoint("e1", [](const net::HttpRequest &, net::ResponseWriter &writer) {
+        const std::vector<net::Header> headers {{"Request", "id-1"}, {"Signature", "s"}};
+        static_cast<void>(writer.startStream(200, headers));
+        static_cast<void>(writer.write("half"));
+        writer.abort();
+    });
+    const Result<net::HttpResponse> response = call("/once/x");
+    ASSERT_TRUE(response);
+    EXPECT_EQ(response->status, 502);
+    EXPECT_EQ(response->header("Signature"), "");
+    EXPECT_EQ(engines.front().requests().size(), 1U);
+}
+
+TEST_F(Exchange, AnswerToAnotherRequestIsNeverPassedOn)
+{
+    addEndpoint("e1", [](const net::HttpRequest &, net::ResponseWriter &writer) {
+        static_cast<void>(writer.send(answer(200, "id-other", "secret")));
+        writer.abort();
+    });
+    const Result<net::HttpResponse> response = call("/once/x", {{"Patience", "600"}});
+    ASSERT_TRUE(response);
+    EXPECT_GE(response->status, 502);
+    EXPECT_EQ(response->body.find("secret"), std::string::npos);
+}
+
+TEST_F(Exchange, IdempotentRequestGoesToAnotherEndpoint)
+{
+    std::atomic<int> calls {0};
+    for (const char *name : {"e1", "e2"}) {
+        addEndpoint(name, [&calls](const net::HttpRequest &, net::ResponseWriter &writer) {
+            if (calls++ == 0)
+                writer.abort();
+            else
+                static_cast<void>(writer.send(answer(200, "id-1")));
+        });
+    }
+    const Result<net::HttpResponse> response = call("/many/x");
+    ASSERT_TRUE(response);
+    EXPECT_EQ(response->status, 200);
+    EXPECT_EQ(calls, 2);
+}
+
+TEST_F(Exchange, RequestThatMayNotBeRepeatedIsSentOnce)
+{
+    std::atomic<int> calls {0};
+    for (const char *name : {"e1", "e2"}) {
+        addEndpoint(name, [&calls](const net::HttpRequest &, net::ResponseWriter &writer) {
+            ++calls;
+            writer.abort();
+        });
+    }
+    const Result<net::HttpResponse> response = call("/once/x");
+    ASSERT_TRUE(response);
+    EXPECT_EQ(response->status, 502);
+    EXPECT_EQ(calls, 1);
+}
+
+TEST_F(Exchange, NotRunIsSaidOnlyWhereTheEndpointSaysSo)
+{
+    addEndpoint("e1", [](const net::HttpRequest &, net::ResponseWriter &writer) {
+        net::HttpResponse shed = answer(503, "id-1");
+        shed.headers.push_back({"Not-Run", "1"});
+        static_cast<void>(writer.send(shed));
+    });
+    const Result<net::HttpResponse> response = call("/once/x");
+    ASSERT_TRUE(response);
+    EXPECT_EQ(response->status, 503);
+    EXPECT_NE(response->header("Retry-After"), "");
+    EXPECT_EQ(response->header("Signature"), "");
+}
+
+TEST_F(Exchange, SilenceEndsAtTheDeadlineAsUnknown)
+{
+    addEndpoint("e1", [](const net::HttpRequest &, net::ResponseWriter &) { net::sleepFor(3_s); });
+    const Result<net::HttpResponse> response = call("/once/x", {{"Patience", "300"}});
+    ASSERT_TRUE(response);
+    EXPECT_EQ(response->status, 504);
+    EXPECT_NE(response->body.find("unknown"), std::string::npos);
+}
+
+TEST_F(Exchange, RequestIsRefusedAtOnceWhereNoEndpointIsLeft)
+{
+    const Millis begun = SteadyClock {}.now();
+    const Result<net::HttpResponse> response = call("/once/x");
+    ASSERT_TRUE(response);
+    EXPECT_EQ(response->status, 503);
+    EXPECT_LT(SteadyClock {}.now() - begun, 2_s);
+}
+
+TEST_F(Exchange, WorkEndsWhenItsCallerLeaves)
+{
+    std::promise<void> ended;
+    addEndpoint("e1", [&ended](const net::HttpRequest &, net::ResponseWriter &writer) {
+        while (!writer.callerGone())
+            net::sleepFor(10_ms);
+        ended.set_value();
+    });
+    EXPECT_FALSE(call("/many/x", {}, 200_ms));
+    EXPECT_EQ(ended.get_future().wait_for(std::chrono::seconds(5)), std::future_status::ready);
+}
+
+TEST_F(Exchange, StreamThatBreaksOffDoesNotLookComplete)
+{
+    addEndpoint("e1", [](const net::HttpRequest &, net::ResponseWriter &writer) {
+        const std::vector<net::Header> headers {{"Request", "id-1"}};
+        static_cast<void>(writer.startStream(200, headers));
+        static_cast<void>(writer.write(eventText(1) + "id: 2\nda"));
+        writer.abort();
+    });
+    const Result<net::HttpResponse> response = call("/stream/x");
+    ASSERT_FALSE(response);
+    EXPECT_EQ(response.error().code, ResultCode::BackEndLost);
+}
+
+TEST_F(Exchange, StreamThatBreaksOffBeforeItsFirstEventIsAFailure)
+{
+    addEndpoint("e1", [](const net::HttpRequest &, net::ResponseWriter &writer) {
+        const std::vector<net::Header> headers {{"Request", "id-1"}};
+        static_cast<void>(writer.startStream(200, headers));
+        writer.abort();
+    });
+    const Result<net::HttpResponse> response = call("/stream/x");
+    ASSERT_TRUE(response);
+    EXPECT_EQ(response->status, 502);
+}
+
+// Pattern: an engine is lost in the middle of a long generation that has a backup.
+TEST_F(Exchange, GenerationGoesOnFromItsBackupWithoutAGap)
+{
+    for (const char *name : {"e1", "e2"}) {
+        addEndpoint(name, [](const net::HttpRequest &request, net::ResponseWriter &writer) {
+            const std::vector<net::Header> headers {{"Request", "id-1"}};
+            static_cast<void>(writer.startStream(200, headers));
+            const std::string after(request.header("Resume-After"));
+            if (after.empty()) {
+                static_cast<void>(writer.write(eventText(1) + eventText(2) + "id: 3\nda"));
+                writer.abort();
+                return;
+            }
+            EXPECT_EQ(after, "2");
+            static_cast<void>(writer.write(eventText(3) + eventText(4)));
+            static_cast<void>(writer.finish());
+        });
+    }
+    const Result<net::HttpResponse> response = call("/stream/x", {{"Tokens", "1"}});
+    ASSERT_TRUE(response) << response.error().message;
+    EXPECT_EQ(response->body, eventText(1) + eventText(2) + eventText(3) + eventText(4));
+}
+
+} // namespace
--- a/tests/serving/placement_test.cpp
+++ b/tests/serving/placement_test.cpp
@@ -119,6 +119,28 @@
               "usable=3 cold=1 full=1 excluded=1");
 }
 
+// Pattern: a large system, in which loads are told within a zone only.
+TEST_F(Placement, UnknownZonesAreUsedOnlyWhenTheOwnOneIsFull)
+{
+    add("near");
+    add("far", "south");
+    ledger.add(EndpointName("near"), {4, 12'000, 6'000});
+    PlacementView large = view();
+    large.otherZonesUnknown = true;
+    EngineModel model;
+    model.slots = 24;
+    model.memoryTokens = 27'000;
+    const std::vector<const EndpointView *> candidates = table.usable(service);
+    const PlacementDemand demand {4'000, 3'000, {}};
+    EXPECT_EQ(chooseEngine(candidates, model, view(), demand, 0.2)->record.name,
+              EndpointName("far"));
+    EXPECT_EQ(chooseEngine(candidates, model, large, demand, 0.2)->record.name,
+              EndpointName("near"));
+    ledger.add(EndpointName("near"), {3, 11'000, 0});
+    EXPECT_EQ(chooseEngine(candidates, model, large, demand, 0.2)->record.name,
+              EndpointName("far"));
+}
+
 // Pattern: two processes choose within the time in which they cannot know of each other.
 TEST_F(Placement, ProcessesThatSeeTheSameSpreadTheirChoices)
 {
--- /dev/null
+++ b/tests/serving/testprotocol.h
@@ -0,0 +1,96 @@
+#pragma once
+
+#include "fescue/serving/protocol.h"
+
+#include <string>
+
+namespace fescue::test {
+
+// A platform's protocol with few plain headers, for the serving layer's own tests.
+struct TestProtocol
+{
+    struct Store
+    { };
+
+    static serving::StoreSubject classifyKey(std::string_view key)
+    {
+        return {serving::StoreSubjectKind::Other, std::string(key)};
+    }
+    static Result<serving::ServingConfig> decodeConfig(std::string_view)
+    {
+        return fail(ResultCode::ConfigSyntax, "not used");
+    }
+    static Result<serving::EndpointRecord> decodeEndpoint(const EndpointName &, std::string_view)
+    {
+        return fail(ResultCode::StoreProtocol, "not used");
+    }
+    static Result<serving::CallerRequest> decodeCaller(const net::HttpRequest &request)
+    {
+        serving::CallerRequest caller;
+        caller.requestId = request.header("Request");
+        caller.host = "test";
+        const std::string patience(request.header("Patience"));
+        if (!patience.empty())
+            caller.patience = Millis {std::stoll(patience)};
+        if (!request.header("Tokens").empty())
+            caller.generation = serving::GenerationSize {1'000, 800, 800, {}};
+        return caller;
+    }
+    static net::HttpRequest encodeSend(const net::HttpRequest &request,
+                                       const serving::EngineSend &send)
+    {
+        net::HttpRequest out = request;
+        out.freshConnection = true;
+        out.headers.push_back({"Endpoint", send.endpoint.text()});
+        if (send.backup)
+            out.headers.push_back({"Backup", send.backup->toString()});
+        if (send.resume) {
+            const std::uint64_t last = send.resume->lastEventId.value_or(0);
+            out.headers.push_back({"Resume-After", std::to_string(last)});
+        }
+        return out;
+    }
+    static serving::EngineAnswerHead decodeAnswerHead(int status,
+                                                      const std::vector<net::Header> &headers)
+    {
+        serving::EngineAnswerHead head;
+        head.status = status;
+        head.requestId = net::findHeader(headers, "Request");
+        head.notRun = !net::findHeader(headers, "Not-Run").empty();
+        return head;
+    }
+    static std::vector<net::Header> answerHeaders(const std::vector<net::Header> &headers)
+    {
+        return {{"Signature", std::string(net::findHeader(headers, "Signature"))}};
+    }
+    static net::HttpRequest encodeMove(const serving::MoveCall &)
+    {
+        net::HttpRequest request;
+        request.target = "/move";
+        return request;
+    }
+    static serving::MoveAnswer decodeMoveAnswer(int, std::string_view) { return {}; }
+    static net::HttpRequest encodeFreeCopy(std::string_view) { return {}; }
+    static net::HttpRequest encodeReportCall() { return {}; }
+    static Result<serving::EngineReport> decodeReport(std::string_view)
+    {
+        return fail(ResultCode::BackEndProtocol, "not used");
+    }
+    static net::HttpResponse encodeRefusal(const net::Problem &problem)
+    {
+        return net::problemResponse(problem);
+    }
+    static std::optional<ZoneName> decodeResolution(const net::HttpRequest &)
+    {
+        return std::nullopt;
+    }
+    static net::HttpResponse encodeResolution(const std::vector<std::string> &, Millis)
+    {
+        return {};
+    }
+    static bool isReadyCheck(const net::HttpRequest &) { return false; }
+};
+
+static_assert(serving::PlatformProtocol<TestProtocol>);
+
+} // namespace fescue::test
