--- a/include/fescue/core/memberinfo.h
+++ b/include/fescue/core/memberinfo.h
@@ -20,6 +20,8 @@
     std::string peerAddress;
     // True once the member has begun to shut down.
     bool leaving = false;
+    // Bandwidth of its VM's link; 0 where it is not known.
+    std::uint32_t linkMegabits = 0;
 
     bool operator==(const MemberInfo &) const = default;
 };
--- a/include/fescue/serving/edgedaemon.inl
+++ b/include/fescue/serving/edgedaemon.inl
@@ -3,6 +3,8 @@
 #include "fescue/observe/log.h"
 #include "fescue/serving/entrydirectory.h"
 
+#include <charconv>
+
 namespace fescue::serving {
 
 // Time for which callers may keep an answer of the directory. Short enough for them to leave a dead
@@ -30,7 +32,8 @@
                              VmName(settings.name.text()),
                              settings.frontAddress.toString(),
                              settings.peerAddress.toString(),
-                             false},
+                             false,
+                             settings.linkMegabits},
       m_state(std::move(settings), pool, m_metrics), m_mover(m_state),
       m_handler(m_state, m_mover),
       m_store(m_state, m_self,
@@ -227,10 +230,19 @@
 template <PlatformProtocol P>
 void EdgeDaemon<P>::answerPeer(const net::HttpRequest &request, net::ResponseWriter &writer)
 {
-    const bool known = request.target == storeCopyPath;
-    static_cast<void>(
-        writer.send(known ? net::HttpResponse {200, {}, encodeCopy(m_store.copy())}
-                          : net::HttpResponse {404, {}, {}}));
+    if (request.target != storeCopyPath) {
+        static_cast<void>(writer.send({404, {}, {}}));
+        return;
+    }
+    const std::string after = request.queryValue("after").value_or(std::string());
+    std::uint64_t revision = 0;
+    const std::from_chars_result read =
+        std::from_chars(after.data(), after.data() + after.size(), revision);
+    if (read.ec != std::errc()) {
+        static_cast<void>(writer.send({400, {}, {}}));
+        return;
+    }
+    static_cast<void>(writer.send({200, {}, encodeCopy(m_store.copy({revision}))}));
 }
 
 template <PlatformProtocol P>
--- a/include/fescue/serving/nodesettings.h
+++ b/include/fescue/serving/nodesettings.h
@@ -38,6 +38,8 @@
     net::Address metricsAddress;
     net::Address peerAddress;
     net::Address storeAddress;
+    // Bandwidth of this VM's link.
+    std::uint32_t linkMegabits = 0;
     ServingBounds bounds;
 };
 
--- a/include/fescue/serving/storefeed.h
+++ b/include/fescue/serving/storefeed.h
@@ -5,6 +5,7 @@
 #include "fescue/core/memberinfo.h"
 #include "fescue/net/storeclient.h"
 
+#include <deque>
 #include <map>
 #include <optional>
 #include <span>
@@ -35,13 +36,40 @@
 // Fails with MessageMalformed.
 [[nodiscard]] Result<StoreNews> decodeNews(std::string_view bytes);
 
-// All keys of the store as one process knows them, for one that has missed changes.
+// Divides changes into news that each fit into a datagram, in the order of their revisions. A
+// change that is too long by itself ends them; it has to be fetched.
+[[nodiscard]] std::vector<StoreNews> splitNews(StoreNews news);
+
+// What one process knows of the store, for one that has missed changes.
 struct StoreCopy
 {
     net::StoreRevision at;
+    // The items are all keys; else the changes after the revision that was asked for.
+    bool whole = true;
     std::vector<net::StoreItem> items;
 };
 
+// The latest changes that a process has seen, for peers that have missed a few.
+class RecentChanges
+{
+public:
+    // Changes that are kept: some seconds of a large system.
+    static constexpr std::size_t maxItems = 512;
+
+    // Forgets all; changes after the revision follow.
+    void restart(net::StoreRevision at);
+    // Records the changes that lead from `after`, the last revision recorded, to `at`.
+    void add(net::StoreRevision after, net::StoreRevision at,
+             std::span<const net::StoreItem> items);
+    // Returns the changes after a revision; none where they are not kept any more.
+    [[nodiscard]] std::optional<std::vector<net::StoreItem>> since(net::StoreRevision after) const;
+
+private:
+    std::deque<net::StoreItem> m_items;
+    net::StoreRevision m_from;
+    net::StoreRevision m_at;
+};
+
 [[nodiscard]] std::string encodeCopy(const StoreCopy &copy);
 // Fails with MessageMalformed.
 [[nodiscard]] Result<StoreCopy> decodeCopy(std::string_view bytes);
--- a/include/fescue/serving/storesession.h
+++ b/include/fescue/serving/storesession.h
@@ -41,7 +41,7 @@
     // Takes what a watcher passes on.
     void takeNews(const StoreNews &news);
     // Everything that this process knows of the store, for a peer that has missed changes.
-    [[nodiscard]] StoreCopy copy() const;
+    [[nodiscard]] StoreCopy copy(net::StoreRevision after) const;
 
 private:
     using Store = typename P::Store;
@@ -80,6 +80,7 @@
     Store m_watchStore;
     StoreMirror m_mirror;
     FeedPolicy m_feed;
+    RecentChanges m_recent;
     net::HttpClient m_peerClient;
     // When a peer was first known to be ahead; 0 where none is.
     Millis m_behindSince {0};
--- a/include/fescue/serving/storesession.inl
+++ b/include/fescue/serving/storesession.inl
@@ -104,6 +104,7 @@
         return false;
     net::HttpRequest request;
     request.target = storeCopyPath;
+    request.query = "after=" + std::to_string(m_listed ? m_at.value : 0);
     request.mayResend = true;
     const Result<net::HttpResponse> response =
         m_peerClient.request(*address, request, storeCallTimeout);
@@ -127,9 +128,16 @@
     if (copy.at <= m_at && m_listed)
         return;
     setReachable(true, "told by a peer");
+    if (!copy.whole) {
+        m_recent.add(m_at, copy.at, copy.items);
+        m_at = copy.at;
+        takeChanges(m_mirror.apply(copy.items));
+        return;
+    }
     m_mirror.beginListing();
     takeChanges(m_mirror.addPage(copy.items));
     takeChanges(m_mirror.endListing());
+    m_recent.restart(copy.at);
     std::vector<MemberInfo> members;
     collectMembers(copy.items, members);
     m_state->members.storeListed(ServingState::now(), members);
@@ -138,9 +146,12 @@
 }
 
 template <PlatformProtocol P>
-StoreCopy StoreSession<P>::copy() const
+StoreCopy StoreSession<P>::copy(net::StoreRevision after) const
 {
-    return {m_at, m_mirror.items()};
+    std::optional<std::vector<net::StoreItem>> recent = m_recent.since(after);
+    if (recent)
+        return {m_at, false, std::move(*recent)};
+    return {m_at, true, m_mirror.items()};
 }
 
 template <PlatformProtocol P>
@@ -150,6 +161,7 @@
     const bool follows = m_listed && news.after <= m_at && news.at > m_at;
     if (!follows)
         return;
+    m_recent.add(m_at, news.at, news.items);
     m_at = news.at;
     takeChanges(m_mirror.apply(news.items));
 }
@@ -158,9 +170,12 @@
 void StoreSession<P>::tell(net::StoreRevision after, std::vector<net::StoreItem> items)
 {
     const std::vector<MemberView> members = m_state->members.members(ServingState::now());
-    if (FeedPolicy::isWatcher(m_self.name, members))
-        m_hooks.broadcast(
-            encodeNews({m_self.name, after, m_at, m_reachable && m_listed, std::move(items)}));
+    if (!FeedPolicy::isWatcher(m_self.name, members))
+        return;
+    const bool reachable = m_reachable && m_listed;
+    for (const StoreNews &news :
+         splitNews({m_self.name, after, m_at, reachable, std::move(items)}))
+        m_hooks.broadcast(encodeNews(news));
 }
 
 template <PlatformProtocol P>
@@ -198,6 +213,7 @@
     takeChanges(m_mirror.endListing());
     m_state->members.storeListed(ServingState::now(), members);
     m_at = std::max(m_at, *first);
+    m_recent.restart(m_at);
     m_listed = true;
     tell(m_at, {});
     observe::logChange("store-listed", {{"revision", m_at.value}});
@@ -236,6 +252,7 @@
             items.push_back(item);
     }
     m_at = changes.revision;
+    m_recent.add(before, m_at, items);
     const std::vector<StoreChange> news = m_mirror.apply(items);
     tell(before, std::move(items));
     takeChanges(news);
--- a/src/node/memberjson.cpp
+++ b/src/node/memberjson.cpp
@@ -16,6 +16,7 @@
         {"zone", member.zone.text()},   {"vm", member.vm.text()},
         {"http", httpAddress},          {"peer", member.peerAddress},
         {"leaving", member.leaving},    {"incarnation", member.incarnation.value},
+        {"link", member.linkMegabits},
     };
     return out.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
 }
@@ -33,6 +34,7 @@
         member.peerAddress = in.at("peer").get<std::string>();
         member.incarnation = Incarnation {in.at("incarnation").get<std::uint64_t>()};
         member.leaving = in.at("leaving").get<bool>();
+        member.linkMegabits = in.value("link", 0U);
         if (member.name.empty())
             return fail(ResultCode::StoreProtocol, "a member's key has no name");
         return member;
--- a/src/serving/gossip.cpp
+++ b/src/serving/gossip.cpp
@@ -13,8 +13,8 @@
 
 Json encodeMember(const MemberInfo &member)
 {
-    return {member.name.text(),   member.incarnation.value, member.zone.text(),
-            member.callerAddress, member.peerAddress,       member.leaving};
+    return {member.name.text(), member.incarnation.value, member.zone.text(), member.callerAddress,
+            member.peerAddress, member.leaving,           member.linkMegabits};
 }
 
 MemberInfo decodeMember(const Json &json)
@@ -26,6 +26,7 @@
     member.callerAddress = json.at(3).get<std::string>();
     member.peerAddress = json.at(4).get<std::string>();
     member.leaving = json.at(5).get<bool>();
+    member.linkMegabits = json.at(6).get<std::uint32_t>();
     return member;
 }
 
@@ -62,8 +63,8 @@
                   entry.at(3).get<std::uint64_t>()}});
         }
         for (const Json &entry : json.at(4)) {
-            gossip.repeats.push_back({ServiceName(entry.at(0).get<std::string>()),
-                                      entry.at(1).get<std::uint32_t>()});
+            gossip.repeats.push_back(
+                {ServiceName(entry.at(0).get<std::string>()), entry.at(1).get<std::uint32_t>()});
         }
         return gossip;
     } catch (const Json::exception &e) {
--- a/src/serving/storefeed.cpp
+++ b/src/serving/storefeed.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <nlohmann/json.hpp>
+#include <numeric>
 
 namespace fescue::serving {
 
@@ -14,6 +15,13 @@
 // Messages of a later layout are ignored.
 constexpr int layoutVersion = 1;
 
+// Bytes of items in one datagram, and what each item takes beyond its key and value.
+constexpr std::size_t maxPartBytes = 6000;
+constexpr std::size_t itemOverhead = 24;
+// Watchers are chosen among the processes whose link has at least the widest one's bandwidth
+// divided by this: they send every change to all others.
+constexpr std::uint32_t linkClass = 2;
+
 Json encodeItem(const net::StoreItem &item)
 {
     const std::vector<std::uint8_t> value(item.value.begin(), item.value.end());
@@ -104,14 +112,90 @@
 
 std::string encodeCopy(const StoreCopy &copy)
 {
-    return toBytes({layoutVersion, copy.at.value, encodeItems(copy.items)});
+    return toBytes({layoutVersion, copy.at.value, copy.whole, encodeItems(copy.items)});
 }
 
 Result<StoreCopy> decodeCopy(std::string_view bytes)
 {
     return readCbor<StoreCopy>(bytes, [](const Json &json) {
-        return StoreCopy {{json.at(1).get<std::uint64_t>()}, decodeItems(json.at(2))};
+        return StoreCopy {
+            {json.at(1).get<std::uint64_t>()}, json.at(2).get<bool>(), decodeItems(json.at(3))};
+    });
+}
+
+std::vector<StoreNews> splitNews(StoreNews news)
+{
+    std::vector<net::StoreItem> items = std::move(news.items);
+    std::sort(items.begin(), items.end(), [](const net::StoreItem &a, const net::StoreItem &b) {
+        return a.revision < b.revision;
     });
+    std::vector<StoreNews> parts;
+    StoreNews part = news;
+    part.items.clear();
+    std::size_t bytes = 0;
+    for (net::StoreItem &item : items) {
+        const std::size_t size = item.key.size() + item.value.size() + itemOverhead;
+        if (size > maxPartBytes)
+            break;
+        // A part ends where its next item begins a new revision.
+        const bool full = bytes + size > maxPartBytes;
+        if (full && part.items.back().revision < item.revision) {
+            part.at = part.items.back().revision;
+            parts.push_back(part);
+            part.after = part.at;
+            part.items.clear();
+            bytes = 0;
+        }
+        bytes += size;
+        part.items.push_back(std::move(item));
+    }
+    const std::size_t told = std::accumulate(
+        parts.begin(), parts.end(), part.items.size(),
+        [](std::size_t n, const StoreNews &other) { return n + other.items.size(); });
+    if (told < items.size()) {
+        // What was left out follows no revision that a receiver may have.
+        part = news;
+        part.items.clear();
+        part.after = news.at;
+    }
+    part.at = news.at;
+    parts.push_back(std::move(part));
+    return parts;
+}
+
+void RecentChanges::restart(net::StoreRevision at)
+{
+    m_items.clear();
+    m_from = at;
+    m_at = at;
+}
+
+void RecentChanges::add(net::StoreRevision after, net::StoreRevision at,
+                        std::span<const net::StoreItem> items)
+{
+    if (after > m_at)
+        restart(after);
+    for (const net::StoreItem &item : items) {
+        if (item.revision > m_at)
+            m_items.push_back(item);
+    }
+    m_at = std::max(m_at, at);
+    while (m_items.size() > maxItems) {
+        m_from = m_items.front().revision;
+        m_items.pop_front();
+    }
+}
+
+std::optional<std::vector<net::StoreItem>> RecentChanges::since(net::StoreRevision after) const
+{
+    if (after < m_from)
+        return std::nullopt;
+    std::vector<net::StoreItem> items;
+    for (const net::StoreItem &item : m_items) {
+        if (item.revision > after)
+            items.push_back(item);
+    }
+    return items;
 }
 
 void FeedPolicy::heard(Millis now, const StoreNews &news)
@@ -123,9 +207,13 @@
 
 bool FeedPolicy::isWatcher(const MemberName &self, std::span<const MemberView> members)
 {
+    std::uint32_t widest = 0;
+    for (const MemberView &member : members)
+        widest = std::max(widest, member.info.linkMegabits);
     std::vector<std::string_view> names;
     for (const MemberView &member : members) {
-        if (member.state == MemberState::Live || member.info.name == self)
+        const bool live = member.state == MemberState::Live || member.info.name == self;
+        if (live && member.info.linkMegabits >= widest / linkClass)
             names.push_back(member.info.name.text());
     }
     const std::vector<std::size_t> order = rendezvousOrder("watchers", names);
--- a/tests/serving/gossip_test.cpp
+++ b/tests/serving/gossip_test.cpp
@@ -10,8 +10,14 @@
 Gossip makeGossip()
 {
     Gossip gossip;
-    gossip.member = {MemberName("edge-1"), {77}, ZoneName("north"), VmName(), "10.0.0.1:80",
-                     "10.0.0.1:81",        true};
+    gossip.member = {MemberName("edge-1"),
+                     {77},
+                     ZoneName("north"),
+                     VmName(),
+                     "10.0.0.1:80",
+                     "10.0.0.1:81",
+                     true,
+                     10};
     gossip.configVersion = {9};
     gossip.loads = {{EndpointName("e1"), {3, 9'000, 500}}};
     gossip.repeats = {{ServiceName("s"), 4}};
--- a/tests/serving/storefeed_test.cpp
+++ b/tests/serving/storefeed_test.cpp
@@ -42,6 +42,22 @@
     }
 }
 
+// Pattern: a few VMs with wide links among many with narrow ones; a watcher behind a narrow link
+// delayed both the news and its own requests.
+TEST(FeedPolicy, WatchersHaveWideLinks)
+{
+    std::vector<MemberView> members = makeMembers(84);
+    for (std::size_t n = 0; n < members.size(); ++n)
+        members[n].info.linkMegabits = n % 14 == 0 ? 200 : 10;
+    std::size_t watchers = 0;
+    for (const MemberView &member : members) {
+        const bool watches = FeedPolicy::isWatcher(member.info.name, members);
+        watchers += watches ? 1 : 0;
+        EXPECT_FALSE(watches && member.info.linkMegabits == 10);
+    }
+    EXPECT_EQ(watchers, FeedPolicy::watchers);
+}
+
 TEST(FeedPolicy, ProcessThatHearsNoWatcherWatchesForItself)
 {
     const std::vector<MemberView> members = makeMembers(9);
@@ -115,6 +131,58 @@
     EXPECT_EQ(decoded->after.value, 9U);
 }
 
+// Pattern: many endpoints leave at one moment in a large system.
+TEST(StoreNews, ManyChangesAreDividedAndFollowEachOther)
+{
+    StoreNews news = makeNews(MemberName("w1"), 100);
+    news.after = {20};
+    for (std::uint64_t n = 40; n > 0; --n)
+        news.items.push_back(
+            {"servers/" + std::to_string(n), std::string(400, 'x'), {20 + n}, false});
+    const std::vector<StoreNews> parts = splitNews(news);
+    ASSERT_GT(parts.size(), 1U);
+    net::StoreRevision at = news.after;
+    std::size_t items = 0;
+    for (const StoreNews &part : parts) {
+        EXPECT_EQ(part.after.value, at.value);
+        EXPECT_LE(encodeNews(part).size(), maxNewsBytes);
+        for (const net::StoreItem &item : part.items) {
+            EXPECT_GT(item.revision, part.after);
+            EXPECT_LE(item.revision, part.at);
+        }
+        items += part.items.size();
+        at = part.at;
+    }
+    EXPECT_EQ(items, 40U);
+    EXPECT_EQ(at.value, 100U);
+}
+
+TEST(StoreNews, ChangeThatIsTooLongHasToBeFetched)
+{
+    StoreNews news = makeNews(MemberName("w1"), 9);
+    news.after = {6};
+    news.items = {{"a", "v", {7}, false},
+                  {"config", std::string(20'000, 'x'), {8}, false},
+                  {"b", "v", {9}, false}};
+    const std::vector<StoreNews> parts = splitNews(news);
+    EXPECT_EQ(parts.back().after.value, 9U);
+    EXPECT_TRUE(parts.back().items.empty());
+}
+
+TEST(RecentChanges, GivesWhatAPeerHasMissed)
+{
+    RecentChanges recent;
+    recent.restart({5});
+    const std::vector<net::StoreItem> items {{"a", "1", {6}, false}, {"b", "", {8}, true}};
+    recent.add({5}, {9}, items);
+    EXPECT_EQ(recent.since({5})->size(), 2U);
+    EXPECT_EQ(recent.since({6})->size(), 1U);
+    EXPECT_TRUE(recent.since({9})->empty());
+    EXPECT_FALSE(recent.since({4}));
+    recent.add({12}, {13}, items);
+    EXPECT_FALSE(recent.since({9}));
+}
+
 TEST(StoreNews, DamagedBytesAreErrors)
 {
     const std::string bytes = encodeNews(makeNews(MemberName("w1"), 9));
@@ -124,10 +192,11 @@
 
 TEST(StoreCopy, ComesBackAsItWasSent)
 {
-    const StoreCopy copy {{12}, {{"a", "v", {3}, false}}};
+    const StoreCopy copy {{12}, false, {{"a", "v", {3}, false}}};
     const Result<StoreCopy> decoded = decodeCopy(encodeCopy(copy));
     ASSERT_TRUE(decoded);
     EXPECT_EQ(decoded->at.value, 12U);
+    EXPECT_FALSE(decoded->whole);
     EXPECT_EQ(decoded->items[0].key, "a");
     EXPECT_FALSE(decodeCopy("nonsense"));
 }
