--- a/src/serving/moveplan.cpp
+++ b/src/serving/moveplan.cpp
@@ -24,7 +24,7 @@
 constexpr double memoryFillLimit = 0.97;
 // Part of an engine's memory that may be expected to fill where a backup is added; leaves room for
 // new generations.
-constexpr double backupFillLimit = 0.7;
+constexpr double backupFillLimit = 0.55;
 // Part of an engine's memory that a backup in another availability zone costs, for its traffic.
 constexpr double backupOtherZoneCost = 0.25;
 // Cost of memory in use at the destination, in milliseconds at a full engine.
