--- a/include/fescue/serving/plainforwarder.inl
+++ b/include/fescue/serving/plainforwarder.inl
@@ -65,7 +65,7 @@
         const EndpointView *endpoint = choose(context, demand);
         if (endpoint == nullptr)
             break;
-        noteEndpoint(context, *endpoint);
+        noteEndpoint(*m_state, context, *endpoint);
         const EndpointRecord record = endpoint->record;
         demand.excluded.insert(record.name);
         const bool isLast = !mayRepeat || policy.sent() + 1 >= route.maxAttempts;
--- a/include/fescue/serving/requestcontext.h
+++ b/include/fescue/serving/requestcontext.h
@@ -34,6 +34,8 @@
     // For the line that the log gets at the end.
     std::string endpoint;
     Millis endpointAge {0};
+    // Load of the endpoint as it was known when it was chosen.
+    EndpointLoad endpointLoad;
     std::uint32_t attempts = 0;
     std::string detail;
     Millis firstByteAt {0};
@@ -46,7 +48,7 @@
 [[nodiscard]] EngineSend makeSend(const RequestContext &context, const EndpointRecord &endpoint);
 
 // Records the choice of an endpoint for the log.
-void noteEndpoint(RequestContext &context, const EndpointView &endpoint);
+void noteEndpoint(const ServingState &state, RequestContext &context, const EndpointView &endpoint);
 
 // Records how an attempt ended with the health of its endpoint, and logs attempts that failed.
 void noteAttempt(ServingState &state, RequestContext &context, const EndpointName &endpoint,
--- a/include/fescue/serving/streamforwarder.inl
+++ b/include/fescue/serving/streamforwarder.inl
@@ -85,7 +85,7 @@
         }
         return std::nullopt;
     }
-    noteEndpoint(context, *endpoint);
+    noteEndpoint(*m_state, context, *endpoint);
     passing.run->engine = endpoint->record;
     const EndpointRecord &record = passing.run->engine;
     passing.load = std::make_unique<LoadShare>(
--- a/src/serving/moveplan.cpp
+++ b/src/serving/moveplan.cpp
@@ -25,6 +25,9 @@
 // Part of an engine's memory that may be expected to fill where a backup is added; leaves room for
 // new generations.
 constexpr double backupFillLimit = 0.55;
+// Part of all engines' memory in use above which no backup is added: engines come and go, and what
+// is free has to take the generations of those that leave.
+constexpr double backupMeanLimit = 0.45;
 // Part of an engine's memory that a backup in another availability zone costs, for its traffic.
 constexpr double backupOtherZoneCost = 0.25;
 // Cost of memory in use at the destination, in milliseconds at a full engine.
@@ -39,6 +42,23 @@
 // Bits in a megabit, times milliseconds in a second.
 constexpr double bitsPerMegabitMilli = 1000;
 
+// Part of the engines' memory that is in use, of those whose load is known.
+double meanFill(std::span<const EndpointView *const> candidates, const EngineModel &model,
+                const PlacementView &view)
+{
+    const double memory = static_cast<double>(std::max<std::uint64_t>(model.memoryTokens, 1));
+    double used = 0;
+    std::size_t n = 0;
+    for (const EndpointView *candidate : candidates) {
+        if (view.otherZonesUnknown && candidate->record.zone != view.zone)
+            continue;
+        const EndpointLoad load = view.ledger.total(view.now, candidate->record.name);
+        used += static_cast<double>(load.memoryTokens);
+        ++n;
+    }
+    return n == 0 ? 0 : used / memory / static_cast<double>(n);
+}
+
 } // namespace
 
 std::string_view toString(MoveVerdict verdict) noexcept
@@ -97,6 +117,8 @@
     if (!model.canBackUp)
         return nullptr;
     const double memory = static_cast<double>(std::max<std::uint64_t>(model.memoryTokens, 1));
+    if (meanFill(candidates, model, view) > backupMeanLimit)
+        return nullptr;
     const EndpointView *best = nullptr;
     double least = std::numeric_limits<double>::infinity();
     for (const EndpointView *candidate : candidates) {
--- a/src/serving/placement.cpp
+++ b/src/serving/placement.cpp
@@ -18,11 +18,15 @@
 constexpr double crowdCostPerRequest = 6;
 // Memory in use raises the risk of preemption; cost at a full engine.
 constexpr double fullMemoryCost = 400;
+// Above this part in use, forecasts that are too low make a request wait for memory, or preempt
+// others. Cost at a full engine: most of a target latency.
+constexpr double scarceMemory = 0.6;
+constexpr double scarceMemoryCost = 3000;
 // Calls to another availability zone cost money and a few milliseconds.
 constexpr double nearZoneCost = 8;
 // Where the loads of other zones are not known, they are used when the own one is full: more than
 // the prompts that wait at a busy engine cost.
-constexpr double unknownZoneCost = 1500;
+constexpr double unknownZoneCost = 800;
 // A cold engine works more slowly for a while.
 constexpr double coldCost = 60;
 // A suspect endpoint is chosen only where no other can be.
@@ -150,8 +154,9 @@
         const double filled = filledPart(load, model, demand);
         const double prefill =
             static_cast<double>(load.prefillTokens + demand.prefillTokens) / prefillTokensPerMilli;
+        const double scarce = std::max(filled - scarceMemory, 0.0);
         return commonCost(endpoint, view, uniform) + prefill + load.requests * crowdCostPerRequest
-            + filled * filled * fullMemoryCost;
+            + filled * filled * fullMemoryCost + scarce * scarceMemoryCost;
     });
 }
 
--- a/src/serving/requestcontext.cpp
+++ b/src/serving/requestcontext.cpp
@@ -38,8 +38,9 @@
     return send;
 }
 
-void noteEndpoint(RequestContext &context, const EndpointView &endpoint)
+void noteEndpoint(const ServingState &state, RequestContext &context, const EndpointView &endpoint)
 {
+    context.endpointLoad = state.ledger.total(ServingState::now(), endpoint.record.name);
     context.endpoint = endpoint.record.name.text();
     context.endpointAge = ServingState::now() - endpoint.seenSince;
     ++context.attempts;
@@ -90,6 +91,9 @@
          {"config", version},
          {"endpoint", context.endpoint},
          {"endpoint_age_ms", context.endpointAge.count},
+         {"load_requests", context.endpointLoad.requests},
+         {"load_memory", context.endpointLoad.memoryTokens},
+         {"load_prefill", context.endpointLoad.prefillTokens},
          {"attempts", context.attempts},
          {"moves", context.moves},
          {"first_ms", first.count},
--- a/tests/serving/moveplan_test.cpp
+++ b/tests/serving/moveplan_test.cpp
@@ -160,6 +160,21 @@
               nullptr);
 }
 
+// Pattern: engines are well used in the mean, and what is free has to take the generations of those
+// that leave. Backups made the engines preempt running requests.
+TEST(ChooseBackup, NoneWhereMemoryIsScarceInTheMean)
+{
+    Fleet fleet;
+    for (const char *name : {"source", "a", "b", "c"})
+        fleet.add(name, "north");
+    for (const char *name : {"a", "b", "source"})
+        fleet.ledger.add(EndpointName(name), {5, 22'000, 0});
+    const std::vector<const EndpointView *> candidates = fleet.table.usable(ServiceName("engines"));
+    EXPECT_EQ(chooseBackup(*fleet.table.find(EndpointName("source")), 4'000, candidates,
+                           fleet.model, fleet.view()),
+              nullptr);
+}
+
 TEST(LinkQueue, CopiesToOneEngineWaitForEachOther)
 {
     LinkQueue links;
