--- a/include/fescue/serving/placement.h
+++ b/include/fescue/serving/placement.h
@@ -39,6 +39,8 @@
     // Memory at the end of the generation, in tokens; 0 for plain requests.
     std::uint64_t memoryTokens = 0;
     std::uint64_t prefillTokens = 0;
+    // Of the most urgent kind: may use the memory that is kept free for it.
+    bool mostUrgent = false;
     // Endpoints that are not to be chosen, because they were tried.
     std::set<EndpointName> excluded;
 };
--- a/include/fescue/serving/requestcontext.h
+++ b/include/fescue/serving/requestcontext.h
@@ -47,6 +47,9 @@
 // Starts from the fields that every request sent to an endpoint gets.
 [[nodiscard]] EngineSend makeSend(const RequestContext &context, const EndpointRecord &endpoint);
 
+// Urgency of a request, 0 first: that of its account, else that of its route.
+[[nodiscard]] int priorityOf(const RequestContext &context) noexcept;
+
 // Records the choice of an endpoint for the log.
 void noteEndpoint(const ServingState &state, RequestContext &context, const EndpointView &endpoint);
 
--- a/include/fescue/serving/streamforwarder.inl
+++ b/include/fescue/serving/streamforwarder.inl
@@ -93,9 +93,7 @@
         EndpointLoad {1, demand.memoryTokens, demand.prefillTokens});
     m_state->tellPeers();
     EngineSend send = makeSend(context, record);
-    send.priority = context.account != nullptr && context.account->priority
-        ? *context.account->priority
-        : context.route->priority;
+    send.priority = priorityOf(context);
     addBackup(passing, *endpoint, send);
     ExchangeResult result =
         exchange<P>(m_state->engineClient, record.address, context.request, send,
@@ -135,6 +133,7 @@
     PlacementDemand demand;
     demand.memoryTokens = passing.run->reservedTokens();
     demand.prefillTokens = passing.run->promptTokens;
+    demand.mostUrgent = context.route->priority == 0;
     AttemptVerdict verdict = AttemptVerdict::RefuseNotRun;
     std::optional<ExchangeResult> result;
     do {
@@ -314,10 +313,7 @@
     const Millis begun = ServingState::now();
     EngineSend send = makeSend(context, engine);
     send.resume = run.resume;
-    if (context.account != nullptr && context.account->priority)
-        send.priority = context.account->priority;
-    else
-        send.priority = context.route->priority;
+    send.priority = priorityOf(context);
     const EndpointView *view = m_state->endpoints.find(engine.name);
     if (view != nullptr)
         addBackup(passing, *view, send);
--- a/src/serving/placement.cpp
+++ b/src/serving/placement.cpp
@@ -33,8 +33,10 @@
 constexpr double suspectCost = 1e6;
 // Random part, so that processes with the same view do not all choose the same endpoint.
 constexpr double jitterCost = 10;
-// Part of an engine's memory that new generations may be expected to fill.
-constexpr double memoryFillLimit = 0.92;
+// Part of an engine's memory that new generations may be expected to fill. The most urgent kind may
+// use some more, so that less urgent ones never leave it without a place.
+constexpr double memoryFillLimit = 0.9;
+constexpr double urgentFillLimit = 1.05;
 // Time that a plain request takes in a slot, for comparing load with distance.
 constexpr double plainServiceMillis = 30;
 
@@ -56,7 +58,8 @@
 
 bool hasRoom(const EndpointLoad &load, const EngineModel &model, const PlacementDemand &demand)
 {
-    return filledPart(load, model, demand) <= memoryFillLimit && load.requests < model.slots;
+    const double limit = demand.mostUrgent ? urgentFillLimit : memoryFillLimit;
+    return filledPart(load, model, demand) <= limit && load.requests < model.slots;
 }
 
 double commonCost(const EndpointView &endpoint, const PlacementView &view, double uniform)
--- a/src/serving/refusal.cpp
+++ b/src/serving/refusal.cpp
@@ -10,16 +10,23 @@
 constexpr std::int64_t honouredPart = 3;
 // Shortest delay: a place seldom becomes free sooner.
 constexpr Millis shortestDelay {100};
-// Longest delay: by then the load has usually changed.
-constexpr Millis longestDelay {1500};
+// Longest delay after a cause that passes.
+constexpr Millis longestPassing {1500};
+// Longest delay where all endpoints are full: most of the time that a long generation runs.
+constexpr Millis longestFull {6000};
+// Where all are full, nobody is asked back before this part of the longest delay.
+constexpr std::int64_t fullPart = 4;
 
 } // namespace
 
-Millis returnDelay(Millis timeLeft, double uniform) noexcept
+Millis returnDelay(RefusalCause cause, Millis timeLeft, double uniform) noexcept
 {
-    const Millis limit = std::clamp(timeLeft / honouredPart, shortestDelay, longestDelay);
-    const double span = static_cast<double>((limit - shortestDelay).count);
-    return shortestDelay + Millis {static_cast<std::int64_t>(span * uniform)};
+    const bool full = cause == RefusalCause::Full;
+    const Millis longest = full ? longestFull : longestPassing;
+    const Millis limit = std::clamp(timeLeft / honouredPart, shortestDelay, longest);
+    const Millis earliest = full ? std::max(shortestDelay, limit / fullPart) : shortestDelay;
+    const double span = static_cast<double>((limit - earliest).count);
+    return earliest + Millis {static_cast<std::int64_t>(span * uniform)};
 }
 
 } // namespace fescue::serving
--- a/src/serving/requestcontext.cpp
+++ b/src/serving/requestcontext.cpp
@@ -38,6 +38,12 @@
     return send;
 }
 
+int priorityOf(const RequestContext &context) noexcept
+{
+    const bool ofAccount = context.account != nullptr && context.account->priority;
+    return ofAccount ? *context.account->priority : context.route->priority;
+}
+
 void noteEndpoint(const ServingState &state, RequestContext &context, const EndpointView &endpoint)
 {
     context.endpointLoad = state.ledger.total(ServingState::now(), endpoint.record.name);
@@ -112,8 +118,10 @@
 net::Problem notRunProblem(ServingState &state, const RequestContext &context, ResultCode code,
                            std::string detail)
 {
+    const RefusalCause cause =
+        code == ResultCode::NoCapacity ? RefusalCause::Full : RefusalCause::Passing;
     return {statusUnavailable, code, RunState::NotRun, std::move(detail),
-            returnDelay(context.timeLeft(), state.uniform())};
+            returnDelay(cause, context.timeLeft(), state.uniform())};
 }
 
 net::Problem unknownProblem(SendOutcome outcome, std::string detail)
--- a/tests/serving/placement_test.cpp
+++ b/tests/serving/placement_test.cpp
@@ -42,8 +42,8 @@
         EngineModel model;
         model.slots = 64;
         model.memoryTokens = 34'631;
-        const EndpointView *chosen =
-            chooseEngine(table.usable(service), model, view(), {memory, prefill, {}}, uniform);
+        const EndpointView *chosen = chooseEngine(table.usable(service), model, view(),
+                                                  {memory, prefill, false, {}}, uniform);
         return chosen == nullptr ? "none" : chosen->record.name.text();
     }
 
@@ -66,7 +66,7 @@
 TEST_F(Placement, ExcludedEndpointsAreNotChosen)
 {
     add("a");
-    EXPECT_EQ(plain(0.5, {0, 0, {EndpointName("a")}}), "none");
+    EXPECT_EQ(plain(0.5, {0, 0, false, {EndpointName("a")}}), "none");
 }
 
 // Pattern: an endpoint that answers its health check fails part of its requests.
@@ -77,7 +77,7 @@
     for (int n = 0; n < 12; ++n)
         health.record(now, EndpointName("grey"), n % 2 == 0);
     EXPECT_EQ(plain(0.3), "sound");
-    EXPECT_EQ(plain(0.3, {0, 0, {EndpointName("sound")}}), "grey");
+    EXPECT_EQ(plain(0.3, {0, 0, false, {EndpointName("sound")}}), "grey");
     // Avoided endpoints are tried again in time.
     now += 5_s;
     int chosen = 0;
@@ -115,7 +115,7 @@
     model.slots = 64;
     model.memoryTokens = 34'631;
     EXPECT_EQ(describeShortage(table.usable(service), model, view(),
-                               {4'000, 3'000, {EndpointName("tried")}}),
+                               {4'000, 3'000, false, {EndpointName("tried")}}),
               "usable=3 cold=1 full=1 excluded=1");
 }
 
@@ -131,7 +131,7 @@
     model.slots = 24;
     model.memoryTokens = 27'000;
     const std::vector<const EndpointView *> candidates = table.usable(service);
-    const PlacementDemand demand {4'000, 3'000, {}};
+    const PlacementDemand demand {4'000, 3'000, false, {}};
     EXPECT_EQ(chooseEngine(candidates, model, view(), demand, 0.2)->record.name,
               EndpointName("far"));
     EXPECT_EQ(chooseEngine(candidates, model, large, demand, 0.2)->record.name,
@@ -152,6 +152,19 @@
     EXPECT_EQ(engine(0.2, 4'000, 3'000), "reading");
 }
 
+// Pattern: a burst of long generations fills every engine; short ones of a more urgent kind go on.
+TEST_F(Placement, MostUrgentKindFindsRoomWhereOthersAreRefused)
+{
+    add("busy");
+    ledger.add(EndpointName("busy"), {8, 30'000, 0});
+    EngineModel model;
+    model.slots = 64;
+    model.memoryTokens = 34'631;
+    const std::vector<const EndpointView *> candidates = table.usable(service);
+    EXPECT_EQ(chooseEngine(candidates, model, view(), {2'500, 2'200, false, {}}, 0.2), nullptr);
+    EXPECT_NE(chooseEngine(candidates, model, view(), {2'500, 2'200, true, {}}, 0.2), nullptr);
+}
+
 // Pattern: two processes choose within the time in which they cannot know of each other.
 TEST_F(Placement, ProcessesThatSeeTheSameSpreadTheirChoices)
 {
--- a/tests/serving/refusal_test.cpp
+++ b/tests/serving/refusal_test.cpp
@@ -10,8 +10,10 @@
 
 TEST(Refusal, CallersAreAskedBackWithinTheTimeThatTheyHonour)
 {
-    for (int n = 0; n < 100; ++n)
-        EXPECT_LE(returnDelay(1'200_ms, n / 100.0), 400_ms);
+    for (int n = 0; n < 100; ++n) {
+        for (const RefusalCause cause : {RefusalCause::Passing, RefusalCause::Full})
+            EXPECT_LE(returnDelay(cause, 1'200_ms, n / 100.0), 400_ms);
+    }
 }
 
 // Pattern: a burst is refused at one moment; if all came back together it would be refused again.
@@ -19,9 +21,23 @@
 {
     std::set<std::int64_t> delays;
     for (int n = 0; n < 50; ++n)
-        delays.insert(returnDelay(6_s, n / 50.0).count);
+        delays.insert(returnDelay(RefusalCause::Passing, 6_s, n / 50.0).count);
     EXPECT_EQ(delays.size(), 50U);
     EXPECT_GE(*delays.rbegin() - *delays.begin(), 1'000);
 }
 
+// Pattern: drafts arrive at four times their usual rate for some seconds. Callers that come back
+// within a second meet the same full engines and have no try left.
+TEST(Refusal, CallersThatMeetFullEnginesComeBackWhenSomeHaveEnded)
+{
+    Millis sum {0};
+    for (int n = 0; n < 100; ++n) {
+        const Millis delay = returnDelay(RefusalCause::Full, 38_s, n / 100.0);
+        EXPECT_GE(delay, 1'500_ms);
+        EXPECT_LE(delay, 6_s);
+        sum += delay;
+    }
+    EXPECT_GT(sum / 100, 3_s);
+}
+
 } // namespace
