--- a/lint.sh
+++ b/lint.sh
@@ -11,6 +11,6 @@
 clang-format --dry-run -Werror "${files[@]}"
 echo "format: clean"
 [ "${1:-}" = --format ] && exit 0
-git ls-files 'src/*.cpp' 'tests/*.cpp' 'bench/*.cpp' \
+git ls-files 'src/*.cpp' 'platform/*.cpp' 'tests/*.cpp' 'bench/*.cpp' \
     | xargs -P "$(nproc)" -n 2 clang-tidy --quiet -p build 2>build/tidy.err
 echo "clang-tidy: clean"
