--- a/include/fescue/net/httpclient.h
+++ b/include/fescue/net/httpclient.h
@@ -78,7 +78,7 @@
     // returns true.
     [[nodiscard]] Result<ClientStream> openStream(const Address &address,
                                                   const HttpRequest &request, Millis headTimeout,
-                                                  std::function<bool()> abandoned = {});
+                                                  const std::function<bool()> &abandoned = {});
     // Closes idle connections to an address, for example after one of them went silent.
     void dropIdle(const Address &address);
 
--- a/include/fescue/serving/engineexchange.h
+++ b/include/fescue/serving/engineexchange.h
@@ -29,7 +29,7 @@
 [[nodiscard]] ExchangeResult exchange(net::HttpClient &client, const net::Address &address,
                                       const net::HttpRequest &request, const EngineSend &send,
                                       const std::string &requestId, Millis timeout,
-                                      std::function<bool()> abandoned);
+                                      const std::function<bool()> &abandoned);
 
 } // namespace fescue::serving
 
--- a/include/fescue/serving/engineexchange.inl
+++ b/include/fescue/serving/engineexchange.inl
@@ -10,12 +10,12 @@
 ExchangeResult exchange(net::HttpClient &client, const net::Address &address,
                         const net::HttpRequest &request, const EngineSend &send,
                         const std::string &requestId, Millis timeout,
-                        std::function<bool()> abandoned)
+                        const std::function<bool()> &abandoned)
 {
     const Millis deadline = SteadyClock {}.now() + timeout;
     ExchangeResult result;
     Result<net::ClientStream> stream =
-        client.openStream(address, P::encodeSend(request, send), timeout, std::move(abandoned));
+        client.openStream(address, P::encodeSend(request, send), timeout, abandoned);
     if (!stream) {
         result.outcome = outcomeOf(stream.error());
         result.detail = stream.error().message;
--- a/src/net/httpclient.cpp
+++ b/src/net/httpclient.cpp
@@ -111,7 +111,8 @@
 }
 
 Result<ClientStream> HttpClient::openStream(const Address &address, const HttpRequest &request,
-                                            Millis headTimeout, std::function<bool()> abandoned)
+                                            Millis headTimeout,
+                                            const std::function<bool()> &abandoned)
 {
     Result<ConnectionPtr> connection =
         perform(m_shared, address, request, std::nullopt, deadlineAfter(headTimeout), abandoned);
