--- a/include/fescue/serving/edgedaemon.inl
+++ b/include/fescue/serving/edgedaemon.inl
@@ -34,8 +34,7 @@
                              settings.peerAddress.toString(),
                              false,
                              settings.linkMegabits},
-      m_state(std::move(settings), pool, m_metrics), m_mover(m_state),
-      m_handler(m_state, m_mover),
+      m_state(std::move(settings), pool, m_metrics), m_mover(m_state), m_handler(m_state, m_mover),
       m_store(m_state, m_self,
               {[this] { applyLimits(); },
                [this](const EndpointName &endpoint) { m_mover.evacuate(endpoint); },
@@ -74,9 +73,8 @@
             answerMetrics(request, writer);
         }));
     static_cast<void>(
-        addServer(settings.peerAddress, [this](const Request &request, Writer &writer) {
-            answerPeer(request, writer);
-        }));
+        addServer(settings.peerAddress,
+                  [this](const Request &request, Writer &writer) { answerPeer(request, writer); }));
     for (const std::unique_ptr<net::HttpServer> &server : m_servers) {
         if (Result<void> started = server->start(); !started)
             return started;
@@ -87,11 +85,12 @@
     m_state.tellPeers = [this] { sendGossip(); };
     m_store.start();
     m_pool->spawn(net::currentWorker(), [this] { tick(); });
-    observe::logChange("started", {{"zone", settings.zone.text()},
-                                   {"front", settings.frontAddress.toString()},
-                                   {"directory", settings.directoryAddress.toString()},
-                                   {"store", settings.storeAddress.toString()},
-                                   {"incarnation", m_self.incarnation.value}});
+    observe::logChange("started",
+                       {{"zone", settings.zone.text()},
+                        {"front", settings.frontAddress.toString()},
+                        {"directory", settings.directoryAddress.toString()},
+                        {"store", settings.storeAddress.toString()},
+                        {"incarnation", m_self.incarnation.value}});
     return {};
 }
 
@@ -120,22 +119,23 @@
     const std::vector<std::string> addresses = resolveEntries(*zone, members);
     const bool known = m_state.routes != nullptr && !addresses.empty();
     const Millis ttl = std::min(directoryTtl, m_state.settings.bounds.directoryTtlLimit);
-    static_cast<void>(writer.send(known ? P::encodeResolution(addresses, ttl)
-                                        : net::HttpResponse {503, {}, {}}));
+    static_cast<void>(
+        writer.send(known ? P::encodeResolution(addresses, ttl) : net::HttpResponse {503, {}, {}}));
 }
 
 template <PlatformProtocol P>
 void EdgeDaemon<P>::answerMetrics(const net::HttpRequest &, net::ResponseWriter &writer)
 {
-    const double version = m_state.routes ? static_cast<double>(m_state.routes->version().value) : 0;
+    const double version =
+        m_state.routes ? static_cast<double>(m_state.routes->version().value) : 0;
     m_metrics.gauge("fescue_config_version").Set(version);
     m_metrics.gauge("fescue_ready").Set(ready() ? 1 : 0);
     m_metrics.gauge("fescue_open_requests").Set(static_cast<double>(m_state.open));
     m_metrics.gauge("fescue_generations_open").Set(static_cast<double>(m_state.runs.size()));
     m_metrics.gauge("fescue_log_lines_dropped")
         .Set(static_cast<double>(observe::droppedLogLines()));
-    static_cast<void>(writer.send(
-        {200, {{"Content-Type", "text/plain; version=0.0.4"}}, m_metrics.serialize()}));
+    static_cast<void>(
+        writer.send({200, {{"Content-Type", "text/plain; version=0.0.4"}}, m_metrics.serialize()}));
 }
 
 template <PlatformProtocol P>
@@ -157,9 +157,10 @@
         const Millis now = ServingState::now();
         m_state.members.heartbeat(now, m_self);
         for (const EndpointName &endpoint : m_state.endpoints.tick(now)) {
-            observe::logChange("endpoint", {{"endpoint", endpoint.text()},
-                                            {"state", "leaving"},
-                                            {"reason", "missing after the store returned"}});
+            observe::logChange("endpoint",
+                               {{"endpoint", endpoint.text()},
+                                {"state", "leaving"},
+                                {"reason", "missing after the store returned"}});
             m_mover.evacuate(endpoint);
         }
         m_state.members.purge(now);
@@ -174,8 +175,8 @@
 void EdgeDaemon<P>::sendGossip()
 {
     const std::uint64_t version = m_state.routes ? m_state.routes->version().value : 0;
-    const std::string datagram = gossipKind
-        + encodeGossip({m_self, {version}, m_state.ledger.own(), m_state.ownRepeats()});
+    const std::string datagram =
+        gossipKind + encodeGossip({m_self, {version}, m_state.ledger.own(), m_state.ownRepeats()});
     const std::vector<MemberView> members = m_state.members.members(ServingState::now());
     // In a large system loads are told within a zone only: entries prefer endpoints of their zone.
     const bool all = !m_state.isLarge();
@@ -278,8 +279,8 @@
             break;
         net::sleepFor(drainPoll);
     }
-    observe::logChange("stopped", {{"open", m_state.open},
-                                   {"took_ms", (ServingState::now() - begun).count}});
+    observe::logChange("stopped",
+                       {{"open", m_state.open}, {"took_ms", (ServingState::now() - begun).count}});
 }
 
 template <PlatformProtocol P>
--- a/include/fescue/serving/generationmover.h
+++ b/include/fescue/serving/generationmover.h
@@ -19,18 +19,11 @@
     // Starts to move one generation where its engine leaves.
     void check(const GenerationRunPtr &run);
 
-    // Keeps a copy of a generation's memory at another engine while it has no backup, so that little
-    // is left to copy when its own engine leaves.
+    // Keeps a copy of a generation's memory at another engine while it has no backup, so that
+    // little is left to copy when its own engine leaves.
     void guard(const GenerationRunPtr &run);
 
 private:
-    // An engine that leaves, as far as its generations are concerned.
-    struct Departure
-    {
-        // When it is expected to be gone.
-        Millis endsAt {0};
-    };
-
     // What follows an attempt to move a generation.
     enum class NextStep : std::uint8_t
     {
@@ -67,7 +60,8 @@
     [[nodiscard]] const EngineModel *modelOf(const GenerationRun &run) const;
 
     ServingState *m_state;
-    std::map<EndpointName, Departure> m_departures;
+    // When engines that leave are expected to be gone.
+    std::map<EndpointName, Millis> m_ends;
 };
 
 } // namespace fescue::serving
--- a/include/fescue/serving/generationmover.inl
+++ b/include/fescue/serving/generationmover.inl
@@ -32,10 +32,10 @@
     if (runs.empty() || view == nullptr)
         return;
     const EndpointRecord record = view->record;
-    std::erase_if(m_departures, [](const std::pair<const EndpointName, Departure> &entry) {
-        return ServingState::now() - entry.second.endsAt > forgetDeparture;
+    std::erase_if(m_ends, [](const std::pair<const EndpointName, Millis> &entry) {
+        return ServingState::now() - entry.second > forgetDeparture;
     });
-    m_departures[engine] = {expectedEnd(view->leavingSince)};
+    m_ends[engine] = expectedEnd(view->leavingSince);
     m_state->pool.spawn(net::currentWorker(), [this, record] { askEnd(record); });
     for (const GenerationRunPtr &run : runs)
         check(run);
@@ -50,20 +50,20 @@
         response ? P::decodeReport(response->body) : tl::unexpected(response.error());
     const bool known = report && report->leavesIn;
     if (known)
-        m_departures[engine.name] = {ServingState::now() + *report->leavesIn};
-    observe::logChange("engine-leaves",
-                       {{"endpoint", engine.name.text()},
-                        {"leaves_ms", known ? report->leavesIn->count : -1},
-                        {"running", report ? report->running : 0},
-                        {"detail", report ? std::string_view()
-                                          : std::string_view(report.error().message)}});
+        m_ends[engine.name] = ServingState::now() + *report->leavesIn;
+    observe::logChange(
+        "engine-leaves",
+        {{"endpoint", engine.name.text()},
+         {"leaves_ms", known ? report->leavesIn->count : -1},
+         {"running", report ? report->running : 0},
+         {"detail", report ? std::string_view() : std::string_view(report.error().message)}});
 }
 
 template <PlatformProtocol P>
 Millis GenerationMover<P>::endOf(const EndpointView &engine)
 {
-    const auto it = m_departures.find(engine.record.name);
-    return it != m_departures.end() ? it->second.endsAt : expectedEnd(engine.leavingSince);
+    const auto it = m_ends.find(engine.record.name);
+    return it != m_ends.end() ? it->second : expectedEnd(engine.leavingSince);
 }
 
 template <PlatformProtocol P>
@@ -83,8 +83,7 @@
 template <PlatformProtocol P>
 const EngineModel *GenerationMover<P>::modelOf(const GenerationRun &run) const
 {
-    const ServiceSpec *spec =
-        m_state->routes ? m_state->routes->findService(run.service) : nullptr;
+    const ServiceSpec *spec = m_state->routes ? m_state->routes->findService(run.service) : nullptr;
     return spec == nullptr || !spec->engine ? nullptr : &*spec->engine;
 }
 
@@ -182,9 +181,8 @@
         if (destination == nullptr)
             return copyRenewInterval;
         run->copyAhead = destination->record;
-        run->copyLoad = std::make_unique<LoadShare>(
-            m_state->ledger, destination->record.name,
-            EndpointLoad {1, run->reservedTokens(), 0});
+        run->copyLoad = std::make_unique<LoadShare>(m_state->ledger, destination->record.name,
+                                                    EndpointLoad {1, run->reservedTokens(), 0});
         m_state->tellPeers();
     }
     const EndpointRecord destination = *run->copyAhead;
@@ -201,10 +199,9 @@
 }
 
 template <PlatformProtocol P>
-MoveDecision GenerationMover<P>::chooseDestination(const GenerationRun &run,
-                                                   const EndpointView &source,
-                                                   const EngineModel &model,
-                                                   const PlacementDemand &demand)
+MoveDecision
+GenerationMover<P>::chooseDestination(const GenerationRun &run, const EndpointView &source,
+                                      const EngineModel &model, const PlacementDemand &demand)
 {
     const MovingRun moving = run.movingRun(endOf(source));
     const std::vector<const EndpointView *> candidates = m_state->candidates(run.service);
@@ -212,17 +209,17 @@
         planMove(source, moving, candidates, model, m_state->placementView(run.service), demand,
                  m_state->links, m_state->uniform());
     const bool hasCopy = isUsable(run.copyAhead) && !demand.excluded.contains(run.copyAhead->name);
-    const bool moves = decision.verdict == MoveVerdict::Move
-        || decision.verdict == MoveVerdict::NoDestination;
+    const bool moves =
+        decision.verdict == MoveVerdict::Move || decision.verdict == MoveVerdict::NoDestination;
     if (hasCopy && moves)
         decision = {MoveVerdict::Move, m_state->endpoints.find(run.copyAhead->name)};
     return decision;
 }
 
 template <PlatformProtocol P>
-typename GenerationMover<P>::NextStep
-GenerationMover<P>::moveOnce(const GenerationRunPtr &run, const EndpointView &source,
-                             PlacementDemand &demand)
+typename GenerationMover<P>::NextStep GenerationMover<P>::moveOnce(const GenerationRunPtr &run,
+                                                                   const EndpointView &source,
+                                                                   PlacementDemand &demand)
 {
     // A generation that has not begun has nothing to copy.
     if (run->events == 0)
@@ -232,10 +229,11 @@
         return NextStep::Done;
     const MovingRun moving = run->movingRun(endOf(source));
     if (isUsable(run->backup)) {
-        observe::logChange("hand-over", {{"id", run->requestId},
-                                         {"from", source.record.name.text()},
-                                         {"to", run->backup->name.text()},
-                                         {"events", run->events}});
+        observe::logChange("hand-over",
+                           {{"id", run->requestId},
+                            {"from", source.record.name.text()},
+                            {"to", run->backup->name.text()},
+                            {"events", run->events}});
         run->phase = MovePhase::HandingOver;
         while (!run->finished && run->phase == MovePhase::HandingOver)
             net::sleepFor(handOverPoll);
@@ -249,8 +247,9 @@
         {{"id", run->requestId},
          {"verdict", toString(decision.verdict)},
          {"from", source.record.name.text()},
-         {"to", decision.destination == nullptr ? std::string_view()
-                                                : decision.destination->record.name.text()},
+         {"to",
+          decision.destination == nullptr ? std::string_view()
+                                          : decision.destination->record.name.text()},
          {"notice_age_ms", (ServingState::now() - source.leavingSince).count},
          {"ends_in_ms", (moving.engineEndsAt - ServingState::now()).count},
          {"memory_tokens", moving.memoryTokens},
@@ -263,9 +262,9 @@
         return NextStep::TryAgain;
     }
     const EndpointRecord destination = decision.destination->record;
-    m_state->links.begin(destination.name, ServingState::now(),
-                         copyTime(*model, moving.memoryTokens,
-                                  destination.zone == source.record.zone));
+    m_state->links.begin(
+        destination.name, ServingState::now(),
+        copyTime(*model, moving.memoryTokens, destination.zone == source.record.zone));
     const LoadShare load(m_state->ledger, destination.name, {1, moving.reservedTokens, 0});
     m_state->tellPeers();
     return copy(run, source.record, destination, demand);
@@ -326,9 +325,9 @@
 }
 
 template <PlatformProtocol P>
-typename GenerationMover<P>::NextStep
-GenerationMover<P>::stop(const GenerationRunPtr &run, const EndpointRecord &source,
-                         const EndpointRecord &destination)
+typename GenerationMover<P>::NextStep GenerationMover<P>::stop(const GenerationRunPtr &run,
+                                                               const EndpointRecord &source,
+                                                               const EndpointRecord &destination)
 {
     run->phase = MovePhase::Stopping;
     const MoveAnswer answer = call(run, source, destination, true);
--- a/include/fescue/serving/moveplan.h
+++ b/include/fescue/serving/moveplan.h
@@ -66,8 +66,8 @@
 };
 
 // Decides when a generation that is being copied is stopped. Stopping it costs its caller the time
-// that the rest takes, which waits behind the copies of other generations on the same link. So it is
-// copied again, running, until a copy is quick; or until the engine is about to go.
+// that the rest takes, which waits behind the copies of other generations on the same link. So it
+// is copied again, running, until a copy is quick; or until the engine is about to go.
 class CopySchedule
 {
 public:
@@ -90,8 +90,7 @@
 [[nodiscard]] const EndpointView *chooseBackup(const EndpointView &engine,
                                                std::uint64_t reservedTokens,
                                                std::span<const EndpointView *const> candidates,
-                                               const EngineModel &model,
-                                               const PlacementView &view);
+                                               const EngineModel &model, const PlacementView &view);
 
 // Decides whether a generation leaves its engine, and for which one: the engine where the copy is
 // complete first, among those with room. `uniform` in [0, 1) spreads the
--- a/include/fescue/serving/plainforwarder.inl
+++ b/include/fescue/serving/plainforwarder.inl
@@ -13,8 +13,8 @@
                                               const PlacementDemand &demand)
 {
     const std::vector<const EndpointView *> candidates = m_state->candidates(context.service);
-    const EndpointView *endpoint = choosePlain(
-        candidates, m_state->placementView(context.service), demand, m_state->uniform());
+    const EndpointView *endpoint = choosePlain(candidates, m_state->placementView(context.service),
+                                               demand, m_state->uniform());
     return endpoint != nullptr && m_state->takeColdShare(*endpoint) ? endpoint : nullptr;
 }
 
@@ -30,9 +30,9 @@
     }
     const Millis until = ServingState::now() + timeout;
     net::ResponseWriter &writer = context.writer;
-    ExchangeResult result = exchange<P>(
-        m_state->engineClient, endpoint.address, context.request, makeSend(context, endpoint),
-        context.caller.requestId, timeout, [&writer] { return writer.callerGone(); });
+    ExchangeResult result = exchange<P>(m_state->engineClient, endpoint.address, context.request,
+                                        makeSend(context, endpoint), context.caller.requestId,
+                                        timeout, [&writer] { return writer.callerGone(); });
     Attempt done;
     done.outcome = result.outcome;
     const bool hasAnswer =
@@ -78,7 +78,7 @@
     if (verdict == AttemptVerdict::TryAnother) {
         // No other endpoint was left for the repeat.
         const bool hasAnswer = last.outcome == SendOutcome::Failed;
-        verdict = hasAnswer ? AttemptVerdict::PassOn
+        verdict = hasAnswer       ? AttemptVerdict::PassOn
             : policy.mayHaveRun() ? AttemptVerdict::FailUnknown
                                   : AttemptVerdict::RefuseNotRun;
     }
--- a/include/fescue/serving/storesession.inl
+++ b/include/fescue/serving/storesession.inl
@@ -110,12 +110,13 @@
         m_peerClient.request(*address, request, storeCallTimeout);
     const Result<StoreCopy> copy =
         response ? decodeCopy(response->body) : tl::unexpected(response.error());
-    observe::logChange("store-copy",
-                       {{"peer", peer.text()},
-                        {"revision", copy ? copy->at.value : 0},
-                        {"before", m_at.value},
-                        {"reason", copy ? std::string_view("missed changes")
-                                        : std::string_view(copy.error().message)}});
+    observe::logChange(
+        "store-copy",
+        {{"peer", peer.text()},
+         {"revision", copy ? copy->at.value : 0},
+         {"before", m_at.value},
+         {"reason",
+          copy ? std::string_view("missed changes") : std::string_view(copy.error().message)}});
     if (!copy)
         return false;
     adopt(*copy);
@@ -173,8 +174,7 @@
     if (!FeedPolicy::isWatcher(m_self.name, members))
         return;
     const bool reachable = m_reachable && m_listed;
-    for (const StoreNews &news :
-         splitNews({m_self.name, after, m_at, reachable, std::move(items)}))
+    for (const StoreNews &news : splitNews({m_self.name, after, m_at, reachable, std::move(items)}))
         m_hooks.broadcast(encodeNews(news));
 }
 
@@ -195,7 +195,7 @@
     std::optional<net::StoreRevision> first;
     std::vector<MemberInfo> members;
     while (true) {
-        const auto page = m_watchStore.listPage({}, after);
+        const net::StoreResult<typename Store::Page> page = m_watchStore.listPage({}, after);
         if (!page) {
             setReachable(false, page.error().message);
             return false;
@@ -223,7 +223,7 @@
 template <PlatformProtocol P>
 bool StoreSession<P>::watchOnce()
 {
-    const auto changes = m_watchStore.watch({}, m_at, watchWait);
+    const net::StoreResult<net::StoreList> changes = m_watchStore.watch({}, m_at, watchWait);
     if (changes) {
         setReachable(true, "watch");
         takeWatched(*changes);
@@ -325,9 +325,9 @@
         return;
     Result<ServingConfig> config = P::decodeConfig(change.value);
     if (!config) {
-        observe::logChange(observe::LogLevel::Error, "config-rejected",
-                           {{"revision", change.revision.value},
-                            {"reason", config.error().message}});
+        observe::logChange(
+            observe::LogLevel::Error, "config-rejected",
+            {{"revision", change.revision.value}, {"reason", config.error().message}});
         return;
     }
     const std::uint64_t version = config->version.value;
@@ -358,16 +358,17 @@
     const EndpointView *after = m_state->endpoints.find(name);
     if (after == nullptr)
         return;
-    observe::logChange("endpoint",
-                       {{"endpoint", name.text()},
-                        {"service", after->record.service.text()},
-                        {"zone", after->record.zone.text()},
-                        {"state", after->leaving() ? "leaving" : "usable"},
-                        {"cold_ms", std::max(after->coldUntil - now, Millis {0}).count},
-                        {"age_ms", (now - after->seenSince).count},
-                        {"revision", change.revision.value},
-                        {"reason", record ? std::string_view("listed")
-                                          : std::string_view(record.error().message)}});
+    observe::logChange(
+        "endpoint",
+        {{"endpoint", name.text()},
+         {"service", after->record.service.text()},
+         {"zone", after->record.zone.text()},
+         {"state", after->leaving() ? "leaving" : "usable"},
+         {"cold_ms", std::max(after->coldUntil - now, Millis {0}).count},
+         {"age_ms", (now - after->seenSince).count},
+         {"revision", change.revision.value},
+         {"reason",
+          record ? std::string_view("listed") : std::string_view(record.error().message)}});
     if (after->leaving() && !wasLeaving)
         m_hooks.endpointLeaving(name);
 }
@@ -421,8 +422,7 @@
 {
     Backoff backoff(storeBackoff);
     while (!net::stopRequested()) {
-        const net::StoreResult<void> done =
-            m_lease ? m_store.renewLease(*m_lease) : registerSelf();
+        const net::StoreResult<void> done = m_lease ? m_store.renewLease(*m_lease) : registerSelf();
         if (done) {
             backoff.reset();
             net::sleepFor(renewInterval);
@@ -443,9 +443,10 @@
     if (!m_lease)
         return;
     const net::StoreResult<void> written = writeSelf();
-    observe::logChange("leaving-written",
-                       {{"outcome", written ? std::string_view("written")
-                                            : std::string_view(written.error().message)}});
+    observe::logChange(
+        "leaving-written",
+        {{"outcome",
+          written ? std::string_view("written") : std::string_view(written.error().message)}});
 }
 
 } // namespace fescue::serving
--- a/include/fescue/serving/streamforwarder.h
+++ b/include/fescue/serving/streamforwarder.h
@@ -65,8 +65,8 @@
     void pass(Passing &passing);
     [[nodiscard]] StreamEnd passUntilBreak(Passing &passing);
     [[nodiscard]] bool forwardReady(Passing &passing);
-    // Changes to the backup while the engine still runs the generation; goes on with the engine where
-    // that fails.
+    // Changes to the backup while the engine still runs the generation; goes on with the engine
+    // where that fails.
     void handOver(Passing &passing);
     [[nodiscard]] bool resumeFromBackup(Passing &passing);
     // Waits for the end of a move and goes on at its destination. False where that is not possible.
--- a/include/fescue/serving/streamforwarder.inl
+++ b/include/fescue/serving/streamforwarder.inl
@@ -79,9 +79,8 @@
     if (endpoint == nullptr) {
         const ServiceSpec *spec = context.routes->findService(context.service);
         if (spec != nullptr && spec->engine) {
-            context.detail =
-                describeShortage(m_state->candidates(context.service), *spec->engine,
-                                 m_state->placementView(context.service), demand);
+            context.detail = describeShortage(m_state->candidates(context.service), *spec->engine,
+                                              m_state->placementView(context.service), demand);
         }
         return std::nullopt;
     }
@@ -89,8 +88,7 @@
     passing.run->engine = endpoint->record;
     const EndpointRecord &record = passing.run->engine;
     passing.load = std::make_unique<LoadShare>(
-        m_state->ledger, record.name,
-        EndpointLoad {1, demand.memoryTokens, demand.prefillTokens});
+        m_state->ledger, record.name, EndpointLoad {1, demand.memoryTokens, demand.prefillTokens});
     m_state->tellPeers();
     EngineSend send = makeSend(context, record);
     send.priority = priorityOf(context);
@@ -170,8 +168,8 @@
         refuse(context, unknownProblem(outcomeOf(body.error()), "the engine's answer broke off"));
         return;
     }
-    const net::HttpResponse answer {
-        result.head.status, P::answerHeaders(result.stream.headers()), std::move(*body)};
+    const net::HttpResponse answer {result.head.status, P::answerHeaders(result.stream.headers()),
+                                    std::move(*body)};
     const Result<void> sent = context.writer.send(answer);
     noteOutcome(*m_state, context, sent ? ResultCode::BackEndRefused : sent.error().code,
                 result.head.status);
@@ -213,8 +211,8 @@
             context.detail = n.error().message;
             if (n.error().code == ResultCode::LinkSilent)
                 return StreamEnd::DeadlinePassed;
-            const bool callerGone = n.error().code == ResultCode::Cancelled
-                && passing.run->phase != MovePhase::Stopped;
+            const bool callerGone =
+                n.error().code == ResultCode::Cancelled && passing.run->phase != MovePhase::Stopped;
             return callerGone ? StreamEnd::CallerGone : StreamEnd::EngineLost;
         }
         if (*n == 0)
@@ -337,9 +335,8 @@
     }
     passing.upstream = std::move(result.stream);
     passing.events.resume();
-    passing.load = std::make_unique<LoadShare>(
-        m_state->ledger, engine.name,
-        EndpointLoad {1, run.reservedTokens(), 0});
+    passing.load = std::make_unique<LoadShare>(m_state->ledger, engine.name,
+                                               EndpointLoad {1, run.reservedTokens(), 0});
     m_state->tellPeers();
     run.engine = engine;
     run.phase = MovePhase::Running;
@@ -358,8 +355,8 @@
     const int status = passing.started ? passing.upstream.status() : 0;
     if (end == StreamEnd::Complete && !passing.events.midEvent()) {
         if (!passing.started)
-            static_cast<void>(context.writer.startStream(passing.upstream.status(),
-                                                         passing.headers));
+            static_cast<void>(
+                context.writer.startStream(passing.upstream.status(), passing.headers));
         const Result<void> ended = context.writer.finish();
         m_state->observeOutput(*context.route,
                                static_cast<std::uint32_t>(passing.run->events)
@@ -385,7 +382,8 @@
     }
     const SendOutcome outcome =
         end == StreamEnd::DeadlinePassed ? SendOutcome::TimedOut : SendOutcome::Lost;
-    refuse(context, unknownProblem(outcome, "the engine's stream broke off before its first event"));
+    refuse(context,
+           unknownProblem(outcome, "the engine's stream broke off before its first event"));
 }
 
 } // namespace fescue::serving
