--- a/src/programs/timeline/main.cpp
+++ b/src/programs/timeline/main.cpp
@@ -4,6 +4,7 @@
 #include <CLI/CLI.hpp>
 #include <exception>
 #include <iostream>
+#include <optional>
 #include <string>
 #include <utility>
 #include <vector>
@@ -24,6 +25,8 @@
     std::string format = "text";
     std::int64_t sinceWallMillis = 0;
     std::string timeout = "2s";
+    // Only events about this request.
+    std::optional<std::string> id;
 };
 
 // Fetches time lines and notes which could not be had.
@@ -39,7 +42,7 @@
             return tl::unexpected<Error>(timeout.error());
         m_timeout = *timeout;
         for (const std::string &file : m_options->files)
-            add(file, readTextFile(file));
+            addFile(file);
         for (const std::string &text : m_options->addresses) {
             const Result<HostPort> address = parseHostPort(text);
             if (!address)
@@ -83,18 +86,48 @@
         return std::move(reply->body);
     }
 
+    // A file holds a saved answer of GET /timeline, or else the output of processes.
+    void addFile(const std::string &file)
+    {
+        const Result<std::string> text = readTextFile(file);
+        if (!text || text->starts_with('{')) {
+            add(file, text);
+            return;
+        }
+        tools::LogEvents log = tools::parseLog(*text, m_options->id);
+        if (log.otherLines > 0)
+            std::cerr << "fescue-timeline: " << file << ": skipped " << log.otherLines
+                      << " lines that are no log lines\n";
+        std::erase_if(log.events, [this](const Event &event) {
+            return event.wallMillis < m_options->sinceWallMillis;
+        });
+        m_timelines.push_back(std::move(log.events));
+    }
+
     void add(const std::string &source, const Result<std::string> &text)
     {
         const Result<std::vector<Event>> events =
             text.and_then([](const std::string &body) { return tools::parseTimeline(body); });
         if (events) {
-            m_timelines.push_back(*events);
+            m_timelines.push_back(about(*events));
             return;
         }
         m_complete = false;
         std::cerr << "fescue-timeline: " << source << ": " << events.error().toString() << '\n';
     }
 
+    // Events of a time line name a request as their subject or within their detail.
+    [[nodiscard]] std::vector<Event> about(std::vector<Event> events) const
+    {
+        if (!m_options->id)
+            return events;
+        std::erase_if(events, [this](const Event &event) {
+            return event.subject != *m_options->id
+                && event.detail.find(*m_options->id) == std::string::npos;
+        });
+        return events;
+    }
+
     const Options *m_options;
     Millis m_timeout;
     std::vector<std::vector<Event>> m_timelines;
@@ -107,7 +140,9 @@
     app.footer("Exit codes: 0 done, 1 a time line is missing, 2 usage.");
     app.add_option("--from", options.addresses, "address of a daemon, IP:PORT; may be repeated");
     app.add_option("--store", options.store, "address of the key-value service: all its daemons");
-    app.add_option("FILE", options.files, "saved answers of GET /timeline");
+    app.add_option("FILE", options.files,
+                   "saved answers of GET /timeline, or the standard output of processes");
+    app.add_option("--id", options.id, "only events about this request");
     app.add_option("--format", options.format, "text, or trace for Chrome's trace viewer")
         ->check(CLI::IsMember({"text", "trace"}));
     app.add_option("--since", options.sinceWallMillis,
--- a/tests/config/operationspage_test.cpp
+++ b/tests/config/operationspage_test.cpp
@@ -69,14 +69,17 @@
 {
     const std::regex registration(R"re((?:counter|gauge|histogram)\(\s*"(fescue_[a-z_]+)")re");
     std::set<std::string> names;
-    for (const std::filesystem::directory_entry &entry :
-         std::filesystem::recursive_directory_iterator(FESCUE_SOURCE_DIR "/src")) {
-        if (!entry.is_regular_file())
-            continue;
-        const std::string text = readTextFile(entry.path().string()).value_or("");
-        const std::sregex_iterator end;
-        for (std::sregex_iterator it(text.begin(), text.end(), registration); it != end; ++it)
-            names.insert((*it)[1].str());
+    for (const char *folder : {"/src", "/include"}) {
+        for (const std::filesystem::directory_entry &entry :
+             std::filesystem::recursive_directory_iterator(FESCUE_SOURCE_DIR
+                                                           + std::string(folder))) {
+            if (!entry.is_regular_file())
+                continue;
+            const std::string text = readTextFile(entry.path().string()).value_or("");
+            const std::sregex_iterator end;
+            for (std::sregex_iterator it(text.begin(), text.end(), registration); it != end; ++it)
+                names.insert((*it)[1].str());
+        }
     }
     return names;
 }
--- /dev/null
+++ b/tests/soak/endpointfarm.h
@@ -0,0 +1,116 @@
+#pragma once
+
+#include "tests/soak/faultrelay.h"
+#include "tests/soak/ledger.h"
+#include "tests/soak/storestandin.h"
+
+#include <map>
+#include <memory>
+#include <optional>
+#include <random>
+#include <string>
+#include <vector>
+
+namespace fescue::soak {
+
+// The text of one event of a generation; a caller can tell by it whose event it is.
+[[nodiscard]] std::string eventText(std::string_view callId, std::uint64_t number);
+// The answer of a plain service.
+[[nodiscard]] std::string plainAnswer(std::string_view callId);
+
+// Failures of one endpoint, in parts of its requests.
+struct EndpointTrouble
+{
+    double failing = 0;
+    // The request runs and its answer is lost.
+    double losing = 0;
+    // The answer breaks off in its middle.
+    double truncating = 0;
+    double shedding = 0;
+};
+
+// The memory of a generation, kept at an engine that does not run it.
+struct Copy
+{
+    std::string callId;
+    // Events that it covers.
+    std::uint64_t events = 0;
+    Millis lapsesAt = endOfTime;
+};
+
+// One life of an endpoint.
+struct Endpoint
+{
+    std::size_t index = 0;
+    std::string id;
+    std::string service;
+    std::string zone;
+    Millis bornAt {0};
+    bool draining = false;
+    bool alive = true;
+    Millis leavesAt = endOfTime;
+    EndpointTrouble trouble;
+    std::unique_ptr<net::HttpServer> server;
+    std::unique_ptr<FaultRelay> relay;
+    // Generations that run here, by call; the flag stops one for its move.
+    std::map<std::string, std::uint64_t> running;
+    std::map<std::string, bool> stopped;
+    // By handle, or by call for a backup.
+    std::map<std::string, Copy> copies;
+    Millis linkFreeAt {0};
+};
+
+// All endpoints of the deployment: stand-ins for model engines and plain services, which register
+// in the store and record in the ledger what reaches them.
+class EndpointFarm
+{
+public:
+    EndpointFarm(net::WorkerPool &pool, PlatformStore &store, Ledger &ledger,
+                 Disturbances &disturbances, std::uint64_t seed);
+
+    // Starts an endpoint and registers it. A cold one has just started.
+    Endpoint &start(std::string_view service, std::string_view zone, bool cold);
+    // Gives notice, serves for `notice` and ends.
+    void drain(Endpoint &endpoint, Millis notice);
+    // Ends without notice; the entry in the store goes later.
+    void crash(Endpoint &endpoint);
+    // Lets the address of an endpoint that is gone lead to another one.
+    static void reuseAddress(const Endpoint &gone, const Endpoint &next);
+
+    // Endpoints that run and have given no notice.
+    [[nodiscard]] std::vector<Endpoint *> live(std::string_view service);
+    [[nodiscard]] Endpoint *find(std::string_view id);
+    [[nodiscard]] std::vector<std::unique_ptr<Endpoint>> &all() noexcept { return m_endpoints; }
+
+    void setRegistered(Endpoint &endpoint, bool registered);
+
+private:
+    void handle(Endpoint &endpoint, const net::HttpRequest &request, net::ResponseWriter &writer);
+    void serveCall(Endpoint &endpoint, const net::HttpRequest &request,
+                   net::ResponseWriter &writer);
+    void servePlain(Endpoint &endpoint, Call &call, net::ResponseWriter &writer);
+    void serveDraft(Endpoint &endpoint, Call &call, const net::HttpRequest &request,
+                    net::ResponseWriter &writer);
+    void stream(Endpoint &endpoint, Call &call, std::uint64_t first, bool resumed,
+                const std::string &backup, net::ResponseWriter &writer);
+    void report(const Endpoint &endpoint, net::ResponseWriter &writer);
+    void move(Endpoint &endpoint, const net::HttpRequest &request, net::ResponseWriter &writer);
+    void freeCopy(const std::string &handle, net::ResponseWriter &writer);
+    void keepBackup(const std::string &address, const Call &call, std::uint64_t events);
+    // First event that follows a copy; nothing where there is no such copy here.
+    [[nodiscard]] bool takeCopy(Endpoint &endpoint, const Call &call, std::string_view from);
+    void checkSystemHeaders(const Call &call, const net::HttpRequest &request);
+    [[nodiscard]] Endpoint *at(std::string_view address);
+    [[nodiscard]] bool chance(double part);
+    void registerEndpoint(const Endpoint &endpoint);
+
+    net::WorkerPool *m_pool;
+    PlatformStore *m_store;
+    Ledger *m_ledger;
+    Disturbances *m_disturbances;
+    std::mt19937_64 m_random;
+    std::vector<std::unique_ptr<Endpoint>> m_endpoints;
+    std::uint64_t m_lastHandle = 0;
+};
+
+} // namespace fescue::soak
--- /dev/null
+++ b/tests/soak/entryprocess.cpp
@@ -0,0 +1,120 @@
+#include "tests/soak/entryprocess.h"
+
+#include <array>
+#include <cerrno>
+#include <csignal>
+#include <fcntl.h>
+#include <filesystem>
+#include <fstream>
+#include <limits>
+#include <nlohmann/json.hpp>
+#include <sys/prctl.h>
+#include <sys/wait.h>
+#include <system_error>
+#include <unistd.h>
+
+namespace fescue::soak {
+
+using Json = nlohmann::json;
+
+namespace {
+
+constexpr int logMode = 0644;
+constexpr int exitNotStarted = 127;
+
+std::string at(const std::string &ip, std::uint16_t port)
+{
+    return ip + ':' + std::to_string(port);
+}
+
+} // namespace
+
+EntryProcess::EntryProcess(EntryOptions options) : m_options(std::move(options)) { }
+
+EntryProcess::~EntryProcess()
+{
+    if (!isRunning())
+        return;
+    signal(SIGKILL);
+    waitpid(m_pid, nullptr, 0);
+}
+
+void EntryProcess::writeSettings(unsigned generation) const
+{
+    const std::string &ip = m_options.ip;
+    const Json bounds = {{"GraceS", 8},          {"ttl_max_s", 5},          {"ColdOverrun", 1.5},
+                         {"ColdTolerance", 5},   {"RetryBudgetRatio", 0.2}, {"RetryAllowance", 58},
+                         {"BudgetWindowS", 10.0}};
+    const Json json = {{"NodeName", name()},
+                       {"Ip", ip},
+                       {"Zone", m_options.zone},
+                       {"Region", "soak"},
+                       {"ListenAddresses",
+                        {{"Frontend", at(ip, frontPort)},
+                         {"Ready", at(ip, readyPort)},
+                         {"DirectoryService", at(ip, directoryPort)}}},
+                       {"InternalPortRange", {internalPort, internalPort + 15}},
+                       {"Limits", {{"LinkMbps", 1000.0}}},
+                       {"Platform", {{"Address", m_options.store.toString()}}},
+                       {"Generation", generation},
+                       {"Bounds", bounds}};
+    const std::string partial = settingsPath() + ".partial";
+    std::ofstream(partial) << json.dump(2) << '\n';
+    std::filesystem::rename(partial, settingsPath());
+}
+
+void EntryProcess::start()
+{
+    const std::string variable = "FESCUEWORKS_NODE_FILE=" + settingsPath();
+    const int log = open(logPath().c_str(), O_WRONLY | O_CREAT | O_APPEND | O_CLOEXEC, logMode);
+    if (log < 0)
+        throw std::system_error(errno, std::generic_category(), logPath());
+    const std::array<char *, 2> arguments {m_options.program.data(), nullptr};
+    std::string environment = variable;
+    const std::array<char *, 2> variables {environment.data(), nullptr};
+    const pid_t pid = fork();
+    if (pid < 0)
+        throw std::system_error(errno, std::generic_category(), "fork");
+    if (pid == 0) {
+        // Ends with the soak, whatever ends that.
+        prctl(PR_SET_PDEATHSIG, SIGKILL);
+        sigset_t none;
+        sigemptyset(&none);
+        sigprocmask(SIG_SETMASK, &none, nullptr);
+        dup2(log, STDOUT_FILENO);
+        dup2(log, STDERR_FILENO);
+        // Connections of the soak must not stay open here after it has closed them.
+        close_range(STDERR_FILENO + 1, std::numeric_limits<unsigned>::max(), 0);
+        execve(arguments[0], arguments.data(), variables.data());
+        _exit(exitNotStarted);
+    }
+    close(log);
+    m_pid = pid;
+}
+
+void EntryProcess::signal(int number) const
+{
+    if (isRunning())
+        kill(m_pid, number);
+}
+
+bool EntryProcess::hasEnded()
+{
+    if (!isRunning() || waitpid(m_pid, nullptr, WNOHANG) != m_pid)
+        return false;
+    m_pid = 0;
+    return true;
+}
+
+std::uint64_t EntryProcess::residentBytes() const
+{
+    if (!isRunning())
+        return 0;
+    std::ifstream file("/proc/" + std::to_string(m_pid) + "/statm");
+    std::uint64_t size = 0;
+    std::uint64_t resident = 0;
+    file >> size >> resident;
+    return resident * static_cast<std::uint64_t>(sysconf(_SC_PAGESIZE));
+}
+
+} // namespace fescue::soak
--- /dev/null
+++ b/tests/soak/entryprocess.h
@@ -0,0 +1,69 @@
+#pragma once
+
+#include "fescue/core/clock.h"
+#include "fescue/net/endpointaddress.h"
+
+#include <cstdint>
+#include <string>
+#include <sys/types.h>
+
+namespace fescue::soak {
+
+// What an entry process is given.
+struct EntryOptions
+{
+    std::string program;
+    // Folder for its settings and its log.
+    std::string folder;
+    std::string name;
+    std::string zone;
+    // An address of the loopback network of its own, so that processes have the same ports.
+    std::string ip;
+    net::Address store;
+};
+
+// One real process of the system, driven by signals.
+class EntryProcess
+{
+public:
+    explicit EntryProcess(EntryOptions options);
+    // Kills the process where it still runs.
+    ~EntryProcess();
+    EntryProcess(const EntryProcess &) = delete;
+    EntryProcess &operator=(const EntryProcess &) = delete;
+
+    // Writes the settings file. `generation` makes its text differ from the last one.
+    void writeSettings(unsigned generation) const;
+    // Starts the program. Throws std::system_error.
+    void start();
+    void signal(int number) const;
+    // Looks whether the process has ended since the last call.
+    [[nodiscard]] bool hasEnded();
+    [[nodiscard]] bool isRunning() const noexcept { return m_pid > 0; }
+    // Memory that it uses, in bytes; 0 where it does not run.
+    [[nodiscard]] std::uint64_t residentBytes() const;
+
+    [[nodiscard]] const EntryOptions &options() const noexcept { return m_options; }
+    [[nodiscard]] net::Address front() const { return {m_options.ip, frontPort}; }
+    [[nodiscard]] net::Address ready() const { return {m_options.ip, readyPort}; }
+    [[nodiscard]] net::Address directory() const { return {m_options.ip, directoryPort}; }
+    [[nodiscard]] net::Address metrics() const { return {m_options.ip, internalPort}; }
+    [[nodiscard]] std::string logPath() const { return m_options.folder + '/' + name() + ".log"; }
+    [[nodiscard]] const std::string &name() const noexcept { return m_options.name; }
+
+private:
+    static constexpr std::uint16_t frontPort = 8740;
+    static constexpr std::uint16_t readyPort = 8749;
+    static constexpr std::uint16_t directoryPort = 8746;
+    static constexpr std::uint16_t internalPort = 7200;
+
+    [[nodiscard]] std::string settingsPath() const
+    {
+        return m_options.folder + '/' + name() + ".json";
+    }
+
+    EntryOptions m_options;
+    pid_t m_pid = 0;
+};
+
+} // namespace fescue::soak
--- /dev/null
+++ b/tests/soak/faultplan.cpp
@@ -0,0 +1,96 @@
+#include "tests/soak/faultplan.h"
+
+#include <algorithm>
+#include <array>
+#include <random>
+
+namespace fescue::soak {
+
+namespace {
+
+constexpr std::array<std::string_view, faultKinds> kindNames {
+    "entry-killed",
+    "entry-stopped",
+    "entry-paused",
+    "entry-reloads",
+    "many-entries-killed",
+    "all-entries-killed",
+    "store-unavailable",
+    "store-reset",
+    "store-hangs",
+    "store-slow",
+    "store-loses-answers",
+    "store-drops-history",
+    "store-turns-entry-away",
+    "entries-lapse",
+    "store-link-silent",
+    "store-link-one-way",
+    "store-link-refuses",
+    "store-connections-silenced",
+    "caller-link-reset",
+    "caller-link-delayed",
+    "caller-connections-silenced",
+    "endpoint-drains",
+    "endpoint-crashes",
+    "endpoint-address-reused",
+    "endpoint-grey",
+    "endpoint-loses-answers",
+    "endpoint-truncates",
+    "endpoint-sheds",
+    "endpoint-garbles",
+    "endpoint-link-delayed",
+    "endpoint-link-silent",
+    "endpoint-connections-reset",
+    "endpoint-connections-silenced",
+    "config-moves-route",
+    "config-changes-key",
+    "config-changes-route",
+    "config-grows",
+    "config-storm",
+    "zone-out",
+};
+
+// Faults begin once the system has served for a moment.
+constexpr Millis quietStart = 2_s;
+constexpr Millis shortest = 200_ms;
+constexpr Millis longest = 5_s;
+// Mean time between faults, of the calmest and of the roughest run.
+constexpr Millis calmGap = 4_s;
+constexpr Millis roughGap = 350_ms;
+
+} // namespace
+
+std::string_view toString(FaultKind kind) noexcept
+{
+    return kindNames[static_cast<std::size_t>(kind)];
+}
+
+std::vector<Fault> drawFaults(std::uint64_t seed, Millis end)
+{
+    std::mt19937_64 random(seed);
+    std::uniform_real_distribution<double> part(0, 1);
+    const double roughness = part(random);
+    const double meanGap = static_cast<double>(calmGap.count)
+        - roughness * static_cast<double>((calmGap - roughGap).count);
+    std::exponential_distribution<double> gap(1 / meanGap);
+    std::vector<Fault> faults;
+    Millis at = quietStart;
+    while (true) {
+        at += Millis {static_cast<std::int64_t>(gap(random)) + 1};
+        Fault fault;
+        fault.at = at;
+        fault.kind = static_cast<FaultKind>(random() % faultKinds);
+        const double span = part(random) * part(random);
+        fault.lasts = shortest
+            + Millis {
+                static_cast<std::int64_t>(span * static_cast<double>((longest - shortest).count))};
+        fault.target = static_cast<std::uint32_t>(random());
+        fault.strength = part(random);
+        if (fault.at + fault.lasts >= end)
+            break;
+        faults.push_back(fault);
+    }
+    return faults;
+}
+
+} // namespace fescue::soak
--- /dev/null
+++ b/tests/soak/faultplan.h
@@ -0,0 +1,73 @@
+#pragma once
+
+#include "fescue/core/clock.h"
+
+#include <cstdint>
+#include <string_view>
+#include <vector>
+
+namespace fescue::soak {
+
+enum class FaultKind : std::uint8_t
+{
+    EntryKilled,
+    EntryStopped,
+    EntryPaused,
+    EntryReloads,
+    ManyEntriesKilled,
+    AllEntriesKilled,
+    StoreUnavailable,
+    StoreReset,
+    StoreHangs,
+    StoreSlow,
+    StoreLosesAnswers,
+    StoreDropsHistory,
+    StoreTurnsEntryAway,
+    EntriesLapse,
+    StoreLinkSilent,
+    StoreLinkOneWay,
+    StoreLinkRefuses,
+    StoreConnectionsSilenced,
+    CallerLinkReset,
+    CallerLinkDelayed,
+    CallerConnectionsSilenced,
+    EndpointDrains,
+    EndpointCrashes,
+    EndpointAddressReused,
+    EndpointGrey,
+    EndpointLosesAnswers,
+    EndpointTruncates,
+    EndpointSheds,
+    EndpointGarbles,
+    EndpointLinkDelayed,
+    EndpointLinkSilent,
+    EndpointConnectionsReset,
+    EndpointConnectionsSilenced,
+    ConfigMovesRoute,
+    ConfigChangesKey,
+    ConfigChangesRoute,
+    ConfigGrows,
+    ConfigStorm,
+    ZoneOut,
+};
+inline constexpr std::size_t faultKinds = static_cast<std::size_t>(FaultKind::ZoneOut) + 1;
+
+[[nodiscard]] std::string_view toString(FaultKind kind) noexcept;
+
+// One fault, from the start of traffic on.
+struct Fault
+{
+    Millis at {0};
+    FaultKind kind = FaultKind::EntryKilled;
+    Millis lasts {0};
+    // Chooses what is hit, modulo the number of things there are.
+    std::uint32_t target = 0;
+    // In [0, 1): how strong.
+    double strength = 0;
+};
+
+// Draws the faults of a run from its seed; some runs get few, some many at once. In order of time,
+// all over by `end`.
+[[nodiscard]] std::vector<Fault> drawFaults(std::uint64_t seed, Millis end);
+
+} // namespace fescue::soak
--- /dev/null
+++ b/tests/soak/ledger.cpp
@@ -0,0 +1,281 @@
+#include "tests/soak/ledger.h"
+
+#include <algorithm>
+
+namespace fescue::soak {
+
+namespace {
+
+constexpr int statusOk = 200;
+
+// Answers that promise that the request has not run and will not run.
+bool promisesNotRun(int status) noexcept
+{
+    return status == 408 || status == 421 || status == 429 || status == 503;
+}
+
+std::size_t countSince(const std::deque<Millis> &times, Millis from, Millis to)
+{
+    return static_cast<std::size_t>(std::count_if(
+        times.begin(), times.end(), [from, to](Millis at) { return at > from && at <= to; }));
+}
+
+} // namespace
+
+std::size_t Ledger::addEndpoint(const EndpointFacts &facts)
+{
+    m_endpoints.push_back(facts);
+    return m_endpoints.size() - 1;
+}
+
+Call &Ledger::callerSends(const Call &call)
+{
+    const auto route = configs.newest().routes.find(call.prefix);
+    if (route != configs.newest().routes.end())
+        m_requests[route->second.service].push_back(call.sentAt);
+    return m_calls[call.id] = call;
+}
+
+void Ledger::callerEnds(Call &call, CallEnd end, int status, Millis now)
+{
+    call.end = end;
+    call.status = status;
+    call.endedAt = now;
+}
+
+Call *Ledger::arrives(const std::string &id, std::size_t endpoint, std::string_view prefix,
+                      std::string_view account, Millis now)
+{
+    const auto it = m_calls.find(id);
+    if (it == m_calls.end()) {
+        violation("UNASKED", "request " + id + " of no caller reached an endpoint");
+        return nullptr;
+    }
+    Call &call = it->second;
+    EndpointFacts &facts = m_endpoints[endpoint];
+    if (prefix != call.prefix)
+        violation("UNASKED", describe(call) + " reached an endpoint as " + std::string(prefix));
+    const bool inTouch = m_disturbances->inTouch(call.entry, now);
+    bool allowed = false;
+    bool rightAccount = false;
+    for (const SoakConfig *config : configs.inForce(call.sentAt, now, inTouch)) {
+        const auto route = config->routes.find(call.prefix);
+        const auto key = config->keys.find(call.key);
+        const bool routed = route != config->routes.end() && route->second.service == facts.service;
+        allowed = allowed || (routed && key != config->keys.end());
+        rightAccount = rightAccount || (key != config->keys.end() && key->second == account);
+    }
+    if (!allowed)
+        violation(inTouch ? "CONFIG" : "ROUTE", describe(call) + " reached " + facts.service);
+    else if (!rightAccount)
+        violation("UNASKED", describe(call) + " reached an endpoint for " + std::string(account));
+    checkLeaving(call, facts, now);
+    checkCold(facts, now);
+    if (++call.arrivals > 1) {
+        m_repeats[facts.service].push_back(now);
+        checkRepeats(facts.service, now);
+    }
+    return &call;
+}
+
+void Ledger::checkLeaving(const Call &call, const EndpointFacts &facts, Millis now)
+{
+    if (!m_disturbances->inTouch(call.entry, now))
+        return;
+    if (now > facts.leavingAt + drainTime)
+        violation("DRAIN", describe(call) + " reached " + facts.id + " that had left");
+    const auto out = zonesOut.find(facts.zone);
+    if (out != zonesOut.end() && now > out->second + evacuationTime)
+        violation("EVAC", describe(call) + " reached zone " + facts.zone);
+}
+
+void Ledger::checkCold(EndpointFacts &facts, Millis now)
+{
+    if (now >= facts.coldUntil)
+        return;
+    facts.coldArrivals.push_back(now);
+    const std::size_t n = countSince(facts.coldArrivals, now - 1_s, now);
+    if (static_cast<double>(n) > coldPerSecond * coldOverrun + coldTolerance)
+        violation("FAILBACK", std::to_string(n) + " requests a second at cold " + facts.id);
+}
+
+void Ledger::checkRepeats(const std::string &service, Millis now)
+{
+    const std::deque<Millis> &requests = m_requests[service];
+    std::size_t most = 0;
+    for (const Millis back : {0_ms, budgetWindow / 2, budgetWindow}) {
+        const Millis to = now - back;
+        most = std::max(most, countSince(requests, to - budgetWindow, to));
+    }
+    const std::size_t repeats = countSince(m_repeats[service], now - budgetWindow, now);
+    if (static_cast<double>(repeats) > retryRatio * static_cast<double>(most) + retryAllowance)
+        violation("BUDGET", std::to_string(repeats) + " repeats at " + service);
+}
+
+std::size_t Ledger::begins(Call &call, std::size_t endpoint, bool resumed, Millis now)
+{
+    call.runs.push_back({endpoint, now, endOfTime, resumed});
+    return call.runs.size() - 1;
+}
+
+void Ledger::ends(Call &call, std::size_t run, Millis now)
+{
+    if (call.runs[run].endedAt == endOfTime)
+        call.runs[run].endedAt = now;
+}
+
+void Ledger::judge(Millis now)
+{
+    for (const auto &[id, call] : m_calls) {
+        if (call.end == CallEnd::None)
+            continue;
+        checkRuns(call);
+        checkAnswer(call);
+        checkConfig(call);
+        checkLost(call);
+        checkOverlap(call);
+        tallyLeft(call);
+        tallyHeld(call);
+    }
+    constexpr std::uint32_t fewest = 8;
+    if (m_left.counted >= fewest && m_left.bad * 4 > m_left.counted) {
+        violation("GONE",
+                  std::to_string(m_left.bad) + " of " + std::to_string(m_left.counted)
+                      + " calls were worked on after their caller had left");
+    }
+    if (m_held.counted >= fewest && m_held.bad * 4 > m_held.counted) {
+        violation("CONFIG",
+                  std::to_string(m_held.bad) + " of " + std::to_string(m_held.counted)
+                      + " calls had no answer after their route's time-out");
+    }
+    static_cast<void>(now);
+}
+
+void Ledger::checkRuns(const Call &call)
+{
+    const std::size_t fresh = static_cast<std::size_t>(std::count_if(
+        call.runs.begin(), call.runs.end(), [](const Run &run) { return !run.resumed; }));
+    if (call.kind != CallKind::Read && fresh > 1)
+        violation("TWICE", describe(call) + " ran " + std::to_string(fresh) + " times");
+    if (call.kind != CallKind::Read && promisesNotRun(call.status) && !call.runs.empty())
+        violation("REFUSED", describe(call) + " was refused and has run");
+    constexpr std::size_t mostAttempts = 2;
+    if (call.kind == CallKind::Read && fresh > mostAttempts)
+        violation("BUDGET", describe(call) + " ran on too many endpoints");
+}
+
+void Ledger::checkAnswer(const Call &call)
+{
+    const bool ownFault = call.status >= 300 && call.status < 500 && !promisesNotRun(call.status)
+        && call.endpointStatus != call.status;
+    if (ownFault && call.status != 401 && call.status != 404)
+        violation("DENIED", describe(call) + " got " + std::to_string(call.status));
+}
+
+void Ledger::checkConfig(const Call &call)
+{
+    if (call.status != 401 && call.status != 404)
+        return;
+    const bool inTouch = m_disturbances->inTouch(call.entry, call.endedAt);
+    bool missing = false;
+    for (const SoakConfig *config : configs.inForce(call.sentAt, call.endedAt, inTouch))
+        missing =
+            missing || !config->routes.contains(call.prefix) || !config->keys.contains(call.key);
+    if (!missing)
+        violation("CONFIG", describe(call) + " was denied with " + std::to_string(call.status));
+}
+
+void Ledger::checkLost(const Call &call)
+{
+    if (call.end != CallEnd::Broken || !m_disturbances->onlyPlannedWork(call.entry, call.endedAt)
+        || !m_disturbances->onlyPlannedWork(call.entry, call.sentAt))
+        return;
+    // A connection that crosses the entry's close is closed soon, and nothing is passed on.
+    if (call.arrivals == 0 && call.endedAt <= call.sentAt + lossSlack)
+        return;
+    for (const Run &run : call.runs) {
+        const EndpointFacts &facts = m_endpoints[run.endpoint];
+        const bool sound = facts.leavingAt > call.endedAt && facts.goneAt > call.endedAt
+            && m_disturbances->endpointCalm(run.endpoint, call.sentAt, call.endedAt);
+        if (!sound)
+            return;
+    }
+    violation("LOST", describe(call) + " ended without an answer");
+}
+
+void Ledger::checkOverlap(const Call &call)
+{
+    for (std::size_t i = 1; i < call.runs.size(); ++i) {
+        for (std::size_t j = 0; j < i; ++j) {
+            const Run &before = call.runs[j];
+            const Run &after = call.runs[i];
+            const Millis limit = after.begunAt + overlapLimit;
+            const bool both = after.resumed && before.endpoint != after.endpoint
+                && before.endedAt > limit && after.endedAt > limit;
+            if (both && m_disturbances->runsCalmly(call.entry, limit)
+                && m_disturbances->endpointCalm(before.endpoint, after.begunAt, limit)
+                && m_disturbances->endpointCalm(after.endpoint, after.begunAt, limit))
+                violation("TWICE", describe(call) + " was worked on by two engines");
+        }
+    }
+}
+
+void Ledger::tallyLeft(const Call &call)
+{
+    if (call.end != CallEnd::Left || call.kind == CallKind::Post)
+        return;
+    const Millis limit = call.endedAt + workAfterLeaving;
+    for (const Run &run : call.runs) {
+        if (!m_disturbances->runsCalmly(call.entry, limit)
+            || !m_disturbances->endpointCalm(run.endpoint, call.sentAt, limit)
+            || run.endedAt < call.endedAt)
+            continue;
+        ++m_left.counted;
+        if (run.endedAt > limit)
+            ++m_left.bad;
+    }
+}
+
+void Ledger::tallyHeld(const Call &call)
+{
+    const Millis limit = call.sentAt + call.patience + answerSlack;
+    const bool decided = call.end == CallEnd::Answered || call.end == CallEnd::TimedOut
+        || call.end == CallEnd::Broken;
+    if (!decided || call.endedAt < call.sentAt + call.patience
+        || !m_disturbances->runsCalmly(call.entry, limit))
+        return;
+    ++m_held.counted;
+    if (call.endedAt > limit)
+        ++m_held.bad;
+}
+
+double Ledger::servedShare(Millis from, Millis to) const
+{
+    std::size_t sent = 0;
+    std::size_t served = 0;
+    for (const auto &[id, call] : m_calls) {
+        const SoakConfig &config = configs.newest();
+        const bool owed = call.sentAt >= from && call.sentAt <= to && call.end != CallEnd::Left
+            && config.routes.contains(call.prefix) && config.keys.contains(call.key);
+        if (!owed)
+            continue;
+        ++sent;
+        served += call.end == CallEnd::Answered && call.status == statusOk ? 1 : 0;
+    }
+    return sent == 0 ? 0 : static_cast<double>(served) / static_cast<double>(sent);
+}
+
+void Ledger::violation(std::string_view promise, const std::string &text)
+{
+    m_violations.push_back(std::string(promise) + ": " + text);
+}
+
+std::string Ledger::describe(const Call &call) const
+{
+    const std::string_view kind = call.kind == CallKind::Read ? "read"
+        : call.kind == CallKind::Post                         ? "post"
+                                                              : "draft";
+    return std::string(kind) + ' ' + call.id + " at entry " + std::to_string(call.entry);
+}
+
+} // namespace fescue::soak
--- /dev/null
+++ b/tests/soak/soakconfig.h
@@ -0,0 +1,80 @@
+#pragma once
+
+#include "fescue/core/clock.h"
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace fescue::soak {
+
+inline constexpr std::string_view soakHost = "soak.example";
+inline constexpr std::string_view engineService = "llm";
+inline constexpr std::string_view firstPlainService = "ledger-a";
+inline constexpr std::string_view secondPlainService = "ledger-b";
+
+enum class CallKind : std::uint8_t
+{
+    // May be repeated.
+    Read,
+    // Runs once at most.
+    Post,
+    // A generation that is streamed; runs once at most.
+    Draft,
+};
+
+struct SoakRoute
+{
+    CallKind kind = CallKind::Read;
+    std::string service;
+    Millis timeout {0};
+};
+
+// One version of the operator's configuration.
+struct SoakConfig
+{
+    std::uint64_t version = 1;
+    // By prefix of the path.
+    std::map<std::string, SoakRoute> routes;
+    // Account by key.
+    std::map<std::string, std::string> keys;
+    // Routes that are there for their number only.
+    unsigned fillers = 0;
+
+    // Text as it lies in the store.
+    [[nodiscard]] std::string encode() const;
+};
+
+// The configuration that the soak begins with.
+[[nodiscard]] SoakConfig firstConfig();
+
+// The versions so far, with the time at which the store acknowledged each. A version is in force
+// at processes in touch this long after it: the users' ConfigApplyMs.
+class ConfigHistory
+{
+public:
+    static constexpr Millis applyTime = 2_s;
+
+    void add(const SoakConfig &config, Millis acknowledgedAt);
+    [[nodiscard]] const SoakConfig &newest() const noexcept { return m_versions.back().config; }
+
+    // What a request that was sent at `from` may meet until `to`. Where `inTouch` is false, every
+    // version up to `to` may be in force.
+    [[nodiscard]] std::vector<const SoakConfig *> inForce(Millis from, Millis to,
+                                                          bool inTouch) const;
+
+private:
+    struct Version
+    {
+        SoakConfig config;
+        Millis acknowledgedAt;
+    };
+
+    std::vector<Version> m_versions;
+};
+
+} // namespace fescue::soak
--- /dev/null
+++ b/tests/soak/storestandin.cpp
@@ -0,0 +1,257 @@
+#include "tests/soak/storestandin.h"
+
+#include "platform/base64.h"
+#include "platform/names.h"
+
+#include <algorithm>
+#include <cstdlib>
+
+namespace fescue::soak {
+
+namespace names = platform::names;
+
+namespace {
+
+constexpr Millis watchPoll = 3_ms;
+// Most items of one page, small enough that listings take several.
+constexpr std::size_t pageItems = 20;
+
+Millis now()
+{
+    return SteadyClock {}.now();
+}
+
+std::uint64_t toNumber(std::string_view text)
+{
+    return std::strtoull(std::string(text).c_str(), nullptr, 10);
+}
+
+net::HttpResponse plain(int status)
+{
+    return net::jsonResponse(status, "{}");
+}
+
+} // namespace
+
+void PlatformStore::setMode(StoreMode mode)
+{
+    // Leases pause while the store is away.
+    const bool returns = m_mode != StoreMode::Serve && mode == StoreMode::Serve;
+    for (auto &[id, lease] : m_leases) {
+        if (returns)
+            lease.endsAt = now() + lease.ttl;
+    }
+    m_mode = mode;
+}
+
+StoreMode PlatformStore::modeFor(std::size_t entry) const noexcept
+{
+    return m_mode != StoreMode::Serve ? m_mode : m_modes[entry];
+}
+
+void PlatformStore::handle(std::size_t entry, const net::HttpRequest &request,
+                           net::ResponseWriter &writer)
+{
+    if (m_delay > Millis {0})
+        net::sleepFor(m_delay);
+    switch (modeFor(entry)) {
+    case StoreMode::Unavailable:
+        static_cast<void>(writer.send(plain(503)));
+        return;
+    case StoreMode::Reset:
+        writer.abort();
+        return;
+    case StoreMode::Hang:
+        standins::hang(writer);
+        return;
+    case StoreMode::Serve:
+        break;
+    }
+    endLeases();
+    const net::HttpResponse response = answer(request, writer);
+    if (request.method != "GET" && ++m_calls % 10 < m_lostOfTen) {
+        writer.abort();
+        return;
+    }
+    if (modeFor(entry) != StoreMode::Serve) {
+        writer.abort();
+        return;
+    }
+    static_cast<void>(writer.send(response));
+}
+
+net::HttpResponse PlatformStore::answer(const net::HttpRequest &request,
+                                        net::ResponseWriter &writer)
+{
+    if (request.target == names::storeKeyPath)
+        return get(request);
+    if (request.target == names::storeRangePath)
+        return range(request);
+    if (request.target == names::storeWatchPath)
+        return watch(request, writer);
+    if (request.target == names::storeChangePath)
+        return change(Json::parse(request.body));
+    return lease(request);
+}
+
+Json PlatformStore::describe(const std::string &key, const Item &item) const
+{
+    return {{"Key", key},
+            {"Value", platform::encodeBase64(item.value)},
+            {"Revision", item.revision},
+            {"Created", item.created},
+            {"LeaseId", item.lease}};
+}
+
+net::HttpResponse PlatformStore::get(const net::HttpRequest &request) const
+{
+    const std::string key = request.queryValue("Key").value_or(std::string());
+    const auto it = m_items.find(key);
+    if (it == m_items.end())
+        return plain(404);
+    Json json = describe(key, it->second);
+    json["At"] = m_revision;
+    return net::jsonResponse(200, json.dump());
+}
+
+net::HttpResponse PlatformStore::range(const net::HttpRequest &request) const
+{
+    const std::string prefix = request.queryValue("Prefix").value_or(std::string());
+    const std::string after = request.queryValue("After").value_or(std::string());
+    Json entries = Json::array();
+    bool hasMore = false;
+    for (const auto &[key, item] : m_items) {
+        if (!key.starts_with(prefix) || key <= after)
+            continue;
+        hasMore = entries.size() >= pageItems;
+        if (hasMore)
+            break;
+        entries.push_back(describe(key, item));
+    }
+    return net::jsonResponse(
+        200, Json {{"Entries", entries}, {"HasMore", hasMore}, {"At", m_revision}}.dump());
+}
+
+Json PlatformStore::changesAfter(std::string_view prefix, std::uint64_t after) const
+{
+    Json events = Json::array();
+    for (const Change &change : m_changes) {
+        if (change.revision <= after || !change.key.starts_with(prefix))
+            continue;
+        const auto it = m_items.find(change.key);
+        if (change.deleted)
+            events.push_back(
+                {{"Key", change.key}, {"Revision", change.revision}, {"Deleted", true}});
+        else if (it != m_items.end() && it->second.revision == change.revision)
+            events.push_back(describe(change.key, it->second));
+    }
+    return events;
+}
+
+net::HttpResponse PlatformStore::watch(const net::HttpRequest &request,
+                                       net::ResponseWriter &writer) const
+{
+    const std::string prefix = request.queryValue("Prefix").value_or(std::string());
+    const std::uint64_t after = toNumber(request.queryValue("After").value_or("0"));
+    const Millis wait {
+        static_cast<std::int64_t>(toNumber(request.queryValue("WaitMs").value_or("0")))};
+    const Millis until = now() + wait;
+    while (m_mode == StoreMode::Serve) {
+        if (after < m_historyFrom)
+            return plain(410);
+        const Json events = changesAfter(prefix, after);
+        if (!events.empty() || now() >= until || writer.callerGone())
+            return net::jsonResponse(200, Json {{"events", events}, {"At", m_revision}}.dump());
+        net::sleepFor(watchPoll);
+    }
+    return plain(503);
+}
+
+net::HttpResponse PlatformStore::change(const Json &body)
+{
+    Json current = Json::array();
+    bool conflict = false;
+    for (const Json &row : body.at("ExpectedRevision")) {
+        const std::string key = row.at("Key").get<std::string>();
+        const auto it = m_items.find(key);
+        const std::uint64_t revision = it == m_items.end() ? 0 : it->second.revision;
+        conflict = conflict || revision != row.at("Revision").get<std::uint64_t>();
+        if (it != m_items.end())
+            current.push_back(describe(key, it->second));
+    }
+    if (conflict)
+        return net::jsonResponse(412, Json {{"Entries", current}}.dump());
+    for (const Json &row : body.at("Write")) {
+        const std::uint64_t id = row.value("LeaseId", std::uint64_t {0});
+        if (id != 0 && !m_leases.contains(id))
+            return plain(404);
+        const std::string value =
+            platform::decodeBase64(row.at("Value").get<std::string>()).value_or("");
+        write(row.at("Key").get<std::string>(), value, id);
+    }
+    for (const Json &key : body.at("Remove"))
+        remove(key.get<std::string>());
+    return net::jsonResponse(200, Json {{"Revision", m_revision}}.dump());
+}
+
+net::HttpResponse PlatformStore::lease(const net::HttpRequest &request)
+{
+    if (request.target == names::leaseCreatePath) {
+        const std::int64_t ttl = Json::parse(request.body).at("TtlMs").get<std::int64_t>();
+        m_leases[++m_lastLease] = {{ttl}, now() + Millis {ttl}};
+        return net::jsonResponse(200, Json {{"LeaseId", m_lastLease}, {"TtlMs", ttl}}.dump());
+    }
+    const std::size_t slash = request.target.rfind('/');
+    const auto it = m_leases.find(toNumber(std::string_view(request.target).substr(slash + 1)));
+    if (it == m_leases.end())
+        return plain(404);
+    if (request.target.starts_with(names::leaseEndPath))
+        it->second.endsAt = {0};
+    else
+        it->second.endsAt = now() + it->second.ttl;
+    endLeases();
+    return plain(200);
+}
+
+void PlatformStore::put(const std::string &key, const std::string &value)
+{
+    write(key, value, 0);
+}
+
+void PlatformStore::write(const std::string &key, const std::string &value, std::uint64_t lease)
+{
+    Item &item = m_items[key];
+    item.revision = ++m_revision;
+    item.value = value;
+    item.lease = lease;
+    if (item.created == 0)
+        item.created = m_revision;
+    m_changes.push_back({m_revision, key, false});
+}
+
+void PlatformStore::remove(const std::string &key)
+{
+    if (m_items.erase(key) > 0)
+        m_changes.push_back({++m_revision, key, true});
+}
+
+void PlatformStore::endLeases()
+{
+    if (m_mode != StoreMode::Serve)
+        return;
+    for (auto it = m_leases.begin(); it != m_leases.end();) {
+        if (it->second.endsAt > now()) {
+            ++it;
+            continue;
+        }
+        std::vector<std::string> keys;
+        for (const auto &[key, item] : m_items) {
+            if (item.lease == it->first)
+                keys.push_back(key);
+        }
+        std::for_each(keys.begin(), keys.end(), [this](const std::string &key) { remove(key); });
+        it = m_leases.erase(it);
+    }
+}
+
+} // namespace fescue::soak
--- /dev/null
+++ b/tests/soak/storestandin.h
@@ -0,0 +1,96 @@
+#pragma once
+
+#include "tests/standins/standin.h"
+
+#include <cstdint>
+#include <map>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace fescue::soak {
+
+using standins::Json;
+
+enum class StoreMode : std::uint8_t
+{
+    Serve,
+    // Answers that nothing was done.
+    Unavailable,
+    // Closes connections without an answer.
+    Reset,
+    // Keeps connections open without an answer.
+    Hang,
+};
+
+// The users' store, in memory, with switches for its faults. Runs on one worker.
+class PlatformStore
+{
+public:
+    explicit PlatformStore(std::size_t entryCount) : m_modes(entryCount, StoreMode::Serve) { }
+
+    // Serves one call of an entry process.
+    void handle(std::size_t entry, const net::HttpRequest &request, net::ResponseWriter &writer);
+
+    // Changes by the operator and by endpoints, which reach the store whatever its mode.
+    void put(const std::string &key, const std::string &value);
+    void remove(const std::string &key);
+    [[nodiscard]] bool has(const std::string &key) const { return m_items.contains(key); }
+
+    void setMode(StoreMode mode);
+    void setMode(std::size_t entry, StoreMode mode) { m_modes[entry] = mode; }
+    void setDelay(Millis delay) { m_delay = delay; }
+    // Of ten changes, this many take effect and get no answer.
+    void setLostAnswers(unsigned ofTen) { m_lostOfTen = ofTen; }
+    void dropHistory() { m_historyFrom = m_revision; }
+
+private:
+    struct Item
+    {
+        std::string value;
+        std::uint64_t revision = 0;
+        std::uint64_t created = 0;
+        std::uint64_t lease = 0;
+    };
+
+    struct Change
+    {
+        std::uint64_t revision = 0;
+        std::string key;
+        bool deleted = false;
+    };
+
+    struct Lease
+    {
+        Millis ttl {0};
+        Millis endsAt {0};
+    };
+
+    [[nodiscard]] net::HttpResponse answer(const net::HttpRequest &request,
+                                           net::ResponseWriter &writer);
+    [[nodiscard]] net::HttpResponse get(const net::HttpRequest &request) const;
+    [[nodiscard]] net::HttpResponse range(const net::HttpRequest &request) const;
+    [[nodiscard]] net::HttpResponse watch(const net::HttpRequest &request,
+                                          net::ResponseWriter &writer) const;
+    [[nodiscard]] net::HttpResponse change(const Json &body);
+    [[nodiscard]] net::HttpResponse lease(const net::HttpRequest &request);
+    [[nodiscard]] Json describe(const std::string &key, const Item &item) const;
+    [[nodiscard]] Json changesAfter(std::string_view prefix, std::uint64_t after) const;
+    void write(const std::string &key, const std::string &value, std::uint64_t lease);
+    void endLeases();
+    [[nodiscard]] StoreMode modeFor(std::size_t entry) const noexcept;
+
+    std::map<std::string, Item> m_items;
+    std::vector<Change> m_changes;
+    std::map<std::uint64_t, Lease> m_leases;
+    std::uint64_t m_revision = 1;
+    std::uint64_t m_historyFrom = 0;
+    std::uint64_t m_lastLease = 0;
+    StoreMode m_mode = StoreMode::Serve;
+    std::vector<StoreMode> m_modes;
+    Millis m_delay {0};
+    unsigned m_lostOfTen = 0;
+    unsigned m_calls = 0;
+};
+
+} // namespace fescue::soak
--- /dev/null
+++ b/tests/soak/world.cpp
@@ -0,0 +1,201 @@
+#include "tests/soak/world.h"
+
+#include "platform/names.h"
+
+#include <algorithm>
+#include <csignal>
+#include <stdexcept>
+#include <unistd.h>
+
+namespace fescue::soak {
+
+namespace names = platform::names;
+
+namespace {
+
+constexpr Millis superviseInterval = 20_ms;
+// Processes that have ended start again after this time.
+constexpr Millis restartPause = 400_ms;
+// From SIGTERM to SIGKILL; the users' GraceS.
+constexpr Millis grace = 8_s;
+// A process that has just started is given this long before it counts as undisturbed.
+constexpr Millis startTime = 1_s;
+// Of the users' machines: the smallest, and how engines come and go there.
+constexpr std::uint64_t memoryLimit = std::uint64_t {110} * 1024 * 1024;
+constexpr Millis churnInterval = 3300_ms;
+constexpr Millis churnNotice = 1800_ms;
+constexpr Millis churnPause = 4_s;
+constexpr Millis delayProbe = 20_ms;
+// Longest delay of the driver that does not count as a disturbance.
+constexpr Millis longestDelay = 100_ms;
+constexpr Millis readinessInterval = 1_s;
+constexpr Millis recoveryTime = 12_s;
+
+// Loopback networks of processes that run at the same time differ.
+std::string loopbackIp(std::size_t entry)
+{
+    const unsigned pid = static_cast<unsigned>(getpid());
+    return "127." + std::to_string(1 + pid / 250 % 250) + '.' + std::to_string(pid % 250) + '.'
+        + std::to_string(entry + 1);
+}
+
+} // namespace
+
+World::World(net::WorkerPool &workerPool, SoakOptions soakOptions)
+    : pool(workerPool), options(std::move(soakOptions)), disturbances(options.entries),
+      ledger(disturbances), store(options.entries),
+      farm(pool, store, ledger, disturbances, options.seed), entries(options.entries)
+{ }
+
+void World::createEntry(std::size_t index)
+{
+    Entry &entry = entries[index];
+    entry.storeServer = std::make_unique<net::HttpServer>(
+        pool, net::Address {"127.0.0.1", 0}, net::ServerLimits {},
+        [this, index](const net::HttpRequest &request, net::ResponseWriter &writer) {
+            store.handle(index, request, writer);
+        });
+    if (const Result<void> started = entry.storeServer->start(); !started)
+        throw std::runtime_error(started.error().toString());
+    entry.storeRelay = std::make_unique<FaultRelay>(pool, entry.storeServer->address());
+    EntryOptions process;
+    process.program = options.program;
+    process.folder = options.folder;
+    process.zone = zones[index % zones.size()];
+    process.name = "entry-" + std::to_string(index);
+    process.ip = loopbackIp(index);
+    process.store = entry.storeRelay->address();
+    entry.process = std::make_unique<EntryProcess>(process);
+    entry.callerRelay = std::make_unique<FaultRelay>(pool, entry.process->front());
+}
+
+void World::startEntry(Entry &entry)
+{
+    entry.process->writeSettings(++m_settingsGeneration);
+    entry.process->start();
+    entry.endExpected = false;
+    entry.startedAt = now();
+}
+
+void World::start()
+{
+    for (std::size_t i = 0; i < options.engines; ++i)
+        farm.start(engineService, zones[i % zones.size()], false);
+    for (std::size_t i = 0; i < options.plainEndpoints; ++i) {
+        farm.start(firstPlainService, zones[i % zones.size()], false);
+        farm.start(secondPlainService, zones[i % zones.size()], false);
+    }
+    publish(firstConfig());
+    for (std::size_t i = 0; i < entries.size(); ++i) {
+        createEntry(i);
+        startEntry(entries[i]);
+    }
+    beganAt = now();
+}
+
+void World::publish(const SoakConfig &config)
+{
+    store.put(std::string(names::configKey), config.encode());
+    ledger.configs.add(config, now());
+}
+
+void World::end(std::size_t index, int signal)
+{
+    Entry &entry = entries[index];
+    if (!entry.process->isRunning() || entry.endExpected)
+        return;
+    entry.endExpected = true;
+    entry.endingSince = now();
+    Spans &spans = signal == SIGTERM ? disturbances.stops[index] : disturbances.entries[index];
+    // From now until it runs again; superviseEntry() adds what takes longer.
+    spans.add(now(), now() + startTime);
+    entry.process->signal(signal);
+    entry.process->signal(SIGCONT);
+}
+
+void World::superviseEntry(std::size_t index)
+{
+    Entry &entry = entries[index];
+    if (entry.process->hasEnded()) {
+        entry.endedAt = now();
+        if (!entry.endExpected)
+            ledger.violation("FAULT", entry.process->name() + " ended by itself");
+        return;
+    }
+    if (entry.process->isRunning()) {
+        if (entry.process->residentBytes() > memoryLimit) {
+            ledger.violation("FAULT", entry.process->name() + " uses too much memory");
+            end(index, SIGKILL);
+        }
+        if (entry.endExpected && now() > entry.endingSince + grace) {
+            ledger.violation("FAULT", entry.process->name() + " did not stop in time");
+            disturbances.entries[index].add(now(), now() + startTime);
+            entry.process->signal(SIGKILL);
+        }
+        return;
+    }
+    if (now() < entry.endedAt + restartPause)
+        return;
+    disturbances.stops[index].add(entry.endingSince, now() + startTime);
+    startEntry(entry);
+}
+
+void World::supervise()
+{
+    while (!stopping) {
+        for (std::size_t i = 0; i < entries.size(); ++i)
+            superviseEntry(i);
+        net::sleepFor(superviseInterval);
+    }
+}
+
+void World::churn()
+{
+    while (!stopping) {
+        net::sleepFor(churnInterval);
+        const std::vector<Endpoint *> live = farm.live(engineService);
+        if (live.size() <= options.engines / 2)
+            continue;
+        Endpoint &oldest = *live.front();
+        farm.drain(oldest, churnNotice);
+        const std::string zone = oldest.zone;
+        pool.spawn(0, [this, zone] {
+            net::sleepFor(churnPause);
+            if (!stopping)
+                farm.start(engineService, zone, true);
+        });
+    }
+}
+
+void World::watchOwnDelays()
+{
+    while (!stopping) {
+        const Millis before = now();
+        net::sleepFor(delayProbe);
+        const Millis after = now();
+        if (after - before > delayProbe + longestDelay)
+            disturbances.driver.add(before, after);
+    }
+}
+
+void World::checkReadiness()
+{
+    net::HttpClient client;
+    while (!stopping) {
+        net::sleepFor(readinessInterval);
+        for (std::size_t i = 0; i < entries.size(); ++i) {
+            net::HttpRequest request;
+            request.target = names::readyPath;
+            request.freshConnection = true;
+            const Result<net::HttpResponse> answer =
+                client.request(entries[i].process->ready(), request, 1_s);
+            const bool ready = answer && answer->status == 200;
+            const bool calm = disturbances.inTouch(i, now())
+                && now() > entries[i].startedAt + recoveryTime && !entries[i].endExpected;
+            if (!ready && calm)
+                ledger.violation("RECOVER", entries[i].process->name() + " is not ready");
+        }
+    }
+}
+
+} // namespace fescue::soak
--- /dev/null
+++ b/tests/soak/world.h
@@ -0,0 +1,87 @@
+#pragma once
+
+#include "tests/soak/endpointfarm.h"
+#include "tests/soak/entryprocess.h"
+#include "tests/soak/faultrelay.h"
+#include "tests/soak/ledger.h"
+#include "tests/soak/storestandin.h"
+
+#include <array>
+#include <memory>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace fescue::soak {
+
+inline constexpr std::array<std::string_view, 3> zones {"north", "middle", "south"};
+
+struct SoakOptions
+{
+    std::uint64_t seed = 1;
+    std::size_t entries = 5;
+    std::size_t engines = 8;
+    std::size_t plainEndpoints = 3;
+    // Time with faults; a time of recovery without any follows.
+    Millis duration = 20_s;
+    std::string program;
+    std::string folder;
+};
+
+// An entry process with the paths that lead to and from it.
+struct Entry
+{
+    std::unique_ptr<net::HttpServer> storeServer;
+    std::unique_ptr<FaultRelay> storeRelay;
+    std::unique_ptr<FaultRelay> callerRelay;
+    std::unique_ptr<EntryProcess> process;
+    // A signal that ends it was sent.
+    bool endExpected = false;
+    // Times of the last signal that ends it, of its end and of its last start.
+    Millis endingSince {0};
+    Millis endedAt {0};
+    Millis startedAt {0};
+};
+
+// Everything that one run consists of. Belongs to the first worker of the pool.
+class World
+{
+public:
+    World(net::WorkerPool &pool, SoakOptions soakOptions);
+
+    // Starts endpoints, writes the first configuration, and starts the entry processes.
+    void start();
+    // Restarts entry processes that have ended, and notes those that ended by themselves.
+    void supervise();
+    // Replaces some engines again and again, as the users' platform does all day.
+    void churn();
+    // Notes when this process itself did not run.
+    void watchOwnDelays();
+    // Asks entries whether they are ready.
+    void checkReadiness();
+
+    // Sends a signal that ends the entry; it starts again by itself.
+    void end(std::size_t entry, int signal);
+    void publish(const SoakConfig &config);
+
+    [[nodiscard]] static Millis now() noexcept { return SteadyClock {}.now(); }
+
+    net::WorkerPool &pool;
+    SoakOptions options;
+    Disturbances disturbances;
+    Ledger ledger;
+    PlatformStore store;
+    EndpointFarm farm;
+    std::vector<Entry> entries;
+    bool stopping = false;
+    Millis beganAt {0};
+
+private:
+    void createEntry(std::size_t index);
+    void startEntry(Entry &entry);
+    void superviseEntry(std::size_t index);
+
+    unsigned m_settingsGeneration = 0;
+};
+
+} // namespace fescue::soak
--- /dev/null
+++ b/tests/soakledger/ledger_test.cpp
@@ -0,0 +1,266 @@
+#include "tests/soak/faultplan.h"
+#include "tests/soak/ledger.h"
+
+#include <algorithm>
+
+#include <gtest/gtest.h>
+
+namespace fescue::soak {
+
+namespace {
+
+constexpr Millis start = 100_s;
+
+// A ledger with one configuration, two engines and two plain endpoints, and nothing disturbed.
+class LedgerTest : public ::testing::Test
+{
+protected:
+    LedgerTest() : m_disturbances(2), m_ledger(m_disturbances)
+    {
+        m_ledger.configs.add(firstConfig(), 0_ms);
+        for (const std::string_view service :
+             {engineService, engineService, firstPlainService, secondPlainService}) {
+            EndpointFacts facts;
+            facts.id = "e-" + std::to_string(m_disturbances.endpoints.size());
+            facts.service = service;
+            facts.zone = "north";
+            static_cast<void>(m_ledger.addEndpoint(facts));
+            m_disturbances.endpoints.emplace_back();
+        }
+    }
+
+    Call &send(CallKind kind, Millis at = start)
+    {
+        Call call;
+        call.id = "c" + std::to_string(++m_calls);
+        call.kind = kind;
+        call.prefix = kind == CallKind::Draft ? "/draft/"
+            : kind == CallKind::Post          ? "/post/"
+                                              : "/read/";
+        call.key = "key-diner";
+        call.sentAt = at;
+        call.patience = 10_s;
+        return m_ledger.callerSends(call);
+    }
+
+    void arrive(const Call &call, std::size_t endpoint, Millis at,
+                std::string_view account = "diner")
+    {
+        static_cast<void>(m_ledger.arrives(call.id, endpoint, call.prefix, account, at));
+    }
+
+    // Names of the promises that were broken, each once.
+    std::vector<std::string> broken()
+    {
+        m_ledger.judge(start + 60_s);
+        std::vector<std::string> names;
+        for (const std::string &violation : m_ledger.violations())
+            names.push_back(violation.substr(0, violation.find(':')));
+        names.erase(std::unique(names.begin(), names.end()), names.end());
+        return names;
+    }
+
+    using Names = std::vector<std::string>;
+
+    static constexpr std::size_t engine = 0;
+    static constexpr std::size_t otherEngine = 1;
+    static constexpr std::size_t postEndpoint = 2;
+    static constexpr std::size_t readEndpoint = 3;
+
+    Disturbances m_disturbances;
+    Ledger m_ledger;
+    unsigned m_calls = 0;
+};
+
+} // namespace
+
+TEST_F(LedgerTest, AcceptsAServedPost)
+{
+    Call &call = send(CallKind::Post);
+    arrive(call, postEndpoint, start + 5_ms);
+    m_ledger.ends(call, m_ledger.begins(call, postEndpoint, false, start + 5_ms), start + 20_ms);
+    m_ledger.callerEnds(call, CallEnd::Answered, 200, start + 30_ms);
+    EXPECT_EQ(broken(), Names {});
+    EXPECT_DOUBLE_EQ(m_ledger.servedShare(start, start + 1_s), 1);
+}
+
+TEST_F(LedgerTest, FindsAPostThatRanTwice)
+{
+    Call &call = send(CallKind::Post);
+    m_ledger.begins(call, postEndpoint, false, start);
+    m_ledger.begins(call, postEndpoint, false, start + 1_s);
+    m_ledger.callerEnds(call, CallEnd::Answered, 200, start + 2_s);
+    EXPECT_EQ(broken(), Names {"TWICE"});
+}
+
+TEST_F(LedgerTest, FindsARefusalOfAPostThatRan)
+{
+    Call &call = send(CallKind::Post);
+    m_ledger.begins(call, postEndpoint, false, start);
+    m_ledger.callerEnds(call, CallEnd::Answered, 503, start + 2_s);
+    EXPECT_EQ(broken(), Names {"REFUSED"});
+}
+
+TEST_F(LedgerTest, FindsTwoEnginesOnOneGeneration)
+{
+    Call &call = send(CallKind::Draft);
+    const std::size_t first = m_ledger.begins(call, engine, false, start);
+    const std::size_t second = m_ledger.begins(call, otherEngine, true, start + 1_s);
+    m_ledger.ends(call, first, start + 1_s + Ledger::overlapLimit + 1_ms);
+    m_ledger.ends(call, second, start + 3_s);
+    m_ledger.callerEnds(call, CallEnd::Answered, 200, start + 3_s);
+    EXPECT_EQ(broken(), Names {"TWICE"});
+}
+
+TEST_F(LedgerTest, AllowsTheOverlapOfAHandOver)
+{
+    Call &call = send(CallKind::Draft);
+    const std::size_t first = m_ledger.begins(call, engine, false, start);
+    const std::size_t second = m_ledger.begins(call, otherEngine, true, start + 1_s);
+    m_ledger.ends(call, first, start + 1_s + Ledger::overlapLimit);
+    m_ledger.ends(call, second, start + 3_s);
+    m_ledger.callerEnds(call, CallEnd::Answered, 200, start + 3_s);
+    EXPECT_EQ(broken(), Names {});
+}
+
+TEST_F(LedgerTest, FindsRequestsToAnEngineThatHasLeft)
+{
+    m_ledger.endpoint(engine).leavingAt = start;
+    arrive(send(CallKind::Draft), engine, start + Ledger::drainTime);
+    EXPECT_EQ(broken(), Names {});
+    arrive(send(CallKind::Draft), engine, start + Ledger::drainTime + 1_ms);
+    EXPECT_EQ(broken(), Names {"DRAIN"});
+}
+
+TEST_F(LedgerTest, ExcusesAnEntryThatIsNotInTouch)
+{
+    m_ledger.endpoint(engine).leavingAt = start;
+    m_disturbances.storeLinks[0].add(start, start + 1_s);
+    arrive(send(CallKind::Draft), engine, start + Ledger::drainTime + 1_ms);
+    EXPECT_EQ(broken(), Names {});
+    arrive(send(CallKind::Draft), engine, start + 1_s + Disturbances::stableWindow + 1_ms);
+    EXPECT_EQ(broken(), Names {"DRAIN"});
+}
+
+TEST_F(LedgerTest, FindsRequestsToAZoneThatIsOut)
+{
+    m_ledger.zonesOut["north"] = start;
+    arrive(send(CallKind::Read), readEndpoint, start + Ledger::evacuationTime + 1_ms);
+    EXPECT_EQ(broken(), Names {"EVAC"});
+}
+
+TEST_F(LedgerTest, FindsOldConfigurationsAfterTheirTime)
+{
+    SoakConfig next = firstConfig();
+    next.version = 2;
+    std::swap(next.routes["/read/"].service, next.routes["/post/"].service);
+    m_ledger.configs.add(next, start);
+    const Millis late = start + ConfigHistory::applyTime + 1_ms;
+    arrive(send(CallKind::Read, late - 2_ms), readEndpoint, late);
+    EXPECT_EQ(broken(), Names {});
+    arrive(send(CallKind::Read, late), readEndpoint, late);
+    EXPECT_EQ(broken(), Names {"CONFIG"});
+}
+
+TEST_F(LedgerTest, FindsTheDenialOfAKeyThatEveryVersionHas)
+{
+    Call &call = send(CallKind::Read);
+    m_ledger.callerEnds(call, CallEnd::Answered, 401, start + 10_ms);
+    EXPECT_EQ(broken(), Names {"CONFIG"});
+}
+
+TEST_F(LedgerTest, FindsAWrongAccountAndARequestOfNobody)
+{
+    arrive(send(CallKind::Read), readEndpoint, start, "kiosk");
+    EXPECT_EQ(m_ledger.arrives("unheard-of", readEndpoint, "/read/", "diner", start), nullptr);
+    EXPECT_EQ(broken(), Names {"UNASKED"});
+}
+
+TEST_F(LedgerTest, FindsAnswersLostAroundAnOrderlyEnd)
+{
+    m_disturbances.stops[0].add(start, start + 5_s);
+    Call &call = send(CallKind::Read);
+    arrive(call, readEndpoint, start + 5_ms);
+    m_ledger.begins(call, readEndpoint, false, start + 5_ms);
+    m_ledger.callerEnds(call, CallEnd::Broken, 0, start + 50_ms);
+    EXPECT_EQ(broken(), Names {"LOST"});
+}
+
+TEST_F(LedgerTest, ExcusesAnswersLostByAKill)
+{
+    m_disturbances.entries[0].add(start + 40_ms, start + 5_s);
+    Call &call = send(CallKind::Read);
+    arrive(call, readEndpoint, start + 5_ms);
+    m_ledger.callerEnds(call, CallEnd::Broken, 0, start + 50_ms);
+    EXPECT_EQ(broken(), Names {});
+}
+
+TEST_F(LedgerTest, ExcusesARequestThatCrossesTheCloseOfItsConnection)
+{
+    Call &call = send(CallKind::Post);
+    m_ledger.callerEnds(call, CallEnd::Broken, 0, start + Ledger::lossSlack);
+    EXPECT_EQ(broken(), Names {});
+}
+
+TEST_F(LedgerTest, FindsWorkThatGoesOnAfterItsCallers)
+{
+    for (int i = 0; i < 8; ++i) {
+        Call &call = send(CallKind::Draft);
+        const std::size_t run = m_ledger.begins(call, engine, false, start);
+        m_ledger.callerEnds(call, CallEnd::Left, 0, start + 1_s);
+        const bool late = i < 3;
+        m_ledger.ends(call, run, start + 1_s + Ledger::workAfterLeaving + (late ? 1_ms : 0_ms));
+    }
+    EXPECT_EQ(broken(), Names {"GONE"});
+}
+
+TEST_F(LedgerTest, FindsTooManyRequestsAtAColdEngine)
+{
+    m_ledger.endpoint(engine).coldUntil = start + 1_s;
+    constexpr int allowed = 50;
+    for (int i = 0; i < allowed; ++i)
+        arrive(send(CallKind::Draft), engine, start);
+    EXPECT_EQ(broken(), Names {});
+    arrive(send(CallKind::Draft), engine, start);
+    EXPECT_EQ(broken(), Names {"FAILBACK"});
+}
+
+TEST_F(LedgerTest, FindsTooManyRepeats)
+{
+    for (int i = 0; i < 60; ++i) {
+        Call &call = send(CallKind::Read);
+        arrive(call, readEndpoint, start);
+        arrive(call, readEndpoint, start + 1_ms);
+    }
+    EXPECT_EQ(broken(), Names {});
+    for (int i = 0; i < 60; ++i)
+        arrive(send(CallKind::Read), readEndpoint, start);
+    Call &call = send(CallKind::Read);
+    for (int i = 0; i < 60; ++i)
+        arrive(call, readEndpoint, start + 2_ms);
+    EXPECT_EQ(broken(), Names {"BUDGET"});
+}
+
+TEST(FaultPlan, RepeatsWithItsSeed)
+{
+    const std::vector<Fault> first = drawFaults(7, 20_s);
+    const std::vector<Fault> second = drawFaults(7, 20_s);
+    ASSERT_EQ(first.size(), second.size());
+    for (std::size_t i = 0; i < first.size(); ++i) {
+        EXPECT_EQ(first[i].at, second[i].at);
+        EXPECT_EQ(first[i].kind, second[i].kind);
+        EXPECT_LT(first[i].at + first[i].lasts, 20_s);
+    }
+}
+
+TEST(FaultPlan, DrawsEveryKind)
+{
+    std::vector<bool> seen(faultKinds);
+    for (std::uint64_t seed = 1; seed <= 50; ++seed) {
+        for (const Fault &fault : drawFaults(seed, 20_s))
+            seen[static_cast<std::size_t>(fault.kind)] = true;
+    }
+    EXPECT_EQ(std::count(seen.begin(), seen.end(), true), static_cast<int>(faultKinds));
+}
+
+} // namespace fescue::soak
