--- a/include/fescue/core/membertable.h
+++ b/include/fescue/core/membertable.h
@@ -60,6 +60,8 @@
 
     // Returns all members that are not gone, sorted by name.
     [[nodiscard]] std::vector<MemberView> members(Millis now) const;
+    // Returns how many members are not gone.
+    [[nodiscard]] std::size_t count(Millis now) const;
 
 private:
     struct Entry
--- a/include/fescue/net/httptypes.h
+++ b/include/fescue/net/httptypes.h
@@ -17,6 +17,9 @@
     std::string value;
 };
 
+// True where two names are the same without regard to the case of ASCII letters.
+[[nodiscard]] bool sameHeaderName(std::string_view a, std::string_view b) noexcept;
+
 // Returns the value of the first field of that name, or an empty view.
 [[nodiscard]] std::string_view findHeader(const std::vector<Header> &headers,
                                           std::string_view name) noexcept;
--- a/include/fescue/serving/edgedaemon.h
+++ b/include/fescue/serving/edgedaemon.h
@@ -23,7 +23,8 @@
     // worker.
     void drain();
     // Takes settings that have changed. What cannot change while the process runs is logged.
-    void reload(const NodeSettings &settings);
+    // `reason` says for the log what showed the change.
+    void reload(const NodeSettings &settings, std::string_view reason);
 
 private:
     [[nodiscard]] net::HttpServer &addServer(const net::Address &address,
--- a/include/fescue/serving/edgedaemon.inl
+++ b/include/fescue/serving/edgedaemon.inl
@@ -284,13 +284,13 @@
 }
 
 template <PlatformProtocol P>
-void EdgeDaemon<P>::reload(const NodeSettings &settings)
+void EdgeDaemon<P>::reload(const NodeSettings &settings, std::string_view reason)
 {
     const bool moved = settings.frontAddress != m_state.settings.frontAddress
         || settings.storeAddress != m_state.settings.storeAddress
         || settings.zone != m_state.settings.zone;
     m_state.settings.bounds = settings.bounds;
-    observe::logChange("reloaded", {{"needs_restart", moved ? "yes" : "no"}});
+    observe::logChange("reloaded", {{"trigger", reason}, {"needs_restart", moved ? "yes" : "no"}});
 }
 
 } // namespace fescue::serving
--- a/include/fescue/serving/requestcontext.h
+++ b/include/fescue/serving/requestcontext.h
@@ -44,11 +44,13 @@
     [[nodiscard]] Millis timeLeft() const noexcept { return deadline - ServingState::now(); }
 };
 
-// Starts from the fields that every request sent to an endpoint gets.
+// Returns the fields that every request sent to an endpoint gets.
 [[nodiscard]] EngineSend makeSend(const RequestContext &context, const EndpointRecord &endpoint);
 
-// Urgency of a request, 0 first: that of its account, else that of its route.
-[[nodiscard]] int priorityOf(const RequestContext &context) noexcept;
+// Returns the fields of a request for a generation: those of makeSend() and its urgency, which is
+// that of its account, else that of its route.
+[[nodiscard]] EngineSend makeGenerationSend(const RequestContext &context,
+                                            const EndpointRecord &endpoint);
 
 // Records the choice of an endpoint for the log.
 void noteEndpoint(const ServingState &state, RequestContext &context, const EndpointView &endpoint);
--- a/include/fescue/serving/streamforwarder.inl
+++ b/include/fescue/serving/streamforwarder.inl
@@ -90,8 +90,7 @@
     passing.load = std::make_unique<LoadShare>(
         m_state->ledger, record.name, EndpointLoad {1, demand.memoryTokens, demand.prefillTokens});
     m_state->tellPeers();
-    EngineSend send = makeSend(context, record);
-    send.priority = priorityOf(context);
+    EngineSend send = makeGenerationSend(context, record);
     addBackup(passing, *endpoint, send);
     ExchangeResult result =
         exchange<P>(m_state->engineClient, record.address, context.request, send,
@@ -309,9 +308,8 @@
     RequestContext &context = passing.context;
     GenerationRun &run = *passing.run;
     const Millis begun = ServingState::now();
-    EngineSend send = makeSend(context, engine);
+    EngineSend send = makeGenerationSend(context, engine);
     send.resume = run.resume;
-    send.priority = priorityOf(context);
     const EndpointView *view = m_state->endpoints.find(engine.name);
     if (view != nullptr)
         addBackup(passing, *view, send);
--- a/src/core/membertable.cpp
+++ b/src/core/membertable.cpp
@@ -100,6 +100,16 @@
     return views;
 }
 
+std::size_t MemberTable::count(Millis now) const
+{
+    const std::ptrdiff_t n =
+        std::count_if(m_entries.begin(), m_entries.end(),
+                      [this, now](const std::pair<const MemberName, Entry> &item) {
+                          return stateOf(now, item.second) != MemberState::Gone;
+                      });
+    return static_cast<std::size_t>(n);
+}
+
 bool MemberTable::update(Millis now, const MemberInfo &member)
 {
     const auto it = m_entries.find(member.name);
--- a/src/net/httptypes.cpp
+++ b/src/net/httptypes.cpp
@@ -11,14 +11,6 @@
 
 constexpr std::string_view hexDigits = "0123456789ABCDEF";
 
-bool sameName(std::string_view a, std::string_view b) noexcept
-{
-    return std::equal(a.begin(), a.end(), b.begin(), b.end(), [](char x, char y) {
-        return std::tolower(static_cast<unsigned char>(x))
-            == std::tolower(static_cast<unsigned char>(y));
-    });
-}
-
 int hexValue(char c) noexcept
 {
     const std::size_t at =
@@ -47,10 +39,18 @@
 
 } // namespace
 
+bool sameHeaderName(std::string_view a, std::string_view b) noexcept
+{
+    return std::equal(a.begin(), a.end(), b.begin(), b.end(), [](char x, char y) {
+        return std::tolower(static_cast<unsigned char>(x))
+            == std::tolower(static_cast<unsigned char>(y));
+    });
+}
+
 std::string_view findHeader(const std::vector<Header> &headers, std::string_view name) noexcept
 {
     const auto it = std::find_if(headers.begin(), headers.end(), [name](const Header &header) {
-        return sameName(header.name, name);
+        return sameHeaderName(header.name, name);
     });
     return it == headers.end() ? std::string_view() : std::string_view(it->value);
 }
--- a/src/programs/edge/main.cpp
+++ b/src/programs/edge/main.cpp
@@ -8,7 +8,9 @@
 #include <boost/asio/signal_set.hpp>
 #include <csignal>
 #include <cstdlib>
+#include <filesystem>
 #include <iostream>
+#include <optional>
 #include <unistd.h>
 
 namespace {
@@ -18,15 +20,33 @@
 
 constexpr int exitUsage = 2;
 
+// How often the settings file is looked at, since it may change without a signal.
+constexpr Millis settingsPollInterval = 2_s;
+
+// Tells when a file was written; nothing where it is not there.
+std::optional<std::filesystem::file_time_type> writtenAt(const std::string &file)
+{
+    std::error_code ec;
+    const std::filesystem::file_time_type time = std::filesystem::last_write_time(file, ec);
+    return ec ? std::nullopt : std::optional(time);
+}
+
 // Handles the signals of the platform on the worker: stop, and settings that have changed.
 class Signals
 {
 public:
     Signals(net::WorkerPool &pool, Daemon &daemon, std::string settingsFile)
         : m_pool(&pool), m_daemon(&daemon), m_settingsFile(std::move(settingsFile)),
-          m_set(pool.context(0), SIGTERM, SIGINT, SIGHUP)
+          m_settingsTime(writtenAt(m_settingsFile)), m_set(pool.context(0), SIGTERM, SIGINT, SIGHUP)
     { }
 
+    void start()
+    {
+        wait();
+        m_pool->spawn(0, [this] { followSettings(); });
+    }
+
+private:
     void wait()
     {
         m_set.async_wait([this](const boost::system::error_code &ec, int signal) {
@@ -35,12 +55,12 @@
         });
     }
 
-private:
     void handle(int signal)
     {
         wait();
         if (signal == SIGHUP) {
-            reload();
+            m_settingsTime = writtenAt(m_settingsFile);
+            reload("signal");
         } else if (!m_stopping) {
             m_stopping = true;
             m_pool->spawn(0, [this] {
@@ -50,19 +70,33 @@
         }
     }
 
-    void reload()
+    void followSettings()
+    {
+        while (!m_stopping) {
+            net::sleepFor(settingsPollInterval);
+            const std::optional<std::filesystem::file_time_type> time = writtenAt(m_settingsFile);
+            if (!time || time == m_settingsTime)
+                continue;
+            m_settingsTime = time;
+            reload("file changed");
+        }
+    }
+
+    void reload(std::string_view reason)
     {
         const Result<serving::NodeSettings> settings = platform::loadSettings(m_settingsFile);
-        if (settings)
-            m_daemon->reload(*settings);
-        else
-            observe::logChange(observe::LogLevel::Error, "reload-rejected",
-                               {{"reason", settings.error().toString()}});
+        if (settings) {
+            m_daemon->reload(*settings, reason);
+            return;
+        }
+        observe::logChange(observe::LogLevel::Error, "reload-rejected",
+                           {{"trigger", reason}, {"reason", settings.error().toString()}});
     }
 
     net::WorkerPool *m_pool;
     Daemon *m_daemon;
     std::string m_settingsFile;
+    std::optional<std::filesystem::file_time_type> m_settingsTime;
     boost::asio::signal_set m_set;
     bool m_stopping = false;
 };
@@ -76,7 +110,7 @@
     Daemon daemon(settings, pool, incarnation);
     Signals signals(pool, daemon, file);
     pool.spawn(0, [&] {
-        signals.wait();
+        signals.start();
         const Result<void> started = daemon.start();
         if (started)
             return;
--- a/src/serving/requestcontext.cpp
+++ b/src/serving/requestcontext.cpp
@@ -38,10 +38,12 @@
     return send;
 }
 
-int priorityOf(const RequestContext &context) noexcept
+EngineSend makeGenerationSend(const RequestContext &context, const EndpointRecord &endpoint)
 {
+    EngineSend send = makeSend(context, endpoint);
     const bool ofAccount = context.account != nullptr && context.account->priority;
-    return ofAccount ? *context.account->priority : context.route->priority;
+    send.priority = ofAccount ? *context.account->priority : context.route->priority;
+    return send;
 }
 
 void noteEndpoint(const ServingState &state, RequestContext &context, const EndpointView &endpoint)
--- a/src/serving/servingstate.cpp
+++ b/src/serving/servingstate.cpp
@@ -65,7 +65,7 @@
 std::size_t ServingState::membersForShares()
 {
     const Millis time = now();
-    const std::size_t n = std::max(members.members(time).size(), fewestMembers);
+    const std::size_t n = std::max(members.count(time), fewestMembers);
     if (n >= m_mostMembers || time - m_mostMembersAt > rememberMembers) {
         m_mostMembers = n;
         m_mostMembersAt = time;
@@ -82,7 +82,7 @@
 
 bool ServingState::isLarge() const
 {
-    return members.members(now()).size() > membersForFullGossip;
+    return members.count(now()) > membersForFullGossip;
 }
 
 PlacementView ServingState::placementView(const ServiceName &service)
--- a/tests/soak/faultrelay.cpp
+++ b/tests/soak/faultrelay.cpp
@@ -128,12 +128,15 @@
     from.async_read_some(
         asio::buffer(flow.buf),
         [self = shared_from_this(), pair, &flow](const error_code &ec, std::size_t n) {
-            if (ec)
+            if (ec) {
                 self->end(pair, flow, ec);
-            else if (self->drops(*pair, flow))
+            } else if (self->drops(*pair, flow)) {
+                // A connection that has lost bytes never carries later ones.
+                pair->silenced = true;
                 self->pump(pair, flow);
-            else
+            } else {
                 self->pass(pair, flow, n);
+            }
         });
 }
 
--- a/tests/soak/faultrelay.h
+++ b/tests/soak/faultrelay.h
@@ -13,7 +13,8 @@
     Pass,
     // New connections are reset.
     Refuse,
-    // New connections are accepted, and nothing passes on any of them.
+    // Connections are accepted, and nothing passes on any of them. One that has lost bytes stays
+    // silent for good.
     Silent,
     // Bytes pass towards the target only.
     SilentToCaller,
--- a/tests/soak/injector.cpp
+++ b/tests/soak/injector.cpp
@@ -79,7 +79,9 @@
         break;
     case FaultKind::EntryReloads:
         m_world->entries[first].process->writeSettings(fault.target);
-        m_world->entries[first].process->signal(SIGHUP);
+        // Settings may change with and without a signal.
+        if (fault.target / 64 % 2 == 0)
+            m_world->entries[first].process->signal(SIGHUP);
         break;
     case FaultKind::EntryPaused:
         m_world->disturbances.entries[first].add(World::now(), World::now() + fault.lasts);
