Ask engines for their load and tell all entries

Entries know what they and their zone have sent, not copies and work from elsewhere. Ruled out: the engines' own speed (the same engines serve at 0.3 s at other times).

--- a/include/fescue/serving/loadledger.h
+++ b/include/fescue/serving/loadledger.h
@@ -30,21 +30,31 @@
     bool operator==(const EndpointLoadOf &) const = default;
 };
 
-// What all entry processes have sent to each endpoint: this process' own work exactly, that of its
-// peers as they last told it.
+// The load of each endpoint: what this process has sent exactly, what its peers have sent as they
+// last told it, and at least what the endpoint itself reports.
 class LoadLedger
 {
 public:
     // A peer's figures count for this long; peers repeat them several times in it.
     static constexpr Millis peerLifetime {1500};
+    // So does an endpoint's report.
+    static constexpr Millis reportLifetime {1500};
 
     void add(const EndpointName &endpoint, const EndpointLoad &load);
     void subtract(const EndpointName &endpoint, const EndpointLoad &load);
     // Replaces what a peer has told.
     void peerTold(Millis now, const MemberName &peer, std::vector<EndpointLoadOf> loads);
 
-    // Work of this process and of peers that were heard lately.
+    // Records what an endpoint reports. Reports cover work that no process told of.
+    void endpointTold(Millis now, const EndpointName &endpoint, const EndpointLoad &load);
+    // Forgets reports that are too old to count.
+    void purge(Millis now);
+
+    // Work of this process and of peers that were heard lately, or what the endpoint reports where
+    // that is more.
     [[nodiscard]] EndpointLoad total(Millis now, const EndpointName &endpoint) const;
+    // True where the endpoint's own report counts.
+    [[nodiscard]] bool isReported(Millis now, const EndpointName &endpoint) const;
     // Work of this process, for telling it to peers.
     [[nodiscard]] std::vector<EndpointLoadOf> own() const;
 
@@ -56,7 +66,14 @@
     };
 
     std::map<EndpointName, EndpointLoad> m_own;
+    struct Report
+    {
+        Millis at {0};
+        EndpointLoad load;
+    };
+
     std::map<MemberName, PeerLoads> m_peers;
+    std::map<EndpointName, Report> m_reports;
 };
 
 // Load that counts for as long as this object lives.
--- a/include/fescue/serving/placement.h
+++ b/include/fescue/serving/placement.h
@@ -26,11 +26,12 @@
     // Availability zone of this process.
     ZoneName zone;
     Millis now {0};
-    // Loads of endpoints in other availability zones are not known here.
+    // What peers send to endpoints in other availability zones is not told here.
     bool otherZonesUnknown = false;
 
-    // Cost of an endpoint in another availability zone, in milliseconds of expected delay.
-    [[nodiscard]] double otherZoneCost() const noexcept;
+    // Cost of an endpoint for being in another availability zone, in milliseconds of expected
+    // delay.
+    [[nodiscard]] double zoneCost(const EndpointRecord &endpoint) const;
 };
 
 // The work to be placed.
--- a/src/serving/loadledger.cpp
+++ b/src/serving/loadledger.cpp
@@ -1,5 +1,7 @@
 #include "fescue/serving/loadledger.h"
 
+#include <algorithm>
+
 #include <utility>
 
 namespace fescue::serving {
@@ -40,6 +42,24 @@
     m_peers[peer] = {now, std::move(loads)};
 }
 
+void LoadLedger::endpointTold(Millis now, const EndpointName &endpoint, const EndpointLoad &load)
+{
+    m_reports[endpoint] = {now, load};
+}
+
+void LoadLedger::purge(Millis now)
+{
+    std::erase_if(m_reports, [now](const std::pair<const EndpointName, Report> &entry) {
+        return now - entry.second.at > reportLifetime;
+    });
+}
+
+bool LoadLedger::isReported(Millis now, const EndpointName &endpoint) const
+{
+    const auto it = m_reports.find(endpoint);
+    return it != m_reports.end() && now - it->second.at <= reportLifetime;
+}
+
 EndpointLoad LoadLedger::total(Millis now, const EndpointName &endpoint) const
 {
     EndpointLoad sum;
@@ -54,6 +74,12 @@
                 sum += told.load;
         }
     }
+    if (isReported(now, endpoint)) {
+        const EndpointLoad &reported = m_reports.at(endpoint).load;
+        sum.requests = std::max(sum.requests, reported.requests);
+        sum.memoryTokens = std::max(sum.memoryTokens, reported.memoryTokens);
+        sum.prefillTokens = std::max(sum.prefillTokens, reported.prefillTokens);
+    }
     return sum;
 }
 
--- a/src/serving/moveplan.cpp
+++ b/src/serving/moveplan.cpp
@@ -170,8 +170,8 @@
         const Millis copy =
             links.backlog(record.name, view.now) + copyTime(model, run.memoryTokens, sameZone);
         double cost = static_cast<double>(copy.count) + filled * filled * fullMemoryCost;
-        if (view.otherZonesUnknown && record.zone != view.zone)
-            cost += view.otherZoneCost();
+        if (view.otherZonesUnknown)
+            cost += view.zoneCost(record);
         cost += spreadCost * spread(uniform, record.name);
         if (candidate->isCold(view.now))
             cost += coldCost;
--- a/src/serving/placement.cpp
+++ b/src/serving/placement.cpp
@@ -27,6 +27,8 @@
 // Where the loads of other zones are not known, they are used when the own one is full: more than
 // the prompts that wait at a busy engine cost.
 constexpr double unknownZoneCost = 800;
+// Where an engine there reports its load, what was sent since then is not known: about one prompt.
+constexpr double reportedZoneCost = 200;
 // A cold engine works more slowly for a while.
 constexpr double coldCost = 60;
 // A suspect endpoint is chosen only where no other can be.
@@ -65,8 +67,7 @@
 double commonCost(const EndpointView &endpoint, const PlacementView &view, double uniform)
 {
     double cost = jitterCost * spread(uniform, endpoint.record.name);
-    if (endpoint.record.zone != view.zone)
-        cost += view.otherZoneCost();
+    cost += view.zoneCost(endpoint.record);
     if (endpoint.isCold(view.now))
         cost += coldCost;
     if (view.health.isSuspect(view.now, endpoint.record.name))
@@ -91,9 +92,13 @@
 
 } // namespace
 
-double PlacementView::otherZoneCost() const noexcept
+double PlacementView::zoneCost(const EndpointRecord &endpoint) const
 {
-    return otherZonesUnknown ? unknownZoneCost : nearZoneCost;
+    if (endpoint.zone == zone)
+        return 0;
+    if (!otherZonesUnknown)
+        return nearZoneCost;
+    return ledger.isReported(now, endpoint.name) ? reportedZoneCost : unknownZoneCost;
 }
 
 double spread(double uniform, const EndpointName &name)
