--- a/include/fescue/serving/placement.h
+++ b/include/fescue/serving/placement.h
@@ -30,8 +30,8 @@
     bool otherZonesUnknown = false;
 
     // Cost of an endpoint for being in another availability zone, in milliseconds of expected
-    // delay.
-    [[nodiscard]] double zoneCost(const EndpointRecord &endpoint) const;
+    // delay. `uniform` in [0, 1) spreads the choices of processes that know the same.
+    [[nodiscard]] double zoneCost(const EndpointRecord &endpoint, double uniform) const;
 };
 
 // The work to be placed.
--- a/src/serving/moveplan.cpp
+++ b/src/serving/moveplan.cpp
@@ -171,7 +171,7 @@
             links.backlog(record.name, view.now) + copyTime(model, run.memoryTokens, sameZone);
         double cost = static_cast<double>(copy.count) + filled * filled * fullMemoryCost;
         if (view.otherZonesUnknown)
-            cost += view.zoneCost(record);
+            cost += view.zoneCost(record, uniform);
         cost += spreadCost * spread(uniform, record.name);
         if (candidate->isCold(view.now))
             cost += coldCost;
--- a/src/serving/placement.cpp
+++ b/src/serving/placement.cpp
@@ -28,7 +28,9 @@
 // the prompts that wait at a busy engine cost.
 constexpr double unknownZoneCost = 800;
 // Where an engine there reports its load, what was sent since then is not known: about one prompt.
-constexpr double reportedZoneCost = 200;
+constexpr double reportedZoneCost = 300;
+// Random part of it: all processes read the same report, and must not all choose the same engine.
+constexpr double reportedZoneSpread = 600;
 // A cold engine works more slowly for a while.
 constexpr double coldCost = 60;
 // A suspect endpoint is chosen only where no other can be.
@@ -67,7 +69,7 @@
 double commonCost(const EndpointView &endpoint, const PlacementView &view, double uniform)
 {
     double cost = jitterCost * spread(uniform, endpoint.record.name);
-    cost += view.zoneCost(endpoint.record);
+    cost += view.zoneCost(endpoint.record, uniform);
     if (endpoint.isCold(view.now))
         cost += coldCost;
     if (view.health.isSuspect(view.now, endpoint.record.name))
@@ -92,13 +94,15 @@
 
 } // namespace
 
-double PlacementView::zoneCost(const EndpointRecord &endpoint) const
+double PlacementView::zoneCost(const EndpointRecord &endpoint, double uniform) const
 {
     if (endpoint.zone == zone)
         return 0;
     if (!otherZonesUnknown)
         return nearZoneCost;
-    return ledger.isReported(now, endpoint.name) ? reportedZoneCost : unknownZoneCost;
+    if (!ledger.isReported(now, endpoint.name))
+        return unknownZoneCost;
+    return reportedZoneCost + reportedZoneSpread * spread(uniform, endpoint.name);
 }
 
 double spread(double uniform, const EndpointName &name)
