--- a/include/fescue/serving/loadledger.h
+++ b/include/fescue/serving/loadledger.h
@@ -31,7 +31,7 @@
 };
 
 // The load of each endpoint: what this process has sent exactly, what its peers have sent as they
-// last told it, and at least what the endpoint itself reports.
+// last told it, and what the endpoint itself reported beyond that.
 class LoadLedger
 {
 public:
@@ -45,13 +45,14 @@
     // Replaces what a peer has told.
     void peerTold(Millis now, const MemberName &peer, std::vector<EndpointLoadOf> loads);
 
-    // Records what an endpoint reports. Reports cover work that no process told of.
+    // Records what an endpoint reports. What exceeds the work known here came from elsewhere, and
+    // counts beside it.
     void endpointTold(Millis now, const EndpointName &endpoint, const EndpointLoad &load);
     // Forgets reports that are too old to count.
     void purge(Millis now);
 
-    // Work of this process and of peers that were heard lately, or what the endpoint reports where
-    // that is more.
+    // Work of this process and of peers that were heard lately, and what the endpoint reported
+    // beyond it.
     [[nodiscard]] EndpointLoad total(Millis now, const EndpointName &endpoint) const;
     // True where the endpoint's own report counts.
     [[nodiscard]] bool isReported(Millis now, const EndpointName &endpoint) const;
@@ -69,9 +70,12 @@
     struct Report
     {
         Millis at {0};
-        EndpointLoad load;
+        // What the endpoint had beyond the work that was known when it reported.
+        EndpointLoad unknown;
     };
 
+    [[nodiscard]] EndpointLoad sent(Millis now, const EndpointName &endpoint) const;
+
     std::map<MemberName, PeerLoads> m_peers;
     std::map<EndpointName, Report> m_reports;
 };
--- a/src/serving/loadledger.cpp
+++ b/src/serving/loadledger.cpp
@@ -22,6 +22,14 @@
     return *this;
 }
 
+// What one load has more than another, each figure by itself.
+static EndpointLoad excess(const EndpointLoad &load, const EndpointLoad &known) noexcept
+{
+    return {load.requests - std::min(load.requests, known.requests),
+            load.memoryTokens - std::min(load.memoryTokens, known.memoryTokens),
+            load.prefillTokens - std::min(load.prefillTokens, known.prefillTokens)};
+}
+
 void LoadLedger::add(const EndpointName &endpoint, const EndpointLoad &load)
 {
     m_own[endpoint] += load;
@@ -44,7 +52,7 @@
 
 void LoadLedger::endpointTold(Millis now, const EndpointName &endpoint, const EndpointLoad &load)
 {
-    m_reports[endpoint] = {now, load};
+    m_reports[endpoint] = {now, excess(load, sent(now, endpoint))};
 }
 
 void LoadLedger::purge(Millis now)
@@ -61,6 +69,14 @@
 }
 
 EndpointLoad LoadLedger::total(Millis now, const EndpointName &endpoint) const
+{
+    EndpointLoad load = sent(now, endpoint);
+    if (isReported(now, endpoint))
+        load += m_reports.at(endpoint).unknown;
+    return load;
+}
+
+EndpointLoad LoadLedger::sent(Millis now, const EndpointName &endpoint) const
 {
     EndpointLoad sum;
     const auto it = m_own.find(endpoint);
@@ -74,12 +90,6 @@
                 sum += told.load;
         }
     }
-    if (isReported(now, endpoint)) {
-        const EndpointLoad &reported = m_reports.at(endpoint).load;
-        sum.requests = std::max(sum.requests, reported.requests);
-        sum.memoryTokens = std::max(sum.memoryTokens, reported.memoryTokens);
-        sum.prefillTokens = std::max(sum.prefillTokens, reported.prefillTokens);
-    }
     return sum;
 }
 
