--- a/include/fescue/serving/loadledger.h
+++ b/include/fescue/serving/loadledger.h
@@ -4,6 +4,7 @@
 #include "fescue/core/ids.h"
 
 #include <cstdint>
+#include <deque>
 #include <map>
 #include <vector>
 
@@ -39,6 +40,9 @@
     static constexpr Millis peerLifetime {1500};
     // So does an endpoint's report.
     static constexpr Millis reportLifetime {1500};
+    // Reports in a row that have to show work that is not known here. A report is some hundred
+    // milliseconds old: work that has ended meanwhile shows in one or two.
+    static constexpr std::size_t reportsToTrust = 3;
 
     void add(const EndpointName &endpoint, const EndpointLoad &load);
     void subtract(const EndpointName &endpoint, const EndpointLoad &load);
@@ -70,8 +74,11 @@
     struct Report
     {
         Millis at {0};
-        // What the endpoint had beyond the work that was known when it reported.
-        EndpointLoad unknown;
+        // What the endpoint had beyond the work that was known, in its latest reports.
+        std::deque<EndpointLoad> excesses;
+
+        // What all of these reports show.
+        [[nodiscard]] EndpointLoad unknown() const noexcept;
     };
 
     [[nodiscard]] EndpointLoad sent(Millis now, const EndpointName &endpoint) const;
--- a/src/serving/loadledger.cpp
+++ b/src/serving/loadledger.cpp
@@ -52,7 +52,13 @@
 
 void LoadLedger::endpointTold(Millis now, const EndpointName &endpoint, const EndpointLoad &load)
 {
-    m_reports[endpoint] = {now, excess(load, sent(now, endpoint))};
+    Report &report = m_reports[endpoint];
+    if (now - report.at > reportLifetime)
+        report.excesses.clear();
+    report.at = now;
+    report.excesses.push_back(excess(load, sent(now, endpoint)));
+    if (report.excesses.size() > reportsToTrust)
+        report.excesses.pop_front();
 }
 
 void LoadLedger::purge(Millis now)
@@ -72,10 +78,23 @@
 {
     EndpointLoad load = sent(now, endpoint);
     if (isReported(now, endpoint))
-        load += m_reports.at(endpoint).unknown;
+        load += m_reports.at(endpoint).unknown();
     return load;
 }
 
+EndpointLoad LoadLedger::Report::unknown() const noexcept
+{
+    if (excesses.size() < reportsToTrust)
+        return {};
+    EndpointLoad least = excesses.front();
+    for (const EndpointLoad &load : excesses) {
+        least.requests = std::min(least.requests, load.requests);
+        least.memoryTokens = std::min(least.memoryTokens, load.memoryTokens);
+        least.prefillTokens = std::min(least.prefillTokens, load.prefillTokens);
+    }
+    return least;
+}
+
 EndpointLoad LoadLedger::sent(Millis now, const EndpointName &endpoint) const
 {
     EndpointLoad sum;
--- a/src/serving/placement.cpp
+++ b/src/serving/placement.cpp
@@ -27,10 +27,9 @@
 // Where the loads of other zones are not known, they are used when the own one is full: more than
 // the prompts that wait at a busy engine cost.
 constexpr double unknownZoneCost = 800;
-// Where an engine there reports its load, what was sent since then is not known: about one prompt.
-constexpr double reportedZoneCost = 300;
-// Random part of it: all processes read the same report, and must not all choose the same engine.
-constexpr double reportedZoneSpread = 600;
+// Random part of the cost of an engine there: all processes read the same reports, and must not all
+// choose the same engine.
+constexpr double unknownZoneSpread = 300;
 // A cold engine works more slowly for a while.
 constexpr double coldCost = 60;
 // A suspect endpoint is chosen only where no other can be.
@@ -100,9 +99,7 @@
         return 0;
     if (!otherZonesUnknown)
         return nearZoneCost;
-    if (!ledger.isReported(now, endpoint.name))
-        return unknownZoneCost;
-    return reportedZoneCost + reportedZoneSpread * spread(uniform, endpoint.name);
+    return unknownZoneCost + unknownZoneSpread * spread(uniform, endpoint.name);
 }
 
 double spread(double uniform, const EndpointName &name)
