--- a/include/fescue/serving/generationmover.h
+++ b/include/fescue/serving/generationmover.h
@@ -31,14 +31,6 @@
         TryAgain,
     };
 
-    // A generation on its way off an engine.
-    struct Departure
-    {
-        PlacementDemand demand;
-        // When its copy may begin; unknown before the first look.
-        std::optional<Millis> startAt;
-    };
-
     // Asks an engine that has begun to leave when it will be gone.
     void askEnd(const EndpointRecord &engine);
     void keepCopy(const GenerationRunPtr &run);
@@ -48,12 +40,9 @@
     void freeCopy(const net::Address &source, const std::string &handle);
     // Stops relying on an engine that leaves for backups and copies.
     void replaceCopies(const EndpointName &engine);
+    // The engine that a generation is moved to: the one that holds a copy, where it can be used.
     // Engines of a service that have given notice and are not gone yet.
     [[nodiscard]] std::vector<EngineAt> leavingEngines(const ServiceName &service);
-    // When the generations of an engine are moved, all of them about as large as this one.
-    [[nodiscard]] DepartureSchedule scheduleOf(const GenerationRun &run, const EndpointView &source,
-                                               const EngineModel &model);
-    // The engine that a generation is moved to: the one that holds a copy, where it can be used.
     [[nodiscard]] MoveDecision chooseDestination(const GenerationRun &run,
                                                  const EndpointView &source,
                                                  const EngineModel &model,
@@ -62,11 +51,10 @@
     [[nodiscard]] Millis endOf(const EndpointView &engine);
     void move(const GenerationRunPtr &run);
     [[nodiscard]] NextStep moveOnce(const GenerationRunPtr &run, const EndpointView &source,
-                                    Departure &departure);
-    // Copies the generation while it runs, and stops it when that costs its caller least.
-    [[nodiscard]] NextStep copy(const GenerationRunPtr &run, const EndpointView &source,
-                                const EndpointRecord &destination, const EngineModel &model,
-                                Departure &departure);
+                                    PlacementDemand &demand);
+    // Copies the generation until it can be stopped, and stops it.
+    [[nodiscard]] NextStep copy(const GenerationRunPtr &run, const EndpointRecord &source,
+                                const EndpointRecord &destination, PlacementDemand &demand);
     [[nodiscard]] NextStep stop(const GenerationRunPtr &run, const EndpointRecord &source,
                                 const EndpointRecord &destination);
     [[nodiscard]] MoveAnswer call(const GenerationRunPtr &run, const EndpointRecord &source,
--- a/include/fescue/serving/generationmover.inl
+++ b/include/fescue/serving/generationmover.inl
@@ -91,13 +91,13 @@
 void GenerationMover<P>::move(const GenerationRunPtr &run)
 {
     const EndpointName engine = run->engine.name;
-    Departure departure;
+    PlacementDemand demand;
     while (!run->finished && run->engine.name == engine && run->phase == MovePhase::Running) {
         const EndpointView *source = m_state->endpoints.find(engine);
         if (source == nullptr || !source->leaving())
             return;
         const EndpointView view = *source;
-        if (moveOnce(run, view, departure) == NextStep::Done)
+        if (moveOnce(run, view, demand) == NextStep::Done)
             return;
         net::sleepFor(run->events == 0 ? notBegunPause : moveAgainPause);
     }
@@ -233,7 +233,7 @@
 template <PlatformProtocol P>
 typename GenerationMover<P>::NextStep GenerationMover<P>::moveOnce(const GenerationRunPtr &run,
                                                                    const EndpointView &source,
-                                                                   Departure &departure)
+                                                                   PlacementDemand &demand)
 {
     // A generation that has not begun has nothing to copy.
     if (run->events == 0)
@@ -253,16 +253,7 @@
             net::sleepFor(handOverPoll);
         return NextStep::TryAgain;
     }
-    if (!departure.startAt) {
-        const Millis now = ServingState::now();
-        // Where most of the memory has been copied before, little is left for the link.
-        departure.startAt = isUsable(run->copyAhead)
-            ? now
-            : scheduleOf(*run, source, *model).startAt(now, m_state->uniform());
-    }
-    if (ServingState::now() < *departure.startAt)
-        return NextStep::TryAgain;
-    const MoveDecision decision = chooseDestination(*run, source, *model, departure.demand);
+    const MoveDecision decision = chooseDestination(*run, source, *model, demand);
     if (decision.verdict == MoveVerdict::EndsInTime)
         return NextStep::TryAgain;
     observe::logChange(
@@ -286,7 +277,7 @@
         return NextStep::Done;
     if (decision.verdict == MoveVerdict::NoDestination) {
         // Endpoints that were full may have room by now.
-        departure.demand.excluded.clear();
+        demand.excluded.clear();
         return NextStep::TryAgain;
     }
     const EndpointRecord destination = decision.destination->record;
@@ -295,7 +286,7 @@
         copyTime(*model, moving.memoryTokens, destination.zone == source.record.zone));
     const LoadShare load(m_state->ledger, destination.name, {1, moving.reservedTokens, 0});
     m_state->tellPeers();
-    return copy(run, source, destination, *model, departure);
+    return copy(run, source.record, destination, demand);
 }
 
 template <PlatformProtocol P>
@@ -323,35 +314,25 @@
     return answer;
 }
 
-template <PlatformProtocol P>
-DepartureSchedule GenerationMover<P>::scheduleOf(const GenerationRun &run,
-                                                 const EndpointView &source,
-                                                 const EngineModel &model)
-{
-    const std::uint32_t runs =
-        m_state->ledger.total(ServingState::now(), source.record.name).requests;
-    const Millis each = copyTime(model, run.movingRun({}).memoryTokens, true);
-    return {source.leavingSince, endOf(source), each * std::max(runs, 1U)};
-}
-
 template <PlatformProtocol P>
 typename GenerationMover<P>::NextStep
-GenerationMover<P>::copy(const GenerationRunPtr &run, const EndpointView &source,
-                         const EndpointRecord &destination, const EngineModel &model,
-                         Departure &departure)
+GenerationMover<P>::copy(const GenerationRunPtr &run, const EndpointRecord &source,
+                         const EndpointRecord &destination, PlacementDemand &demand)
 {
     run->phase = MovePhase::Copying;
     const Millis begun = ServingState::now();
-    const MoveAnswer answer = call(run, source.record, destination, false);
+    const MoveAnswer answer = call(run, source, destination, false);
     if (run->finished || run->phase != MovePhase::Copying)
         return NextStep::Done;
     run->phase = MovePhase::Running;
     if (answer.outcome == MoveOutcome::NoRoom)
-        departure.demand.excluded.insert(destination.name);
+        demand.excluded.insert(destination.name);
     if (answer.outcome != MoveOutcome::Copied)
         return NextStep::TryAgain;
     const Millis now = ServingState::now();
-    const Millis stopAt = scheduleOf(*run, source, model).stopAt(now, now - begun);
+    const EndpointView *view = m_state->endpoints.find(source.name);
+    const CopySchedule schedule(view == nullptr ? now : endOf(*view));
+    const Millis stopAt = now + schedule.pauseBeforeStop(now, now - begun);
     while (!run->finished && ServingState::now() < stopAt)
         net::sleepFor(std::min(moveAgainPause, stopAt - ServingState::now()));
     if (run->finished)
@@ -360,7 +341,7 @@
         observe::logChange("move-refused", {{"id", run->requestId}, {"reason", "repeat budget"}});
         return NextStep::TryAgain;
     }
-    return stop(run, source.record, destination);
+    return stop(run, source, destination);
 }
 
 template <PlatformProtocol P>
--- a/include/fescue/serving/moveplan.h
+++ b/include/fescue/serving/moveplan.h
@@ -72,34 +72,21 @@
 // Time that a copy takes over an idle link; copies between availability zones take twice as long.
 [[nodiscard]] Millis copyTime(const EngineModel &model, std::uint64_t tokens, bool sameZone);
 
-// When the generations of one engine are copied and stopped, so that the copies of all of them fit
-// into its notice. All of them share the engine's link, and each entry process moves its own.
-//
-// A generation is copied once while it runs on and then stopped, which costs its caller the time
-// that the rest takes, behind the copies that are queued on the link. It is not copied again
-// meanwhile, since that would hold the link up for the others.
-class DepartureSchedule
+// Decides when a generation is stopped whose memory has been copied once while it ran on. Stopping
+// it costs its caller the time that the rest takes, which waits behind the copies of other
+// generations on the same link: so it runs on until those are done, or the engine is about to go.
+// It is not copied again meanwhile, since that would hold the link up for the others.
+class CopySchedule
 {
 public:
-    // `leavesAt` is when the engine is expected to be gone; `copiesTake` how long the copies of all
-    // its generations take, one after the other.
-    DepartureSchedule(Millis noticeAt, Millis leavesAt, Millis copiesTake) noexcept
-        : m_leavesAt(leavesAt), m_quietAt(noticeAt + copiesTake)
-    { }
-
-    // True where the notice is too short for all copies and the rests that follow them.
-    [[nodiscard]] bool isOverloaded() const noexcept;
-    // When the copy of a generation begins. With `uniform` in [0, 1) the copies of an overloaded
-    // engine are spread over its notice: where all are queued at once, the rests come after all of
-    // them, and the engine is gone before any generation has left.
-    [[nodiscard]] Millis startAt(Millis now, double uniform) const noexcept;
-    // When a generation is stopped after a copy that took `took`.
-    [[nodiscard]] Millis stopAt(Millis now, Millis took) const noexcept;
+    // `leavesAt` is when the engine is expected to be gone.
+    explicit CopySchedule(Millis leavesAt) noexcept : m_leavesAt(leavesAt) { }
+
+    // Returns how long the generation runs on after a copy that took `took`.
+    [[nodiscard]] Millis pauseBeforeStop(Millis now, Millis took) const noexcept;
 
 private:
     Millis m_leavesAt;
-    // When the link has carried the copies of all.
-    Millis m_quietAt;
 };
 
 // When an engine that gave notice is expected to be gone, where it does not say so itself.
--- a/src/serving/moveplan.cpp
+++ b/src/serving/moveplan.cpp
@@ -19,12 +19,9 @@
 // A copy of what is new that takes no longer than this leaves no pause that callers notice: with
 // the change to the other engine it stays under the longest pause of the routes.
 constexpr Millis quickCopy {45};
-// Time that the rests of all generations of an engine take, some ten milliseconds each, with a copy
-// that is on its way before them.
+// Time before an engine's end at which its generations are stopped: enough for the rests of all of
+// them, some ten milliseconds each, and for a first copy that is still on its way.
 constexpr Millis stopLead {450};
-// Part of the notice over which the first copies of an overloaded engine are spread; the queue of
-// the link fills the rest.
-constexpr double spreadPart = 0.6;
 // A copy lapses at its destination some seconds after it was made.
 constexpr Millis longestPause {2500};
 // What a copy waits at a destination that is left to another engine that goes: one copy of its.
@@ -113,25 +110,11 @@
     return backlog(destination.name, now) + (leftToOther ? contendedWait : 0_ms);
 }
 
-bool DepartureSchedule::isOverloaded() const noexcept
+Millis CopySchedule::pauseBeforeStop(Millis now, Millis took) const noexcept
 {
-    return m_quietAt > m_leavesAt - stopLead;
-}
-
-Millis DepartureSchedule::startAt(Millis now, double uniform) const noexcept
-{
-    if (!isOverloaded())
-        return now;
-    const double span =
-        std::max(static_cast<double>((m_leavesAt - stopLead - now).count), 0.0) * spreadPart;
-    return now + Millis {static_cast<std::int64_t>(span * uniform)};
-}
-
-Millis DepartureSchedule::stopAt(Millis now, Millis took) const noexcept
-{
-    if (took <= quickCopy || isOverloaded())
-        return now;
-    return std::clamp(m_quietAt, now, now + longestPause);
+    if (took <= quickCopy)
+        return {0};
+    return std::clamp(m_leavesAt - stopLead - now, Millis {0}, longestPause);
 }
 
 Millis expectedEnd(Millis noticeAt) noexcept
@@ -209,8 +192,7 @@
             links.expectedWait(source.record.name, {record.name, record.zone}, view.now)
             + copyTime(model, run.memoryTokens, sameZone);
         double cost = static_cast<double>(copy.count) + filled * filled * fullMemoryCost;
-        // Without a report nothing tells whether an engine of another zone has room.
-        if (view.otherZonesUnknown && !view.ledger.isReported(view.now, record.name))
+        if (view.otherZonesUnknown)
             cost += view.zoneCost(record, uniform);
         cost += spreadCost * spread(uniform, record.name);
         if (candidate->isCold(view.now))
--- a/tests/serving/moveplan_test.cpp
+++ b/tests/serving/moveplan_test.cpp
@@ -117,42 +117,29 @@
         EXPECT_LT(entry.second, 200) << entry.first;
 }
 
-// Pattern: copies of a few generations share one link. One that stops while the whole copies of
-// others are queued pauses for as long as they take; one that is copied again holds the link up.
-TEST(DepartureSchedule, StopsWhenTheLinkIsQuietAgain)
-{
-    const DepartureSchedule schedule(10_s, Millis {11'500}, 800_ms);
-    EXPECT_FALSE(schedule.isOverloaded());
-    EXPECT_EQ(schedule.startAt(Millis {10'010}, 0.9), Millis {10'010});
-    EXPECT_EQ(schedule.stopAt(Millis {10'300}, 300_ms), Millis {10'800});
-    EXPECT_EQ(schedule.stopAt(Millis {10'900}, 500_ms), Millis {10'900});
-}
-
-TEST(DepartureSchedule, StopsAtOnceAfterAQuickCopy)
-{
-    const DepartureSchedule schedule(10_s, Millis {11'500}, 800_ms);
-    EXPECT_EQ(schedule.stopAt(Millis {10'300}, 20_ms), Millis {10'300});
+// Pattern: copies of many generations share one link. A generation that stops while the whole
+// copies of others are queued pauses for as long as they take; one that is copied again holds the
+// link up for them.
+TEST(CopySchedule, RunsOnWhileTheLinkIsBusyAndStopsWhenItIsQuiet)
+{
+    const CopySchedule schedule(Millis {11'500});
+    EXPECT_EQ(schedule.pauseBeforeStop(Millis {10'300}, 300_ms), 750_ms);
+    EXPECT_EQ(schedule.pauseBeforeStop(Millis {10'800}, 500_ms), 250_ms);
+    EXPECT_EQ(schedule.pauseBeforeStop(Millis {10'820}, 20_ms), 0_ms);
 }
 
-// Pattern: seven generations on an engine with a notice of 1.5 s. Where all copies are queued at
-// once and the rests after them, the engine is gone before any generation has left.
-TEST(DepartureSchedule, SpreadsTheCopiesOfAnOverloadedEngineAndStopsEachAtOnce)
+TEST(CopySchedule, StopsInTimeBeforeTheEngineGoes)
 {
-    const DepartureSchedule schedule(10_s, Millis {11'500}, 1400_ms);
-    EXPECT_TRUE(schedule.isOverloaded());
-    EXPECT_EQ(schedule.startAt(10_s, 0), 10_s);
-    EXPECT_GT(schedule.startAt(10_s, 0.9), Millis {10'400});
-    EXPECT_LT(schedule.startAt(10_s, 0.9), Millis {10'800});
-    EXPECT_EQ(schedule.stopAt(Millis {10'300}, 300_ms), Millis {10'300});
-    // A generation that is found late begins at once.
-    EXPECT_EQ(schedule.startAt(Millis {11'300}, 0.9), Millis {11'300});
+    const CopySchedule schedule(Millis {11'500});
+    EXPECT_EQ(schedule.pauseBeforeStop(Millis {11'100}, 300_ms), 0_ms);
+    EXPECT_EQ(schedule.pauseBeforeStop(Millis {12'100}, 300_ms), 0_ms);
 }
 
 // Pattern: an engine with half a minute of notice; a copy lapses sooner.
-TEST(DepartureSchedule, StopsBeforeTheCopyLapses)
+TEST(CopySchedule, StopsBeforeTheCopyLapses)
 {
-    const DepartureSchedule schedule(10_s, 40_s, 20_s);
-    EXPECT_EQ(schedule.stopAt(Millis {10'300}, 300_ms), Millis {12'800});
+    const CopySchedule schedule(Millis {40'000});
+    EXPECT_EQ(schedule.pauseBeforeStop(Millis {10'300}, 300_ms), 2500_ms);
 }
 
 // Pattern: ten engines of seventy leave at once, and fifty generations with them. Where two of them
