--- a/include/fescue/serving/edgedaemon.h
+++ b/include/fescue/serving/edgedaemon.h
@@ -2,7 +2,6 @@
 
 #include "fescue/serving/gossip.h"
 #include "fescue/serving/gossipsocket.h"
-#include "fescue/serving/reportpoller.h"
 #include "fescue/serving/requesthandler.h"
 #include "fescue/serving/storesession.h"
 
@@ -38,14 +37,12 @@
     void tick();
     void answerPeer(const net::HttpRequest &request, net::ResponseWriter &writer);
     void sendGossip();
-    // Sends a datagram to every other entry process.
-    void broadcast(const std::string &datagram);
+    void broadcast(std::string_view bytes);
     // Sends a datagram of one kind to a member; false where that fails.
     bool sendTo(const MemberInfo &member, const std::string &datagram);
     void takeDatagram(std::string_view bytes);
     void takeGossip(std::string_view bytes);
     void takeNews(std::string_view bytes);
-    void takeReports(std::string_view bytes);
 
     net::WorkerPool *m_pool;
     MemberInfo m_self;
@@ -54,7 +51,6 @@
     GenerationMover<P> m_mover;
     RequestHandler<P> m_handler;
     StoreSession<P> m_store;
-    ReportPoller<P> m_reports;
     GossipSocket m_gossip;
     std::vector<std::unique_ptr<net::HttpServer>> m_servers;
     net::HttpServer *m_front = nullptr;
--- a/include/fescue/serving/edgedaemon.inl
+++ b/include/fescue/serving/edgedaemon.inl
@@ -17,7 +17,6 @@
 // First bytes of the datagrams between entry processes.
 inline const std::string gossipKind = "G";
 inline const std::string newsKind = "N";
-inline const std::string reportsKind = "R";
 // After a stop is asked for, callers that keep an old answer of the directory are served at least
 // this long.
 inline constexpr Millis drainLinger = 3500_ms;
@@ -39,9 +38,7 @@
       m_store(m_state, m_self,
               {[this] { applyLimits(); },
                [this](const EndpointName &endpoint) { m_mover.evacuate(endpoint); },
-               [this](std::string_view bytes) { broadcast(newsKind + std::string(bytes)); }}),
-      m_reports(m_state, m_self.name,
-                [this](std::string_view bytes) { broadcast(reportsKind + std::string(bytes)); }),
+               [this](std::string_view bytes) { broadcast(bytes); }}),
       m_gossip(pool.context(0), [this](std::string_view bytes) { takeDatagram(bytes); })
 { }
 
@@ -88,7 +85,6 @@
     m_state.tellPeers = [this] { sendGossip(); };
     m_store.start();
     m_pool->spawn(net::currentWorker(), [this] { tick(); });
-    m_pool->spawn(net::currentWorker(), [this] { m_reports.run(); });
     observe::logChange("started",
                        {{"zone", settings.zone.text()},
                         {"front", settings.frontAddress.toString()},
@@ -170,7 +166,6 @@
         m_state.members.purge(now);
         m_state.health.purge(now);
         m_state.coldGate.purge(now);
-        m_state.ledger.purge(now);
         sendGossip();
         net::sleepFor(m_state.isLarge() ? largeTickInterval : tickInterval);
     }
@@ -194,8 +189,9 @@
 }
 
 template <PlatformProtocol P>
-void EdgeDaemon<P>::broadcast(const std::string &datagram)
+void EdgeDaemon<P>::broadcast(std::string_view bytes)
 {
+    const std::string datagram = newsKind + std::string(bytes);
     for (const MemberView &member : m_state.members.members(ServingState::now()))
         sendTo(member.info, datagram);
 }
@@ -218,8 +214,6 @@
         takeGossip(bytes.substr(gossipKind.size()));
     else if (bytes.starts_with(newsKind))
         takeNews(bytes.substr(newsKind.size()));
-    else if (bytes.starts_with(reportsKind))
-        takeReports(bytes.substr(reportsKind.size()));
     else
         m_malformed.Increment();
 }
@@ -234,16 +228,6 @@
         m_malformed.Increment();
 }
 
-template <PlatformProtocol P>
-void EdgeDaemon<P>::takeReports(std::string_view bytes)
-{
-    const Result<std::vector<EndpointLoadOf>> loads = decodeReports(bytes);
-    if (loads)
-        m_reports.take(*loads);
-    else
-        m_malformed.Increment();
-}
-
 template <PlatformProtocol P>
 void EdgeDaemon<P>::answerPeer(const net::HttpRequest &request, net::ResponseWriter &writer)
 {
--- a/include/fescue/serving/generationmover.h
+++ b/include/fescue/serving/generationmover.h
@@ -41,8 +41,6 @@
     // Stops relying on an engine that leaves for backups and copies.
     void replaceCopies(const EndpointName &engine);
     // The engine that a generation is moved to: the one that holds a copy, where it can be used.
-    // Engines of a service that have given notice and are not gone yet.
-    [[nodiscard]] std::vector<EngineAt> leavingEngines(const ServiceName &service);
     [[nodiscard]] MoveDecision chooseDestination(const GenerationRun &run,
                                                  const EndpointView &source,
                                                  const EngineModel &model,
--- a/include/fescue/serving/generationmover.inl
+++ b/include/fescue/serving/generationmover.inl
@@ -198,19 +198,6 @@
     return copyRenewInterval;
 }
 
-template <PlatformProtocol P>
-std::vector<EngineAt> GenerationMover<P>::leavingEngines(const ServiceName &service)
-{
-    const Millis now = ServingState::now();
-    std::vector<EngineAt> leaving;
-    for (const std::pair<const EndpointName, EndpointView> &entry : m_state->endpoints.all()) {
-        const EndpointView &view = entry.second;
-        if (view.leaving() && view.record.service == service && endOf(view) > now)
-            leaving.push_back({entry.first, view.record.zone});
-    }
-    return leaving;
-}
-
 template <PlatformProtocol P>
 MoveDecision
 GenerationMover<P>::chooseDestination(const GenerationRun &run, const EndpointView &source,
@@ -218,7 +205,6 @@
 {
     const MovingRun moving = run.movingRun(endOf(source));
     const std::vector<const EndpointView *> candidates = m_state->candidates(run.service);
-    m_state->links.setLeaving(leavingEngines(run.service));
     MoveDecision decision =
         planMove(source, moving, candidates, model, m_state->placementView(run.service), demand,
                  m_state->links, m_state->uniform());
@@ -319,24 +305,23 @@
 GenerationMover<P>::copy(const GenerationRunPtr &run, const EndpointRecord &source,
                          const EndpointRecord &destination, PlacementDemand &demand)
 {
-    run->phase = MovePhase::Copying;
-    const Millis begun = ServingState::now();
-    const MoveAnswer answer = call(run, source, destination, false);
-    if (run->finished || run->phase != MovePhase::Copying)
-        return NextStep::Done;
-    run->phase = MovePhase::Running;
-    if (answer.outcome == MoveOutcome::NoRoom)
-        demand.excluded.insert(destination.name);
-    if (answer.outcome != MoveOutcome::Copied)
-        return NextStep::TryAgain;
-    const Millis now = ServingState::now();
-    const EndpointView *view = m_state->endpoints.find(source.name);
-    const CopySchedule schedule(view == nullptr ? now : endOf(*view));
-    const Millis stopAt = now + schedule.pauseBeforeStop(now, now - begun);
-    while (!run->finished && ServingState::now() < stopAt)
-        net::sleepFor(std::min(moveAgainPause, stopAt - ServingState::now()));
-    if (run->finished)
-        return NextStep::Done;
+    while (true) {
+        run->phase = MovePhase::Copying;
+        const Millis begun = ServingState::now();
+        const MoveAnswer answer = call(run, source, destination, false);
+        if (run->finished || run->phase != MovePhase::Copying)
+            return NextStep::Done;
+        run->phase = MovePhase::Running;
+        if (answer.outcome == MoveOutcome::NoRoom)
+            demand.excluded.insert(destination.name);
+        if (answer.outcome != MoveOutcome::Copied)
+            return NextStep::TryAgain;
+        const Millis now = ServingState::now();
+        const EndpointView *view = m_state->endpoints.find(source.name);
+        const CopySchedule schedule(view == nullptr ? now : endOf(*view));
+        if (schedule.after(now, now - begun) == CopyStep::Stop)
+            break;
+    }
     if (!m_state->takeRepeat(run->service)) {
         observe::logChange("move-refused", {{"id", run->requestId}, {"reason", "repeat budget"}});
         return NextStep::TryAgain;
--- a/include/fescue/serving/loadledger.h
+++ b/include/fescue/serving/loadledger.h
@@ -4,7 +4,6 @@
 #include "fescue/core/ids.h"
 
 #include <cstdint>
-#include <deque>
 #include <map>
 #include <vector>
 
@@ -31,35 +30,21 @@
     bool operator==(const EndpointLoadOf &) const = default;
 };
 
-// The load of each endpoint: what this process has sent exactly, what its peers have sent as they
-// last told it, and what the endpoint itself reported beyond that.
+// What all entry processes have sent to each endpoint: this process' own work exactly, that of its
+// peers as they last told it.
 class LoadLedger
 {
 public:
     // A peer's figures count for this long; peers repeat them several times in it.
     static constexpr Millis peerLifetime {1500};
-    // So does an endpoint's report.
-    static constexpr Millis reportLifetime {1500};
-    // Reports in a row that have to show work that is not known here. A report is some hundred
-    // milliseconds old: work that has ended meanwhile shows in one or two.
-    static constexpr std::size_t reportsToTrust = 3;
 
     void add(const EndpointName &endpoint, const EndpointLoad &load);
     void subtract(const EndpointName &endpoint, const EndpointLoad &load);
     // Replaces what a peer has told.
     void peerTold(Millis now, const MemberName &peer, std::vector<EndpointLoadOf> loads);
 
-    // Records what an endpoint reports. What exceeds the work known here came from elsewhere, and
-    // counts beside it.
-    void endpointTold(Millis now, const EndpointName &endpoint, const EndpointLoad &load);
-    // Forgets reports that are too old to count.
-    void purge(Millis now);
-
-    // Work of this process and of peers that were heard lately, and what the endpoint reported
-    // beyond it.
+    // Work of this process and of peers that were heard lately.
     [[nodiscard]] EndpointLoad total(Millis now, const EndpointName &endpoint) const;
-    // True where the endpoint's own report counts.
-    [[nodiscard]] bool isReported(Millis now, const EndpointName &endpoint) const;
     // Work of this process, for telling it to peers.
     [[nodiscard]] std::vector<EndpointLoadOf> own() const;
 
@@ -71,20 +56,7 @@
     };
 
     std::map<EndpointName, EndpointLoad> m_own;
-    struct Report
-    {
-        Millis at {0};
-        // What the endpoint had beyond the work that was known, in its latest reports.
-        std::deque<EndpointLoad> excesses;
-
-        // What all of these reports show.
-        [[nodiscard]] EndpointLoad unknown() const noexcept;
-    };
-
-    [[nodiscard]] EndpointLoad sent(Millis now, const EndpointName &endpoint) const;
-
     std::map<MemberName, PeerLoads> m_peers;
-    std::map<EndpointName, Report> m_reports;
 };
 
 // Load that counts for as long as this object lives.
--- a/include/fescue/serving/moveplan.h
+++ b/include/fescue/serving/moveplan.h
@@ -41,49 +41,41 @@
     const EndpointView *destination = nullptr;
 };
 
-struct EngineAt
-{
-    EndpointName name;
-    ZoneName zone;
-};
-
-// The links between engines, as far as this process knows what they carry. A link carries one copy
-// after the other, and a copy holds the links of both engines from its turn on: one that waits for
-// a busy destination keeps all others of its engine waiting.
+// Copies of memory that are under way between engines, as far as this process has begun them. A
+// link carries one copy after the other.
 class LinkQueue
 {
 public:
-    // Sets the engines that are about to go. Those of an availability zone share its others as
-    // destinations, the same way in the view of all processes, so that their copies do not meet on
-    // one link.
-    void setLeaving(std::vector<EngineAt> engines) { m_leaving = std::move(engines); }
     void begin(const EndpointName &destination, Millis now, Millis duration);
-    // Time until a copy of this process to the destination could begin.
+    // Time until a copy to the destination could begin.
     [[nodiscard]] Millis backlog(const EndpointName &destination, Millis now) const;
-    // The same with the copies that other engines are expected to send there.
-    [[nodiscard]] Millis expectedWait(const EndpointName &source, const EngineAt &destination,
-                                      Millis now) const;
 
 private:
     std::map<EndpointName, Millis> m_busyUntil;
-    std::vector<EngineAt> m_leaving;
 };
 
 // Time that a copy takes over an idle link; copies between availability zones take twice as long.
 [[nodiscard]] Millis copyTime(const EngineModel &model, std::uint64_t tokens, bool sameZone);
 
-// Decides when a generation is stopped whose memory has been copied once while it ran on. Stopping
-// it costs its caller the time that the rest takes, which waits behind the copies of other
-// generations on the same link: so it runs on until those are done, or the engine is about to go.
-// It is not copied again meanwhile, since that would hold the link up for the others.
+enum class CopyStep : std::uint8_t
+{
+    // Copy again what is new, while the generation runs on.
+    CopyAgain,
+    // Stop the generation and copy the rest.
+    Stop,
+};
+
+// Decides when a generation that is being copied is stopped. Stopping it costs its caller the time
+// that the rest takes, which waits behind the copies of other generations on the same link. So it
+// is copied again, running, until a copy is quick; or until the engine is about to go.
 class CopySchedule
 {
 public:
     // `leavesAt` is when the engine is expected to be gone.
     explicit CopySchedule(Millis leavesAt) noexcept : m_leavesAt(leavesAt) { }
 
-    // Returns how long the generation runs on after a copy that took `took`.
-    [[nodiscard]] Millis pauseBeforeStop(Millis now, Millis took) const noexcept;
+    // Says what follows a copy that took this long.
+    [[nodiscard]] CopyStep after(Millis now, Millis took) const noexcept;
 
 private:
     Millis m_leavesAt;
--- a/include/fescue/serving/placement.h
+++ b/include/fescue/serving/placement.h
@@ -26,12 +26,11 @@
     // Availability zone of this process.
     ZoneName zone;
     Millis now {0};
-    // What peers send to endpoints in other availability zones is not told here.
+    // Loads of endpoints in other availability zones are not known here.
     bool otherZonesUnknown = false;
 
-    // Cost of an endpoint for being in another availability zone, in milliseconds of expected
-    // delay. `uniform` in [0, 1) spreads the choices of processes that know the same.
-    [[nodiscard]] double zoneCost(const EndpointRecord &endpoint, double uniform) const;
+    // Cost of an endpoint in another availability zone, in milliseconds of expected delay.
+    [[nodiscard]] double otherZoneCost() const noexcept;
 };
 
 // The work to be placed.
--- a/include/fescue/serving/storefeed.h
+++ b/include/fescue/serving/storefeed.h
@@ -92,9 +92,6 @@
     // True where this process has to watch the store itself.
     [[nodiscard]] bool mustWatch(Millis now, const MemberName &self,
                                  std::span<const MemberView> members) const;
-    // The processes that watch, in order of preference.
-    [[nodiscard]] static std::vector<MemberName> watchersAmong(const MemberName &self,
-                                                               std::span<const MemberView> members);
     // True where this process is one of the watchers.
     [[nodiscard]] static bool isWatcher(const MemberName &self,
                                         std::span<const MemberView> members);
--- a/src/serving/loadledger.cpp
+++ b/src/serving/loadledger.cpp
@@ -1,7 +1,5 @@
 #include "fescue/serving/loadledger.h"
 
-#include <algorithm>
-
 #include <utility>
 
 namespace fescue::serving {
@@ -22,14 +20,6 @@
     return *this;
 }
 
-// What one load has more than another, each figure by itself.
-static EndpointLoad excess(const EndpointLoad &load, const EndpointLoad &known) noexcept
-{
-    return {load.requests - std::min(load.requests, known.requests),
-            load.memoryTokens - std::min(load.memoryTokens, known.memoryTokens),
-            load.prefillTokens - std::min(load.prefillTokens, known.prefillTokens)};
-}
-
 void LoadLedger::add(const EndpointName &endpoint, const EndpointLoad &load)
 {
     m_own[endpoint] += load;
@@ -50,52 +40,7 @@
     m_peers[peer] = {now, std::move(loads)};
 }
 
-void LoadLedger::endpointTold(Millis now, const EndpointName &endpoint, const EndpointLoad &load)
-{
-    Report &report = m_reports[endpoint];
-    if (now - report.at > reportLifetime)
-        report.excesses.clear();
-    report.at = now;
-    report.excesses.push_back(excess(load, sent(now, endpoint)));
-    if (report.excesses.size() > reportsToTrust)
-        report.excesses.pop_front();
-}
-
-void LoadLedger::purge(Millis now)
-{
-    std::erase_if(m_reports, [now](const std::pair<const EndpointName, Report> &entry) {
-        return now - entry.second.at > reportLifetime;
-    });
-}
-
-bool LoadLedger::isReported(Millis now, const EndpointName &endpoint) const
-{
-    const auto it = m_reports.find(endpoint);
-    return it != m_reports.end() && now - it->second.at <= reportLifetime;
-}
-
 EndpointLoad LoadLedger::total(Millis now, const EndpointName &endpoint) const
-{
-    EndpointLoad load = sent(now, endpoint);
-    if (isReported(now, endpoint))
-        load += m_reports.at(endpoint).unknown();
-    return load;
-}
-
-EndpointLoad LoadLedger::Report::unknown() const noexcept
-{
-    if (excesses.size() < reportsToTrust)
-        return {};
-    EndpointLoad least = excesses.front();
-    for (const EndpointLoad &load : excesses) {
-        least.requests = std::min(least.requests, load.requests);
-        least.memoryTokens = std::min(least.memoryTokens, load.memoryTokens);
-        least.prefillTokens = std::min(least.prefillTokens, load.prefillTokens);
-    }
-    return least;
-}
-
-EndpointLoad LoadLedger::sent(Millis now, const EndpointName &endpoint) const
 {
     EndpointLoad sum;
     const auto it = m_own.find(endpoint);
--- a/src/serving/moveplan.cpp
+++ b/src/serving/moveplan.cpp
@@ -1,7 +1,5 @@
 #include "fescue/serving/moveplan.h"
 
-#include "fescue/core/rendezvous.h"
-
 #include <algorithm>
 #include <limits>
 
@@ -19,13 +17,8 @@
 // A copy of what is new that takes no longer than this leaves no pause that callers notice: with
 // the change to the other engine it stays under the longest pause of the routes.
 constexpr Millis quickCopy {45};
-// Time before an engine's end at which its generations are stopped: enough for the rests of all of
-// them, some ten milliseconds each, and for a first copy that is still on its way.
-constexpr Millis stopLead {450};
-// A copy lapses at its destination some seconds after it was made.
-constexpr Millis longestPause {2500};
-// What a copy waits at a destination that is left to another engine that goes: one copy of its.
-constexpr Millis contendedWait {400};
+// Stopping, changing the connection and the first call take this much beyond the copy itself.
+constexpr Millis stopMargin {150};
 // Part of an engine's memory that moved generations may be expected to fill. Higher than for new
 // ones: a generation that is not moved is lost.
 constexpr double memoryFillLimit = 0.97;
@@ -97,24 +90,10 @@
     return it == m_busyUntil.end() ? Millis {0} : std::max(it->second - now, Millis {0});
 }
 
-Millis LinkQueue::expectedWait(const EndpointName &source, const EngineAt &destination,
-                               Millis now) const
-{
-    const std::string &name = destination.name.text();
-    const std::uint64_t own = rendezvousScore(name, source.text());
-    const bool leftToOther =
-        std::any_of(m_leaving.begin(), m_leaving.end(), [&](const EngineAt &other) {
-            return other.zone == destination.zone && other.name != source
-                && rendezvousScore(name, other.name.text()) > own;
-        });
-    return backlog(destination.name, now) + (leftToOther ? contendedWait : 0_ms);
-}
-
-Millis CopySchedule::pauseBeforeStop(Millis now, Millis took) const noexcept
+CopyStep CopySchedule::after(Millis now, Millis took) const noexcept
 {
-    if (took <= quickCopy)
-        return {0};
-    return std::clamp(m_leavesAt - stopLead - now, Millis {0}, longestPause);
+    const bool lastMoment = now + took + stopMargin >= m_leavesAt;
+    return took <= quickCopy || lastMoment ? CopyStep::Stop : CopyStep::CopyAgain;
 }
 
 Millis expectedEnd(Millis noticeAt) noexcept
@@ -189,11 +168,10 @@
             continue;
         const bool sameZone = record.zone == source.record.zone;
         const Millis copy =
-            links.expectedWait(source.record.name, {record.name, record.zone}, view.now)
-            + copyTime(model, run.memoryTokens, sameZone);
+            links.backlog(record.name, view.now) + copyTime(model, run.memoryTokens, sameZone);
         double cost = static_cast<double>(copy.count) + filled * filled * fullMemoryCost;
-        if (view.otherZonesUnknown)
-            cost += view.zoneCost(record, uniform);
+        if (view.otherZonesUnknown && record.zone != view.zone)
+            cost += view.otherZoneCost();
         cost += spreadCost * spread(uniform, record.name);
         if (candidate->isCold(view.now))
             cost += coldCost;
--- a/src/serving/placement.cpp
+++ b/src/serving/placement.cpp
@@ -27,9 +27,6 @@
 // Where the loads of other zones are not known, they are used when the own one is full: more than
 // the prompts that wait at a busy engine cost.
 constexpr double unknownZoneCost = 800;
-// Random part of the cost of an engine there: all processes read the same reports, and must not all
-// choose the same engine.
-constexpr double unknownZoneSpread = 300;
 // A cold engine works more slowly for a while.
 constexpr double coldCost = 60;
 // A suspect endpoint is chosen only where no other can be.
@@ -68,7 +65,8 @@
 double commonCost(const EndpointView &endpoint, const PlacementView &view, double uniform)
 {
     double cost = jitterCost * spread(uniform, endpoint.record.name);
-    cost += view.zoneCost(endpoint.record, uniform);
+    if (endpoint.record.zone != view.zone)
+        cost += view.otherZoneCost();
     if (endpoint.isCold(view.now))
         cost += coldCost;
     if (view.health.isSuspect(view.now, endpoint.record.name))
@@ -93,13 +91,9 @@
 
 } // namespace
 
-double PlacementView::zoneCost(const EndpointRecord &endpoint, double uniform) const
+double PlacementView::otherZoneCost() const noexcept
 {
-    if (endpoint.zone == zone)
-        return 0;
-    if (!otherZonesUnknown)
-        return nearZoneCost;
-    return unknownZoneCost + unknownZoneSpread * spread(uniform, endpoint.name);
+    return otherZonesUnknown ? unknownZoneCost : nearZoneCost;
 }
 
 double spread(double uniform, const EndpointName &name)
--- a/src/serving/storefeed.cpp
+++ b/src/serving/storefeed.cpp
@@ -205,8 +205,7 @@
     beat = {now, std::max(beat.revision, news.at), news.reachable};
 }
 
-std::vector<MemberName> FeedPolicy::watchersAmong(const MemberName &self,
-                                                  std::span<const MemberView> members)
+bool FeedPolicy::isWatcher(const MemberName &self, std::span<const MemberView> members)
 {
     std::uint32_t widest = 0;
     for (const MemberView &member : members)
@@ -218,16 +217,9 @@
             names.push_back(member.info.name.text());
     }
     const std::vector<std::size_t> order = rendezvousOrder("watchers", names);
-    std::vector<MemberName> chosen;
-    for (std::size_t i = 0; i < std::min(order.size(), watchers); ++i)
-        chosen.emplace_back(std::string(names[order[i]]));
-    return chosen;
-}
-
-bool FeedPolicy::isWatcher(const MemberName &self, std::span<const MemberView> members)
-{
-    const std::vector<MemberName> chosen = watchersAmong(self, members);
-    return std::find(chosen.begin(), chosen.end(), self) != chosen.end();
+    const std::size_t n = std::min(order.size(), watchers);
+    return std::any_of(order.begin(), order.begin() + static_cast<std::ptrdiff_t>(n),
+                       [&](std::size_t i) { return names[i] == self.text(); });
 }
 
 bool FeedPolicy::mustWatch(Millis now, const MemberName &self,
