Take a member's new life when its VM's clock was set back

Cause: an incarnation is the wall clock's time of the start. A process that starts again after its clock was set back had a lower one, and the others ignored it as an earlier life: out of the directory, its loads unknown, until they forgot the old one (a minute), or for ever where its entry in the store stayed. Peers' word of earlier lives is still ignored.

--- a/include/fescue/core/membertable.h
+++ b/include/fescue/core/membertable.h
@@ -73,8 +73,16 @@
         std::optional<Millis> heardAt;
     };
 
+    // Who speaks for a member.
+    enum class Source : std::uint8_t
+    {
+        // The member, with a heartbeat or its entry in the store.
+        Itself,
+        Peer,
+    };
+
     // Takes over what is said about a member. False where it is about an earlier life.
-    bool update(Millis now, const MemberInfo &member);
+    bool update(Millis now, const MemberInfo &member, Source source);
     [[nodiscard]] MemberState stateOf(Millis now, const Entry &entry) const;
     [[nodiscard]] bool mayRegisterAgain(Millis now) const noexcept;
 
--- a/src/core/membertable.cpp
+++ b/src/core/membertable.cpp
@@ -24,7 +24,7 @@
 
 void MemberTable::storeWritten(Millis now, const MemberInfo &member)
 {
-    if (update(now, member))
+    if (update(now, member, Source::Itself))
         m_entries[member.name].inStore = true;
 }
 
@@ -44,7 +44,7 @@
 
 void MemberTable::heartbeat(Millis now, const MemberInfo &member)
 {
-    if (update(now, member))
+    if (update(now, member, Source::Itself))
         m_entries[member.name].heardAt = now;
 }
 
@@ -63,7 +63,7 @@
     const bool known = it != m_entries.end() && it->second.info.incarnation == member.incarnation;
     if (known && !member.leaving)
         return;
-    update(now, member);
+    update(now, member, Source::Peer);
 }
 
 void MemberTable::purge(Millis now)
@@ -110,7 +110,7 @@
     return static_cast<std::size_t>(n);
 }
 
-bool MemberTable::update(Millis now, const MemberInfo &member)
+bool MemberTable::update(Millis now, const MemberInfo &member, Source source)
 {
     const auto it = m_entries.find(member.name);
     if (it == m_entries.end()) {
@@ -118,8 +118,14 @@
         return true;
     }
     Entry &entry = it->second;
-    if (member.incarnation < entry.info.incarnation)
-        return false;
+    if (member.incarnation < entry.info.incarnation) {
+        // The clock of its VM may have been set back: a life that speaks replaces a silent one.
+        const bool silent = entry.heardAt && now - *entry.heardAt > m_limits.suspectAfter;
+        if (source == Source::Peer || !silent)
+            return false;
+        entry = Entry {member, false, now, std::nullopt};
+        return true;
+    }
     if (member.incarnation > entry.info.incarnation) {
         entry = Entry {member, false, now, std::nullopt};
         return true;
--- a/tests/core/membertable_test.cpp
+++ b/tests/core/membertable_test.cpp
@@ -70,6 +70,32 @@
     EXPECT_TRUE(table.mayLive(0_ms, nameA, {2}));
 }
 
+// An incarnation is the wall clock's time of the start, and the clock of a VM may be set back by
+// seconds before its process starts again.
+TEST(MemberTable, ALifeBegunAfterTheClockWasSetBackReplacesASilentOne)
+{
+    const MemberInfo before = makeMember("a", 9);
+    const MemberInfo after = makeMember("a", 4);
+    const Millis silent = MemberLimits {}.suspectAfter + 1_ms;
+    MemberTable heard;
+    heard.heartbeat(0_ms, before);
+    heard.storeWritten(0_ms, before);
+    heard.heartbeat(1_ms, after);
+    EXPECT_FALSE(heard.mayLive(1_ms, nameA, after.incarnation));
+    heard.peerTold(silent, after);
+    EXPECT_FALSE(heard.mayLive(silent, nameA, after.incarnation));
+    heard.heartbeat(silent, after);
+    EXPECT_EQ(heard.state(silent, nameA), MemberState::Live);
+    EXPECT_TRUE(heard.mayLive(silent, nameA, after.incarnation));
+
+    MemberTable listed;
+    listed.heartbeat(0_ms, before);
+    listed.storeWritten(0_ms, before);
+    listed.storeWritten(silent, after);
+    EXPECT_EQ(listed.state(silent, nameA), MemberState::Live);
+    EXPECT_TRUE(listed.mayLive(silent, nameA, after.incarnation));
+}
+
 TEST(MemberTable, LeavingIsNotTakenBackInTheSameLife)
 {
     MemberTable table;
