--- a/tests/soak/ledger.cpp
+++ b/tests/soak/ledger.cpp
@@ -124,7 +124,7 @@
         call.runs[run].endedAt = now;
 }
 
-void Ledger::judge(Millis now)
+void Ledger::judge()
 {
     for (const auto &[id, call] : m_calls) {
         if (call.end == CallEnd::None)
@@ -148,7 +148,6 @@
                   std::to_string(m_held.bad) + " of " + std::to_string(m_held.counted)
                       + " calls had no answer after their route's time-out");
     }
-    static_cast<void>(now);
 }
 
 void Ledger::checkRuns(const Call &call)
--- a/tests/soak/ledger.h
+++ b/tests/soak/ledger.h
@@ -114,7 +114,7 @@
     void ends(Call &call, std::size_t run, Millis now);
 
     // Checks what can only be judged once everything has ended.
-    void judge(Millis now);
+    void judge();
 
     void violation(std::string_view promise, const std::string &text);
     [[nodiscard]] const std::vector<std::string> &violations() const noexcept
--- a/tests/soak/main.cpp
+++ b/tests/soak/main.cpp
@@ -31,7 +31,7 @@
 Outcome judge(World &world, const Injector &injector, Millis judgedFrom, Millis judgedTo)
 {
     Ledger &ledger = world.ledger;
-    ledger.judge(World::now());
+    ledger.judge();
     const double served = ledger.servedShare(judgedFrom, judgedTo);
     if (served < leastServed)
         ledger.violation("RECOVER", "served " + std::to_string(served) + " after the faults");
@@ -89,7 +89,7 @@
     const Millis judgedTo = World::now();
     net::sleepFor(settleTime);
     world.stopping = true;
-    const Outcome outcome = judge(world, injector, judgedFrom, judgedTo);
+    Outcome outcome = judge(world, injector, judgedFrom, judgedTo);
     writeReport(world, injector, outcome);
     // Fibers that have not ended yet still refer to the processes.
     for (const Entry &entry : world.entries)
--- a/tests/soakledger/ledger_test.cpp
+++ b/tests/soakledger/ledger_test.cpp
@@ -52,7 +52,7 @@
     // Names of the promises that were broken, each once.
     std::vector<std::string> broken()
     {
-        m_ledger.judge(start + 60_s);
+        m_ledger.judge();
         std::vector<std::string> names;
         for (const std::string &violation : m_ledger.violations())
             names.push_back(violation.substr(0, violation.find(':')));
