--- a/tests/soak/faultplan.cpp
+++ b/tests/soak/faultplan.cpp
@@ -65,14 +65,14 @@
     return kindNames[static_cast<std::size_t>(kind)];
 }
 
-std::vector<Fault> drawFaults(std::uint64_t seed, Millis end)
+std::vector<Fault> drawFaults(std::uint64_t seed, Millis end, double density)
 {
     std::mt19937_64 random(seed);
     std::uniform_real_distribution<double> part(0, 1);
     const double roughness = part(random);
     const double meanGap = static_cast<double>(calmGap.count)
         - roughness * static_cast<double>((calmGap - roughGap).count);
-    std::exponential_distribution<double> gap(1 / meanGap);
+    std::exponential_distribution<double> gap(density / meanGap);
     std::vector<Fault> faults;
     Millis at = quietStart;
     while (true) {
--- a/tests/soak/faultplan.h
+++ b/tests/soak/faultplan.h
@@ -66,8 +66,8 @@
     double strength = 0;
 };
 
-// Draws the faults of a run from its seed; some runs get few, some many at once. In order of time,
-// all over by `end`.
-[[nodiscard]] std::vector<Fault> drawFaults(std::uint64_t seed, Millis end);
+// Draws the faults of a run from its seed; some runs get few, some many at once, and `density`
+// times as many where that is not 1. In order of time, all over by `end`.
+[[nodiscard]] std::vector<Fault> drawFaults(std::uint64_t seed, Millis end, double density = 1);
 
 } // namespace fescue::soak
--- a/tests/soak/injector.cpp
+++ b/tests/soak/injector.cpp
@@ -16,6 +16,8 @@
 constexpr Millis replacementPause = 2_s;
 constexpr Millis reuseAfter = 2_s;
 constexpr Millis shortestNotice = 1500_ms;
+// Some endpoints serve on for many seconds after they have given notice.
+constexpr Millis longestExtraNotice = 6500_ms;
 constexpr Millis stormGap = 150_ms;
 constexpr unsigned stormVersions = 6;
 constexpr unsigned manyRoutes = 300;
@@ -224,7 +226,7 @@
 {
     EndpointFarm &farm = m_world->farm;
     const bool crashes = fault.kind == FaultKind::EndpointCrashes;
-    const Millis notice = shortestNotice + part(fault.lasts, fault.strength);
+    const Millis notice = shortestNotice + part(longestExtraNotice, fault.strength);
     if (crashes)
         farm.crash(endpoint);
     else
--- a/tests/soak/main.cpp
+++ b/tests/soak/main.cpp
@@ -82,7 +82,7 @@
         pool.spawn(0, [&world] { world.churn(); });
     callers.run();
     const Millis faultsEnd = world.beganAt + options.duration;
-    injector.run(drawFaults(options.seed, options.duration));
+    injector.run(drawFaults(options.seed, options.duration, options.density));
     net::sleepFor(std::max(faultsEnd + recoveryTime - World::now(), 1_ms));
     const Millis judgedFrom = World::now();
     net::sleepFor(judgedTime);
@@ -113,6 +113,8 @@
     app.add_option("--seconds", seconds, "time with faults")->check(CLI::Range(1, 3600));
     app.add_option("--entries", options.entries, "entry processes")->check(CLI::Range(1, 200));
     app.add_option("--engines", options.engines, "model engines")->check(CLI::Range(1, 200));
+    app.add_option("--density", options.density, "multiple of the usual number of faults")
+        ->check(CLI::Range(0.1, 100.0));
     app.add_option("--out", options.folder, "folder for settings, logs and the report; emptied");
     CLI11_PARSE(app, argc, argv);
     options.duration = Millis {seconds * 1000};
--- a/tests/soak/world.h
+++ b/tests/soak/world.h
@@ -24,6 +24,8 @@
     std::size_t plainEndpoints = 3;
     // Time with faults; a time of recovery without any follows.
     Millis duration = 20_s;
+    // Faults in a time, as a multiple of the usual number.
+    double density = 1;
     std::string program;
     std::string folder;
 };
