One copy of what stood twice: refusals, CBOR messages, engine models, the TCP relay

Read again as a whole. Both forwarders answered refusals with the same lines (refuse() now); gossip and store news each had their reader of CBOR (src/serving/cbor.h); five places looked up a service to get at its engine model (RouteTable::findEngineModel); changes from a peer were taken in two places (takeNext). The tests' TcpRelay was a smaller FaultRelay; the peer test uses that one, with its assertions. The stand-ins shared their clock and number reading only by copies. fescue-timeline quoted fields by itself; it calls the log's own formatter, which also escapes quotes within a value. placementView() counted the members twice for each choice. Gone, as nothing used it: names of MovePhase, GossipSocket::close(), four members of the soak. Explicit types in place of structured bindings in the soak.

--- a/include/fescue/observe/log.h
+++ b/include/fescue/observe/log.h
@@ -57,6 +57,9 @@
 // The same at level Info.
 void logChange(std::string_view event, std::initializer_list<Field> fields = {});
 
+// Returns "key=value", with quotes where a line needs them.
+[[nodiscard]] std::string formatField(std::string_view key, std::string_view value);
+
 // Returns the part "event=… key=value…". Values with spaces, quotes or control characters are
 // quoted, so that a line stays a line.
 [[nodiscard]] std::string formatFields(std::string_view event, std::initializer_list<Field> fields);
--- a/include/fescue/serving/generationmover.inl
+++ b/include/fescue/serving/generationmover.inl
@@ -83,8 +83,7 @@
 template <PlatformProtocol P>
 const EngineModel *GenerationMover<P>::modelOf(const GenerationRun &run) const
 {
-    const ServiceSpec *spec = m_state->routes ? m_state->routes->findService(run.service) : nullptr;
-    return spec == nullptr || !spec->engine ? nullptr : &*spec->engine;
+    return m_state->routes ? m_state->routes->findEngineModel(run.service) : nullptr;
 }
 
 template <PlatformProtocol P>
--- a/include/fescue/serving/generationrun.h
+++ b/include/fescue/serving/generationrun.h
@@ -29,8 +29,6 @@
     Broken,
 };
 
-[[nodiscard]] std::string_view toString(MovePhase phase) noexcept;
-
 // A generation whose stream this process passes on.
 struct GenerationRun
 {
--- a/include/fescue/serving/gossipsocket.h
+++ b/include/fescue/serving/gossipsocket.h
@@ -25,7 +25,6 @@
     // Sends without waiting. Returns false where the datagram could not be handed to the kernel;
     // the next one makes up for it.
     bool send(const net::Address &peer, std::string_view bytes);
-    void close();
 
 private:
     void receive();
--- a/include/fescue/serving/plainforwarder.h
+++ b/include/fescue/serving/plainforwarder.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "fescue/serving/engineexchange.h"
+#include "fescue/serving/refuse.h"
 #include "fescue/serving/requestcontext.h"
 
 namespace fescue::serving {
@@ -27,7 +28,6 @@
     [[nodiscard]] Attempt attempt(RequestContext &context, const EndpointRecord &endpoint,
                                   bool isLast);
     void finish(RequestContext &context, AttemptVerdict verdict, Attempt &attempt);
-    void refuse(RequestContext &context, const net::Problem &problem);
 
     ServingState *m_state;
 };
--- a/include/fescue/serving/plainforwarder.inl
+++ b/include/fescue/serving/plainforwarder.inl
@@ -104,25 +104,17 @@
         noteOutcome(*m_state, context, ResultCode::Cancelled, 0);
         break;
     case AttemptVerdict::FailUnknown:
-        refuse(context, unknownProblem(attempt.outcome, "the endpoint gave no whole answer"));
+        refuse<P>(*m_state, context,
+                  unknownProblem(attempt.outcome, "the endpoint gave no whole answer"));
         break;
     default:
-        refuse(context,
-               notRunProblem(*m_state, context,
-                             context.attempts == 0 ? ResultCode::NoEndpoint
-                                                   : ResultCode::BackEndRefused,
-                             "no endpoint of the service took the request"));
+        refuse<P>(*m_state, context,
+                  notRunProblem(*m_state, context,
+                                context.attempts == 0 ? ResultCode::NoEndpoint
+                                                      : ResultCode::BackEndRefused,
+                                "no endpoint of the service took the request"));
         break;
     }
 }
 
-template <PlatformProtocol P>
-void PlainForwarder<P>::refuse(RequestContext &context, const net::Problem &problem)
-{
-    const Result<void> sent = context.writer.send(P::encodeRefusal(problem));
-    if (!sent)
-        context.detail = sent.error().message;
-    noteOutcome(*m_state, context, problem.code, problem.status);
-}
-
 } // namespace fescue::serving
--- /dev/null
+++ b/include/fescue/serving/refuse.h
@@ -0,0 +1,18 @@
+#pragma once
+
+#include "fescue/serving/protocol.h"
+#include "fescue/serving/requestcontext.h"
+
+namespace fescue::serving {
+
+// Answers a request with a failure of the system itself, and writes the line that ends it.
+template <PlatformProtocol P>
+void refuse(ServingState &state, RequestContext &context, const net::Problem &problem)
+{
+    const Result<void> sent = context.writer.send(P::encodeRefusal(problem));
+    if (!sent)
+        context.detail = sent.error().message;
+    noteOutcome(state, context, problem.code, problem.status);
+}
+
+} // namespace fescue::serving
--- a/include/fescue/serving/routetable.h
+++ b/include/fescue/serving/routetable.h
@@ -24,6 +24,8 @@
     // True where requests have to show a key.
     [[nodiscard]] bool hasAccounts() const noexcept { return !m_config.accounts.empty(); }
     [[nodiscard]] const ServiceSpec *findService(const ServiceName &name) const;
+    // Returns how the engines of a service work, or null where it has no model engines.
+    [[nodiscard]] const EngineModel *findEngineModel(const ServiceName &service) const;
 
     // Returns the service for one request to a route; `uniform` is a random number in [0, 1).
     [[nodiscard]] static const ServiceName &pickService(const Route &route, double uniform);
--- a/include/fescue/serving/servingstate.h
+++ b/include/fescue/serving/servingstate.h
@@ -91,6 +91,8 @@
     std::size_t open = 0;
 
 private:
+    [[nodiscard]] std::size_t membersForShares(Millis time, std::size_t known);
+
     std::map<ServiceName, RepeatBudget> m_repeats;
     LengthForecast m_lengths;
     std::mt19937_64 m_random;
--- a/include/fescue/serving/storesession.h
+++ b/include/fescue/serving/storesession.h
@@ -52,6 +52,8 @@
     [[nodiscard]] bool followPeers(const std::vector<MemberView> &members);
     [[nodiscard]] bool fetchCopy(const MemberName &peer, const std::vector<MemberView> &members);
     void adopt(const StoreCopy &copy);
+    // Takes changes from a peer that follow those known here and lead to revision `at`.
+    void takeNext(net::StoreRevision at, const std::vector<net::StoreItem> &items);
     // Passes changes on where this process is a watcher.
     void tell(net::StoreRevision after, std::vector<net::StoreItem> items);
     void beat();
--- a/include/fescue/serving/storesession.inl
+++ b/include/fescue/serving/storesession.inl
@@ -130,9 +130,7 @@
         return;
     setReachable(true, "told by a peer");
     if (!copy.whole) {
-        m_recent.add(m_at, copy.at, copy.items);
-        m_at = copy.at;
-        takeChanges(m_mirror.apply(copy.items));
+        takeNext(copy.at, copy.items);
         return;
     }
     m_mirror.beginListing();
@@ -162,9 +160,15 @@
     const bool follows = m_listed && news.after <= m_at && news.at > m_at;
     if (!follows)
         return;
-    m_recent.add(m_at, news.at, news.items);
-    m_at = news.at;
-    takeChanges(m_mirror.apply(news.items));
+    takeNext(news.at, news.items);
+}
+
+template <PlatformProtocol P>
+void StoreSession<P>::takeNext(net::StoreRevision at, const std::vector<net::StoreItem> &items)
+{
+    m_recent.add(m_at, at, items);
+    m_at = at;
+    takeChanges(m_mirror.apply(items));
 }
 
 template <PlatformProtocol P>
--- a/include/fescue/serving/streamforwarder.h
+++ b/include/fescue/serving/streamforwarder.h
@@ -4,6 +4,7 @@
 #include "fescue/serving/eventsplitter.h"
 #include "fescue/serving/generationmover.h"
 #include "fescue/serving/generationrun.h"
+#include "fescue/serving/refuse.h"
 #include "fescue/serving/requestcontext.h"
 
 #include <memory>
@@ -59,7 +60,6 @@
                                                         AttemptPolicy &policy,
                                                         AttemptVerdict &verdict);
     void passOnFailure(RequestContext &context, ExchangeResult &result);
-    void refuse(RequestContext &context, const net::Problem &problem);
     [[nodiscard]] std::function<bool()> abandonCheck(const Passing &passing) const;
 
     void pass(Passing &passing);
--- a/include/fescue/serving/streamforwarder.inl
+++ b/include/fescue/serving/streamforwarder.inl
@@ -27,9 +27,9 @@
 {
     const std::vector<const EndpointView *> candidates = m_state->candidates(context.service);
     const PlacementView view = m_state->placementView(context.service);
-    const ServiceSpec *spec = context.routes->findService(context.service);
-    const EndpointView *endpoint = spec != nullptr && spec->engine
-        ? chooseEngine(candidates, *spec->engine, view, demand, m_state->uniform())
+    const EngineModel *model = context.routes->findEngineModel(context.service);
+    const EndpointView *endpoint = model != nullptr
+        ? chooseEngine(candidates, *model, view, demand, m_state->uniform())
         : choosePlain(candidates, view, demand, m_state->uniform());
     return endpoint != nullptr && m_state->takeColdShare(*endpoint) ? endpoint : nullptr;
 }
@@ -53,9 +53,9 @@
     GenerationRun &run = *passing.run;
     run.requestId = context.caller.requestId;
     run.service = context.service;
-    const ServiceSpec *spec = context.routes->findService(context.service);
-    if (spec != nullptr && spec->engine)
-        run.tokensPerEvent = spec->engine->tokensPerEvent;
+    const EngineModel *model = context.routes->findEngineModel(context.service);
+    if (model != nullptr)
+        run.tokensPerEvent = model->tokensPerEvent;
     if (context.caller.generation) {
         const GenerationSize &size = *context.caller.generation;
         run.promptTokens = size.promptTokens;
@@ -77,9 +77,9 @@
     RequestContext &context = passing.context;
     const EndpointView *endpoint = choose(context, demand);
     if (endpoint == nullptr) {
-        const ServiceSpec *spec = context.routes->findService(context.service);
-        if (spec != nullptr && spec->engine) {
-            context.detail = describeShortage(m_state->candidates(context.service), *spec->engine,
+        const EngineModel *model = context.routes->findEngineModel(context.service);
+        if (model != nullptr) {
+            context.detail = describeShortage(m_state->candidates(context.service), *model,
                                               m_state->placementView(context.service), demand);
         }
         return std::nullopt;
@@ -107,13 +107,13 @@
     GenerationRun &run = *passing.run;
     run.backup.reset();
     passing.backupLoad.reset();
-    const ServiceSpec *spec = passing.context.routes->findService(run.service);
+    const EngineModel *model = passing.context.routes->findEngineModel(run.service);
     const std::uint64_t reserved = run.reservedTokens();
-    if (spec == nullptr || !spec->engine || run.remainingTokens() < fewestTokensForCopy)
+    if (model == nullptr || run.remainingTokens() < fewestTokensForCopy)
         return;
     const std::vector<const EndpointView *> candidates = m_state->candidates(run.service);
-    const EndpointView *backup = chooseBackup(engine, reserved, candidates, *spec->engine,
-                                              m_state->placementView(run.service));
+    const EndpointView *backup =
+        chooseBackup(engine, reserved, candidates, *model, m_state->placementView(run.service));
     if (backup == nullptr)
         return;
     run.backup = backup->record;
@@ -149,11 +149,11 @@
         noteOutcome(*m_state, context, ResultCode::Cancelled, 0);
     } else if (policy.mayHaveRun()) {
         const SendOutcome outcome = result ? result->outcome : SendOutcome::Lost;
-        refuse(context, unknownProblem(outcome, "the engine gave no answer"));
+        refuse<P>(*m_state, context, unknownProblem(outcome, "the engine gave no answer"));
     } else {
         const ResultCode code =
             context.attempts == 0 ? ResultCode::NoCapacity : ResultCode::BackEndRefused;
-        refuse(context, notRunProblem(*m_state, context, code, "no engine has room"));
+        refuse<P>(*m_state, context, notRunProblem(*m_state, context, code, "no engine has room"));
     }
     return false;
 }
@@ -164,7 +164,8 @@
     Result<std::string> body = result.stream.readAll(maxFailureBytes, context.timeLeft());
     if (!body) {
         context.detail = body.error().message;
-        refuse(context, unknownProblem(outcomeOf(body.error()), "the engine's answer broke off"));
+        refuse<P>(*m_state, context,
+                  unknownProblem(outcomeOf(body.error()), "the engine's answer broke off"));
         return;
     }
     const net::HttpResponse answer {result.head.status, P::answerHeaders(result.stream.headers()),
@@ -174,15 +175,6 @@
                 result.head.status);
 }
 
-template <PlatformProtocol P>
-void StreamForwarder<P>::refuse(RequestContext &context, const net::Problem &problem)
-{
-    const Result<void> sent = context.writer.send(P::encodeRefusal(problem));
-    if (!sent)
-        context.detail = sent.error().message;
-    noteOutcome(*m_state, context, problem.code, problem.status);
-}
-
 template <PlatformProtocol P>
 void StreamForwarder<P>::pass(Passing &passing)
 {
@@ -380,8 +372,8 @@
     }
     const SendOutcome outcome =
         end == StreamEnd::DeadlinePassed ? SendOutcome::TimedOut : SendOutcome::Lost;
-    refuse(context,
-           unknownProblem(outcome, "the engine's stream broke off before its first event"));
+    refuse<P>(*m_state, context,
+              unknownProblem(outcome, "the engine's stream broke off before its first event"));
 }
 
 } // namespace fescue::serving
--- a/src/observe/log.cpp
+++ b/src/observe/log.cpp
@@ -154,6 +154,13 @@
     return state().dropped.load(std::memory_order_relaxed);
 }
 
+std::string formatField(std::string_view key, std::string_view value)
+{
+    std::string text;
+    appendField(text, key, value);
+    return text;
+}
+
 std::string formatFields(std::string_view event, std::initializer_list<Field> fields)
 {
     std::string line;
--- a/src/serving/generationrun.cpp
+++ b/src/serving/generationrun.cpp
@@ -15,25 +15,6 @@
 
 } // namespace
 
-std::string_view toString(MovePhase phase) noexcept
-{
-    switch (phase) {
-    case MovePhase::Running:
-        return "running";
-    case MovePhase::HandingOver:
-        return "handing-over";
-    case MovePhase::Copying:
-        return "copying";
-    case MovePhase::Stopping:
-        return "stopping";
-    case MovePhase::Stopped:
-        return "stopped";
-    case MovePhase::Broken:
-        return "broken";
-    }
-    return "unknown";
-}
-
 std::uint64_t GenerationRun::memoryTokens() const noexcept
 {
     return promptTokens + events * tokensPerEvent;
--- a/src/serving/gossip.cpp
+++ b/src/serving/gossip.cpp
@@ -1,13 +1,11 @@
 #include "fescue/serving/gossip.h"
 
-#include <nlohmann/json.hpp>
+#include "serving/cbor.h"
 
 namespace fescue::serving {
 
 namespace {
 
-using Json = nlohmann::json;
-
 // Datagrams of a later layout are ignored.
 constexpr int layoutVersion = 1;
 
@@ -43,16 +41,12 @@
         repeats.push_back({entry.service.text(), entry.used});
     const Json json = {layoutVersion, encodeMember(gossip.member), gossip.configVersion.value,
                        loads, repeats};
-    const std::vector<std::uint8_t> bytes = Json::to_cbor(json);
-    return {bytes.begin(), bytes.end()};
+    return toCbor(json);
 }
 
 Result<Gossip> decodeGossip(std::string_view bytes)
 {
-    try {
-        const Json json = Json::from_cbor(bytes.begin(), bytes.end());
-        if (json.at(0).get<int>() != layoutVersion)
-            return fail(ResultCode::MessageVersionUnknown, "gossip of another layout");
+    return readCbor<Gossip>(bytes, layoutVersion, "gossip", [](const Json &json) {
         Gossip gossip;
         gossip.member = decodeMember(json.at(1));
         gossip.configVersion = {json.at(2).get<std::uint64_t>()};
@@ -67,9 +61,7 @@
                 {ServiceName(entry.at(0).get<std::string>()), entry.at(1).get<std::uint32_t>()});
         }
         return gossip;
-    } catch (const Json::exception &e) {
-        return fail(ResultCode::MessageMalformed, std::string("gossip: ") + e.what());
-    }
+    });
 }
 
 } // namespace fescue::serving
--- a/src/serving/gossipsocket.cpp
+++ b/src/serving/gossipsocket.cpp
@@ -55,10 +55,4 @@
     return !ec;
 }
 
-void GossipSocket::close()
-{
-    boost::system::error_code ec;
-    m_socket.close(ec);
-}
-
 } // namespace fescue::serving
--- a/src/serving/routetable.cpp
+++ b/src/serving/routetable.cpp
@@ -61,6 +61,12 @@
     return it == m_services.end() ? nullptr : it->second;
 }
 
+const EngineModel *RouteTable::findEngineModel(const ServiceName &service) const
+{
+    const ServiceSpec *spec = findService(service);
+    return spec == nullptr || !spec->engine ? nullptr : &*spec->engine;
+}
+
 const ServiceName &RouteTable::pickService(const Route &route, double uniform)
 {
     double total = 0;
--- a/src/serving/servingstate.cpp
+++ b/src/serving/servingstate.cpp
@@ -65,7 +65,12 @@
 std::size_t ServingState::membersForShares()
 {
     const Millis time = now();
-    const std::size_t n = std::max(members.count(time), fewestMembers);
+    return membersForShares(time, members.count(time));
+}
+
+std::size_t ServingState::membersForShares(Millis time, std::size_t known)
+{
+    const std::size_t n = std::max(known, fewestMembers);
     if (n >= m_mostMembers || time - m_mostMembersAt > rememberMembers) {
         m_mostMembers = n;
         m_mostMembersAt = time;
@@ -87,8 +92,16 @@
 
 PlacementView ServingState::placementView(const ServiceName &service)
 {
-    return {ledger,        health, coldGate, coldBound(service), membersForShares(),
-            settings.zone, now(),  isLarge()};
+    const Millis time = now();
+    const std::size_t known = members.count(time);
+    return {ledger,
+            health,
+            coldGate,
+            coldBound(service),
+            membersForShares(time, known),
+            settings.zone,
+            time,
+            known > membersForFullGossip};
 }
 
 std::vector<const EndpointView *> ServingState::candidates(const ServiceName &service) const
--- a/src/serving/storefeed.cpp
+++ b/src/serving/storefeed.cpp
@@ -1,19 +1,18 @@
 #include "fescue/serving/storefeed.h"
 
 #include "fescue/core/rendezvous.h"
+#include "serving/cbor.h"
 
 #include <algorithm>
-#include <nlohmann/json.hpp>
 #include <numeric>
 
 namespace fescue::serving {
 
 namespace {
 
-using Json = nlohmann::json;
-
 // Messages of a later layout are ignored.
 constexpr int layoutVersion = 1;
+constexpr std::string_view messageName = "store news";
 
 // Bytes of items in one datagram, and what each item takes beyond its key and value.
 constexpr std::size_t maxPartBytes = 6000;
@@ -55,26 +54,6 @@
     return items;
 }
 
-std::string toBytes(const Json &json)
-{
-    const std::vector<std::uint8_t> bytes = Json::to_cbor(json);
-    return {bytes.begin(), bytes.end()};
-}
-
-// Runs a reader of CBOR, whose exceptions mean that the message has another shape.
-template <typename T, typename F>
-Result<T> readCbor(std::string_view bytes, F reader)
-{
-    try {
-        const Json json = Json::from_cbor(bytes.begin(), bytes.end());
-        if (json.at(0).get<int>() != layoutVersion)
-            return fail(ResultCode::MessageVersionUnknown, "store news of another layout");
-        return reader(json);
-    } catch (const Json::exception &e) {
-        return fail(ResultCode::MessageMalformed, std::string("store news: ") + e.what());
-    }
-}
-
 Json encodeHead(const StoreNews &news)
 {
     return {layoutVersion, news.from.text(), news.after.value, news.at.value, news.reachable};
@@ -86,7 +65,7 @@
 {
     Json json = encodeHead(news);
     json.push_back(encodeItems(news.items));
-    std::string bytes = toBytes(json);
+    std::string bytes = toCbor(json);
     if (bytes.size() <= maxNewsBytes)
         return bytes;
     // Without the items the changes do not follow any revision that a receiver may have.
@@ -94,12 +73,12 @@
     head.after = news.at;
     json = encodeHead(head);
     json.push_back(Json::array());
-    return toBytes(json);
+    return toCbor(json);
 }
 
 Result<StoreNews> decodeNews(std::string_view bytes)
 {
-    return readCbor<StoreNews>(bytes, [](const Json &json) {
+    return readCbor<StoreNews>(bytes, layoutVersion, messageName, [](const Json &json) {
         StoreNews news;
         news.from = MemberName(json.at(1).get<std::string>());
         news.after = {json.at(2).get<std::uint64_t>()};
@@ -112,12 +91,12 @@
 
 std::string encodeCopy(const StoreCopy &copy)
 {
-    return toBytes({layoutVersion, copy.at.value, copy.whole, encodeItems(copy.items)});
+    return toCbor({layoutVersion, copy.at.value, copy.whole, encodeItems(copy.items)});
 }
 
 Result<StoreCopy> decodeCopy(std::string_view bytes)
 {
-    return readCbor<StoreCopy>(bytes, [](const Json &json) {
+    return readCbor<StoreCopy>(bytes, layoutVersion, messageName, [](const Json &json) {
         return StoreCopy {
             {json.at(1).get<std::uint64_t>()}, json.at(2).get<bool>(), decodeItems(json.at(3))};
     });
--- a/src/tools/loglines.cpp
+++ b/src/tools/loglines.cpp
@@ -1,5 +1,7 @@
 #include "fescue/tools/loglines.h"
 
+#include "fescue/observe/log.h"
+
 #include <algorithm>
 #include <array>
 #include <charconv>
@@ -83,13 +85,6 @@
     return value;
 }
 
-std::string describe(const std::pair<std::string, std::string> &field)
-{
-    const bool plain =
-        !field.second.empty() && field.second.find_first_of(" \"=\\") == std::string::npos;
-    return field.first + '=' + (plain ? field.second : '"' + field.second + '"');
-}
-
 observe::Event toEvent(const LogLine &line)
 {
     observe::Event event {line.wallMillis, line.process, line.event, {}, {}};
@@ -97,7 +92,7 @@
         std::string &text = i == 0 ? event.subject : event.detail;
         if (!text.empty())
             text += ' ';
-        text += describe(line.fields[i]);
+        text += observe::formatField(line.fields[i].first, line.fields[i].second);
     }
     return event;
 }
--- a/tests/peer/peerlinks_test.cpp
+++ b/tests/peer/peerlinks_test.cpp
@@ -1,11 +1,13 @@
 #include "fescue/peer/peerlinks.h"
 
-#include "tcprelay.h"
+#include "tests/net/nettest.h"
+#include "tests/standins/relay/faultrelay.h"
 
 #include <algorithm>
 #include <chrono>
 #include <condition_variable>
 #include <gtest/gtest.h>
+#include <memory>
 #include <mutex>
 #include <string>
 #include <vector>
@@ -202,16 +204,23 @@
 {
     Node a("a");
     Node b("b");
-    testing::TcpRelay relay(b.port());
-    a.wantAt(b, relay.address());
+    net::WorkerPool pool(1);
+    std::unique_ptr<standins::FaultRelay> relay;
+    net::runOn(pool, 0, [&] {
+        relay = std::make_unique<standins::FaultRelay>(pool, net::Address {"127.0.0.1", b.port()});
+    });
+    a.wantAt(b, relay->address().toString());
     ASSERT_TRUE(a.waitForLink("b", LinkState::Up, 1));
     ASSERT_TRUE(b.waitForLink("a", LinkState::Up, 1));
-    relay.freezeOpen();
+    net::runOn(pool, 0, [&] { relay->silenceOpen(); });
     ASSERT_TRUE(a.waitForLink("b", LinkState::Up, 2));
     EXPECT_TRUE(a.links().send(MemberName("b"), VersionNotice {ConfigVersion {9}}));
     ASSERT_TRUE(b.waitForMessages(1));
     EXPECT_GE(a.links().counters().linksSilent, 1U);
-    EXPECT_GE(relay.accepted(), 2);
+    net::runOn(pool, 0, [&] {
+        EXPECT_GE(relay->accepted(), 2);
+        relay.reset();
+    });
 }
 
 TEST(PeerLinks, RestartedPeerIsDialledAgain)
--- a/tests/soak/callers.cpp
+++ b/tests/soak/callers.cpp
@@ -45,12 +45,10 @@
 
 void Callers::run()
 {
-    const std::array<std::pair<CallKind, Millis>, 3> rates {
-        {{CallKind::Read, readGap}, {CallKind::Post, postGap}, {CallKind::Draft, draftGap}}};
-    for (const auto &[kind, gap] : rates) {
-        m_world->pool.spawn(
-            0, [this, callKind = kind, meanGap = gap] { sendPeriodically(callKind, meanGap); });
-    }
+    net::WorkerPool &pool = m_world->pool;
+    pool.spawn(0, [this] { sendPeriodically(CallKind::Read, readGap); });
+    pool.spawn(0, [this] { sendPeriodically(CallKind::Post, postGap); });
+    pool.spawn(0, [this] { sendPeriodically(CallKind::Draft, draftGap); });
 }
 
 void Callers::sendPeriodically(CallKind kind, Millis meanGap)
@@ -143,9 +141,7 @@
     call.events =
         fewestEvents + static_cast<std::uint32_t>(m_random() % (mostEvents - fewestEvents));
     call.sentAt = World::now();
-    ++m_open;
     perform(session, m_world->ledger.callerSends(call), order);
-    --m_open;
 }
 
 net::HttpRequest Callers::makeRequest(const Call &call, const Order &order) const
--- a/tests/soak/callers.h
+++ b/tests/soak/callers.h
@@ -18,8 +18,6 @@
 
     // Sends calls until the world stops.
     void run();
-    // Calls that have not ended.
-    [[nodiscard]] std::size_t open() const noexcept { return m_open; }
 
 private:
     struct Session
@@ -60,7 +58,6 @@
     std::mt19937_64 m_random;
     std::vector<std::unique_ptr<Session>> m_sessions;
     std::uint64_t m_lastCall = 0;
-    std::size_t m_open = 0;
 };
 
 } // namespace fescue::soak
--- a/tests/soak/endpointfarm.cpp
+++ b/tests/soak/endpointfarm.cpp
@@ -9,6 +9,8 @@
 namespace fescue::soak {
 
 namespace names = platform::names;
+using standins::steadyNow;
+using standins::toNumber;
 
 namespace {
 
@@ -30,21 +32,11 @@
 
 const std::vector<net::Header> notExecuted {{std::string(names::notExecuted), "1"}};
 
-Millis now()
-{
-    return SteadyClock {}.now();
-}
-
 std::string hashOf(std::string_view text)
 {
     return std::to_string(XXH3_64bits(text.data(), text.size()) % 1'000'000);
 }
 
-std::uint64_t toNumber(std::string_view text)
-{
-    return std::strtoull(std::string(text).c_str(), nullptr, 10);
-}
-
 std::vector<net::Header> answerHeaders(const Call &call)
 {
     return {{std::string(names::requestId), call.id},
@@ -89,7 +81,7 @@
     endpoint.id = "e-" + std::to_string(m_endpoints.size());
     endpoint.service = service;
     endpoint.zone = zone;
-    endpoint.bornAt = now();
+    endpoint.bornAt = steadyNow();
     endpoint.server = std::make_unique<net::HttpServer>(
         *m_pool, net::Address {"127.0.0.1", 0}, net::ServerLimits {},
         [this, &endpoint](const net::HttpRequest &request, net::ResponseWriter &writer) {
@@ -103,7 +95,7 @@
     facts.service = endpoint.service;
     facts.zone = endpoint.zone;
     if (cold && service == engineService)
-        facts.coldUntil = now() + coldTime;
+        facts.coldUntil = steadyNow() + coldTime;
     endpoint.index = m_ledger->addEndpoint(facts);
     m_disturbances->endpoints.resize(endpoint.index + 1);
     registerEndpoint(endpoint);
@@ -112,7 +104,7 @@
 
 void EndpointFarm::registerEndpoint(const Endpoint &endpoint)
 {
-    const Millis coldLeft = m_ledger->endpoint(endpoint.index).coldUntil - now();
+    const Millis coldLeft = m_ledger->endpoint(endpoint.index).coldUntil - steadyNow();
     const bool isEngine = endpoint.service == engineService;
     const Json entry = {{"Service", endpoint.service},
                         {"Address", endpoint.relay->address().toString()},
@@ -138,15 +130,15 @@
 void EndpointFarm::drain(Endpoint &endpoint, Millis notice)
 {
     endpoint.draining = true;
-    endpoint.leavesAt = now() + notice;
+    endpoint.leavesAt = steadyNow() + notice;
     registerEndpoint(endpoint);
-    m_ledger->endpoint(endpoint.index).leavingAt = now();
+    m_ledger->endpoint(endpoint.index).leavingAt = steadyNow();
     m_pool->spawn(0, [this, &endpoint, notice] {
         net::sleepFor(notice);
         endpoint.alive = false;
         endpoint.server->stopAccepting();
         endpoint.server->closeConnections();
-        m_ledger->endpoint(endpoint.index).goneAt = now();
+        m_ledger->endpoint(endpoint.index).goneAt = steadyNow();
         m_store->remove(std::string(names::endpointPrefix) + endpoint.id);
     });
 }
@@ -156,12 +148,12 @@
     endpoint.alive = false;
     endpoint.server->stopAccepting();
     endpoint.server->closeConnections();
-    m_ledger->endpoint(endpoint.index).goneAt = now();
-    m_disturbances->endpoints[endpoint.index].add(now(), endOfTime);
+    m_ledger->endpoint(endpoint.index).goneAt = steadyNow();
+    m_disturbances->endpoints[endpoint.index].add(steadyNow(), endOfTime);
     m_pool->spawn(0, [this, &endpoint] {
         net::sleepFor(leaseOfStore);
         m_store->remove(std::string(names::endpointPrefix) + endpoint.id);
-        m_ledger->endpoint(endpoint.index).leavingAt = now();
+        m_ledger->endpoint(endpoint.index).leavingAt = steadyNow();
     });
 }
 
@@ -180,15 +172,6 @@
     return found;
 }
 
-Endpoint *EndpointFarm::find(std::string_view id)
-{
-    for (const std::unique_ptr<Endpoint> &endpoint : m_endpoints) {
-        if (endpoint->id == id)
-            return endpoint.get();
-    }
-    return nullptr;
-}
-
 Endpoint *EndpointFarm::at(std::string_view address)
 {
     for (const std::unique_ptr<Endpoint> &endpoint : m_endpoints) {
@@ -241,7 +224,7 @@
     const std::string id(request.header(names::requestId));
     const std::string prefix = request.target.substr(0, request.target.find('/', 1) + 1);
     Call *call =
-        m_ledger->arrives(id, endpoint.index, prefix, request.header(names::account), now());
+        m_ledger->arrives(id, endpoint.index, prefix, request.header(names::account), steadyNow());
     if (call == nullptr) {
         reject(writer, 400);
         return;
@@ -257,9 +240,9 @@
 
 void EndpointFarm::servePlain(Endpoint &endpoint, Call &call, net::ResponseWriter &writer)
 {
-    const std::size_t run = m_ledger->begins(call, endpoint.index, false, now());
+    const std::size_t run = m_ledger->begins(call, endpoint.index, false, steadyNow());
     net::sleepFor(plainTime);
-    m_ledger->ends(call, run, now());
+    m_ledger->ends(call, run, steadyNow());
     if (!endpoint.alive || chance(endpoint.trouble.losing)) {
         writer.abort();
         return;
@@ -280,7 +263,7 @@
 {
     const std::string handle(from.substr(from.find('/') + 1));
     const auto it = endpoint.copies.find(handle);
-    if (it == endpoint.copies.end() || it->second.lapsesAt < now())
+    if (it == endpoint.copies.end() || it->second.lapsesAt < steadyNow())
         return false;
     if (it->second.callId != call.id)
         m_ledger->violation("MIXED", call.id + " went on from the memory of another call");
@@ -312,7 +295,7 @@
         writer.abort();
         return;
     }
-    const std::size_t run = m_ledger->begins(call, endpoint.index, resumed, now());
+    const std::size_t run = m_ledger->begins(call, endpoint.index, resumed, steadyNow());
     endpoint.running[call.id] = first - 1;
     endpoint.stopped.erase(call.id);
     Result<void> written = writer.startStream(200, answerHeaders(call));
@@ -324,14 +307,14 @@
         written = writer.write(eventText(call.id, next));
         endpoint.running[call.id] = next;
         if (!backup.empty() && next % backupStep == 0)
-            keepBackup(backup, call, next);
+            keepBackup(backup, call);
         ++next;
         net::sleepFor(eventInterval);
     }
     const bool complete = written && next > call.events && endpoint.alive;
     endpoint.running.erase(call.id);
     endpoint.stopped.erase(call.id);
-    m_ledger->ends(call, run, now());
+    m_ledger->ends(call, run, steadyNow());
     if (!complete) {
         writer.abort();
         return;
@@ -349,10 +332,10 @@
     static_cast<void>(writer.send({204, {}, {}}));
 }
 
-void EndpointFarm::keepBackup(const std::string &address, const Call &call, std::uint64_t events)
+void EndpointFarm::keepBackup(const std::string &address, const Call &call)
 {
     if (Endpoint *keeper = at(address))
-        keeper->copies[call.id] = {call.id, events, now() + copyLifetime};
+        keeper->copies[call.id] = {call.id, steadyNow() + copyLifetime};
 }
 
 void EndpointFarm::report(const Endpoint &endpoint, net::ResponseWriter &writer)
@@ -366,7 +349,7 @@
                  {"KvTotal", memoryTokens},
                  {"State", endpoint.draining ? "draining" : "ready"}};
     if (endpoint.draining)
-        json["leaves_ms"] = (endpoint.leavesAt - now()).count;
+        json["leaves_ms"] = (endpoint.leavesAt - steadyNow()).count;
     static_cast<void>(writer.send(net::jsonResponse(200, json.dump())));
 }
 
@@ -386,7 +369,7 @@
     const std::uint64_t events = endpoint.running[id];
     const std::string handle = "h" + std::to_string(++m_lastHandle);
     if (stop)
-        endpoint.copies[handle] = {id, events, now() + copyLifetime};
+        endpoint.copies[handle] = {id, steadyNow() + copyLifetime};
     if (destination == nullptr || destination == &endpoint) {
         const Json answer = stop ? Json {{"Handle", handle}, {"Created", events}} : Json::object();
         static_cast<void>(writer.send(net::jsonResponse(503, answer.dump())));
@@ -394,12 +377,12 @@
     }
     const std::uint64_t zones = destination->zone == endpoint.zone ? 1 : 2;
     const std::uint64_t tokens = (stop ? 0 : promptTokens) + tokensPerEvent;
-    const Millis begun = std::max({now(), endpoint.linkFreeAt, destination->linkFreeAt});
+    const Millis begun = std::max({steadyNow(), endpoint.linkFreeAt, destination->linkFreeAt});
     const Millis done =
         begun + Millis {static_cast<std::int64_t>(tokens * bytesPerToken * 8 * zones / linkBits)};
     endpoint.linkFreeAt = done;
     destination->linkFreeAt = done;
-    net::sleepFor(std::max(done - now(), 1_ms));
+    net::sleepFor(std::max(done - steadyNow(), 1_ms));
     if (!endpoint.alive) {
         writer.abort();
         return;
@@ -407,7 +390,7 @@
     std::erase_if(destination->copies, [&id](const std::pair<const std::string, Copy> &entry) {
         return entry.second.callId == id;
     });
-    destination->copies[handle] = {id, events, now() + copyLifetime};
+    destination->copies[handle] = {id, steadyNow() + copyLifetime};
     const Json answer = {{"Handle", handle}, {"Created", events}};
     static_cast<void>(writer.send(net::jsonResponse(200, answer.dump())));
 }
--- a/tests/soak/endpointfarm.h
+++ b/tests/soak/endpointfarm.h
@@ -1,8 +1,8 @@
 #pragma once
 
-#include "tests/soak/faultrelay.h"
 #include "tests/soak/ledger.h"
 #include "tests/soak/storestandin.h"
+#include "tests/standins/relay/faultrelay.h"
 
 #include <map>
 #include <memory>
@@ -13,6 +13,9 @@
 
 namespace fescue::soak {
 
+using standins::FaultRelay;
+using standins::RelayMode;
+
 // The text of one event of a generation; a caller can tell by it whose event it is.
 [[nodiscard]] std::string eventText(std::string_view callId, std::uint64_t number);
 // The answer of a plain service.
@@ -33,8 +36,6 @@
 struct Copy
 {
     std::string callId;
-    // Events that it covers.
-    std::uint64_t events = 0;
     Millis lapsesAt = endOfTime;
 };
 
@@ -79,7 +80,6 @@
 
     // Endpoints that run and have given no notice.
     [[nodiscard]] std::vector<Endpoint *> live(std::string_view service);
-    [[nodiscard]] Endpoint *find(std::string_view id);
     [[nodiscard]] std::vector<std::unique_ptr<Endpoint>> &all() noexcept { return m_endpoints; }
 
     void setRegistered(Endpoint &endpoint, bool registered);
@@ -96,7 +96,7 @@
     void report(const Endpoint &endpoint, net::ResponseWriter &writer);
     void move(Endpoint &endpoint, const net::HttpRequest &request, net::ResponseWriter &writer);
     void freeCopy(const std::string &handle, net::ResponseWriter &writer);
-    void keepBackup(const std::string &address, const Call &call, std::uint64_t events);
+    void keepBackup(const std::string &address, const Call &call);
     // First event that follows a copy; nothing where there is no such copy here.
     [[nodiscard]] bool takeCopy(Endpoint &endpoint, const Call &call, std::string_view from);
     void checkSystemHeaders(const Call &call, const net::HttpRequest &request);
--- a/tests/soak/entryprocess.h
+++ b/tests/soak/entryprocess.h
@@ -47,7 +47,6 @@
     [[nodiscard]] net::Address front() const { return {m_options.ip, frontPort}; }
     [[nodiscard]] net::Address ready() const { return {m_options.ip, readyPort}; }
     [[nodiscard]] net::Address directory() const { return {m_options.ip, directoryPort}; }
-    [[nodiscard]] net::Address metrics() const { return {m_options.ip, internalPort}; }
     [[nodiscard]] std::string logPath() const { return m_options.folder + '/' + name() + ".log"; }
     [[nodiscard]] const std::string &name() const noexcept { return m_options.name; }
 
--- a/tests/soak/ledger.cpp
+++ b/tests/soak/ledger.cpp
@@ -126,7 +126,8 @@
 
 void Ledger::judge()
 {
-    for (const auto &[id, call] : m_calls) {
+    for (const std::pair<const std::string, Call> &entry : m_calls) {
+        const Call &call = entry.second;
         if (call.end == CallEnd::None)
             continue;
         checkRuns(call);
@@ -252,7 +253,8 @@
 {
     std::size_t sent = 0;
     std::size_t served = 0;
-    for (const auto &[id, call] : m_calls) {
+    for (const std::pair<const std::string, Call> &entry : m_calls) {
+        const Call &call = entry.second;
         const SoakConfig &config = configs.newest();
         const bool owed = call.sentAt >= from && call.sentAt <= to && call.end != CallEnd::Left
             && config.routes.contains(call.prefix) && config.keys.contains(call.key);
--- a/tests/soak/main.cpp
+++ b/tests/soak/main.cpp
@@ -52,8 +52,9 @@
     file << outcome.text << "began at " << world.beganAt.count << '\n';
     for (const std::string &line : injector.applied())
         file << line << '\n';
-    for (const auto &[id, call] : world.ledger.calls()) {
-        file << id << " entry " << call.entry << ' ' << call.prefix << " sent "
+    for (const std::pair<const std::string, Call> &entry : world.ledger.calls()) {
+        const Call &call = entry.second;
+        file << call.id << " entry " << call.entry << ' ' << call.prefix << " sent "
              << (call.sentAt - world.beganAt).count << " ended "
              << (call.endedAt - world.beganAt).count << " end " << static_cast<int>(call.end)
              << " status " << call.status << " arrivals " << call.arrivals;
--- a/tests/soak/soakconfig.cpp
+++ b/tests/soak/soakconfig.cpp
@@ -73,16 +73,16 @@
                    {"IdleTimeoutMs", 15000}}},
                  {"Tenants", Json::array()}};
     json["Services"].push_back(engineServiceSpec());
-    for (const auto &[prefix, route] : routes)
-        json["Routes"].push_back(describe(prefix, route));
+    for (const std::pair<const std::string, SoakRoute> &entry : routes)
+        json["Routes"].push_back(describe(entry.first, entry.second));
     const SoakRoute filler {CallKind::Read, std::string(firstPlainService), 1_s};
     for (unsigned i = 0; i < fillers; ++i)
         json["Routes"].push_back(describe("/filler" + std::to_string(i) + "/", filler));
     std::map<std::string, Json> accounts;
-    for (const auto &[key, account] : keys)
-        accounts[account].push_back(key);
-    for (const auto &[account, list] : accounts)
-        json["Tenants"].push_back({{"Name", account}, {"ApiKeys", list}});
+    for (const std::pair<const std::string, std::string> &entry : keys)
+        accounts[entry.second].push_back(entry.first);
+    for (const std::pair<const std::string, Json> &entry : accounts)
+        json["Tenants"].push_back({{"Name", entry.first}, {"ApiKeys", entry.second}});
     return json.dump();
 }
 
--- a/tests/soak/storestandin.cpp
+++ b/tests/soak/storestandin.cpp
@@ -9,6 +9,8 @@
 namespace fescue::soak {
 
 namespace names = platform::names;
+using standins::steadyNow;
+using standins::toNumber;
 
 namespace {
 
@@ -16,16 +18,6 @@
 // Most items of one page, small enough that listings take several.
 constexpr std::size_t pageItems = 20;
 
-Millis now()
-{
-    return SteadyClock {}.now();
-}
-
-std::uint64_t toNumber(std::string_view text)
-{
-    return std::strtoull(std::string(text).c_str(), nullptr, 10);
-}
-
 net::HttpResponse plain(int status)
 {
     return net::jsonResponse(status, "{}");
@@ -37,9 +29,10 @@
 {
     // Leases pause while the store is away.
     const bool returns = m_mode != StoreMode::Serve && mode == StoreMode::Serve;
-    for (auto &[id, lease] : m_leases) {
+    for (std::pair<const std::uint64_t, Lease> &entry : m_leases) {
+        Lease &lease = entry.second;
         if (returns)
-            lease.endsAt = now() + lease.ttl;
+            lease.endsAt = steadyNow() + lease.ttl;
     }
     m_mode = mode;
 }
@@ -120,13 +113,14 @@
     const std::string after = request.queryValue("After").value_or(std::string());
     Json entries = Json::array();
     bool hasMore = false;
-    for (const auto &[key, item] : m_items) {
+    for (const std::pair<const std::string, Item> &entry : m_items) {
+        const std::string &key = entry.first;
         if (!key.starts_with(prefix) || key <= after)
             continue;
         hasMore = entries.size() >= pageItems;
         if (hasMore)
             break;
-        entries.push_back(describe(key, item));
+        entries.push_back(describe(key, entry.second));
     }
     return net::jsonResponse(
         200, Json {{"Entries", entries}, {"HasMore", hasMore}, {"At", m_revision}}.dump());
@@ -155,12 +149,12 @@
     const std::uint64_t after = toNumber(request.queryValue("After").value_or("0"));
     const Millis wait {
         static_cast<std::int64_t>(toNumber(request.queryValue("WaitMs").value_or("0")))};
-    const Millis until = now() + wait;
+    const Millis until = steadyNow() + wait;
     while (m_mode == StoreMode::Serve) {
         if (after < m_historyFrom)
             return plain(410);
         const Json events = changesAfter(prefix, after);
-        if (!events.empty() || now() >= until || writer.callerGone())
+        if (!events.empty() || steadyNow() >= until || writer.callerGone())
             return net::jsonResponse(200, Json {{"events", events}, {"At", m_revision}}.dump());
         net::sleepFor(watchPoll);
     }
@@ -198,7 +192,7 @@
 {
     if (request.target == names::leaseCreatePath) {
         const std::int64_t ttl = Json::parse(request.body).at("TtlMs").get<std::int64_t>();
-        m_leases[++m_lastLease] = {{ttl}, now() + Millis {ttl}};
+        m_leases[++m_lastLease] = {{ttl}, steadyNow() + Millis {ttl}};
         return net::jsonResponse(200, Json {{"LeaseId", m_lastLease}, {"TtlMs", ttl}}.dump());
     }
     const std::size_t slash = request.target.rfind('/');
@@ -208,7 +202,7 @@
     if (request.target.starts_with(names::leaseEndPath))
         it->second.endsAt = {0};
     else
-        it->second.endsAt = now() + it->second.ttl;
+        it->second.endsAt = steadyNow() + it->second.ttl;
     endLeases();
     return plain(200);
 }
@@ -240,14 +234,14 @@
     if (m_mode != StoreMode::Serve)
         return;
     for (auto it = m_leases.begin(); it != m_leases.end();) {
-        if (it->second.endsAt > now()) {
+        if (it->second.endsAt > steadyNow()) {
             ++it;
             continue;
         }
         std::vector<std::string> keys;
-        for (const auto &[key, item] : m_items) {
-            if (item.lease == it->first)
-                keys.push_back(key);
+        for (const std::pair<const std::string, Item> &entry : m_items) {
+            if (entry.second.lease == it->first)
+                keys.push_back(entry.first);
         }
         std::for_each(keys.begin(), keys.end(), [this](const std::string &key) { remove(key); });
         it = m_leases.erase(it);
--- a/tests/soak/world.h
+++ b/tests/soak/world.h
@@ -2,7 +2,6 @@
 
 #include "tests/soak/endpointfarm.h"
 #include "tests/soak/entryprocess.h"
-#include "tests/soak/faultrelay.h"
 #include "tests/soak/ledger.h"
 #include "tests/soak/storestandin.h"
 
--- a/tests/standins/engine/enginestandin.cpp
+++ b/tests/standins/engine/enginestandin.cpp
@@ -16,11 +16,6 @@
 constexpr std::size_t maxKnownStreams = 4096;
 const std::string streamPrefix = "/v1/streams/";
 
-Millis now()
-{
-    return SteadyClock {}.now();
-}
-
 Incarnation firstIncarnation()
 {
     const std::chrono::system_clock::duration age =
@@ -37,11 +32,6 @@
     return hashes;
 }
 
-std::uint64_t toNumber(std::string_view text)
-{
-    return std::strtoull(std::string(text).c_str(), nullptr, 10);
-}
-
 } // namespace
 
 std::string tokenText(std::string_view prompt, std::uint32_t index)
@@ -64,7 +54,7 @@
 }
 
 EngineStandIn::EngineStandIn(const EngineStandInOptions &options)
-    : m_options(options), m_engine(options.engine, firstIncarnation(), now())
+    : m_options(options), m_engine(options.engine, firstIncarnation(), steadyNow())
 { }
 
 void EngineStandIn::run()
@@ -90,7 +80,7 @@
 
 Millis EngineStandIn::engineNow() const
 {
-    return (m_stalledSince.count >= 0 ? m_stalledSince : now()) - m_stalledTotal;
+    return (m_stalledSince.count >= 0 ? m_stalledSince : steadyNow()) - m_stalledTotal;
 }
 
 void EngineStandIn::advance()
@@ -299,13 +289,13 @@
         if (json.value("cold", false))
             m_engine.turnCold(engineNow());
         if (json.value("silent", false))
-            m_silentSince = now();
+            m_silentSince = steadyNow();
         const bool isStalled = m_stalledSince.count >= 0;
         const bool stall = json.value("stall", isStalled);
         if (stall && !isStalled)
-            m_stalledSince = now();
+            m_stalledSince = steadyNow();
         if (!stall && isStalled) {
-            m_stalledTotal += now() - m_stalledSince;
+            m_stalledTotal += steadyNow() - m_stalledSince;
             m_stalledSince = {-1};
         }
         advance();
--- a/tests/soak/faultrelay.cpp
+++ b/tests/standins/relay/faultrelay.cpp
@@ -1,4 +1,4 @@
-#include "tests/soak/faultrelay.h"
+#include "tests/standins/relay/faultrelay.h"
 
 #include <algorithm>
 #include <array>
@@ -8,7 +8,7 @@
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/write.hpp>
 
-namespace fescue::soak {
+namespace fescue::standins {
 
 namespace asio = boost::asio;
 using asio::ip::tcp;
@@ -82,6 +82,7 @@
     RelayMode mode = RelayMode::Pass;
     Millis delay {0};
     bool garbled = false;
+    int accepted = 0;
 };
 
 void FaultRelay::Shared::accept()
@@ -90,6 +91,7 @@
     acceptor.async_accept(pair->caller, [self = shared_from_this(), pair](const error_code &ec) {
         if (ec)
             return;
+        ++self->accepted;
         self->open(pair);
         self->accept();
     });
@@ -240,4 +242,9 @@
         pair->silenced = true;
 }
 
-} // namespace fescue::soak
+int FaultRelay::accepted() const noexcept
+{
+    return m_shared->accepted;
+}
+
+} // namespace fescue::standins
--- a/tests/soak/faultrelay.h
+++ b/tests/standins/relay/faultrelay.h
@@ -6,7 +6,7 @@
 #include <cstdint>
 #include <memory>
 
-namespace fescue::soak {
+namespace fescue::standins {
 
 enum class RelayMode : std::uint8_t
 {
@@ -43,10 +43,12 @@
     void resetOpen();
     // Open connections stay open and pass nothing more; later ones work.
     void silenceOpen();
+    // Connections that were accepted since the start.
+    [[nodiscard]] int accepted() const noexcept;
 
 private:
     struct Shared;
     std::shared_ptr<Shared> m_shared;
 };
 
-} // namespace fescue::soak
+} // namespace fescue::standins
--- a/tests/standins/standin.h
+++ b/tests/standins/standin.h
@@ -31,6 +31,17 @@
     }
 };
 
+[[nodiscard]] inline Millis steadyNow()
+{
+    return SteadyClock {}.now();
+}
+
+// Reads a decimal number from the front of the text; 0 where there is none.
+[[nodiscard]] inline std::uint64_t toNumber(std::string_view text)
+{
+    return std::strtoull(std::string(text).c_str(), nullptr, 10);
+}
+
 inline void sendJson(net::ResponseWriter &writer, const Json &json, int status = 200)
 {
     static_cast<void>(writer.send(net::jsonResponse(status, json.dump())));
--- a/tests/standins/store/storestandin.cpp
+++ b/tests/standins/store/storestandin.cpp
@@ -13,21 +13,11 @@
 const std::string keyPrefix = "/v1/kv/";
 const std::string leasePrefix = "/v1/leases";
 
-Millis now()
-{
-    return SteadyClock {}.now();
-}
-
 net::HttpResponse status(int code, const Json &json = Json::object())
 {
     return net::jsonResponse(code, json.dump());
 }
 
-std::uint64_t toNumber(std::string_view text)
-{
-    return std::strtoull(std::string(text).c_str(), nullptr, 10);
-}
-
 bool isWrite(const net::HttpRequest &request)
 {
     return request.method != "GET";
@@ -167,10 +157,10 @@
     const std::uint64_t after = toNumber(request.queryValue("after").value_or("0"));
     const Millis wait {
         static_cast<std::int64_t>(toNumber(request.queryValue("wait_ms").value_or("0")))};
-    const Millis deadline = now() + wait;
+    const Millis deadline = steadyNow() + wait;
     Json items = collect(prefix, after, true);
     std::uint64_t seen = m_revision;
-    while (items.empty() && now() < deadline && m_outage == Outage::None) {
+    while (items.empty() && steadyNow() < deadline && m_outage == Outage::None) {
         net::sleepFor(watchTick);
         expireLeases();
         if (std::exchange(seen, m_revision) != m_revision)
@@ -227,7 +217,7 @@
 {
     if (request.target == leasePrefix) {
         const Millis ttl {Json::parse(request.body).at("ttl_ms").get<std::int64_t>()};
-        m_leases[++m_lastLease] = {ttl, now() + ttl};
+        m_leases[++m_lastLease] = {ttl, steadyNow() + ttl};
         return status(200, {{"lease", m_lastLease}, {"ttl_ms", ttl.count}});
     }
     const std::uint64_t id = toNumber(request.target.substr(leasePrefix.size() + 1));
@@ -237,7 +227,7 @@
     if (request.method == "DELETE")
         dropLease(id);
     else
-        it->second.expiresAt = now() + it->second.ttl;
+        it->second.expiresAt = steadyNow() + it->second.ttl;
     return status(200);
 }
 
@@ -270,7 +260,7 @@
 {
     std::vector<std::uint64_t> lapsed;
     for (const std::pair<const std::uint64_t, Lease> &entry : m_leases) {
-        if (entry.second.expiresAt <= now())
+        if (entry.second.expiresAt <= steadyNow())
             lapsed.push_back(entry.first);
     }
     for (const std::uint64_t id : lapsed)
