--- a/include/fescue/serving/attemptpolicy.h
+++ b/include/fescue/serving/attemptpolicy.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "fescue/core/clock.h"
+#include "fescue/serving/repeatbudget.h"
 #include "fescue/serving/servingconfig.h"
 
 #include <cstdint>
@@ -54,20 +55,23 @@
     { }
 
     // Records how an attempt ended. `timeLeft` is the time until the caller needs an answer;
-    // `takeRetry()` takes a repeat out of the retry budget and returns false where none is left; it
-    // is asked only where the repeat would follow.
+    // `takeRetry(use)` takes a repeat out of the retry budget and returns false where none is left;
+    // it is asked only where the repeat would follow.
     template <typename TakeRetry>
     [[nodiscard]] AttemptVerdict after(SendOutcome outcome, Millis timeLeft, TakeRetry takeRetry)
     {
         const AttemptVerdict fallback = withoutRepeat(outcome);
         if (outcome == SendOutcome::NotSent && mayConnectAgain(timeLeft))
             return AttemptVerdict::TryAnother;
-        if (mayRepeat(outcome, timeLeft) && takeRetry())
+        const RepeatUse use =
+            outcome == SendOutcome::NotRun ? RepeatUse::Rejected : RepeatUse::Rescue;
+        if (mayRepeat(outcome, timeLeft) && takeRetry(use))
             return AttemptVerdict::TryAnother;
         return fallback;
     }
 
-    // Endpoints that the request was sent to.
+    // Endpoints on which the request has run or may have run. Those that turned it away do not
+    // count against the route's bound.
     [[nodiscard]] std::uint32_t sent() const noexcept { return m_sent; }
     // True where some endpoint may have run the request.
     [[nodiscard]] bool mayHaveRun() const noexcept { return m_mayHaveRun; }
@@ -82,6 +86,7 @@
     std::uint32_t m_sent = 0;
     std::uint32_t m_connects = 0;
     std::uint32_t m_redirects = 0;
+    std::uint32_t m_rejections = 0;
     bool m_mayHaveRun = false;
 };
 
--- a/include/fescue/serving/edgedaemon.inl
+++ b/include/fescue/serving/edgedaemon.inl
@@ -17,6 +17,10 @@
 // First bytes of the datagrams between entry processes.
 inline const std::string gossipKind = "G";
 inline const std::string newsKind = "N";
+inline const std::string leavingKind = "L";
+// In a large system, processes of each other zone that are told directly of an endpoint that leaves;
+// they tell the rest of their zone.
+inline constexpr std::size_t toldPerZone = 2;
 // After a stop is asked for, callers that keep an old answer of the directory are served at least
 // this long.
 inline constexpr Millis drainLinger = 3500_ms;
@@ -83,6 +87,7 @@
         return opened;
     m_state.members.heartbeat(ServingState::now(), m_self);
     m_state.tellPeers = [this] { sendGossip(); };
+    m_state.endpointSaidLeaving = [this](const LeavingNotice &n) { endpointSaidLeaving(n); };
     m_store.start();
     m_pool->spawn(net::currentWorker(), [this] { tick(); });
     observe::logChange("started",
@@ -166,6 +171,7 @@
         m_state.members.purge(now);
         m_state.health.purge(now);
         m_state.coldGate.purge(now);
+        m_state.pauses.purge(now);
         sendGossip();
         net::sleepFor(m_state.isLarge() ? largeTickInterval : tickInterval);
     }
@@ -176,7 +182,11 @@
 {
     const std::uint64_t version = m_state.routes ? m_state.routes->version().value : 0;
     const std::string datagram =
-        gossipKind + encodeGossip({m_self, {version}, m_state.ledger.own(), m_state.ownRepeats()});
+        gossipKind + encodeGossip({m_self,
+                                   {version},
+                                   m_state.ledger.own(),
+                                   m_state.ownRepeats(),
+                                   m_state.endpoints.recentNotices(ServingState::now())});
     const std::vector<MemberView> members = m_state.members.members(ServingState::now());
     // In a large system loads are told within a zone only: entries prefer endpoints of their zone.
     const bool all = !m_state.isLarge();
@@ -214,10 +224,66 @@
         takeGossip(bytes.substr(gossipKind.size()));
     else if (bytes.starts_with(newsKind))
         takeNews(bytes.substr(newsKind.size()));
+    else if (bytes.starts_with(leavingKind))
+        takeLeaving(bytes.substr(leavingKind.size()));
     else
         m_malformed.Increment();
 }
 
+template <PlatformProtocol P>
+void EdgeDaemon<P>::endpointSaidLeaving(const LeavingNotice &notice)
+{
+    m_mover.evacuate(notice.endpoint);
+    tellLeaving({&notice, 1}, true);
+}
+
+template <PlatformProtocol P>
+void EdgeDaemon<P>::tellLeaving(std::span<const LeavingNotice> notices, bool toOtherZones)
+{
+    const std::string datagram = leavingKind
+        + encodeLeaving({m_self.zone, std::vector<LeavingNotice>(notices.begin(), notices.end())});
+    const bool all = !m_state.isLarge();
+    std::map<ZoneName, std::size_t> told;
+    for (const MemberView &member : m_state.members.members(ServingState::now())) {
+        const bool sameZone = member.info.zone == m_self.zone;
+        if (all || sameZone || (toOtherZones && told[member.info.zone]++ < toldPerZone))
+            sendTo(member.info, datagram);
+    }
+}
+
+template <PlatformProtocol P>
+std::vector<LeavingNotice> EdgeDaemon<P>::takeNotices(std::span<const LeavingNotice> notices,
+                                                      std::string_view from)
+{
+    std::vector<LeavingNotice> news;
+    for (const LeavingNotice &notice : notices) {
+        if (!m_state.endpoints.saidLeaving(ServingState::now(), notice))
+            continue;
+        observe::logChange("endpoint",
+                           {{"endpoint", notice.endpoint.text()},
+                            {"state", "leaving"},
+                            {"peer", from},
+                            {"reason", "said so to a peer"}});
+        m_mover.evacuate(notice.endpoint);
+        news.push_back(notice);
+    }
+    return news;
+}
+
+template <PlatformProtocol P>
+void EdgeDaemon<P>::takeLeaving(std::string_view bytes)
+{
+    const Result<LeavingNews> told = decodeLeaving(bytes);
+    if (!told) {
+        m_malformed.Increment();
+        return;
+    }
+    const std::vector<LeavingNotice> news = takeNotices(told->notices, told->fromZone.text());
+    // In a large system a few processes of each zone are told from outside it.
+    if (!news.empty() && told->fromZone != m_self.zone && m_state.isLarge())
+        tellLeaving(news, false);
+}
+
 template <PlatformProtocol P>
 void EdgeDaemon<P>::takeNews(std::string_view bytes)
 {
@@ -259,6 +325,7 @@
     m_state.ledger.peerTold(now, gossip->member.name, gossip->loads);
     for (const RepeatsOf &repeats : gossip->repeats)
         m_state.repeatsOf(repeats.service).peerTold(now, gossip->member.name, repeats.used);
+    static_cast<void>(takeNotices(gossip->leaving, gossip->member.name.text()));
 }
 
 template <PlatformProtocol P>
--- a/include/fescue/serving/endpointtable.h
+++ b/include/fescue/serving/endpointtable.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "fescue/serving/endpointrecord.h"
+#include "fescue/serving/leavingnotice.h"
 
 #include <map>
 #include <set>
@@ -16,6 +17,11 @@
     Millis returnGrace = 2_s;
     // A removed endpoint goes on serving what it runs; its record is kept this long for those runs.
     Millis rememberGone = 30_s;
+    // An endpoint's own word that it leaves is kept this long: longer than any entry of it that is
+    // out of date may stay in the store.
+    Millis rememberNotices = 120_s;
+    // Peers are told of an endpoint's own word for this time.
+    Millis repeatNotices = 30_s;
 };
 
 // An endpoint as this process sees it.
@@ -24,8 +30,10 @@
     EndpointRecord record;
     // Until when it is cold by this process' clock.
     Millis coldUntil {0};
-    // When it asked to drain, or its entry was removed; 0 where neither has happened.
+    // When it said that it leaves, or its entry was removed; 0 where neither has happened.
     Millis leavingSince {0};
+    // It said so itself, which holds for the rest of its life. A removed entry may come back.
+    bool saidLeaving = false;
     // When it was first listed in this incarnation.
     Millis seenSince {0};
 
@@ -46,6 +54,11 @@
     void listed(Millis now, const EndpointRecord &record);
     // Records that an entry was removed, or cannot be read any more.
     void removed(Millis now, const EndpointName &name);
+    // Records that an endpoint said in an answer, to this process or to a peer, that this life of
+    // it leaves. True where that is news. The store may say otherwise for a while.
+    bool saidLeaving(Millis now, const LeavingNotice &notice);
+    // What endpoints said lately of their leaving, for telling it to peers.
+    [[nodiscard]] std::vector<LeavingNotice> recentNotices(Millis now) const;
     // Says whether the store answers. Entries that are removed while it does not, or within the
     // grace of its return, are only doubted.
     void storeReachable(Millis now, bool reachable) noexcept;
@@ -70,11 +83,20 @@
 private:
     [[nodiscard]] bool doubtful(Millis now) const noexcept;
     void markLeaving(Millis now, EndpointView &endpoint) noexcept;
+    [[nodiscard]] bool hasNotice(const EndpointName &name, Incarnation incarnation) const;
+
+    struct Notice
+    {
+        Incarnation incarnation;
+        Millis at {0};
+    };
 
     EndpointTableLimits m_limits;
     std::map<EndpointName, EndpointView> m_endpoints;
     // Removed while that may have been the store's fault.
     std::set<EndpointName> m_doubted;
+    // Also of endpoints that are not listed yet.
+    std::map<EndpointName, Notice> m_notices;
     std::set<ZoneName> m_zonesOut;
     bool m_reachable = true;
     Millis m_reachableSince {0};
--- a/include/fescue/serving/engineexchange.h
+++ b/include/fescue/serving/engineexchange.h
@@ -3,6 +3,7 @@
 #include "fescue/net/httpclient.h"
 #include "fescue/serving/attemptpolicy.h"
 #include "fescue/serving/protocol.h"
+#include "fescue/serving/servingstate.h"
 
 #include <functional>
 #include <string>
@@ -23,14 +24,26 @@
 [[nodiscard]] SendOutcome outcomeOf(const Error &error) noexcept;
 
 // Sends a request to an endpoint on a connection of its own and reads the head of the answer.
-// Answers to other requests that arrive first are skipped. `abandoned` returns true once the caller
-// no longer waits.
+// Answers to other requests that arrive first are skipped. What the endpoint says of itself is
+// recorded with the state. `abandoned` returns true once the caller no longer waits.
 template <PlatformProtocol P>
-[[nodiscard]] ExchangeResult exchange(net::HttpClient &client, const net::Address &address,
+[[nodiscard]] ExchangeResult exchange(ServingState &state, const EndpointRecord &endpoint,
                                       const net::HttpRequest &request, const EngineSend &send,
                                       const std::string &requestId, Millis timeout,
                                       const std::function<bool()> &abandoned);
 
+// Makes a control call of this process to an endpoint and reads the whole answer. Fails with
+// BackEndRefused, and sends nothing, while the endpoint wants no requests.
+template <PlatformProtocol P>
+[[nodiscard]] Result<net::HttpResponse>
+callEndpoint(ServingState &state, const EndpointRecord &endpoint, const net::HttpRequest &request,
+             Millis timeout);
+
+// Reads the rest of an answer. Fails with BackEndProtocol where it is longer than `maxBytes`, or
+// where the answers that are being read take all the memory for them.
+[[nodiscard]] Result<std::string> readWhole(net::ClientStream &stream, ByteShare &memory,
+                                            std::size_t maxBytes, Millis timeout);
+
 } // namespace fescue::serving
 
 #include "fescue/serving/engineexchange.inl"
--- a/include/fescue/serving/engineexchange.inl
+++ b/include/fescue/serving/engineexchange.inl
@@ -7,15 +7,15 @@
 inline constexpr std::size_t maxSkippedBytes = std::size_t {4} * 1024 * 1024;
 
 template <PlatformProtocol P>
-ExchangeResult exchange(net::HttpClient &client, const net::Address &address,
+ExchangeResult exchange(ServingState &state, const EndpointRecord &endpoint,
                         const net::HttpRequest &request, const EngineSend &send,
                         const std::string &requestId, Millis timeout,
                         const std::function<bool()> &abandoned)
 {
     const Millis deadline = SteadyClock {}.now() + timeout;
     ExchangeResult result;
-    Result<net::ClientStream> stream =
-        client.openStream(address, P::encodeSend(request, send), timeout, abandoned);
+    Result<net::ClientStream> stream = state.engineClient.openStream(
+        endpoint.address, P::encodeSend(request, send), timeout, abandoned);
     if (!stream) {
         result.outcome = outcomeOf(stream.error());
         result.detail = stream.error().message;
@@ -24,6 +24,8 @@
     result.stream = std::move(*stream);
     for (int skipped = 0;; ++skipped) {
         result.head = P::decodeAnswerHead(result.stream.status(), result.stream.headers());
+        if (!result.head.otherEndpoint)
+            state.heardFrom(endpoint, result.head);
         const bool isOurs = result.head.requestId.empty() || result.head.requestId == requestId;
         if (isOurs)
             break;
@@ -46,4 +48,17 @@
     return result;
 }
 
+template <PlatformProtocol P>
+Result<net::HttpResponse> callEndpoint(ServingState &state, const EndpointRecord &endpoint,
+                                       const net::HttpRequest &request, Millis timeout)
+{
+    if (!state.mayCall(endpoint))
+        return fail(ResultCode::BackEndRefused, "the endpoint wants no requests for now");
+    Result<net::HttpResponse> response =
+        state.engineClient.request(endpoint.address, request, timeout);
+    if (response)
+        state.heardFrom(endpoint, P::decodeAnswerHead(response->status, response->headers));
+    return response;
+}
+
 } // namespace fescue::serving
--- a/include/fescue/serving/enginesend.h
+++ b/include/fescue/serving/enginesend.h
@@ -50,6 +50,12 @@
     bool notRun = false;
     // Another endpoint has the address.
     bool otherEndpoint = false;
+    // The endpoint says that it leaves.
+    bool leaving = false;
+    // The endpoint turned the request away and wants nothing from this process for a time.
+    bool asksPause = false;
+    // That time; none where it cannot be read.
+    std::optional<Millis> pause;
 
     [[nodiscard]] bool isSuccess() const noexcept { return status >= 200 && status < 300; }
 };
@@ -83,6 +89,8 @@
     Busy,
     // The destination has no room or cannot be reached.
     NoRoom,
+    // The engine was not asked: it wants no requests for now.
+    NotSent,
     // An answer that makes no sense.
     Unclear,
 };
--- a/include/fescue/serving/generationmover.h
+++ b/include/fescue/serving/generationmover.h
@@ -37,7 +37,7 @@
     // Makes or renews the copy. Returns the time until it has to be renewed.
     [[nodiscard]] Millis copyAhead(const GenerationRunPtr &run, const EndpointView &source);
     // Frees a copy at the engine that made it, and with it the memory at the other one.
-    void freeCopy(const net::Address &source, const std::string &handle);
+    void freeCopy(const EndpointRecord &source, const std::string &handle);
     // Stops relying on an engine that leaves for backups and copies.
     void replaceCopies(const EndpointName &engine);
     // The engine that a generation is moved to: the one that holds a copy, where it can be used.
--- a/include/fescue/serving/generationmover.inl
+++ b/include/fescue/serving/generationmover.inl
@@ -45,7 +45,7 @@
 void GenerationMover<P>::askEnd(const EndpointRecord &engine)
 {
     const Result<net::HttpResponse> response =
-        m_state->engineClient.request(engine.address, P::encodeReportCall(), reportTimeout);
+        callEndpoint<P>(*m_state, engine, P::encodeReportCall(), reportTimeout);
     const Result<EngineReport> report =
         response ? P::decodeReport(response->body) : tl::unexpected(response.error());
     const bool known = report && report->leavesIn;
@@ -106,7 +106,7 @@
 bool GenerationMover<P>::isUsable(const std::optional<EndpointRecord> &engine) const
 {
     const EndpointView *view = engine ? m_state->endpoints.find(engine->name) : nullptr;
-    return view != nullptr && !view->leaving()
+    return view != nullptr && !view->leaving() && m_state->mayCall(view->record)
         && !m_state->endpoints.zonesOut().contains(view->record.zone);
 }
 
@@ -130,7 +130,7 @@
     m_state->pool.spawn(net::currentWorker(), [this, run] {
         keepCopy(run);
         if (run->finished && !run->copyHandle.empty())
-            freeCopy(run->engine.address, run->copyHandle);
+            freeCopy(run->engine, run->copyHandle);
         run->forgetCopy();
         run->hasGuard = false;
     });
@@ -157,10 +157,10 @@
 }
 
 template <PlatformProtocol P>
-void GenerationMover<P>::freeCopy(const net::Address &source, const std::string &handle)
+void GenerationMover<P>::freeCopy(const EndpointRecord &source, const std::string &handle)
 {
     const Result<net::HttpResponse> response =
-        m_state->engineClient.request(source, P::encodeFreeCopy(handle), reportTimeout);
+        callEndpoint<P>(*m_state, source, P::encodeFreeCopy(handle), reportTimeout);
     // A copy that stays lapses at the engine by itself.
     if (!response)
         m_state->metrics.counter("fescue_copies_not_freed_total").Increment();
@@ -193,7 +193,7 @@
     // The generation may have ended or gone on elsewhere while the copy was made.
     const bool needless = run->finished || run->engine.name != source.record.name;
     if (needless && answer.outcome == MoveOutcome::Copied)
-        freeCopy(source.record.address, answer.handle);
+        freeCopy(source.record, answer.handle);
     return copyRenewInterval;
 }
 
@@ -278,10 +278,12 @@
 MoveAnswer GenerationMover<P>::call(const GenerationRunPtr &run, const EndpointRecord &source,
                                     const EndpointRecord &destination, bool stop)
 {
+    if (!m_state->mayCall(source))
+        return {MoveOutcome::NotSent, {}, 0};
     const Millis begun = ServingState::now();
     const net::HttpRequest request = P::encodeMove({run->requestId, destination.address, stop});
     const Result<net::HttpResponse> response =
-        m_state->engineClient.request(source.address, request, moveCallTimeout);
+        callEndpoint<P>(*m_state, source, request, moveCallTimeout);
     MoveAnswer answer;
     if (response)
         answer = P::decodeMoveAnswer(response->status, response->body);
@@ -347,7 +349,8 @@
         return NextStep::Done;
     }
     const bool runsOn = answer.outcome == MoveOutcome::NoSuchRun
-        || answer.outcome == MoveOutcome::Busy || answer.outcome == MoveOutcome::NoRoom;
+        || answer.outcome == MoveOutcome::Busy || answer.outcome == MoveOutcome::NoRoom
+        || answer.outcome == MoveOutcome::NotSent;
     run->phase = runsOn ? MovePhase::Running : MovePhase::Broken;
     return runsOn ? NextStep::TryAgain : NextStep::Done;
 }
--- a/include/fescue/serving/gossip.h
+++ b/include/fescue/serving/gossip.h
@@ -3,6 +3,7 @@
 #include "fescue/core/ids.h"
 #include "fescue/core/memberinfo.h"
 #include "fescue/core/result.h"
+#include "fescue/serving/leavingnotice.h"
 #include "fescue/serving/loadledger.h"
 #include "fescue/serving/repeatbudget.h"
 
@@ -22,9 +23,27 @@
     std::vector<EndpointLoadOf> loads;
     // Repeats of requests that it has used lately.
     std::vector<RepeatsOf> repeats;
+    // Endpoints that said lately that they leave, to this process or to one of its peers.
+    std::vector<LeavingNotice> leaving;
     bool operator==(const Gossip &) const = default;
 };
 
+// Most endpoints in one datagram that said that they leave; the rest is told in others.
+inline constexpr std::size_t maxNoticesPerDatagram = 64;
+
+// What an entry process tells at once when endpoints say that they leave: it may hear that before
+// the store does.
+struct LeavingNews
+{
+    ZoneName fromZone;
+    std::vector<LeavingNotice> notices;
+    bool operator==(const LeavingNews &) const = default;
+};
+
+[[nodiscard]] std::string encodeLeaving(const LeavingNews &news);
+// Fails with MessageMalformed.
+[[nodiscard]] Result<LeavingNews> decodeLeaving(std::string_view bytes);
+
 // Encodes as CBOR.
 [[nodiscard]] std::string encodeGossip(const Gossip &gossip);
 // Fails with MessageMalformed.
--- a/include/fescue/serving/nodesettings.h
+++ b/include/fescue/serving/nodesettings.h
@@ -4,6 +4,7 @@
 #include "fescue/core/ids.h"
 #include "fescue/net/endpointaddress.h"
 
+#include <cstddef>
 #include <cstdint>
 #include <string>
 
@@ -40,6 +41,9 @@
     net::Address storeAddress;
     // Bandwidth of this VM's link.
     std::uint32_t linkMegabits = 0;
+    // Memory beyond which the process is killed; the platform's smallest entry VM where it does not
+    // say.
+    std::size_t memoryMegabytes = 88;
     ServingBounds bounds;
 };
 
--- a/include/fescue/serving/plainforwarder.inl
+++ b/include/fescue/serving/plainforwarder.inl
@@ -20,7 +20,8 @@
 
 template <PlatformProtocol P>
 typename PlainForwarder<P>::Attempt
-PlainForwarder<P>::attempt(RequestContext &context, const EndpointRecord &endpoint, bool isLast)
+PlainForwarder<P>::attempt(RequestContext &context, const EndpointRecord &endpoint, bool isLast,
+                           ByteShare &memory)
 {
     const LoadShare load(m_state->ledger, endpoint.name, {1, 0, 0});
     Millis timeout = context.timeLeft();
@@ -30,7 +31,7 @@
     }
     const Millis until = ServingState::now() + timeout;
     net::ResponseWriter &writer = context.writer;
-    ExchangeResult result = exchange<P>(m_state->engineClient, endpoint.address, context.request,
+    ExchangeResult result = exchange<P>(*m_state, endpoint, context.request,
                                         makeSend(context, endpoint), context.caller.requestId,
                                         timeout, [&writer] { return writer.callerGone(); });
     Attempt done;
@@ -38,8 +39,8 @@
     const bool hasAnswer =
         result.outcome == SendOutcome::Succeeded || result.outcome == SendOutcome::Failed;
     if (hasAnswer) {
-        Result<std::string> body =
-            result.stream.readAll(maxPlainAnswerBytes, until - ServingState::now());
+        Result<std::string> body = readWhole(result.stream, memory, maxPlainAnswerBytes,
+                                             until - ServingState::now());
         if (body) {
             done.answer = {result.head.status, P::answerHeaders(result.stream.headers()),
                            std::move(*body)};
@@ -59,6 +60,7 @@
     const bool mayRepeat = route.kind == RouteKind::Idempotent;
     AttemptPolicy policy(route.kind, route.maxAttempts);
     PlacementDemand demand;
+    ByteShare memory(m_state->answerMemory);
     Attempt last;
     AttemptVerdict verdict = AttemptVerdict::RefuseNotRun;
     while (true) {
@@ -69,9 +71,11 @@
         const EndpointRecord record = endpoint->record;
         demand.excluded.insert(record.name);
         const bool isLast = !mayRepeat || policy.sent() + 1 >= route.maxAttempts;
-        last = attempt(context, record, isLast);
-        verdict = policy.after(last.outcome, context.timeLeft(),
-                               [this, &context] { return m_state->takeRepeat(context.service); });
+        last = attempt(context, record, isLast, memory);
+        verdict =
+            policy.after(last.outcome, context.timeLeft(), [this, &context](RepeatUse use) {
+                return m_state->takeRepeat(context.service, use);
+            });
         if (verdict != AttemptVerdict::TryAnother)
             break;
     }
--- a/include/fescue/serving/repeatbudget.h
+++ b/include/fescue/serving/repeatbudget.h
@@ -29,6 +29,15 @@
     Millis window = 10_s;
 };
 
+// What a repeat is for.
+enum class RepeatUse : std::uint8_t
+{
+    // Work that has begun and would be lost.
+    Rescue,
+    // A request that an endpoint turned away without working on it; its caller can come back.
+    Rejected,
+};
+
 // The part of one process in the bound on repeats to one service.
 //
 // The allowance is a pool for all processes. Each tells the others how much it has used; one that
@@ -43,6 +52,8 @@
     // Part of the share that is used, since requests are counted by their callers, and some never
     // arrive here.
     static constexpr double sharePart = 0.8;
+    // Part of the pool that requests which were turned away may use; the rest is for rescues.
+    static constexpr double rejectedPart = 0.5;
     // A peer that has told nothing for this time is not heard.
     static constexpr Millis peerLifetime = 1500_ms;
 
@@ -53,7 +64,7 @@
     // Records what a peer says it has taken out of the pool within its window.
     void peerTold(Millis now, const MemberName &peer, std::uint32_t used);
     // Takes one repeat; false where none is left. `members` are the processes that may live.
-    [[nodiscard]] bool tryTake(Millis now, std::size_t members);
+    [[nodiscard]] bool tryTake(Millis now, std::size_t members, RepeatUse use = RepeatUse::Rescue);
     // Repeats that this process has taken out of the pool within the window.
     [[nodiscard]] std::uint32_t poolUsed(Millis now);
 
@@ -65,7 +76,8 @@
     };
 
     void expire(Millis now);
-    [[nodiscard]] double usedByPeers(Millis now, std::size_t members) const;
+    // What peers have used; those that are not heard count with an equal part of `pool`.
+    [[nodiscard]] double usedByPeers(Millis now, std::size_t members, double pool) const;
 
     RepeatBound m_bound;
     std::deque<Millis> m_requests;
--- a/include/fescue/serving/servingstate.h
+++ b/include/fescue/serving/servingstate.h
@@ -5,10 +5,13 @@
 #include "fescue/net/workerpool.h"
 #include "fescue/observe/metrics.h"
 #include "fescue/policy/lengthforecast.h"
+#include "fescue/serving/bytebudget.h"
 #include "fescue/serving/callerrequest.h"
 #include "fescue/serving/coldgate.h"
 #include "fescue/serving/endpointhealth.h"
+#include "fescue/serving/endpointpauses.h"
 #include "fescue/serving/endpointtable.h"
+#include "fescue/serving/enginesend.h"
 #include "fescue/serving/generationrun.h"
 #include "fescue/serving/loadledger.h"
 #include "fescue/serving/nodesettings.h"
@@ -52,13 +55,20 @@
     [[nodiscard]] PlacementView placementView(const ServiceName &service);
     // Endpoints of a service that may be given new work.
     [[nodiscard]] std::vector<const EndpointView *> candidates(const ServiceName &service) const;
+    // False while the endpoint wants nothing from this process, whatever the request is for.
+    [[nodiscard]] bool mayCall(const EndpointRecord &endpoint) const;
+    // Time until the first endpoint of a service that asked for a pause may be used; 0 where none
+    // is paused.
+    [[nodiscard]] Millis shortestPause(const ServiceName &service) const;
+    // Records what an answer of an endpoint says of the endpoint itself.
+    void heardFrom(const EndpointRecord &endpoint, const EngineAnswerHead &head);
     // Takes the right to send a request to an endpoint; false where it is cold and the part of this
     // process is used up.
     [[nodiscard]] bool takeColdShare(const EndpointView &endpoint);
     [[nodiscard]] double coldBound(const ServiceName &service) const;
 
     // Takes one repeat of a request to a service out of the bound for all processes.
-    [[nodiscard]] bool takeRepeat(const ServiceName &service);
+    [[nodiscard]] bool takeRepeat(const ServiceName &service, RepeatUse use = RepeatUse::Rescue);
     [[nodiscard]] RepeatBudget &repeatsOf(const ServiceName &service);
     // Repeats that this process has used lately, by service, for telling it to peers.
     [[nodiscard]] std::vector<RepeatsOf> ownRepeats();
@@ -79,12 +89,16 @@
     EndpointTable endpoints;
     LoadLedger ledger;
     EndpointHealth health;
+    EndpointPauses pauses;
+    ByteBudget answerMemory;
     ColdGate coldGate;
     LinkQueue links;
     MemberTable members;
     RunRegistry runs;
     // Tells peers of new work at once; they choose endpoints by it.
     std::function<void()> tellPeers = [] {};
+    // Called once for each endpoint that says in an answer that it leaves.
+    std::function<void(const LeavingNotice &)> endpointSaidLeaving = [](const LeavingNotice &) {};
     // True once the process has been asked to stop.
     bool draining = false;
     // Requests that have no final answer yet.
--- a/include/fescue/serving/streamforwarder.h
+++ b/include/fescue/serving/streamforwarder.h
@@ -71,6 +71,9 @@
     [[nodiscard]] bool resumeFromBackup(Passing &passing);
     // Waits for the end of a move and goes on at its destination. False where that is not possible.
     [[nodiscard]] bool resume(Passing &passing);
+    // Waits until an engine that wants no requests may be sent one; false where that takes too
+    // long.
+    [[nodiscard]] bool waitForPause(const RequestContext &context, const EndpointRecord &engine);
     [[nodiscard]] bool resumeAt(Passing &passing, const EndpointRecord &engine);
     void finish(Passing &passing, StreamEnd end);
 
--- a/include/fescue/serving/streamforwarder.inl
+++ b/include/fescue/serving/streamforwarder.inl
@@ -18,6 +18,9 @@
 inline constexpr Millis resumePoll = 3_ms;
 // Longest wait for the end of a move after its stream has ended.
 inline constexpr Millis resumeWait = 2500_ms;
+// An engine that is to go on with a stream is waited for until its pause ends, if that is within
+// this time; callers abandon streams after a gap of two seconds or more.
+inline constexpr Millis longestPauseWait = 1800_ms;
 // Time for the first byte of a stream that goes on elsewhere.
 inline constexpr Millis resumeTimeout = 3_s;
 
@@ -93,11 +96,12 @@
     EngineSend send = makeGenerationSend(context, record);
     addBackup(passing, *endpoint, send);
     ExchangeResult result =
-        exchange<P>(m_state->engineClient, record.address, context.request, send,
+        exchange<P>(*m_state, record, context.request, send,
                     context.caller.requestId, context.timeLeft(), abandonCheck(passing));
     noteAttempt(*m_state, context, record.name, result.outcome, result.detail);
-    verdict = policy.after(result.outcome, context.timeLeft(),
-                           [this, &context] { return m_state->takeRepeat(context.service); });
+    verdict = policy.after(result.outcome, context.timeLeft(), [this, &context](RepeatUse use) {
+        return m_state->takeRepeat(context.service, use);
+    });
     return result;
 }
 
@@ -161,7 +165,9 @@
 template <PlatformProtocol P>
 void StreamForwarder<P>::passOnFailure(RequestContext &context, ExchangeResult &result)
 {
-    Result<std::string> body = result.stream.readAll(maxFailureBytes, context.timeLeft());
+    ByteShare memory(m_state->answerMemory);
+    Result<std::string> body =
+        readWhole(result.stream, memory, maxFailureBytes, context.timeLeft());
     if (!body) {
         context.detail = body.error().message;
         refuse<P>(*m_state, context,
@@ -300,6 +306,8 @@
     RequestContext &context = passing.context;
     GenerationRun &run = *passing.run;
     const Millis begun = ServingState::now();
+    if (!waitForPause(context, engine))
+        return false;
     EngineSend send = makeGenerationSend(context, engine);
     send.resume = run.resume;
     const EndpointView *view = m_state->endpoints.find(engine.name);
@@ -307,7 +315,7 @@
         addBackup(passing, *view, send);
     net::ResponseWriter &writer = context.writer;
     ExchangeResult result = exchange<P>(
-        m_state->engineClient, engine.address, context.request, send, run.requestId,
+        *m_state, engine, context.request, send, run.requestId,
         std::min(resumeTimeout, context.timeLeft()), [&writer] { return writer.callerGone(); });
     observe::logChange("resume",
                        {{"id", run.requestId},
@@ -338,6 +346,25 @@
     return true;
 }
 
+template <PlatformProtocol P>
+bool StreamForwarder<P>::waitForPause(const RequestContext &context, const EndpointRecord &engine)
+{
+    const Millis pause =
+        m_state->pauses.remaining(ServingState::now(), engine.name, engine.incarnation);
+    if (pause == Millis {0})
+        return true;
+    const bool waits = pause <= std::min(longestPauseWait, context.timeLeft());
+    observe::logChange("resume-pause",
+                       {{"id", context.caller.requestId},
+                        {"endpoint", engine.name.text()},
+                        {"pause_ms", pause.count},
+                        {"waits", waits ? "yes" : "no"}});
+    if (!waits)
+        return false;
+    net::sleepFor(pause);
+    return !context.writer.callerGone() && m_state->mayCall(engine);
+}
+
 template <PlatformProtocol P>
 void StreamForwarder<P>::finish(Passing &passing, StreamEnd end)
 {
--- a/src/net/clientconnection.cpp
+++ b/src/net/clientconnection.cpp
@@ -16,6 +16,9 @@
 namespace {
 
 constexpr std::size_t readBytes = 4096;
+// Interim answers that may precede an answer; more are no answer.
+constexpr int maxInterimAnswers = 8;
+constexpr int switchingProtocols = 101;
 // How often a wait asks whether its answer is still wanted. Well under the half second after which
 // work for a caller that has left counts as wasted.
 constexpr Millis abandonCheckInterval = 150_ms;
@@ -74,6 +77,9 @@
 
 Result<void> ClientConnection::readMore(Millis deadline, ResultCode timeoutCode)
 {
+    // A line or a trailer that does not end is kept whole until it does.
+    if (m_buffer.size() > m_pool->limits.maxHeadBytes + readBytes)
+        return failure(ResultCode::BackEndProtocol, "a line or a trailer is too long");
     IoOutcome outcome = m_socket.readSome(m_buffer.prepare(readBytes), nextCheck(deadline));
     while (outcome.timedOut && steadyNow() < deadline) {
         if (m_abandoned())
@@ -103,6 +109,26 @@
 
 Result<void> ClientConnection::readHead(std::uint32_t maxHeadBytes,
                                         std::optional<std::uint64_t> maxBodyBytes, Millis deadline)
+{
+    for (int n = 0; n <= maxInterimAnswers; ++n) {
+        if (Result<void> read = readOneHead(maxHeadBytes, maxBodyBytes, deadline); !read)
+            return read;
+        m_status = static_cast<int>(m_parser->get().result_int());
+        const bool isInterim = m_status >= 100 && m_status < 200 && m_status != switchingProtocols;
+        if (isInterim)
+            continue;
+        if (m_status < 200)
+            return failure(ResultCode::BackEndProtocol, "the protocol was changed unasked");
+        m_headers = takeHeaders(m_parser->get());
+        m_needsInput = false;
+        return {};
+    }
+    return failure(ResultCode::BackEndProtocol, "too many interim answers");
+}
+
+Result<void> ClientConnection::readOneHead(std::uint32_t maxHeadBytes,
+                                           std::optional<std::uint64_t> maxBodyBytes,
+                                           Millis deadline)
 {
     m_parser.emplace();
     m_parser->header_limit(maxHeadBytes);
@@ -123,9 +149,6 @@
         if (Result<void> read = readMore(deadline, ResultCode::BackEndTimeout); !read)
             return read;
     }
-    m_status = static_cast<int>(m_parser->get().result_int());
-    m_headers = takeHeaders(m_parser->get());
-    m_needsInput = false;
     return {};
 }
 
--- a/src/net/clientconnection.h
+++ b/src/net/clientconnection.h
@@ -27,7 +27,8 @@
 
     [[nodiscard]] Result<void> connect(Millis deadline);
     [[nodiscard]] Result<void> sendRequest(const HttpRequest &request, Millis deadline);
-    // Reads up to the end of the head. Answers bodies longer than the limit with BackEndProtocol.
+    // Reads up to the end of the head of the next answer that is not an interim one. Fails with
+    // BackEndProtocol where the head or the announced body is longer than the limits.
     [[nodiscard]] Result<void> readHead(std::uint32_t maxHeadBytes,
                                         std::optional<std::uint64_t> maxBodyBytes, Millis deadline);
     // Returns 0 at the end of the body.
@@ -58,6 +59,9 @@
 private:
     using Parser = boost::beast::http::response_parser<boost::beast::http::buffer_body>;
 
+    [[nodiscard]] Result<void> readOneHead(std::uint32_t maxHeadBytes,
+                                           std::optional<std::uint64_t> maxBodyBytes,
+                                           Millis deadline);
     [[nodiscard]] Result<void> readMore(Millis deadline, ResultCode timeoutCode);
     // The deadline, or the time at which to ask whether the answer is still wanted.
     [[nodiscard]] Millis nextCheck(Millis deadline) const;
--- a/src/net/serverconnection.cpp
+++ b/src/net/serverconnection.cpp
@@ -106,6 +106,11 @@
         }
         if (!ec && used > 0 && m_buffer.size() > 0)
             continue;
+        // A chunk's line or a trailer that does not end is kept whole until it does.
+        if (m_buffer.size() > m_limits.maxHeadBytes + bodyReadBytes) {
+            refuse(http::error::header_limit);
+            return false;
+        }
         if (readMore(deadline))
             continue;
         if (steadyNow() >= deadline)
--- a/src/serving/attemptpolicy.cpp
+++ b/src/serving/attemptpolicy.cpp
@@ -10,6 +10,8 @@
 constexpr std::uint32_t maxConnects = 5;
 // Attempts that met another endpoint at the address.
 constexpr std::uint32_t maxRedirects = 3;
+// Attempts that an endpoint turned away: where this many have no room, the service is full.
+constexpr std::uint32_t maxRejections = 3;
 
 } // namespace
 
@@ -52,7 +54,7 @@
         ++m_redirects;
         break;
     case SendOutcome::NotRun:
-        ++m_sent;
+        ++m_rejections;
         break;
     case SendOutcome::Lost:
     case SendOutcome::TimedOut:
@@ -73,7 +75,7 @@
     case SendOutcome::OtherEndpoint:
         return m_redirects < maxRedirects;
     case SendOutcome::NotRun:
-        return true;
+        return m_rejections < maxRejections;
     case SendOutcome::Failed:
     case SendOutcome::Lost:
     case SendOutcome::TimedOut:
--- a/src/serving/endpointtable.cpp
+++ b/src/serving/endpointtable.cpp
@@ -14,7 +14,10 @@
     view.record = record;
     view.seenSince = sameLife ? it->second.seenSince : now;
     view.coldUntil = now + record.coldRemaining;
-    if (record.draining)
+    const bool saidBefore =
+        (sameLife && it->second.saidLeaving) || hasNotice(record.name, record.incarnation);
+    view.saidLeaving = record.draining || saidBefore;
+    if (view.saidLeaving)
         view.leavingSince = sameLife && it->second.leaving() ? it->second.leavingSince : now;
     m_endpoints[record.name] = std::move(view);
 }
@@ -30,6 +33,38 @@
         endpoint.leavingSince = now;
 }
 
+bool EndpointTable::hasNotice(const EndpointName &name, Incarnation incarnation) const
+{
+    const auto it = m_notices.find(name);
+    return it != m_notices.end() && it->second.incarnation == incarnation;
+}
+
+bool EndpointTable::saidLeaving(Millis now, const LeavingNotice &notice)
+{
+    const auto known = m_notices.find(notice.endpoint);
+    // Word of an earlier life may arrive late.
+    if (known != m_notices.end() && known->second.incarnation >= notice.incarnation)
+        return false;
+    m_notices[notice.endpoint] = {notice.incarnation, now};
+    const auto it = m_endpoints.find(notice.endpoint);
+    if (it == m_endpoints.end() || it->second.record.incarnation != notice.incarnation)
+        return false;
+    const bool isNews = !it->second.leaving();
+    it->second.saidLeaving = true;
+    markLeaving(now, it->second);
+    return isNews;
+}
+
+std::vector<LeavingNotice> EndpointTable::recentNotices(Millis now) const
+{
+    std::vector<LeavingNotice> notices;
+    for (const std::pair<const EndpointName, Notice> &entry : m_notices) {
+        if (now - entry.second.at <= m_limits.repeatNotices)
+            notices.push_back({entry.first, entry.second.incarnation});
+    }
+    return notices;
+}
+
 void EndpointTable::removed(Millis now, const EndpointName &name)
 {
     const auto it = m_endpoints.find(name);
@@ -62,6 +97,9 @@
     std::erase_if(m_endpoints, [this, now](const std::pair<const EndpointName, EndpointView> &e) {
         return e.second.leaving() && now - e.second.leavingSince > m_limits.rememberGone;
     });
+    std::erase_if(m_notices, [this, now](const std::pair<const EndpointName, Notice> &entry) {
+        return now - entry.second.at > m_limits.rememberNotices;
+    });
     return leaving;
 }
 
--- a/src/serving/enginesend.cpp
+++ b/src/serving/enginesend.cpp
@@ -13,6 +13,8 @@
         return "busy";
     case MoveOutcome::NoRoom:
         return "no-room";
+    case MoveOutcome::NotSent:
+        return "not-sent";
     case MoveOutcome::Unclear:
         return "unclear";
     }
--- a/src/serving/gossip.cpp
+++ b/src/serving/gossip.cpp
@@ -2,6 +2,9 @@
 
 #include "serving/cbor.h"
 
+#include <algorithm>
+#include <span>
+
 namespace fescue::serving {
 
 namespace {
@@ -28,6 +31,24 @@
     return member;
 }
 
+Json encodeNotices(std::span<const LeavingNotice> notices)
+{
+    Json list = Json::array();
+    for (const LeavingNotice &notice :
+         notices.first(std::min(notices.size(), maxNoticesPerDatagram)))
+        list.push_back({notice.endpoint.text(), notice.incarnation.value});
+    return list;
+}
+
+std::vector<LeavingNotice> decodeNotices(const Json &list)
+{
+    std::vector<LeavingNotice> notices;
+    for (const Json &entry : list)
+        notices.push_back(
+            {EndpointName(entry.at(0).get<std::string>()), {entry.at(1).get<std::uint64_t>()}});
+    return notices;
+}
+
 } // namespace
 
 std::string encodeGossip(const Gossip &gossip)
@@ -39,8 +60,9 @@
     Json repeats = Json::array();
     for (const RepeatsOf &entry : gossip.repeats)
         repeats.push_back({entry.service.text(), entry.used});
-    const Json json = {layoutVersion, encodeMember(gossip.member), gossip.configVersion.value,
-                       loads, repeats};
+    const Json json = {
+        layoutVersion, encodeMember(gossip.member),  gossip.configVersion.value, loads,
+        repeats,       encodeNotices(gossip.leaving)};
     return toCbor(json);
 }
 
@@ -60,8 +82,24 @@
             gossip.repeats.push_back(
                 {ServiceName(entry.at(0).get<std::string>()), entry.at(1).get<std::uint32_t>()});
         }
+        // Processes of the release before do not send it.
+        constexpr std::size_t leavingField = 5;
+        if (json.size() > leavingField)
+            gossip.leaving = decodeNotices(json.at(leavingField));
         return gossip;
     });
 }
 
+std::string encodeLeaving(const LeavingNews &news)
+{
+    return toCbor({layoutVersion, news.fromZone.text(), encodeNotices(news.notices)});
+}
+
+Result<LeavingNews> decodeLeaving(std::string_view bytes)
+{
+    return readCbor<LeavingNews>(bytes, layoutVersion, "leaving endpoints", [](const Json &json) {
+        return LeavingNews {ZoneName(json.at(1).get<std::string>()), decodeNotices(json.at(2))};
+    });
+}
+
 } // namespace fescue::serving
--- a/src/serving/repeatbudget.cpp
+++ b/src/serving/repeatbudget.cpp
@@ -33,9 +33,8 @@
     m_peers[peer] = {now, used};
 }
 
-double RepeatBudget::usedByPeers(Millis now, std::size_t members) const
+double RepeatBudget::usedByPeers(Millis now, std::size_t members, double pool) const
 {
-    const double pool = m_bound.allowance * poolPart;
     const std::size_t others = members > 0 ? members - 1 : 0;
     std::size_t heard = 0;
     double used = 0;
@@ -50,7 +49,7 @@
     return used + static_cast<double>(unheard) * part;
 }
 
-bool RepeatBudget::tryTake(Millis now, std::size_t members)
+bool RepeatBudget::tryTake(Millis now, std::size_t members, RepeatUse use)
 {
     expire(now);
     const double paid = static_cast<double>(m_requests.size()) * m_bound.share * sharePart;
@@ -58,8 +57,9 @@
         m_paidByRequests.push_back(now);
         return true;
     }
-    const double pool = m_bound.allowance * poolPart;
-    const double used = static_cast<double>(m_paidByPool.size()) + usedByPeers(now, members);
+    const double usable = use == RepeatUse::Rejected ? rejectedPart : 1;
+    const double pool = m_bound.allowance * poolPart * usable;
+    const double used = static_cast<double>(m_paidByPool.size()) + usedByPeers(now, members, pool);
     if (used + 1 > pool)
         return false;
     m_paidByPool.push_back(now);
--- a/src/serving/servingstate.cpp
+++ b/src/serving/servingstate.cpp
@@ -1,5 +1,7 @@
 #include "fescue/serving/servingstate.h"
 
+#include "fescue/observe/log.h"
+
 #include <algorithm>
 #include <utility>
 
@@ -18,6 +20,13 @@
 // Connecting to an endpoint within the region takes a few milliseconds; one that takes longer has
 // lost a packet or its endpoint, and nothing has been sent.
 constexpr Millis endpointConnectTimeout = 300_ms;
+// An endpoint that asks for a pause without a time that can be read gets this one.
+constexpr Millis unreadablePause = 1_s;
+// Longest answer to a control call of this process.
+constexpr std::uint64_t maxControlAnswerBytes = std::uint64_t {256} * 1024;
+// Part of the process' memory for answers that are read whole before they are passed on.
+constexpr std::size_t answerMemoryDivisor = 4;
+constexpr std::size_t bytesPerMegabyte = std::size_t {1024} * 1024;
 // Guesses of callers are often far off: they are kept between the lengths that these parts of a
 // route's outputs stay below.
 constexpr double shortOutputQuantile = 0.25;
@@ -28,9 +37,15 @@
     net::ClientLimits limits;
     limits.connectTimeout = endpointConnectTimeout;
     limits.maxIdlePerAddress = 0;
+    limits.maxBodyBytes = maxControlAnswerBytes;
     return limits;
 }
 
+std::size_t answerMemoryOf(const NodeSettings &settings) noexcept
+{
+    return settings.memoryMegabytes * bytesPerMegabyte / answerMemoryDivisor;
+}
+
 // Members wait for heartbeats that come several times a second.
 MemberLimits memberLimits()
 {
@@ -46,7 +61,8 @@
 ServingState::ServingState(NodeSettings nodeSettings, net::WorkerPool &workerPool,
                            observe::Metrics &processMetrics)
     : settings(std::move(nodeSettings)), pool(workerPool), metrics(processMetrics),
-      engineClient(engineClientLimits()), members(memberLimits()), m_random(std::random_device {}())
+      engineClient(engineClientLimits()), answerMemory(answerMemoryOf(settings)),
+      members(memberLimits()), m_random(std::random_device {}())
 { }
 
 double ServingState::uniform()
@@ -106,7 +122,50 @@
 
 std::vector<const EndpointView *> ServingState::candidates(const ServiceName &service) const
 {
-    return endpoints.usable(service);
+    std::vector<const EndpointView *> usable = endpoints.usable(service);
+    std::erase_if(usable, [this](const EndpointView *view) { return !mayCall(view->record); });
+    return usable;
+}
+
+bool ServingState::mayCall(const EndpointRecord &endpoint) const
+{
+    return !pauses.isPaused(now(), endpoint.name, endpoint.incarnation);
+}
+
+Millis ServingState::shortestPause(const ServiceName &service) const
+{
+    const Millis time = now();
+    Millis shortest {0};
+    for (const EndpointView *view : endpoints.usable(service)) {
+        const Millis left = pauses.remaining(time, view->record.name, view->record.incarnation);
+        if (left > Millis {0} && (shortest == Millis {0} || left < shortest))
+            shortest = left;
+    }
+    return shortest;
+}
+
+void ServingState::heardFrom(const EndpointRecord &endpoint, const EngineAnswerHead &head)
+{
+    const Millis time = now();
+    if (head.asksPause) {
+        const Millis span = head.pause.value_or(unreadablePause);
+        pauses.pause(time, endpoint.name, endpoint.incarnation, span);
+        observe::logChange("endpoint-pause",
+                           {{"endpoint", endpoint.name.text()},
+                            {"status", head.status},
+                            {"pause_ms", span.count},
+                            {"readable", head.pause ? "yes" : "no"}});
+    }
+    const LeavingNotice notice {endpoint.name, endpoint.incarnation};
+    if (head.leaving && endpoints.saidLeaving(time, notice)) {
+        observe::logChange("endpoint",
+                           {{"endpoint", endpoint.name.text()},
+                            {"service", endpoint.service.text()},
+                            {"zone", endpoint.zone.text()},
+                            {"state", "leaving"},
+                            {"reason", "said so in an answer"}});
+        endpointSaidLeaving(notice);
+    }
 }
 
 bool ServingState::takeColdShare(const EndpointView &endpoint)
@@ -128,9 +187,9 @@
     return m_repeats.emplace(service, RepeatBudget(bound)).first->second;
 }
 
-bool ServingState::takeRepeat(const ServiceName &service)
+bool ServingState::takeRepeat(const ServiceName &service, RepeatUse use)
 {
-    return repeatsOf(service).tryTake(now(), membersForShares());
+    return repeatsOf(service).tryTake(now(), membersForShares(), use);
 }
 
 std::vector<RepeatsOf> ServingState::ownRepeats()
--- a/tests/platform/requestcodec_test.cpp
+++ b/tests/platform/requestcodec_test.cpp
@@ -1,3 +1,4 @@
+#include "fescue/serving/endpointpauses.h"
 #include "platform/codec.h"
 
 #include <algorithm>
@@ -128,6 +129,42 @@
     EXPECT_EQ(platform::decodeAnswerHead(200, {{"X-Attempt-Id", "id-1"}}).requestId, "id-1");
 }
 
+TEST(RequestCodec, AnswersOfAnyStatusTellThatTheirEndpointLeaves)
+{
+    for (const int status : {200, 421, 500, 503})
+        EXPECT_TRUE(platform::decodeAnswerHead(status, {{"Server-Leaving", "1"}}).leaving);
+    EXPECT_FALSE(platform::decodeAnswerHead(200, {{"Server-Leaving", "0"}}).leaving);
+    EXPECT_FALSE(platform::decodeAnswerHead(200, {}).leaving);
+}
+
+TEST(RequestCodec, PausesAreReadFromRefusalsOnly)
+{
+    const EngineAnswerHead head = platform::decodeAnswerHead(503, {{"Retry-After", "2"}});
+    EXPECT_TRUE(head.asksPause);
+    EXPECT_EQ(head.pause, 2_s);
+    EXPECT_TRUE(platform::decodeAnswerHead(429, {{"Retry-After", "2"}}).asksPause);
+    EXPECT_FALSE(platform::decodeAnswerHead(503, {}).asksPause);
+    EXPECT_FALSE(platform::decodeAnswerHead(500, {{"Retry-After", "2"}}).asksPause);
+    EXPECT_FALSE(platform::decodeAnswerHead(200, {{"Retry-After", "2"}}).asksPause);
+}
+
+TEST(RequestCodec, PausesMayHaveFractionsAndAnySize)
+{
+    const auto pause = [](const char *text) {
+        return platform::decodeAnswerHead(503, {{"Retry-After", text}}).pause;
+    };
+    EXPECT_EQ(pause("0"), 0_s);
+    EXPECT_EQ(pause("0.25"), 250_ms);
+    EXPECT_EQ(pause(".5"), 500_ms);
+    EXPECT_EQ(pause("3."), 3_s);
+    EXPECT_EQ(pause("0.0001"), 1_ms);
+    EXPECT_EQ(pause("99999999999999"), EndpointPauses::longest);
+    EXPECT_EQ(pause("99999999999999999999999999999"), EndpointPauses::longest);
+    for (const char *text : {"-1", "+2", "1e3", "nan", "inf", "0x10", ".", "1.2.3", "soon",
+                             "Wed, 21 Oct 2026 07:28:00 GMT"})
+        EXPECT_FALSE(pause(text)) << text;
+}
+
 TEST(RequestCodec, AnswersKeepTheirSignatureAndLoseConnectionHeaders)
 {
     const std::vector<net::Header> headers = platform::answerHeaders(
--- a/tests/serving/endpointtable_test.cpp
+++ b/tests/serving/endpointtable_test.cpp
@@ -118,4 +118,73 @@
     EXPECT_EQ(table.find(EndpointName("e1")), nullptr);
 }
 
+// Pattern: an endpoint says in an answer that it leaves before the store shows it, or while the
+// store is away and still shows it as ready.
+TEST(EndpointTable, OwnWordOfLeavingHoldsAgainstAnOutdatedEntry)
+{
+    EndpointTable table;
+    table.listed(1_s, makeRecord("e1"));
+    EXPECT_TRUE(table.saidLeaving(2_s, {EndpointName("e1"), {1}}));
+    EXPECT_EQ(usableCount(table), 0U);
+    table.listed(3_s, makeRecord("e1"));
+    EXPECT_EQ(usableCount(table), 0U);
+    EXPECT_EQ(table.find(EndpointName("e1"))->leavingSince, 2_s);
+    EXPECT_FALSE(table.saidLeaving(4_s, {EndpointName("e1"), {1}}));
+}
+
+// Pattern: a process has just started, hears from a peer first, and lists the store after that.
+TEST(EndpointTable, WordThatComesBeforeTheEntryIsKept)
+{
+    EndpointTable table;
+    EXPECT_FALSE(table.saidLeaving(1_s, {EndpointName("e1"), {1}}));
+    table.listed(2_s, makeRecord("e1"));
+    EXPECT_EQ(usableCount(table), 0U);
+    EXPECT_TRUE(table.find(EndpointName("e1"))->leaving());
+}
+
+TEST(EndpointTable, OwnWordOfLeavingEndsWithTheLifeThatGaveIt)
+{
+    EndpointTable table;
+    table.listed(1_s, makeRecord("e1", 1));
+    EXPECT_TRUE(table.saidLeaving(2_s, {EndpointName("e1"), {1}}));
+    table.listed(3_s, makeRecord("e1", 2));
+    EXPECT_EQ(usableCount(table), 1U);
+    // Word of the earlier life that arrives late.
+    EXPECT_FALSE(table.saidLeaving(4_s, {EndpointName("e1"), {1}}));
+    EXPECT_EQ(usableCount(table), 1U);
+    EXPECT_TRUE(table.saidLeaving(5_s, {EndpointName("e1"), {2}}));
+    EXPECT_EQ(usableCount(table), 0U);
+}
+
+TEST(EndpointTable, DrainingIsNotTakenBackByAnOlderEntry)
+{
+    EndpointTable table;
+    EndpointRecord record = makeRecord("e1");
+    record.draining = true;
+    table.listed(1_s, record);
+    table.listed(2_s, makeRecord("e1"));
+    EXPECT_EQ(usableCount(table), 0U);
+}
+
+TEST(EndpointTable, RemovedEntryThatComesBackIsUsableAgain)
+{
+    EndpointTable table;
+    table.listed(1_s, makeRecord("e1"));
+    table.removed(2_s, EndpointName("e1"));
+    table.listed(3_s, makeRecord("e1"));
+    EXPECT_EQ(usableCount(table), 1U);
+}
+
+TEST(EndpointTable, NoticesAreToldForAWhileAndForgottenLater)
+{
+    EndpointTable table;
+    const LeavingNotice notice {EndpointName("e1"), {1}};
+    static_cast<void>(table.saidLeaving(1_s, notice));
+    EXPECT_EQ(table.recentNotices(31_s), std::vector<LeavingNotice> {notice});
+    EXPECT_TRUE(table.recentNotices(32_s).empty());
+    static_cast<void>(table.tick(122_s));
+    table.listed(123_s, makeRecord("e1"));
+    EXPECT_EQ(usableCount(table), 1U);
+}
+
 } // namespace
--- a/tests/serving/gossip_test.cpp
+++ b/tests/serving/gossip_test.cpp
@@ -21,6 +21,7 @@
     gossip.configVersion = {9};
     gossip.loads = {{EndpointName("e1"), {3, 9'000, 500}}};
     gossip.repeats = {{ServiceName("s"), 4}};
+    gossip.leaving = {{EndpointName("e2"), {1'700'000'000'123}}};
     return gossip;
 }
 
@@ -40,4 +41,24 @@
     EXPECT_FALSE(decodeGossip("\xa0"));
 }
 
+TEST(Gossip, LeavingEndpointsComeBackAsTheyWereSent)
+{
+    const LeavingNews news {ZoneName("north"), {{EndpointName("e1"), {5}}}};
+    const std::string bytes = encodeLeaving(news);
+    const Result<LeavingNews> decoded = decodeLeaving(bytes);
+    ASSERT_TRUE(decoded) << decoded.error().message;
+    EXPECT_EQ(*decoded, news);
+    for (std::size_t n = 0; n < bytes.size(); ++n)
+        EXPECT_FALSE(decodeLeaving(std::string_view(bytes).substr(0, n)));
+}
+
+TEST(Gossip, ManyLeavingEndpointsStayWithinADatagram)
+{
+    Gossip gossip = makeGossip();
+    gossip.leaving.assign(5000, {EndpointName("endpoint-with-a-name"), {1'700'000'000'123}});
+    const std::string bytes = encodeGossip(gossip);
+    EXPECT_LT(bytes.size(), 8192U);
+    EXPECT_EQ(decodeGossip(bytes)->leaving.size(), maxNoticesPerDatagram);
+}
+
 } // namespace
--- a/tests/serving/repeatbudget_test.cpp
+++ b/tests/serving/repeatbudget_test.cpp
@@ -87,4 +87,21 @@
     }
 }
 
+// Pattern: many requests are turned away by full engines while engines leave and their generations
+// have to be moved.
+TEST(RepeatBudget, RequestsThatWereTurnedAwayLeaveHalfOfThePoolToRescues)
+{
+    RepeatBudget budget(bound);
+    for (std::size_t n = 1; n < 9; ++n)
+        budget.peerTold(1_s, memberName(n), 0);
+    int rejected = 0;
+    while (budget.tryTake(1_s, 9, RepeatUse::Rejected))
+        ++rejected;
+    int rescued = 0;
+    while (budget.tryTake(1_s, 9, RepeatUse::Rescue))
+        ++rescued;
+    EXPECT_EQ(rejected, 20);
+    EXPECT_EQ(rescued, 20);
+}
+
 } // namespace
--- a/tests/serving/testprotocol.h
+++ b/tests/serving/testprotocol.h
@@ -57,6 +57,11 @@
         head.status = status;
         head.requestId = net::findHeader(headers, "Request");
         head.notRun = !net::findHeader(headers, "Not-Run").empty();
+        head.leaving = !net::findHeader(headers, "Leaving").empty();
+        const std::string pause(net::findHeader(headers, "Pause"));
+        head.asksPause = !pause.empty();
+        if (head.asksPause)
+            head.pause = Millis {std::stoll(pause)};
         return head;
     }
     static std::vector<net::Header> answerHeaders(const std::vector<net::Header> &headers)
