--- a/include/fescue/core/result.h
+++ b/include/fescue/core/result.h
@@ -25,6 +25,8 @@
     ResultCode code = ResultCode::Internal;
     std::string message;
     SourcePosition position = {};
+    // The system's error number where one of its calls failed, else 0.
+    int systemError = 0;
 
     // Returns "file:line:column: message (code name)", without the parts that are not known.
     [[nodiscard]] std::string toString() const;
--- a/include/fescue/serving/attemptpolicy.h
+++ b/include/fescue/serving/attemptpolicy.h
@@ -18,6 +18,8 @@
     Failed,
     // No byte of the request was sent.
     NotSent,
+    // The same, since nothing listens at the endpoint's address.
+    Refused,
     // The endpoint says that it has not run the request and will not.
     NotRun,
     // Another endpoint has the address; the request has not run.
@@ -61,7 +63,8 @@
     [[nodiscard]] AttemptVerdict after(SendOutcome outcome, Millis timeLeft, TakeRetry takeRetry)
     {
         const AttemptVerdict fallback = withoutRepeat(outcome);
-        if (outcome == SendOutcome::NotSent && mayConnectAgain(timeLeft))
+        const bool unconnected = outcome == SendOutcome::NotSent || outcome == SendOutcome::Refused;
+        if (unconnected && mayConnectAgain(timeLeft))
             return AttemptVerdict::TryAnother;
         const RepeatUse use =
             outcome == SendOutcome::NotRun ? RepeatUse::Rejected : RepeatUse::Rescue;
--- a/include/fescue/serving/edgedaemon.h
+++ b/include/fescue/serving/edgedaemon.h
@@ -37,14 +37,14 @@
     void tick();
     void answerPeer(const net::HttpRequest &request, net::ResponseWriter &writer);
     void sendGossip();
-    void broadcast(std::string_view bytes);
+    void sendNews(std::span<const MemberView *const> to, std::string_view bytes);
     // Moves the generations of an endpoint that said that it leaves, and tells the other processes.
-    void endpointSaidLeaving(const LeavingNotice &notice);
-    void tellLeaving(std::span<const LeavingNotice> notices, bool toOtherZones);
+    void endpointSaidLeaving(const EndpointLife &notice);
+    void tellLeaving(std::span<const EndpointLife> notices, bool toOtherZones);
     void takeLeaving(std::string_view bytes);
     // Takes the word of a peer; returns what was news here.
-    [[nodiscard]] std::vector<LeavingNotice> takeNotices(std::span<const LeavingNotice> notices,
-                                                         std::string_view from);
+    [[nodiscard]] std::vector<EndpointLife> takeNotices(std::span<const EndpointLife> notices,
+                                                        std::string_view from);
     // Sends a datagram of one kind to a member; false where that fails.
     bool sendTo(const MemberInfo &member, const std::string &datagram);
     void takeDatagram(std::string_view bytes);
--- a/include/fescue/serving/edgedaemon.inl
+++ b/include/fescue/serving/edgedaemon.inl
@@ -42,7 +42,9 @@
       m_store(m_state, m_self,
               {[this] { applyLimits(); },
                [this](const EndpointName &endpoint) { m_mover.evacuate(endpoint); },
-               [this](std::string_view bytes) { broadcast(bytes); }}),
+               [this](std::span<const MemberView *const> to, std::string_view bytes) {
+                   sendNews(to, bytes);
+               }}),
       m_gossip(pool.context(0), [this](std::string_view bytes) { takeDatagram(bytes); })
 { }
 
@@ -87,9 +89,10 @@
         return opened;
     m_state.members.heartbeat(ServingState::now(), m_self);
     m_state.tellPeers = [this] { sendGossip(); };
-    m_state.endpointSaidLeaving = [this](const LeavingNotice &n) { endpointSaidLeaving(n); };
+    m_state.endpointSaidLeaving = [this](const EndpointLife &n) { endpointSaidLeaving(n); };
     m_store.start();
     m_pool->spawn(net::currentWorker(), [this] { tick(); });
+    m_pool->spawn(net::currentWorker(), [this] { m_mover.watchEngines(); });
     observe::logChange("started",
                        {{"zone", settings.zone.text()},
                         {"front", settings.frontAddress.toString()},
@@ -169,9 +172,12 @@
             m_mover.evacuate(endpoint);
         }
         m_state.members.purge(now);
+        m_state.coldShares.seen(now, m_state.members.members(now));
         m_state.health.purge(now);
         m_state.coldGate.purge(now);
-        m_state.pauses.purge(now);
+        for (EndpointPauses *pauses :
+             {&m_state.pauses, &m_state.refusing, &m_state.ownRefusals})
+            pauses->purge(now);
         sendGossip();
         net::sleepFor(m_state.isLarge() ? largeTickInterval : tickInterval);
     }
@@ -186,7 +192,8 @@
                                    {version},
                                    m_state.ledger.own(),
                                    m_state.ownRepeats(),
-                                   m_state.endpoints.recentNotices(ServingState::now())});
+                                   m_state.endpoints.recentNotices(ServingState::now()),
+                                   m_state.ownRefusals.paused(ServingState::now())});
     const std::vector<MemberView> members = m_state.members.members(ServingState::now());
     // In a large system loads are told within a zone only: entries prefer endpoints of their zone.
     const bool all = !m_state.isLarge();
@@ -199,11 +206,11 @@
 }
 
 template <PlatformProtocol P>
-void EdgeDaemon<P>::broadcast(std::string_view bytes)
+void EdgeDaemon<P>::sendNews(std::span<const MemberView *const> to, std::string_view bytes)
 {
     const std::string datagram = newsKind + std::string(bytes);
-    for (const MemberView &member : m_state.members.members(ServingState::now()))
-        sendTo(member.info, datagram);
+    for (const MemberView *member : to)
+        sendTo(member->info, datagram);
 }
 
 template <PlatformProtocol P>
@@ -231,17 +238,17 @@
 }
 
 template <PlatformProtocol P>
-void EdgeDaemon<P>::endpointSaidLeaving(const LeavingNotice &notice)
+void EdgeDaemon<P>::endpointSaidLeaving(const EndpointLife &notice)
 {
     m_mover.evacuate(notice.endpoint);
     tellLeaving({&notice, 1}, true);
 }
 
 template <PlatformProtocol P>
-void EdgeDaemon<P>::tellLeaving(std::span<const LeavingNotice> notices, bool toOtherZones)
+void EdgeDaemon<P>::tellLeaving(std::span<const EndpointLife> notices, bool toOtherZones)
 {
     const std::string datagram = leavingKind
-        + encodeLeaving({m_self.zone, std::vector<LeavingNotice>(notices.begin(), notices.end())});
+        + encodeLeaving({m_self.zone, std::vector<EndpointLife>(notices.begin(), notices.end())});
     const bool all = !m_state.isLarge();
     std::map<ZoneName, std::size_t> told;
     for (const MemberView &member : m_state.members.members(ServingState::now())) {
@@ -252,11 +259,11 @@
 }
 
 template <PlatformProtocol P>
-std::vector<LeavingNotice> EdgeDaemon<P>::takeNotices(std::span<const LeavingNotice> notices,
+std::vector<EndpointLife> EdgeDaemon<P>::takeNotices(std::span<const EndpointLife> notices,
                                                       std::string_view from)
 {
-    std::vector<LeavingNotice> news;
-    for (const LeavingNotice &notice : notices) {
+    std::vector<EndpointLife> news;
+    for (const EndpointLife &notice : notices) {
         if (!m_state.endpoints.saidLeaving(ServingState::now(), notice))
             continue;
         observe::logChange("endpoint",
@@ -278,7 +285,7 @@
         m_malformed.Increment();
         return;
     }
-    const std::vector<LeavingNotice> news = takeNotices(told->notices, told->fromZone.text());
+    const std::vector<EndpointLife> news = takeNotices(told->endpoints, told->fromZone.text());
     // In a large system a few processes of each zone are told from outside it.
     if (!news.empty() && told->fromZone != m_self.zone && m_state.isLarge())
         tellLeaving(news, false);
@@ -325,6 +332,8 @@
     m_state.ledger.peerTold(now, gossip->member.name, gossip->loads);
     for (const RepeatsOf &repeats : gossip->repeats)
         m_state.repeatsOf(repeats.service).peerTold(now, gossip->member.name, repeats.used);
+    for (const EndpointLife &endpoint : gossip->refusing)
+        m_state.peerRefusedBy(endpoint);
     static_cast<void>(takeNotices(gossip->leaving, gossip->member.name.text()));
 }
 
--- a/include/fescue/serving/endpointtable.h
+++ b/include/fescue/serving/endpointtable.h
@@ -1,7 +1,7 @@
 #pragma once
 
+#include "fescue/serving/endpointlife.h"
 #include "fescue/serving/endpointrecord.h"
-#include "fescue/serving/leavingnotice.h"
 
 #include <map>
 #include <set>
@@ -56,9 +56,9 @@
     void removed(Millis now, const EndpointName &name);
     // Records that an endpoint said in an answer, to this process or to a peer, that this life of
     // it leaves. True where that is news. The store may say otherwise for a while.
-    bool saidLeaving(Millis now, const LeavingNotice &notice);
+    bool saidLeaving(Millis now, const EndpointLife &notice);
     // What endpoints said lately of their leaving, for telling it to peers.
-    [[nodiscard]] std::vector<LeavingNotice> recentNotices(Millis now) const;
+    [[nodiscard]] std::vector<EndpointLife> recentNotices(Millis now) const;
     // Says whether the store answers. Entries that are removed while it does not, or within the
     // grace of its return, are only doubted.
     void storeReachable(Millis now, bool reachable) noexcept;
--- a/include/fescue/serving/enginesend.h
+++ b/include/fescue/serving/enginesend.h
@@ -63,6 +63,8 @@
 // What a model engine says of its state. The figures are some hundred milliseconds old.
 struct EngineReport
 {
+    // It leaves, or is about to.
+    bool leaving = false;
     // Time until it is gone, where it knows.
     std::optional<Millis> leavesIn;
     std::uint64_t memoryUsedTokens = 0;
--- a/include/fescue/serving/generationmover.h
+++ b/include/fescue/serving/generationmover.h
@@ -16,6 +16,9 @@
 
     // Starts to move all generations of this process from an engine that has begun to leave.
     void evacuate(const EndpointName &engine);
+    // Asks the engines of this process' generations whether they leave while the store, which tells
+    // so otherwise, is silent. Returns at the end of the process.
+    void watchEngines();
     // Starts to move one generation where its engine leaves.
     void check(const GenerationRunPtr &run);
 
@@ -33,6 +36,8 @@
 
     // Asks an engine that has begun to leave when it will be gone.
     void askEnd(const EndpointRecord &engine);
+    // Asks one engine for its state and records what it says.
+    void ask(const EndpointRecord &engine);
     void keepCopy(const GenerationRunPtr &run);
     // Makes or renews the copy. Returns the time until it has to be renewed.
     [[nodiscard]] Millis copyAhead(const GenerationRunPtr &run, const EndpointView &source);
--- a/include/fescue/serving/generationmover.inl
+++ b/include/fescue/serving/generationmover.inl
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "fescue/observe/log.h"
+#include "fescue/serving/engineinquiry.h"
 
 namespace fescue::serving {
 
@@ -20,6 +21,9 @@
 // Shorter generations end before a copy pays.
 inline constexpr std::uint64_t fewestTokensForCopy = 200;
 inline constexpr Millis reportTimeout = 500_ms;
+// How often an engine is asked for its state, by all processes together, while the store is silent:
+// several times within the shortest notice.
+inline constexpr Millis askInterval = 250_ms;
 // A generation that is expected to have begun by then is not asked about sooner.
 inline constexpr Millis notBegunPause = 30_ms;
 
@@ -59,6 +63,44 @@
          {"detail", report ? std::string_view() : std::string_view(report.error().message)}});
 }
 
+template <PlatformProtocol P>
+void GenerationMover<P>::watchEngines()
+{
+    while (!net::stopRequested()) {
+        net::sleepFor(askInterval);
+        if (!m_state->storeSilent())
+            continue;
+        const Millis now = ServingState::now();
+        for (const EndpointRecord &engine : m_state->runs.engines()) {
+            const EndpointView *view = m_state->endpoints.find(engine.name);
+            const bool known = view == nullptr || view->leaving() || !m_state->mayCall(engine);
+            if (known || m_state->uniform() >= askChance(m_state->ledger.holders(now, engine.name)))
+                continue;
+            m_state->pool.spawn(net::currentWorker(), [this, engine] { ask(engine); });
+        }
+    }
+}
+
+template <PlatformProtocol P>
+void GenerationMover<P>::ask(const EndpointRecord &engine)
+{
+    const Result<net::HttpResponse> response =
+        callEndpoint<P>(*m_state, engine, P::encodeReportCall(), reportTimeout);
+    if (!response) {
+        if (outcomeOf(response.error()) == SendOutcome::Refused)
+            m_state->refusedBy(engine);
+        return;
+    }
+    const Result<EngineReport> report = P::decodeReport(response->body);
+    if (!report || !report->leaving)
+        return;
+    EngineAnswerHead word;
+    word.leaving = true;
+    m_state->heardFrom(engine, word);
+    if (report->leavesIn)
+        m_ends[engine.name] = ServingState::now() + *report->leavesIn;
+}
+
 template <PlatformProtocol P>
 Millis GenerationMover<P>::endOf(const EndpointView &engine)
 {
--- a/include/fescue/serving/generationrun.h
+++ b/include/fescue/serving/generationrun.h
@@ -86,6 +86,8 @@
     void add(const GenerationRunPtr &run) { m_runs[run->requestId] = run; }
     void remove(const GenerationRunPtr &run);
     [[nodiscard]] std::vector<GenerationRunPtr> runsAt(const EndpointName &endpoint) const;
+    // The engines that run generations of this process.
+    [[nodiscard]] std::vector<EndpointRecord> engines() const;
     // Generations whose backup or copy is kept by an engine.
     [[nodiscard]] std::vector<GenerationRunPtr> runsKeptAt(const EndpointName &engine) const;
     [[nodiscard]] std::size_t size() const noexcept { return m_runs.size(); }
--- a/include/fescue/serving/gossip.h
+++ b/include/fescue/serving/gossip.h
@@ -3,7 +3,7 @@
 #include "fescue/core/ids.h"
 #include "fescue/core/memberinfo.h"
 #include "fescue/core/result.h"
-#include "fescue/serving/leavingnotice.h"
+#include "fescue/serving/endpointlife.h"
 #include "fescue/serving/loadledger.h"
 #include "fescue/serving/repeatbudget.h"
 
@@ -24,19 +24,21 @@
     // Repeats of requests that it has used lately.
     std::vector<RepeatsOf> repeats;
     // Endpoints that said lately that they leave, to this process or to one of its peers.
-    std::vector<LeavingNotice> leaving;
+    std::vector<EndpointLife> leaving;
+    // Endpoints at whose addresses it found nothing that listens.
+    std::vector<EndpointLife> refusing;
     bool operator==(const Gossip &) const = default;
 };
 
-// Most endpoints in one datagram that said that they leave; the rest is told in others.
-inline constexpr std::size_t maxNoticesPerDatagram = 64;
+// Most endpoints in each list of a datagram.
+inline constexpr std::size_t maxLivesPerDatagram = 64;
 
 // What an entry process tells at once when endpoints say that they leave: it may hear that before
 // the store does.
 struct LeavingNews
 {
     ZoneName fromZone;
-    std::vector<LeavingNotice> notices;
+    std::vector<EndpointLife> endpoints;
     bool operator==(const LeavingNews &) const = default;
 };
 
--- a/include/fescue/serving/loadledger.h
+++ b/include/fescue/serving/loadledger.h
@@ -45,6 +45,8 @@
 
     // Work of this process and of peers that were heard lately.
     [[nodiscard]] EndpointLoad total(Millis now, const EndpointName &endpoint) const;
+    // Processes with requests at an endpoint, this one and peers that were heard lately.
+    [[nodiscard]] std::size_t holders(Millis now, const EndpointName &endpoint) const;
     // Work of this process, for telling it to peers.
     [[nodiscard]] std::vector<EndpointLoadOf> own() const;
 
--- a/include/fescue/serving/placement.h
+++ b/include/fescue/serving/placement.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "fescue/serving/coldgate.h"
+#include "fescue/serving/coldshares.h"
 #include "fescue/serving/endpointhealth.h"
 #include "fescue/serving/endpointtable.h"
 #include "fescue/serving/loadledger.h"
@@ -19,16 +20,17 @@
     const LoadLedger &ledger;
     const EndpointHealth &health;
     const ColdGate &coldGate;
+    const ColdShares &coldShares;
     // Requests a second that a cold endpoint of the service bears, from all processes.
     double coldPerSecond = 0;
-    // Entry processes that may be live.
-    std::size_t members = 1;
     // Availability zone of this process.
     ZoneName zone;
     Millis now {0};
     // Loads of endpoints in other availability zones are not known here.
     bool otherZonesUnknown = false;
 
+    // False where an endpoint is cold and the part of this process is used up.
+    [[nodiscard]] bool coldPartLeft(const EndpointView &endpoint) const;
     // Cost of an endpoint in another availability zone, in milliseconds of expected delay.
     [[nodiscard]] double otherZoneCost() const noexcept;
 };
--- a/include/fescue/serving/plainforwarder.inl
+++ b/include/fescue/serving/plainforwarder.inl
@@ -49,7 +49,7 @@
             result.detail = body.error().message;
         }
     }
-    noteAttempt(*m_state, context, endpoint.name, done.outcome, result.detail);
+    noteAttempt(*m_state, context, endpoint, done.outcome, result.detail);
     return done;
 }
 
--- a/include/fescue/serving/requestcontext.h
+++ b/include/fescue/serving/requestcontext.h
@@ -56,7 +56,7 @@
 void noteEndpoint(const ServingState &state, RequestContext &context, const EndpointView &endpoint);
 
 // Records how an attempt ended with the health of its endpoint, and logs attempts that failed.
-void noteAttempt(ServingState &state, RequestContext &context, const EndpointName &endpoint,
+void noteAttempt(ServingState &state, RequestContext &context, const EndpointRecord &endpoint,
                  SendOutcome outcome, std::string_view detail);
 
 // Writes the line that ends a request, and counts it.
--- a/include/fescue/serving/servingstate.h
+++ b/include/fescue/serving/servingstate.h
@@ -8,6 +8,7 @@
 #include "fescue/serving/bytebudget.h"
 #include "fescue/serving/callerrequest.h"
 #include "fescue/serving/coldgate.h"
+#include "fescue/serving/coldshares.h"
 #include "fescue/serving/endpointhealth.h"
 #include "fescue/serving/endpointpauses.h"
 #include "fescue/serving/endpointtable.h"
@@ -55,6 +56,10 @@
     [[nodiscard]] PlacementView placementView(const ServiceName &service);
     // Endpoints of a service that may be given new work.
     [[nodiscard]] std::vector<const EndpointView *> candidates(const ServiceName &service) const;
+    // Records that nothing listens at an endpoint's address, as this process met it or as a peer
+    // told. The endpoint is left out for a while, unless no other is left.
+    void refusedBy(const EndpointRecord &endpoint);
+    void peerRefusedBy(const EndpointLife &endpoint);
     // False while the endpoint wants nothing from this process, whatever the request is for.
     [[nodiscard]] bool mayCall(const EndpointRecord &endpoint) const;
     // Time until the first endpoint of a service that asked for a pause may be used; 0 where none
@@ -89,16 +94,25 @@
     EndpointTable endpoints;
     LoadLedger ledger;
     EndpointHealth health;
+    // Endpoints that asked this process for a pause.
     EndpointPauses pauses;
+    // Endpoints at whose addresses nothing listened lately, and those that this process met itself.
+    EndpointPauses refusing;
+    EndpointPauses ownRefusals;
     ByteBudget answerMemory;
     ColdGate coldGate;
+    ColdShares coldShares;
     LinkQueue links;
     MemberTable members;
     RunRegistry runs;
     // Tells peers of new work at once; they choose endpoints by it.
     std::function<void()> tellPeers = [] {};
     // Called once for each endpoint that says in an answer that it leaves.
-    std::function<void(const LeavingNotice &)> endpointSaidLeaving = [](const LeavingNotice &) {};
+    std::function<void(const EndpointLife &)> endpointSaidLeaving = [](const EndpointLife &) {};
+    // When the store answered last, to this process or to a peer that told it.
+    Millis storeHeardAt {0};
+    // True where the store has answered nobody for longer than its watchers are ever silent.
+    [[nodiscard]] bool storeSilent() const noexcept;
     // True once the process has been asked to stop.
     bool draining = false;
     // Requests that have no final answer yet.
--- a/include/fescue/serving/storefeed.h
+++ b/include/fescue/serving/storefeed.h
@@ -26,6 +26,8 @@
     bool reachable = false;
     // Empty where nothing has changed, or where the changes are too long for a datagram.
     std::vector<net::StoreItem> items;
+    // Time since the store answered anybody that the sender knows of.
+    Millis storeAge {0};
 };
 
 // Longest datagram; more has to be fetched over a connection.
@@ -75,28 +77,51 @@
 [[nodiscard]] Result<StoreCopy> decodeCopy(std::string_view bytes);
 
 // Decides who watches the store. A few processes do, the same ones in the view of all; they pass
-// changes on to the others, so that the store gets few calls however many processes there are. A
-// process that hears of no watcher with a store that answers watches for itself.
+// changes on to the others, in a large system through relays, so that the store gets few calls
+// however many processes there are. News carry the age of the store's last answer, which only grows
+// on the way: processes that hear each other but no watcher find out. A process that hears of no
+// recent answer watches for itself.
 class FeedPolicy
 {
 public:
     // Processes that watch, so that the loss of two at once leaves one.
     static constexpr std::size_t watchers = 3;
+    // Processes of each zone that pass news on, so that the loss of one is not noticed.
+    static constexpr std::size_t relaysPerZone = 2;
     // Watchers tell their revision this often.
     static constexpr Millis beatInterval = 250_ms;
     // A watcher that is not heard for this time, several intervals, does not count.
     static constexpr Millis beatLifetime = 1200_ms;
+    // A sender whose last sign of the store is older than this does not count either: longer than a
+    // watch waits, with a slow store.
+    static constexpr Millis longestStoreAge = 2500_ms;
 
     // Records what a watcher told.
     void heard(Millis now, const StoreNews &news);
     // True where this process has to watch the store itself.
     [[nodiscard]] bool mustWatch(Millis now, const MemberName &self,
                                  std::span<const MemberView> members) const;
+    // True where some watcher is heard, whether or not the store answers it.
+    [[nodiscard]] bool hearsWatcher(Millis now) const;
     // True where this process is one of the watchers.
     [[nodiscard]] static bool isWatcher(const MemberName &self,
                                         std::span<const MemberView> members);
-    // Returns a watcher that knows of later changes than revision `at`.
-    [[nodiscard]] std::optional<MemberName> fresher(Millis now, net::StoreRevision at) const;
+    // Returns the watchers.
+    [[nodiscard]] static std::vector<MemberName> watchersOf(const MemberName &self,
+                                                            std::span<const MemberView> members);
+    // Returns the processes of an availability zone that pass news on within it, in a large system.
+    [[nodiscard]] static std::vector<MemberName>
+    relaysOf(const ZoneName &zone, const MemberName &self, std::span<const MemberView> members);
+    // Members that a process tells of news. In a small system, watchers tell all others. In a large
+    // one they tell the relays of each zone, which tell their zone: fewer bytes pass between zones,
+    // and no process sends to all.
+    [[nodiscard]] static std::vector<const MemberView *>
+    audience(const MemberName &self, std::span<const MemberView> members, bool isLarge);
+    // Returns a process that knows of later changes than revision `at`: one of the same
+    // availability zone where there is one.
+    [[nodiscard]] std::optional<MemberName> fresher(Millis now, net::StoreRevision at,
+                                                    const ZoneName &zone,
+                                                    std::span<const MemberView> members) const;
 
 private:
     struct Beat
@@ -104,6 +129,7 @@
         Millis at {0};
         net::StoreRevision revision;
         bool reachable = false;
+        Millis storeHeardAt {0};
     };
 
     std::map<MemberName, Beat> m_beats;
--- a/include/fescue/serving/storesession.h
+++ b/include/fescue/serving/storesession.h
@@ -8,6 +8,7 @@
 #include "fescue/serving/storemirror.h"
 
 #include <functional>
+#include <map>
 #include <optional>
 #include <string>
 
@@ -20,8 +21,8 @@
     std::function<void()> configApplied;
     // An endpoint has begun to leave.
     std::function<void(const EndpointName &)> endpointLeaving;
-    // Sends a datagram to every other entry process.
-    std::function<void(std::string_view)> broadcast;
+    // Sends a datagram to other entry processes.
+    std::function<void(std::span<const MemberView *const>, std::string_view)> send;
 };
 
 // Follows the platform's store: the configuration, the endpoints, the zones out of service and the
@@ -68,7 +69,13 @@
     static void collectMembers(std::span<const net::StoreItem> items,
                                std::vector<MemberInfo> &members);
     void setReachable(bool reachable, std::string_view reason);
+    // Counts a call to the store by its cause, and records that the store answered.
+    void noteCall(std::string_view cause, bool answered);
+    // Waits before a call that failed is made again.
+    void waitForStore(Backoff &backoff);
+    [[nodiscard]] bool isWatcher() const;
 
+    void logCalls();
     void keepRegistered();
     [[nodiscard]] net::StoreResult<void> registerSelf();
     [[nodiscard]] net::StoreResult<void> writeSelf();
@@ -90,6 +97,8 @@
     bool m_listed = false;
     bool m_reachable = true;
     std::optional<net::LeaseId> m_lease;
+    // Calls by cause since they were logged last.
+    std::map<std::string, std::uint64_t> m_calls;
 };
 
 } // namespace fescue::serving
--- a/include/fescue/serving/storesession.inl
+++ b/include/fescue/serving/storesession.inl
@@ -7,9 +7,9 @@
 
 namespace fescue::serving {
 
-// Longest time that one watch waits: a connection that has gone silent is found after it. Only a
-// few processes watch, so short waits cost few calls.
-inline constexpr Millis watchWait = 2_s;
+// Longest time that one watch waits: a store or a connection that has gone silent is found after it.
+// Only a few processes watch, so short waits cost few calls.
+inline constexpr Millis watchWait = 700_ms;
 // How often a process that relies on peers looks whether it has missed changes.
 inline constexpr Millis peerPollInterval = 150_ms;
 // Where peers ask for everything that this process knows of the store.
@@ -25,6 +25,15 @@
 // The same for processes that are no watchers: there are many of them, and they are told as soon as
 // a watcher reaches the store again.
 inline constexpr BackoffLimits otherStoreBackoff {150_ms, 2_s};
+// The same while watchers tell that the store answers nobody: a call of this process would only add
+// to the calls that it turns away.
+inline constexpr Millis silentStorePause = 4_s;
+// How often a process looks whether the store has answered somebody.
+inline constexpr Millis silentStorePoll = 250_ms;
+// Processes that waited for the store come back over this span, not all at once.
+inline constexpr Millis returnSpread = 800_ms;
+// How often the calls to the store are logged by their causes.
+inline constexpr Millis callLogInterval = 10_s;
 
 template <PlatformProtocol P>
 StoreSession<P>::StoreSession(ServingState &state, MemberInfo self, StoreSessionHooks hooks)
@@ -40,6 +49,7 @@
     m_state->pool.spawn(worker, [this] { follow(); });
     m_state->pool.spawn(worker, [this] { keepRegistered(); });
     m_state->pool.spawn(worker, [this] { beat(); });
+    m_state->pool.spawn(worker, [this] { logCalls(); });
 }
 
 template <PlatformProtocol P>
@@ -56,8 +66,59 @@
             otherBackoff.reset();
             continue;
         }
-        const bool watcher = FeedPolicy::isWatcher(m_self.name, members);
-        net::sleepFor((watcher ? watcherBackoff : otherBackoff).next(m_state->uniform()));
+        waitForStore(FeedPolicy::isWatcher(m_self.name, members) ? watcherBackoff : otherBackoff);
+    }
+}
+
+template <PlatformProtocol P>
+bool StoreSession<P>::isWatcher() const
+{
+    return FeedPolicy::isWatcher(m_self.name, m_state->members.members(ServingState::now()));
+}
+
+template <PlatformProtocol P>
+void StoreSession<P>::waitForStore(Backoff &backoff)
+{
+    const Millis begun = ServingState::now();
+    const auto nobodyReachesIt = [this] {
+        return m_state->storeSilent() && m_feed.hearsWatcher(ServingState::now());
+    };
+    if (isWatcher() || !nobodyReachesIt()) {
+        net::sleepFor(backoff.next(m_state->uniform()));
+        return;
+    }
+    while (nobodyReachesIt() && ServingState::now() - begun < silentStorePause)
+        net::sleepFor(silentStorePoll);
+    const double spread = static_cast<double>(returnSpread.count) * m_state->uniform();
+    net::sleepFor(Millis {static_cast<std::int64_t>(spread)});
+}
+
+template <PlatformProtocol P>
+void StoreSession<P>::noteCall(std::string_view cause, bool answered)
+{
+    if (answered)
+        m_state->storeHeardAt = ServingState::now();
+    m_state->metrics
+        .counter("fescue_store_calls_total",
+                 {{"cause", std::string(cause)}, {"outcome", answered ? "answered" : "failed"}})
+        .Increment();
+    ++m_calls[std::string(cause)];
+    if (!answered)
+        ++m_calls["failed"];
+}
+
+template <PlatformProtocol P>
+void StoreSession<P>::logCalls()
+{
+    while (!net::stopRequested()) {
+        net::sleepFor(callLogInterval);
+        observe::logChange("store-calls",
+                           {{"list", m_calls["list"]},
+                            {"watch", m_calls["watch"]},
+                            {"renew", m_calls["renew"]},
+                            {"register", m_calls["register"]},
+                            {"failed", m_calls["failed"]}});
+        m_calls.clear();
     }
 }
 
@@ -71,7 +132,8 @@
 bool StoreSession<P>::followPeers(const std::vector<MemberView> &members)
 {
     const Millis now = ServingState::now();
-    const std::optional<MemberName> ahead = m_feed.fresher(now, m_at);
+    const std::optional<MemberName> ahead =
+        m_feed.fresher(now, m_at, m_state->settings.zone, members);
     if (m_listed && !ahead) {
         setReachable(true, "told by a peer");
         m_behindSince = {};
@@ -156,7 +218,10 @@
 template <PlatformProtocol P>
 void StoreSession<P>::takeNews(const StoreNews &news)
 {
-    m_feed.heard(ServingState::now(), news);
+    const Millis now = ServingState::now();
+    m_feed.heard(now, news);
+    if (news.reachable)
+        m_state->storeHeardAt = std::max(m_state->storeHeardAt, now - news.storeAge);
     const bool follows = m_listed && news.after <= m_at && news.at > m_at;
     if (!follows)
         return;
@@ -166,8 +231,10 @@
 template <PlatformProtocol P>
 void StoreSession<P>::takeNext(net::StoreRevision at, const std::vector<net::StoreItem> &items)
 {
-    m_recent.add(m_at, at, items);
+    const net::StoreRevision before = m_at;
+    m_recent.add(before, at, items);
     m_at = at;
+    tell(before, items);
     takeChanges(m_mirror.apply(items));
 }
 
@@ -175,11 +242,15 @@
 void StoreSession<P>::tell(net::StoreRevision after, std::vector<net::StoreItem> items)
 {
     const std::vector<MemberView> members = m_state->members.members(ServingState::now());
-    if (!FeedPolicy::isWatcher(m_self.name, members))
+    const std::vector<const MemberView *> audience =
+        FeedPolicy::audience(m_self.name, members, m_state->isLarge());
+    if (audience.empty())
         return;
     const bool reachable = m_reachable && m_listed;
-    for (const StoreNews &news : splitNews({m_self.name, after, m_at, reachable, std::move(items)}))
-        m_hooks.broadcast(encodeNews(news));
+    const Millis age = ServingState::now() - m_state->storeHeardAt;
+    for (const StoreNews &news :
+         splitNews({m_self.name, after, m_at, reachable, std::move(items), age}))
+        m_hooks.send(audience, encodeNews(news));
 }
 
 template <PlatformProtocol P>
@@ -200,6 +271,7 @@
     std::vector<MemberInfo> members;
     while (true) {
         const net::StoreResult<typename Store::Page> page = m_watchStore.listPage({}, after);
+        noteCall("list", page.has_value());
         if (!page) {
             setReachable(false, page.error().message);
             return false;
@@ -228,6 +300,8 @@
 bool StoreSession<P>::watchOnce()
 {
     const net::StoreResult<net::StoreList> changes = m_watchStore.watch({}, m_at, watchWait);
+    noteCall("watch",
+             changes.has_value() || changes.error().code == ResultCode::StoreNotFound);
     if (changes) {
         setReachable(true, "watch");
         takeWatched(*changes);
@@ -412,10 +486,12 @@
 net::StoreResult<void> StoreSession<P>::registerSelf()
 {
     const net::StoreResult<net::LeaseId> lease = m_store.createLease(registrationTtl);
+    noteCall("register", lease.has_value());
     if (!lease)
         return tl::unexpected(lease.error());
     m_lease = *lease;
     net::StoreResult<void> written = writeSelf();
+    noteCall("register", written.has_value());
     if (!written)
         m_lease.reset();
     return written;
@@ -424,9 +500,12 @@
 template <PlatformProtocol P>
 void StoreSession<P>::keepRegistered()
 {
-    Backoff backoff(storeBackoff);
+    Backoff backoff(otherStoreBackoff);
     while (!net::stopRequested()) {
-        const net::StoreResult<void> done = m_lease ? m_store.renewLease(*m_lease) : registerSelf();
+        const bool registered = m_lease.has_value();
+        const net::StoreResult<void> done = registered ? m_store.renewLease(*m_lease) : registerSelf();
+        if (registered)
+            noteCall("renew", done || done.error().code == ResultCode::StoreNotFound);
         if (done) {
             backoff.reset();
             net::sleepFor(renewInterval);
@@ -436,7 +515,7 @@
             observe::logChange("registration-lapsed", {{"reason", done.error().message}});
             m_lease.reset();
         }
-        net::sleepFor(backoff.next(m_state->uniform()));
+        waitForStore(backoff);
     }
 }
 
--- a/include/fescue/serving/streamforwarder.h
+++ b/include/fescue/serving/streamforwarder.h
@@ -69,6 +69,8 @@
     // where that fails.
     void handOver(Passing &passing);
     [[nodiscard]] bool resumeFromBackup(Passing &passing);
+    // Goes on at the engine that holds a copy made ahead, after the loss of the one that made it.
+    [[nodiscard]] bool resumeFromCopy(Passing &passing);
     // Waits for the end of a move and goes on at its destination. False where that is not possible.
     [[nodiscard]] bool resume(Passing &passing);
     // Waits until an engine that wants no requests may be sent one; false where that takes too
--- a/include/fescue/serving/streamforwarder.inl
+++ b/include/fescue/serving/streamforwarder.inl
@@ -98,7 +98,7 @@
     ExchangeResult result =
         exchange<P>(*m_state, record, context.request, send,
                     context.caller.requestId, context.timeLeft(), abandonCheck(passing));
-    noteAttempt(*m_state, context, record.name, result.outcome, result.detail);
+    noteAttempt(*m_state, context, record, result.outcome, result.detail);
     verdict = policy.after(result.outcome, context.timeLeft(), [this, &context](RepeatUse use) {
         return m_state->takeRepeat(context.service, use);
     });
@@ -270,10 +270,12 @@
         if (!begun)
             return false;
     }
+    // The first events may arrive together.
+    const bool isFirst = passing.run->events == 0;
     passing.run->events = passing.events.events();
     const Result<void> written = context.writer.write(ready);
     passing.events.clearReady();
-    if (passing.run->events == 1) {
+    if (isFirst) {
         m_mover->check(passing.run);
         m_mover->guard(passing.run);
     }
@@ -297,7 +299,24 @@
         if (run.destination.name != source.name && resumeAt(passing, source))
             return true;
     }
-    return resumeFromBackup(passing);
+    return resumeFromBackup(passing) || resumeFromCopy(passing);
+}
+
+template <PlatformProtocol P>
+bool StreamForwarder<P>::resumeFromCopy(Passing &passing)
+{
+    GenerationRun &run = *passing.run;
+    if (!run.copyAhead || run.copyHandle.empty())
+        return false;
+    const EndpointRecord keeper = *run.copyAhead;
+    const std::string handle = run.copyHandle;
+    run.forgetCopy();
+    if (!m_state->takeRepeat(run.service)) {
+        observe::logChange("move-refused", {{"id", run.requestId}, {"reason", "repeat budget"}});
+        return false;
+    }
+    run.resume = ResumePoint {run.engine.address, handle, passing.events.lastId()};
+    return resumeAt(passing, keeper);
 }
 
 template <PlatformProtocol P>
--- a/src/net/clientconnection.cpp
+++ b/src/net/clientconnection.cpp
@@ -43,7 +43,10 @@
         return {};
     if (outcome.timedOut)
         return failure(ResultCode::ConnectFailed, "no connection in time");
-    return failure(ResultCode::ConnectFailed, "cannot connect: " + outcome.ec.message());
+    tl::unexpected<Error> failed =
+        failure(ResultCode::ConnectFailed, "cannot connect: " + outcome.ec.message());
+    failed.value().systemError = outcome.ec.value();
+    return failed;
 }
 
 Result<void> ClientConnection::sendRequest(const HttpRequest &request, Millis deadline)
--- a/src/serving/attemptpolicy.cpp
+++ b/src/serving/attemptpolicy.cpp
@@ -24,6 +24,8 @@
         return "failed";
     case SendOutcome::NotSent:
         return "not-sent";
+    case SendOutcome::Refused:
+        return "refused";
     case SendOutcome::NotRun:
         return "not-run";
     case SendOutcome::OtherEndpoint:
@@ -48,6 +50,7 @@
         m_mayHaveRun = true;
         return AttemptVerdict::PassOn;
     case SendOutcome::NotSent:
+    case SendOutcome::Refused:
         ++m_connects;
         break;
     case SendOutcome::OtherEndpoint:
--- a/src/serving/coldgate.cpp
+++ b/src/serving/coldgate.cpp
@@ -4,21 +4,7 @@
 
 namespace fescue::serving {
 
-namespace {
-
-// Processes to allow for, for each one that is known.
-constexpr std::size_t unknownFactor = 2;
-
-} // namespace
-
-std::size_t ColdGate::part(double perSecond, std::size_t members) noexcept
-{
-    const std::size_t shares = std::max<std::size_t>(members, 1) * unknownFactor;
-    return static_cast<std::size_t>(std::max(perSecond, 0.0) / static_cast<double>(shares));
-}
-
-bool ColdGate::wouldTake(Millis now, const EndpointName &endpoint, double perSecond,
-                         std::size_t members) const
+bool ColdGate::wouldTake(Millis now, const EndpointName &endpoint, std::size_t part) const
 {
     const auto it = m_sent.find(endpoint);
     std::size_t recent = 0;
@@ -26,13 +12,12 @@
         recent = static_cast<std::size_t>(std::count_if(
             it->second.begin(), it->second.end(), [now](Millis at) { return now - at < window; }));
     }
-    return recent < part(perSecond, members);
+    return recent < part;
 }
 
-bool ColdGate::tryTake(Millis now, const EndpointName &endpoint, double perSecond,
-                       std::size_t members)
+bool ColdGate::tryTake(Millis now, const EndpointName &endpoint, std::size_t part)
 {
-    if (!wouldTake(now, endpoint, perSecond, members))
+    if (!wouldTake(now, endpoint, part))
         return false;
     std::deque<Millis> &sent = m_sent[endpoint];
     while (!sent.empty() && now - sent.front() >= window)
--- /dev/null
+++ b/src/serving/coldshares.cpp
@@ -0,0 +1,54 @@
+#include "fescue/serving/coldshares.h"
+
+#include "fescue/core/rendezvous.h"
+
+#include <algorithm>
+
+namespace fescue::serving {
+
+namespace {
+
+// Part of the bound that is given out, as a divisor.
+constexpr double givenOutDivisor = 2;
+
+} // namespace
+
+void ColdShares::seen(Millis now, std::span<const MemberView> members)
+{
+    for (const MemberView &member : members) {
+        m_seenAt[member.info.name] = now;
+        const bool isFirst = m_knownSince == Millis {0} && member.info.name != m_self;
+        if (isFirst)
+            m_knownSince = now;
+    }
+    m_seenAt[m_self] = now;
+    std::erase_if(m_seenAt, [now](const std::pair<const MemberName, Millis> &entry) {
+        return now - entry.second > remember;
+    });
+}
+
+bool ColdShares::isAmongFirst(const EndpointName &endpoint, std::size_t n) const
+{
+    const std::uint64_t own = rendezvousScore(endpoint.text(), m_self.text());
+    std::size_t before = 0;
+    for (const std::pair<const MemberName, Millis> &entry : m_seenAt) {
+        if (rendezvousScore(endpoint.text(), entry.first.text()) > own && ++before >= n)
+            return false;
+    }
+    return n > 0;
+}
+
+std::size_t ColdShares::part(Millis now, const EndpointName &endpoint, double perSecond) const
+{
+    if (m_knownSince == Millis {0} || now - m_knownSince < settle)
+        return 0;
+    const std::size_t given =
+        static_cast<std::size_t>(std::max(perSecond, 0.0) / givenOutDivisor);
+    const std::size_t members = std::max(m_seenAt.size(), fewestMembers);
+    const std::size_t each = given / members;
+    if (each > 0)
+        return each;
+    return isAmongFirst(endpoint, given) ? 1 : 0;
+}
+
+} // namespace fescue::serving
--- a/src/serving/endpointpauses.cpp
+++ b/src/serving/endpointpauses.cpp
@@ -29,6 +29,16 @@
     return std::max(it->second.until - now, Millis {0});
 }
 
+std::vector<EndpointLife> EndpointPauses::paused(Millis now) const
+{
+    std::vector<EndpointLife> lives;
+    for (const std::pair<const EndpointName, Pause> &entry : m_pauses) {
+        if (entry.second.until > now)
+            lives.push_back({entry.first, entry.second.incarnation});
+    }
+    return lives;
+}
+
 void EndpointPauses::purge(Millis now)
 {
     std::erase_if(m_pauses, [now](const std::pair<const EndpointName, Pause> &entry) {
--- a/src/serving/endpointtable.cpp
+++ b/src/serving/endpointtable.cpp
@@ -39,7 +39,7 @@
     return it != m_notices.end() && it->second.incarnation == incarnation;
 }
 
-bool EndpointTable::saidLeaving(Millis now, const LeavingNotice &notice)
+bool EndpointTable::saidLeaving(Millis now, const EndpointLife &notice)
 {
     const auto known = m_notices.find(notice.endpoint);
     // Word of an earlier life may arrive late.
@@ -55,9 +55,9 @@
     return isNews;
 }
 
-std::vector<LeavingNotice> EndpointTable::recentNotices(Millis now) const
+std::vector<EndpointLife> EndpointTable::recentNotices(Millis now) const
 {
-    std::vector<LeavingNotice> notices;
+    std::vector<EndpointLife> notices;
     for (const std::pair<const EndpointName, Notice> &entry : m_notices) {
         if (now - entry.second.at <= m_limits.repeatNotices)
             notices.push_back({entry.first, entry.second.incarnation});
--- a/src/serving/engineexchange.cpp
+++ b/src/serving/engineexchange.cpp
@@ -1,6 +1,7 @@
 #include "fescue/serving/engineexchange.h"
 
 #include <array>
+#include <cerrno>
 
 namespace fescue::serving {
 
@@ -14,7 +15,7 @@
 {
     switch (error.code) {
     case ResultCode::ConnectFailed:
-        return SendOutcome::NotSent;
+        return error.systemError == ECONNREFUSED ? SendOutcome::Refused : SendOutcome::NotSent;
     case ResultCode::Cancelled:
         return SendOutcome::CallerGone;
     case ResultCode::BackEndTimeout:
--- a/src/serving/generationrun.cpp
+++ b/src/serving/generationrun.cpp
@@ -56,6 +56,17 @@
     return runs;
 }
 
+std::vector<EndpointRecord> RunRegistry::engines() const
+{
+    std::map<EndpointName, EndpointRecord> engines;
+    for (const std::pair<const std::string, GenerationRunPtr> &entry : m_runs)
+        engines.emplace(entry.second->engine.name, entry.second->engine);
+    std::vector<EndpointRecord> records;
+    for (const std::pair<const EndpointName, EndpointRecord> &entry : engines)
+        records.push_back(entry.second);
+    return records;
+}
+
 std::vector<GenerationRunPtr> RunRegistry::runsKeptAt(const EndpointName &engine) const
 {
     std::vector<GenerationRunPtr> runs;
--- a/src/serving/gossip.cpp
+++ b/src/serving/gossip.cpp
@@ -31,22 +31,21 @@
     return member;
 }
 
-Json encodeNotices(std::span<const LeavingNotice> notices)
+Json encodeLives(std::span<const EndpointLife> lives)
 {
     Json list = Json::array();
-    for (const LeavingNotice &notice :
-         notices.first(std::min(notices.size(), maxNoticesPerDatagram)))
-        list.push_back({notice.endpoint.text(), notice.incarnation.value});
+    for (const EndpointLife &life : lives.first(std::min(lives.size(), maxLivesPerDatagram)))
+        list.push_back({life.endpoint.text(), life.incarnation.value});
     return list;
 }
 
-std::vector<LeavingNotice> decodeNotices(const Json &list)
+std::vector<EndpointLife> decodeLives(const Json &list)
 {
-    std::vector<LeavingNotice> notices;
+    std::vector<EndpointLife> lives;
     for (const Json &entry : list)
-        notices.push_back(
+        lives.push_back(
             {EndpointName(entry.at(0).get<std::string>()), {entry.at(1).get<std::uint64_t>()}});
-    return notices;
+    return lives;
 }
 
 } // namespace
@@ -61,8 +60,8 @@
     for (const RepeatsOf &entry : gossip.repeats)
         repeats.push_back({entry.service.text(), entry.used});
     const Json json = {
-        layoutVersion, encodeMember(gossip.member),  gossip.configVersion.value, loads,
-        repeats,       encodeNotices(gossip.leaving)};
+        layoutVersion, encodeMember(gossip.member), gossip.configVersion.value,  loads,
+        repeats,       encodeLives(gossip.leaving), encodeLives(gossip.refusing)};
     return toCbor(json);
 }
 
@@ -82,23 +81,26 @@
             gossip.repeats.push_back(
                 {ServiceName(entry.at(0).get<std::string>()), entry.at(1).get<std::uint32_t>()});
         }
-        // Processes of the release before do not send it.
+        // Processes of the release before do not send these.
         constexpr std::size_t leavingField = 5;
-        if (json.size() > leavingField)
-            gossip.leaving = decodeNotices(json.at(leavingField));
+        constexpr std::size_t refusingField = 6;
+        if (json.size() > refusingField) {
+            gossip.leaving = decodeLives(json.at(leavingField));
+            gossip.refusing = decodeLives(json.at(refusingField));
+        }
         return gossip;
     });
 }
 
 std::string encodeLeaving(const LeavingNews &news)
 {
-    return toCbor({layoutVersion, news.fromZone.text(), encodeNotices(news.notices)});
+    return toCbor({layoutVersion, news.fromZone.text(), encodeLives(news.endpoints)});
 }
 
 Result<LeavingNews> decodeLeaving(std::string_view bytes)
 {
     return readCbor<LeavingNews>(bytes, layoutVersion, "leaving endpoints", [](const Json &json) {
-        return LeavingNews {ZoneName(json.at(1).get<std::string>()), decodeNotices(json.at(2))};
+        return LeavingNews {ZoneName(json.at(1).get<std::string>()), decodeLives(json.at(2))};
     });
 }
 
--- a/src/serving/loadledger.cpp
+++ b/src/serving/loadledger.cpp
@@ -1,5 +1,6 @@
 #include "fescue/serving/loadledger.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace fescue::serving {
@@ -57,6 +58,22 @@
     return sum;
 }
 
+std::size_t LoadLedger::holders(Millis now, const EndpointName &endpoint) const
+{
+    const auto own = m_own.find(endpoint);
+    std::size_t n = own != m_own.end() && own->second.requests > 0 ? 1 : 0;
+    for (const std::pair<const MemberName, PeerLoads> &peer : m_peers) {
+        if (now - peer.second.at > peerLifetime)
+            continue;
+        n += static_cast<std::size_t>(
+            std::any_of(peer.second.loads.begin(), peer.second.loads.end(),
+                        [&endpoint](const EndpointLoadOf &told) {
+                            return told.endpoint == endpoint && told.load.requests > 0;
+                        }));
+    }
+    return n;
+}
+
 std::vector<EndpointLoadOf> LoadLedger::own() const
 {
     std::vector<EndpointLoadOf> loads;
--- a/src/serving/moveplan.cpp
+++ b/src/serving/moveplan.cpp
@@ -159,8 +159,7 @@
         const EndpointRecord &record = candidate->record;
         if (record.name == source.record.name || demand.excluded.contains(record.name))
             continue;
-        if (candidate->isCold(view.now)
-            && !view.coldGate.wouldTake(view.now, record.name, view.coldPerSecond, view.members))
+        if (!view.coldPartLeft(*candidate))
             continue;
         const EndpointLoad load = view.ledger.total(view.now, record.name);
         const double filled = static_cast<double>(load.memoryTokens + run.reservedTokens) / memory;
--- a/src/serving/placement.cpp
+++ b/src/serving/placement.cpp
@@ -44,9 +44,7 @@
 {
     if (demand.excluded.contains(endpoint.record.name))
         return false;
-    return !endpoint.isCold(view.now)
-        || view.coldGate.wouldTake(view.now, endpoint.record.name, view.coldPerSecond,
-                                   view.members);
+    return view.coldPartLeft(endpoint);
 }
 
 // Part of the engine's memory that is in use with the new generation.
@@ -91,6 +89,13 @@
 
 } // namespace
 
+bool PlacementView::coldPartLeft(const EndpointView &endpoint) const
+{
+    const EndpointName &name = endpoint.record.name;
+    return !endpoint.isCold(now)
+        || coldGate.wouldTake(now, name, coldShares.part(now, name, coldPerSecond));
+}
+
 double PlacementView::otherZoneCost() const noexcept
 {
     return otherZonesUnknown ? unknownZoneCost : nearZoneCost;
--- a/src/serving/requestcontext.cpp
+++ b/src/serving/requestcontext.cpp
@@ -54,27 +54,30 @@
     ++context.attempts;
 }
 
-void noteAttempt(ServingState &state, RequestContext &context, const EndpointName &endpoint,
+void noteAttempt(ServingState &state, RequestContext &context, const EndpointRecord &endpoint,
                  SendOutcome outcome, std::string_view detail)
 {
     if (outcome == SendOutcome::CallerGone)
         return;
     const Millis now = ServingState::now();
-    const bool silent = outcome == SendOutcome::NotSent || outcome == SendOutcome::OtherEndpoint;
+    const bool silent = outcome == SendOutcome::NotSent || outcome == SendOutcome::Refused
+        || outcome == SendOutcome::OtherEndpoint;
     if (silent)
-        state.health.recordSilent(now, endpoint);
+        state.health.recordSilent(now, endpoint.name);
     else
-        state.health.record(now, endpoint, outcome == SendOutcome::Succeeded);
+        state.health.record(now, endpoint.name, outcome == SendOutcome::Succeeded);
+    if (outcome == SendOutcome::Refused)
+        state.refusedBy(endpoint);
     if (outcome == SendOutcome::Succeeded)
         return;
     context.detail = detail;
     observe::logChange(
         "attempt",
         {{"id", context.caller.requestId},
-         {"endpoint", endpoint.text()},
+         {"endpoint", endpoint.name.text()},
          {"outcome", serving::toString(outcome)},
          {"endpoint_age_ms", context.endpointAge.count},
-         {"failure_pct", static_cast<int>(state.health.failureRate(now, endpoint) * 100)},
+         {"failure_pct", static_cast<int>(state.health.failureRate(now, endpoint.name) * 100)},
          {"left_ms", context.timeLeft().count},
          {"detail", detail}});
 }
--- a/src/serving/servingstate.cpp
+++ b/src/serving/servingstate.cpp
@@ -2,6 +2,9 @@
 
 #include "fescue/observe/log.h"
 
+#include <algorithm>
+#include <iterator>
+
 #include <algorithm>
 #include <utility>
 
@@ -22,6 +25,11 @@
 constexpr Millis endpointConnectTimeout = 300_ms;
 // An endpoint that asks for a pause without a time that can be read gets this one.
 constexpr Millis unreadablePause = 1_s;
+// An endpoint at whose address nothing listened is tried again after this time. Short, since it may
+// be back before the store tells so; long enough for few attempts to be wasted on one that is gone.
+constexpr Millis refusedPause = 3_s;
+// Watchers hear from the store at least every 0.7 s, and tell it every 0.25 s.
+constexpr Millis longestStoreSilence = 1300_ms;
 // Longest answer to a control call of this process.
 constexpr std::uint64_t maxControlAnswerBytes = std::uint64_t {256} * 1024;
 // Part of the process' memory for answers that are read whole before they are passed on.
@@ -62,7 +70,7 @@
                            observe::Metrics &processMetrics)
     : settings(std::move(nodeSettings)), pool(workerPool), metrics(processMetrics),
       engineClient(engineClientLimits()), answerMemory(answerMemoryOf(settings)),
-      members(memberLimits()), m_random(std::random_device {}())
+      coldShares(settings.name), members(memberLimits()), m_random(std::random_device {}())
 { }
 
 double ServingState::uniform()
@@ -113,8 +121,8 @@
     return {ledger,
             health,
             coldGate,
+            coldShares,
             coldBound(service),
-            membersForShares(time, known),
             settings.zone,
             time,
             known > membersForFullGossip};
@@ -124,7 +132,31 @@
 {
     std::vector<const EndpointView *> usable = endpoints.usable(service);
     std::erase_if(usable, [this](const EndpointView *view) { return !mayCall(view->record); });
-    return usable;
+    const Millis time = now();
+    std::vector<const EndpointView *> listening;
+    std::copy_if(usable.begin(), usable.end(), std::back_inserter(listening),
+                 [this, time](const EndpointView *view) {
+                     return !refusing.isPaused(time, view->record.name, view->record.incarnation);
+                 });
+    return listening.empty() ? usable : listening;
+}
+
+void ServingState::refusedBy(const EndpointRecord &endpoint)
+{
+    const Millis time = now();
+    refusing.pause(time, endpoint.name, endpoint.incarnation, refusedPause);
+    ownRefusals.pause(time, endpoint.name, endpoint.incarnation, refusedPause);
+    tellPeers();
+}
+
+void ServingState::peerRefusedBy(const EndpointLife &endpoint)
+{
+    refusing.pause(now(), endpoint.endpoint, endpoint.incarnation, refusedPause);
+}
+
+bool ServingState::storeSilent() const noexcept
+{
+    return now() - storeHeardAt > longestStoreSilence;
 }
 
 bool ServingState::mayCall(const EndpointRecord &endpoint) const
@@ -156,7 +188,7 @@
                             {"pause_ms", span.count},
                             {"readable", head.pause ? "yes" : "no"}});
     }
-    const LeavingNotice notice {endpoint.name, endpoint.incarnation};
+    const EndpointLife notice {endpoint.name, endpoint.incarnation};
     if (head.leaving && endpoints.saidLeaving(time, notice)) {
         observe::logChange("endpoint",
                            {{"endpoint", endpoint.name.text()},
@@ -173,8 +205,9 @@
     const Millis time = now();
     if (!endpoint.isCold(time))
         return true;
-    return coldGate.tryTake(time, endpoint.record.name, coldBound(endpoint.record.service),
-                            membersForShares());
+    const EndpointName &name = endpoint.record.name;
+    return coldGate.tryTake(time, name,
+                            coldShares.part(time, name, coldBound(endpoint.record.service)));
 }
 
 RepeatBudget &ServingState::repeatsOf(const ServiceName &service)
--- a/src/serving/storefeed.cpp
+++ b/src/serving/storefeed.cpp
@@ -4,6 +4,7 @@
 #include "serving/cbor.h"
 
 #include <algorithm>
+#include <map>
 #include <numeric>
 
 namespace fescue::serving {
@@ -21,6 +22,34 @@
 // divided by this: they send every change to all others.
 constexpr std::uint32_t linkClass = 2;
 
+// Returns the first `n` live members of a zone, or of all zones, in the rendezvous order for a key,
+// of those with wide links.
+std::vector<MemberName> firstOf(std::string_view key, std::size_t n, const MemberName &self,
+                                std::span<const MemberView> members, const ZoneName *zone)
+{
+    const auto counts = [zone](const MemberView &member) {
+        return zone == nullptr || member.info.zone == *zone;
+    };
+    std::uint32_t widest = 0;
+    for (const MemberView &member : members) {
+        if (counts(member))
+            widest = std::max(widest, member.info.linkMegabits);
+    }
+    std::vector<std::string_view> names;
+    for (const MemberView &member : members) {
+        const bool live = member.state == MemberState::Live || member.info.name == self;
+        if (counts(member) && live && member.info.linkMegabits >= widest / linkClass)
+            names.push_back(member.info.name.text());
+    }
+    std::vector<MemberName> first;
+    for (const std::size_t i : rendezvousOrder(key, names)) {
+        if (first.size() == n)
+            break;
+        first.emplace_back(std::string(names[i]));
+    }
+    return first;
+}
+
 Json encodeItem(const net::StoreItem &item)
 {
     const std::vector<std::uint8_t> value(item.value.begin(), item.value.end());
@@ -65,6 +94,7 @@
 {
     Json json = encodeHead(news);
     json.push_back(encodeItems(news.items));
+    json.push_back(news.storeAge.count);
     std::string bytes = toCbor(json);
     if (bytes.size() <= maxNewsBytes)
         return bytes;
@@ -73,6 +103,7 @@
     head.after = news.at;
     json = encodeHead(head);
     json.push_back(Json::array());
+    json.push_back(news.storeAge.count);
     return toCbor(json);
 }
 
@@ -85,6 +116,10 @@
         news.at = {json.at(3).get<std::uint64_t>()};
         news.reachable = json.at(4).get<bool>();
         news.items = decodeItems(json.at(5));
+        // Processes of the release before do not send it.
+        constexpr std::size_t ageField = 6;
+        if (json.size() > ageField)
+            news.storeAge = Millis {json.at(ageField).get<std::int64_t>()};
         return news;
     });
 }
@@ -181,24 +216,60 @@
 {
     Beat &beat = m_beats[news.from];
     // Datagrams may overtake each other.
-    beat = {now, std::max(beat.revision, news.at), news.reachable};
+    beat = {now, std::max(beat.revision, news.at), news.reachable, now - news.storeAge};
+}
+
+std::vector<MemberName> FeedPolicy::watchersOf(const MemberName &self,
+                                               std::span<const MemberView> members)
+{
+    return firstOf("watchers", watchers, self, members, nullptr);
+}
+
+std::vector<MemberName> FeedPolicy::relaysOf(const ZoneName &zone, const MemberName &self,
+                                             std::span<const MemberView> members)
+{
+    return firstOf("relays", relaysPerZone, self, members, &zone);
 }
 
 bool FeedPolicy::isWatcher(const MemberName &self, std::span<const MemberView> members)
 {
-    std::uint32_t widest = 0;
-    for (const MemberView &member : members)
-        widest = std::max(widest, member.info.linkMegabits);
-    std::vector<std::string_view> names;
+    const std::vector<MemberName> names = watchersOf(self, members);
+    return std::find(names.begin(), names.end(), self) != names.end();
+}
+
+std::vector<const MemberView *>
+FeedPolicy::audience(const MemberName &self, std::span<const MemberView> members, bool isLarge)
+{
+    const bool watches = isWatcher(self, members);
+    std::vector<const MemberView *> told;
+    if (!isLarge) {
+        for (const MemberView &member : members) {
+            if (watches && member.info.name != self)
+                told.push_back(&member);
+        }
+        return told;
+    }
+    std::map<ZoneName, std::vector<MemberName>> relays;
+    std::optional<ZoneName> ownZone;
     for (const MemberView &member : members) {
-        const bool live = member.state == MemberState::Live || member.info.name == self;
-        if (live && member.info.linkMegabits >= widest / linkClass)
-            names.push_back(member.info.name.text());
+        if (member.info.name == self)
+            ownZone = member.info.zone;
+        if (!relays.contains(member.info.zone))
+            relays[member.info.zone] = relaysOf(member.info.zone, self, members);
+    }
+    const auto isRelay = [&relays](const ZoneName &zone, const MemberName &name) {
+        const std::vector<MemberName> &names = relays[zone];
+        return std::find(names.begin(), names.end(), name) != names.end();
+    };
+    const bool relaysOn = ownZone && isRelay(*ownZone, self);
+    for (const MemberView &member : members) {
+        const MemberInfo &info = member.info;
+        const bool asWatcher = watches && isRelay(info.zone, info.name);
+        const bool asRelay = relaysOn && info.zone == *ownZone;
+        if (info.name != self && (asWatcher || asRelay))
+            told.push_back(&member);
     }
-    const std::vector<std::size_t> order = rendezvousOrder("watchers", names);
-    const std::size_t n = std::min(order.size(), watchers);
-    return std::any_of(order.begin(), order.begin() + static_cast<std::ptrdiff_t>(n),
-                       [&](std::size_t i) { return names[i] == self.text(); });
+    return told;
 }
 
 bool FeedPolicy::mustWatch(Millis now, const MemberName &self,
@@ -208,17 +279,38 @@
         return true;
     return std::none_of(m_beats.begin(), m_beats.end(),
                         [now](const std::pair<const MemberName, Beat> &entry) {
-                            return entry.second.reachable && now - entry.second.at <= beatLifetime;
+                            const Beat &beat = entry.second;
+                            return beat.reachable && now - beat.at <= beatLifetime
+                                && now - beat.storeHeardAt <= longestStoreAge;
                         });
 }
 
-std::optional<MemberName> FeedPolicy::fresher(Millis now, net::StoreRevision at) const
+bool FeedPolicy::hearsWatcher(Millis now) const
+{
+    return std::any_of(m_beats.begin(), m_beats.end(),
+                       [now](const std::pair<const MemberName, Beat> &entry) {
+                           return now - entry.second.at <= beatLifetime;
+                       });
+}
+
+std::optional<MemberName> FeedPolicy::fresher(Millis now, net::StoreRevision at,
+                                              const ZoneName &zone,
+                                              std::span<const MemberView> members) const
 {
+    std::optional<MemberName> found;
     for (const std::pair<const MemberName, Beat> &entry : m_beats) {
-        if (entry.second.revision > at && now - entry.second.at <= beatLifetime)
+        if (entry.second.revision <= at || now - entry.second.at > beatLifetime)
+            continue;
+        const bool near =
+            std::any_of(members.begin(), members.end(), [&entry, &zone](const MemberView &member) {
+                return member.info.name == entry.first && member.info.zone == zone;
+            });
+        if (near)
             return entry.first;
+        if (!found)
+            found = entry.first;
     }
-    return std::nullopt;
+    return found;
 }
 
 } // namespace fescue::serving
--- a/tests/net/endlessbytes_test.cpp
+++ b/tests/net/endlessbytes_test.cpp
@@ -144,9 +144,8 @@
 TEST_F(EndlessBytes, RequestWithAnEndlessChunkExtensionIsRefused)
 {
     std::atomic<int> requests {0};
-    HttpServer server(m_pool, anyPort, {}, [&requests](const HttpRequest &, ResponseWriter &) {
-        ++requests;
-    });
+    HttpServer server(m_pool, anyPort, {},
+                      [&requests](const HttpRequest &, ResponseWriter &) { ++requests; });
     ASSERT_TRUE(server.start());
     boost::asio::io_context context;
     boost::asio::ip::tcp::socket socket(context);
--- /dev/null
+++ b/tests/serving/coldshares_test.cpp
@@ -0,0 +1,149 @@
+#include "fescue/serving/coldgate.h"
+#include "fescue/serving/coldshares.h"
+
+#include <gtest/gtest.h>
+#include <random>
+#include <string>
+#include <vector>
+
+namespace {
+
+using namespace fescue;
+using namespace fescue::serving;
+
+const EndpointName endpoint("e1");
+
+std::vector<MemberView> makeMembers(std::size_t n, std::size_t first = 0)
+{
+    std::vector<MemberView> members;
+    for (std::size_t i = first; i < first + n; ++i) {
+        MemberView member;
+        member.info.name = MemberName("entry-" + std::to_string(i));
+        members.push_back(member);
+    }
+    return members;
+}
+
+ColdShares settled(const MemberName &self, std::span<const MemberView> members)
+{
+    ColdShares shares(self);
+    shares.seen(1_s, members);
+    return shares;
+}
+
+constexpr Millis later = 5_s;
+
+// Pattern: empty engines are added to a fleet with more entry processes than a cold engine bears
+// requests a second. They stood idle: an equal part of each process rounds to nothing.
+TEST(ColdShares, LargeFleetUsesHalfOfTheBoundExactly)
+{
+    for (const std::size_t n : {20U, 100U, 195U, 373U}) {
+        const std::vector<MemberView> members = makeMembers(n);
+        std::size_t sum = 0;
+        for (const MemberView &member : members)
+            sum += settled(member.info.name, members).part(later, endpoint, 33.5);
+        EXPECT_EQ(sum, 16U) << n;
+    }
+}
+
+TEST(ColdShares, EndpointsAreGivenToDifferentMembers)
+{
+    const std::vector<MemberView> members = makeMembers(195);
+    std::size_t withPart = 0;
+    for (const MemberView &member : members) {
+        const ColdShares shares = settled(member.info.name, members);
+        std::size_t n = 0;
+        for (int e = 0; e < 68; ++e)
+            n += shares.part(later, EndpointName("e" + std::to_string(e)), 33.5);
+        withPart += n > 0 ? 1 : 0;
+    }
+    EXPECT_GT(withPart, 185U);
+}
+
+TEST(ColdShares, SmallFleetHasEqualParts)
+{
+    const std::vector<MemberView> members = makeMembers(9);
+    EXPECT_EQ(settled(MemberName("entry-3"), members).part(later, endpoint, 50), 2U);
+    EXPECT_EQ(settled(MemberName("entry-3"), members).part(later, endpoint, -1), 0U);
+}
+
+TEST(ColdShares, ProcessThatHasJustStartedTakesNoPart)
+{
+    ColdShares shares(MemberName("entry-0"));
+    EXPECT_EQ(shares.part(later, endpoint, 50), 0U);
+    shares.seen(10_s, makeMembers(1));
+    EXPECT_EQ(shares.part(20_s, endpoint, 50), 0U);
+    shares.seen(20_s, makeMembers(9));
+    EXPECT_EQ(shares.part(Millis {22'999}, endpoint, 50), 0U);
+    EXPECT_EQ(shares.part(23_s, endpoint, 50), 2U);
+}
+
+TEST(ColdShares, MembersThatAreGoneCountForAWhile)
+{
+    ColdShares shares = settled(MemberName("entry-0"), makeMembers(20));
+    shares.seen(2_s, makeMembers(8));
+    EXPECT_EQ(shares.part(later, endpoint, 50), 1U);
+    shares.seen(62_s, makeMembers(8));
+    EXPECT_EQ(shares.part(62_s, endpoint, 50), 3U);
+}
+
+// Pattern: many processes see an endpoint come back at the same moment, all want to use it, and
+// each knows of others that are gone and misses some that have just joined.
+TEST(ColdShares, SumStaysBelowTheBoundWhileMembersJoinAndLeave)
+{
+    constexpr double bound = 33.5;
+    constexpr std::size_t live = 195;
+    constexpr std::size_t joining = 16;
+    std::mt19937_64 random(20261204);
+    for (int round = 0; round < 40; ++round) {
+        const EndpointName cold("e" + std::to_string(round));
+        std::size_t sum = 0;
+        for (std::size_t self = 0; self < live; ++self) {
+            std::vector<MemberView> view = makeMembers(live - joining);
+            for (std::size_t i = live - joining; i < live; ++i) {
+                if (random() % 2 == 0)
+                    view.push_back(makeMembers(1, i).front());
+            }
+            // Some that have gone are still in view.
+            for (const MemberView &gone : makeMembers(random() % 40, 1000))
+                view.push_back(gone);
+            const MemberName name("entry-" + std::to_string(self));
+            sum += settled(name, view).part(later, cold, bound);
+        }
+        EXPECT_LE(sum, static_cast<std::size_t>(bound)) << round;
+    }
+}
+
+// Pattern: as above in a small fleet, where a process may miss up to half of the others.
+TEST(ColdShares, SumOfManyProcessesStaysBelowTheBoundWhateverTheyKnow)
+{
+    constexpr double bound = 50;
+    constexpr std::size_t processes = 14;
+    std::mt19937_64 random(20261204);
+    for (int round = 0; round < 20; ++round) {
+        std::vector<ColdGate> gates(processes);
+        std::vector<std::size_t> parts;
+        for (std::size_t self = 0; self < processes; ++self) {
+            // A process may miss up to half of the others.
+            std::vector<MemberView> view = makeMembers(processes);
+            std::shuffle(view.begin(), view.end(), random);
+            view.resize(processes / 2 + random() % (processes / 2 + 1));
+            const MemberName name("entry-" + std::to_string(self));
+            parts.push_back(settled(name, view).part(later, endpoint, bound));
+        }
+        std::vector<Millis> sent;
+        for (Millis now {0}; now < 5_s; now += 5_ms) {
+            for (std::size_t i = 0; i < processes; ++i) {
+                if (random() % 3 == 0 && gates[i].tryTake(now, endpoint, parts[i]))
+                    sent.push_back(now);
+            }
+        }
+        for (std::size_t i = 0, j = 0; i < sent.size(); ++i) {
+            while (sent[i] - sent[j] >= 1_s)
+                ++j;
+            ASSERT_LE(i - j + 1, static_cast<std::size_t>(bound));
+        }
+    }
+}
+
+} // namespace
--- /dev/null
+++ b/tests/serving/coldsharesview.h
@@ -0,0 +1,24 @@
+#pragma once
+
+#include "fescue/serving/coldshares.h"
+
+#include <string>
+#include <vector>
+
+namespace fescue::test {
+
+// The shares of a process that has known this many members, itself included, since long.
+inline serving::ColdShares settledShares(std::size_t members)
+{
+    std::vector<MemberView> views;
+    for (std::size_t i = 0; i < members; ++i) {
+        MemberView view;
+        view.info.name = MemberName("entry-" + std::to_string(i));
+        views.push_back(view);
+    }
+    serving::ColdShares shares(MemberName("entry-0"));
+    shares.seen(1_s, views);
+    return shares;
+}
+
+} // namespace fescue::test
--- a/tests/serving/exchange_test.cpp
+++ b/tests/serving/exchange_test.cpp
@@ -80,14 +80,20 @@
         addEndpointAt(name, net::parseAddress(engines.back().address()).value());
     }
 
-    void addEndpointAt(const char *name, const net::Address &address)
+    static EndpointRecord recordAt(const char *name, const std::string &address)
     {
         EndpointRecord record;
         record.name = EndpointName(name);
         record.service = ServiceName("service");
         record.zone = ZoneName("north");
         record.slots = 64;
-        record.address = address;
+        record.address = net::parseAddress(address).value();
+        return record;
+    }
+
+    void addEndpointAt(const char *name, const net::Address &address)
+    {
+        const EndpointRecord record = recordAt(name, address.toString());
         onWorker([&] { state.endpoints.listed(ServingState::now(), record); });
     }
 
@@ -300,10 +306,9 @@
         last.headers.push_back({"Leaving", "1"});
         static_cast<void>(writer.send(last));
     });
-    std::vector<LeavingNotice> told;
-    onWorker([&] {
-        state.endpointSaidLeaving = [&told](const LeavingNotice &n) { told.push_back(n); };
-    });
+    std::vector<EndpointLife> told;
+    onWorker(
+        [&] { state.endpointSaidLeaving = [&told](const EndpointLife &n) { told.push_back(n); }; });
     EXPECT_EQ(call("/once/x")->status, 200);
     for (int n = 0; n < 3; ++n)
         EXPECT_EQ(call("/once/x")->status, 503);
@@ -397,4 +402,84 @@
     EXPECT_TRUE(first.take(400));
 }
 
+// Pattern: the store is away, engines end, and each process finds out about each of them by itself.
+TEST_F(Exchange, EndpointWhereNothingListensIsLeftOutAndToldToPeers)
+{
+    addEndpointAt("e0", {"127.0.0.1", 1});
+    addEndpoint("e1", [](const net::HttpRequest &, net::ResponseWriter &writer) {
+        static_cast<void>(writer.send(answer(200, "id-1")));
+    });
+    for (int n = 0; n < 8; ++n)
+        EXPECT_EQ(call("/once/x")->status, 200);
+    onWorker([&] {
+        const Millis now = ServingState::now();
+        const std::vector<EndpointLife> own = state.ownRefusals.paused(now);
+        ASSERT_EQ(own.size(), 1U);
+        EXPECT_EQ(own.front().endpoint, EndpointName("e0"));
+        EXPECT_EQ(state.candidates(ServiceName("service")).size(), 1U);
+        // Where no other is left, one that refused is better than none.
+        state.peerRefusedBy({EndpointName("e1"), {}});
+        EXPECT_EQ(state.candidates(ServiceName("service")).size(), 2U);
+        EXPECT_EQ(state.ownRefusals.paused(now).size(), 1U);
+    });
+}
+
+// Pattern: an engine is lost whose generation has no backup, but a copy that was made ahead.
+TEST_F(Exchange, GenerationGoesOnFromACopyMadeAheadWhenItsEngineIsLost)
+{
+    std::atomic<bool> copied {false};
+    engines.emplace_back(pool, [](const net::HttpRequest &request, net::ResponseWriter &writer) {
+        EXPECT_EQ(request.header("Resume-From"), "handle-7");
+        const std::vector<net::Header> headers {{"Request", "id-1"}};
+        static_cast<void>(writer.startStream(200, headers));
+        static_cast<void>(writer.write(eventText(3) + eventText(4)));
+        static_cast<void>(writer.finish());
+    });
+    const EndpointRecord keeper = recordAt("e2", engines.back().address());
+    addEndpoint("e1", [&](const net::HttpRequest &request, net::ResponseWriter &writer) {
+        if (request.target == "/move") {
+            copied = true;
+            static_cast<void>(writer.send({200, {}, "handle-7"}));
+            return;
+        }
+        const std::vector<net::Header> headers {{"Request", "id-1"}};
+        static_cast<void>(writer.startStream(200, headers));
+        static_cast<void>(writer.write(eventText(1) + eventText(2)));
+        // The engine that could have kept a backup appears only now.
+        state.endpoints.listed(ServingState::now(), keeper);
+        while (!copied)
+            net::sleepFor(5_ms);
+        net::sleepFor(50_ms);
+        writer.abort();
+    });
+    const Result<net::HttpResponse> response = call("/stream/x", {{"Tokens", "1"}});
+    ASSERT_TRUE(response) << response.error().message;
+    EXPECT_EQ(response->body, eventText(1) + eventText(2) + eventText(3) + eventText(4));
+}
+
+// Pattern: the store, which tells of engines that leave, is away; the engines tell when asked.
+TEST_F(Exchange, EnginesAreAskedWhetherTheyLeaveWhileTheStoreIsSilent)
+{
+    std::atomic<int> asked {0};
+    std::atomic<bool> ended {false};
+    addEndpoint("e1", [&](const net::HttpRequest &request, net::ResponseWriter &writer) {
+        if (request.target == "/report") {
+            ++asked;
+            static_cast<void>(writer.send({200, {}, "leaving"}));
+            return;
+        }
+        const std::vector<net::Header> headers {{"Request", "id-1"}};
+        static_cast<void>(writer.startStream(200, headers));
+        static_cast<void>(writer.write(eventText(1)));
+        while (!ended)
+            net::sleepFor(5_ms);
+        static_cast<void>(writer.finish());
+    });
+    pool.spawn(0, [this] { mover.watchEngines(); });
+    onWorker([&] { state.endpointSaidLeaving = [&ended](const EndpointLife &) { ended = true; }; });
+    EXPECT_EQ(call("/stream/x")->status, 200);
+    EXPECT_EQ(asked, 1);
+    onWorker([&] { EXPECT_TRUE(state.endpoints.find(EndpointName("e1"))->leaving()); });
+}
+
 } // namespace
--- a/tests/serving/gossip_test.cpp
+++ b/tests/serving/gossip_test.cpp
@@ -22,6 +22,7 @@
     gossip.loads = {{EndpointName("e1"), {3, 9'000, 500}}};
     gossip.repeats = {{ServiceName("s"), 4}};
     gossip.leaving = {{EndpointName("e2"), {1'700'000'000'123}}};
+    gossip.refusing = {{EndpointName("e3"), {7}}};
     return gossip;
 }
 
@@ -58,7 +59,7 @@
     gossip.leaving.assign(5000, {EndpointName("endpoint-with-a-name"), {1'700'000'000'123}});
     const std::string bytes = encodeGossip(gossip);
     EXPECT_LT(bytes.size(), 8192U);
-    EXPECT_EQ(decodeGossip(bytes)->leaving.size(), maxNoticesPerDatagram);
+    EXPECT_EQ(decodeGossip(bytes)->leaving.size(), maxLivesPerDatagram);
 }
 
 } // namespace
--- a/tests/serving/moveplan_test.cpp
+++ b/tests/serving/moveplan_test.cpp
@@ -1,4 +1,5 @@
 #include "fescue/serving/moveplan.h"
+#include "tests/serving/coldsharesview.h"
 
 #include <gtest/gtest.h>
 #include <map>
@@ -38,7 +39,7 @@
 
     [[nodiscard]] PlacementView view()
     {
-        return {ledger, health, gate, 50, 9, ZoneName("north"), now};
+        return {ledger, health, gate, shares, 50, ZoneName("north"), now};
     }
 
     [[nodiscard]] MoveDecision plan(const char *source, const MovingRun &run, double uniform = 0)
@@ -54,6 +55,7 @@
     LoadLedger ledger;
     EndpointHealth health;
     ColdGate gate;
+    ColdShares shares = test::settledShares(9);
     LinkQueue links;
 };
 
--- a/tests/serving/placement_test.cpp
+++ b/tests/serving/placement_test.cpp
@@ -1,4 +1,5 @@
 #include "fescue/serving/placement.h"
+#include "tests/serving/coldsharesview.h"
 
 #include <gtest/gtest.h>
 #include <map>
@@ -27,7 +28,7 @@
 
     [[nodiscard]] PlacementView view() const
     {
-        return {ledger, health, gate, 50, 9, ZoneName("north"), now};
+        return {ledger, health, gate, shares, 50, ZoneName("north"), now};
     }
 
     [[nodiscard]] std::string plain(double uniform, const PlacementDemand &demand = {}) const
@@ -52,6 +53,7 @@
     LoadLedger ledger;
     EndpointHealth health;
     ColdGate gate;
+    ColdShares shares = test::settledShares(9);
 };
 
 TEST_F(Placement, PlainRequestsStayInTheZoneUntilItsEndpointsAreBusier)
@@ -110,7 +112,7 @@
     add("tried");
     add("cold", "north", 1_s);
     ledger.add(EndpointName("full"), {7, 34'000, 0});
-    while (gate.tryTake(now, EndpointName("cold"), 50, 9)) { }
+    while (gate.tryTake(now, EndpointName("cold"), shares.part(now, EndpointName("cold"), 50))) { }
     EngineModel model;
     model.slots = 64;
     model.memoryTokens = 34'631;
@@ -180,7 +182,7 @@
 {
     add("cold", "north", 1_s);
     EXPECT_EQ(plain(0.1), "cold");
-    while (gate.tryTake(now, EndpointName("cold"), 50, 9)) { }
+    while (gate.tryTake(now, EndpointName("cold"), shares.part(now, EndpointName("cold"), 50))) { }
     EXPECT_EQ(plain(0.1), "none");
 }
 
--- a/tests/serving/storefeed_test.cpp
+++ b/tests/serving/storefeed_test.cpp
@@ -1,6 +1,7 @@
 #include "fescue/serving/storefeed.h"
 
 #include <gtest/gtest.h>
+#include <map>
 #include <string>
 
 namespace {
@@ -30,6 +31,20 @@
     return news;
 }
 
+std::optional<MemberName> fresher(const FeedPolicy &policy, Millis now, net::StoreRevision at)
+{
+    return policy.fresher(now, at, ZoneName("north"), {});
+}
+
+// Members in five availability zones.
+std::vector<MemberView> makeZones(int n)
+{
+    std::vector<MemberView> members = makeMembers(n);
+    for (std::size_t i = 0; i < members.size(); ++i)
+        members[i].info.zone = ZoneName("zone-" + std::to_string(i % 5));
+    return members;
+}
+
 // Pattern: endpoints come and go in a large system, and every change would wake every process.
 TEST(FeedPolicy, FewProcessesWatchHoweverManyThereAre)
 {
@@ -91,21 +106,88 @@
 TEST(FeedPolicy, ProcessThatMissedChangesLearnsWhoHasThem)
 {
     FeedPolicy policy;
-    EXPECT_FALSE(policy.fresher(1_s, {5}));
+    EXPECT_FALSE(fresher(policy, 1_s, {5}));
     policy.heard(1_s, makeNews(MemberName("w1"), 5));
-    EXPECT_FALSE(policy.fresher(1_s, {5}));
+    EXPECT_FALSE(fresher(policy, 1_s, {5}));
     policy.heard(1_s, makeNews(MemberName("w2"), 7));
-    EXPECT_EQ(policy.fresher(1_s, {5}), MemberName("w2"));
+    EXPECT_EQ(fresher(policy, 1_s, {5}), MemberName("w2"));
     // A datagram that was overtaken does not hide what the watcher has.
     policy.heard(1_s, makeNews(MemberName("w2"), 6));
-    EXPECT_EQ(policy.fresher(1_s, {6}), MemberName("w2"));
-    EXPECT_FALSE(policy.fresher(3_s, {5}));
+    EXPECT_EQ(fresher(policy, 1_s, {6}), MemberName("w2"));
+    EXPECT_FALSE(fresher(policy, 3_s, {5}));
+}
+
+TEST(FeedPolicy, MissedChangesAreFetchedWithinTheZoneWhereThatIsPossible)
+{
+    const std::vector<MemberView> members = makeZones(10);
+    FeedPolicy policy;
+    for (const char *name : {"entry-0", "entry-3", "entry-8"})
+        policy.heard(1_s, makeNews(MemberName(name), 7));
+    const std::optional<MemberName> near = policy.fresher(1_s, {5}, ZoneName("zone-3"), members);
+    EXPECT_TRUE(near == MemberName("entry-3") || near == MemberName("entry-8"));
+    EXPECT_TRUE(policy.fresher(1_s, {5}, ZoneName("zone-1"), members));
+}
+
+// Pattern: hundreds of processes, thousands of endpoints; each change went from every watcher to
+// every process, also between zones.
+TEST(FeedPolicy, NewsOfALargeSystemReachAllThroughRelays)
+{
+    for (const int n : {30, 100, 195, 373}) {
+        const std::vector<MemberView> members = makeZones(n);
+        std::map<MemberName, std::size_t> heard;
+        std::size_t betweenZones = 0;
+        std::size_t most = 0;
+        for (const MemberView &self : members) {
+            const std::vector<const MemberView *> told =
+                FeedPolicy::audience(self.info.name, members, true);
+            most = std::max(most, told.size());
+            for (const MemberView *member : told) {
+                ++heard[member->info.name];
+                betweenZones += member->info.zone != self.info.zone ? 1 : 0;
+            }
+        }
+        EXPECT_EQ(heard.size(), members.size());
+        EXPECT_LE(betweenZones, FeedPolicy::watchers * FeedPolicy::relaysPerZone * 5);
+        // A zone, and the relays of all.
+        EXPECT_LE(most, members.size() / 5 + 1 + FeedPolicy::relaysPerZone * 5);
+    }
+}
+
+TEST(FeedPolicy, WatchersOfASmallSystemTellAll)
+{
+    const std::vector<MemberView> members = makeZones(9);
+    for (const MemberView &self : members) {
+        const bool watches = FeedPolicy::isWatcher(self.info.name, members);
+        EXPECT_EQ(FeedPolicy::audience(self.info.name, members, false).size(), watches ? 8U : 0U);
+    }
+}
+
+// Pattern: a zone is cut off from the watchers, and its relays go on hearing each other.
+TEST(FeedPolicy, ProcessesThatHearOnlyEachOtherFindOutThatTheStoreIsSilent)
+{
+    const std::vector<MemberView> members = makeMembers(30);
+    MemberName self;
+    for (const MemberView &member : members) {
+        if (!FeedPolicy::isWatcher(member.info.name, members))
+            self = member.info.name;
+    }
+    FeedPolicy policy;
+    StoreNews news = makeNews(MemberName("other"), 5);
+    for (Millis now = 1_s; now <= 5_s; now += 250_ms) {
+        news.storeAge = now - 1_s;
+        policy.heard(now, news);
+        EXPECT_EQ(policy.mustWatch(now, self, members),
+                  news.storeAge > FeedPolicy::longestStoreAge);
+        EXPECT_TRUE(policy.hearsWatcher(now));
+    }
+    EXPECT_FALSE(policy.hearsWatcher(7_s));
 }
 
 TEST(StoreNews, ComesBackAsItWasSent)
 {
     StoreNews news = makeNews(MemberName("w1"), 9);
     news.after = {7};
+    news.storeAge = 321_ms;
     news.items = {{"servers/i-1", std::string("\x00\xff{", 3), {8}, false},
                   {"servers/i-2", "", {9}, true}};
     const Result<StoreNews> decoded = decodeNews(encodeNews(news));
--- a/tests/serving/testprotocol.h
+++ b/tests/serving/testprotocol.h
@@ -47,6 +47,7 @@
         if (send.resume) {
             const std::uint64_t last = send.resume->lastEventId.value_or(0);
             out.headers.push_back({"Resume-After", std::to_string(last)});
+            out.headers.push_back({"Resume-From", send.resume->handle});
         }
         return out;
     }
@@ -74,12 +75,24 @@
         request.target = "/move";
         return request;
     }
-    static serving::MoveAnswer decodeMoveAnswer(int, std::string_view) { return {}; }
+    static serving::MoveAnswer decodeMoveAnswer(int status, std::string_view body)
+    {
+        if (status != 200)
+            return {};
+        return {serving::MoveOutcome::Copied, std::string(body), 0};
+    }
     static net::HttpRequest encodeFreeCopy(std::string_view) { return {}; }
-    static net::HttpRequest encodeReportCall() { return {}; }
-    static Result<serving::EngineReport> decodeReport(std::string_view)
+    static net::HttpRequest encodeReportCall()
+    {
+        net::HttpRequest request;
+        request.target = "/report";
+        return request;
+    }
+    static Result<serving::EngineReport> decodeReport(std::string_view body)
     {
-        return fail(ResultCode::BackEndProtocol, "not used");
+        serving::EngineReport report;
+        report.leaving = body == "leaving";
+        return report;
     }
     static net::HttpResponse encodeRefusal(const net::Problem &problem)
     {
