--- a/include/fescue/serving/edgedaemon.h
+++ b/include/fescue/serving/edgedaemon.h
@@ -42,6 +42,10 @@
     void endpointSaidLeaving(const EndpointLife &notice);
     void tellLeaving(std::span<const EndpointLife> notices, bool toOtherZones);
     void takeLeaving(std::string_view bytes);
+    // In a large system, tells the sum of this zone to the relays of others, and their sums to this
+    // zone, where this process is a relay.
+    void tellZoneLoads();
+    void takeZoneLoads(std::string_view bytes);
     // Takes the word of a peer; returns what was news here.
     [[nodiscard]] std::vector<EndpointLife> takeNotices(std::span<const EndpointLife> notices,
                                                         std::string_view from);
--- a/include/fescue/serving/edgedaemon.inl
+++ b/include/fescue/serving/edgedaemon.inl
@@ -18,6 +18,7 @@
 inline const std::string gossipKind = "G";
 inline const std::string newsKind = "N";
 inline const std::string leavingKind = "L";
+inline const std::string zoneLoadsKind = "Z";
 // In a large system, processes of each other zone that are told directly of an endpoint that leaves;
 // they tell the rest of their zone.
 inline constexpr std::size_t toldPerZone = 2;
@@ -179,6 +180,7 @@
              {&m_state.pauses, &m_state.refusing, &m_state.ownRefusals})
             pauses->purge(now);
         sendGossip();
+        tellZoneLoads();
         net::sleepFor(m_state.isLarge() ? largeTickInterval : tickInterval);
     }
 }
@@ -233,6 +235,8 @@
         takeNews(bytes.substr(newsKind.size()));
     else if (bytes.starts_with(leavingKind))
         takeLeaving(bytes.substr(leavingKind.size()));
+    else if (bytes.starts_with(zoneLoadsKind))
+        takeZoneLoads(bytes.substr(zoneLoadsKind.size()));
     else
         m_malformed.Increment();
 }
@@ -291,6 +295,50 @@
         tellLeaving(news, false);
 }
 
+template <PlatformProtocol P>
+void EdgeDaemon<P>::tellZoneLoads()
+{
+    if (!m_state.isLarge())
+        return;
+    const Millis now = ServingState::now();
+    const std::vector<MemberView> members = m_state.members.members(now);
+    const std::vector<MemberName> own = FeedPolicy::relaysOf(m_self.zone, m_self.name, members);
+    if (std::find(own.begin(), own.end(), m_self.name) == own.end())
+        return;
+    const ZoneLoads sum {m_self.zone, Millis {0}, m_state.ledger.sum(now)};
+    const std::vector<std::string> toOthers = encodeZoneLoads({&sum, 1});
+    const std::vector<std::string> toZone = encodeZoneLoads(m_state.ledger.zones(now));
+    std::map<ZoneName, std::vector<MemberName>> relays;
+    for (const MemberView &member : members) {
+        const MemberInfo &info = member.info;
+        if (info.zone == m_self.zone) {
+            for (const std::string &text : toZone)
+                sendTo(info, zoneLoadsKind + text);
+            continue;
+        }
+        if (!relays.contains(info.zone))
+            relays[info.zone] = FeedPolicy::relaysOf(info.zone, m_self.name, members);
+        const std::vector<MemberName> &others = relays[info.zone];
+        if (std::find(others.begin(), others.end(), info.name) == others.end())
+            continue;
+        for (const std::string &text : toOthers)
+            sendTo(info, zoneLoadsKind + text);
+    }
+}
+
+template <PlatformProtocol P>
+void EdgeDaemon<P>::takeZoneLoads(std::string_view bytes)
+{
+    const Result<ZoneLoads> told = decodeZoneLoads(bytes);
+    if (!told) {
+        m_malformed.Increment();
+        return;
+    }
+    // The processes of this zone tell their loads themselves.
+    if (told->zone != m_self.zone)
+        m_state.ledger.zoneTold(ServingState::now(), told->zone, told->age, told->loads);
+}
+
 template <PlatformProtocol P>
 void EdgeDaemon<P>::takeNews(std::string_view bytes)
 {
--- a/include/fescue/serving/gossip.h
+++ b/include/fescue/serving/gossip.h
@@ -7,6 +7,7 @@
 #include "fescue/serving/loadledger.h"
 #include "fescue/serving/repeatbudget.h"
 
+#include <span>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -46,6 +47,12 @@
 // Fails with MessageMalformed.
 [[nodiscard]] Result<LeavingNews> decodeLeaving(std::string_view bytes);
 
+// Sums of availability zones, which relays tell each other and their zone. Divided so that each
+// text fits into a datagram.
+[[nodiscard]] std::vector<std::string> encodeZoneLoads(std::span<const ZoneLoads> zones);
+// Fails with MessageMalformed.
+[[nodiscard]] Result<ZoneLoads> decodeZoneLoads(std::string_view bytes);
+
 // Encodes as CBOR.
 [[nodiscard]] std::string encodeGossip(const Gossip &gossip);
 // Fails with MessageMalformed.
--- a/include/fescue/serving/loadledger.h
+++ b/include/fescue/serving/loadledger.h
@@ -5,6 +5,7 @@
 
 #include <cstdint>
 #include <map>
+#include <span>
 #include <vector>
 
 namespace fescue::serving {
@@ -30,20 +31,44 @@
     bool operator==(const EndpointLoadOf &) const = default;
 };
 
+// What all processes of an availability zone have sent to endpoints.
+struct ZoneLoads
+{
+    ZoneName zone;
+    // Time since the figures were true.
+    Millis age {0};
+    std::vector<EndpointLoadOf> loads;
+    bool operator==(const ZoneLoads &) const = default;
+};
+
 // What all entry processes have sent to each endpoint: this process' own work exactly, that of its
-// peers as they last told it.
+// peers as they last told it. In a large system peers are the processes of the same availability
+// zone, and other zones tell their sums.
 class LoadLedger
 {
 public:
     // A peer's figures count for this long; peers repeat them several times in it.
     static constexpr Millis peerLifetime {1500};
+    // The same for the sums of other zones, which come less often and through relays.
+    static constexpr Millis zoneLifetime {3000};
 
     void add(const EndpointName &endpoint, const EndpointLoad &load);
     void subtract(const EndpointName &endpoint, const EndpointLoad &load);
     // Replaces what a peer has told.
     void peerTold(Millis now, const MemberName &peer, std::vector<EndpointLoadOf> loads);
 
-    // Work of this process and of peers that were heard lately.
+    // Records what all processes of another availability zone have sent to endpoints, as one of its
+    // relays told `age` ago.
+    void zoneTold(Millis now, const ZoneName &zone, Millis age,
+                  std::span<const EndpointLoadOf> loads);
+    // True where the loads of that zone's processes are known.
+    [[nodiscard]] bool hearsZone(Millis now, const ZoneName &zone) const;
+    // What this process and its peers have sent, for telling it to other zones.
+    [[nodiscard]] std::vector<EndpointLoadOf> sum(Millis now) const;
+    // What other zones told, for passing it on.
+    [[nodiscard]] std::vector<ZoneLoads> zones(Millis now) const;
+
+    // Work of this process, of peers that were heard lately, and of other zones.
     [[nodiscard]] EndpointLoad total(Millis now, const EndpointName &endpoint) const;
     // Processes with requests at an endpoint, this one and peers that were heard lately.
     [[nodiscard]] std::size_t holders(Millis now, const EndpointName &endpoint) const;
@@ -58,7 +83,15 @@
     };
 
     std::map<EndpointName, EndpointLoad> m_own;
+    struct ZoneLoad
+    {
+        Millis at {0};
+        EndpointLoad load;
+    };
+
     std::map<MemberName, PeerLoads> m_peers;
+    std::map<ZoneName, std::map<EndpointName, ZoneLoad>> m_zones;
+    std::map<ZoneName, Millis> m_zonesHeardAt;
 };
 
 // Load that counts for as long as this object lives.
--- a/include/fescue/serving/placement.h
+++ b/include/fescue/serving/placement.h
@@ -26,13 +26,15 @@
     // Availability zone of this process.
     ZoneName zone;
     Millis now {0};
-    // Loads of endpoints in other availability zones are not known here.
-    bool otherZonesUnknown = false;
+    // Processes of other availability zones do not tell their loads themselves.
+    bool isLarge = false;
 
     // False where an endpoint is cold and the part of this process is used up.
     [[nodiscard]] bool coldPartLeft(const EndpointView &endpoint) const;
-    // Cost of an endpoint in another availability zone, in milliseconds of expected delay.
-    [[nodiscard]] double otherZoneCost() const noexcept;
+    // True where the load of an availability zone's endpoints is known here.
+    [[nodiscard]] bool knowsLoadIn(const ZoneName &other) const;
+    // Cost of an endpoint for its availability zone, in milliseconds of expected delay.
+    [[nodiscard]] double zoneCost(const ZoneName &other, double uniform) const;
 };
 
 // The work to be placed.
--- a/src/serving/coldshares.cpp
+++ b/src/serving/coldshares.cpp
@@ -42,8 +42,7 @@
 {
     if (m_knownSince == Millis {0} || now - m_knownSince < settle)
         return 0;
-    const std::size_t given =
-        static_cast<std::size_t>(std::max(perSecond, 0.0) / givenOutDivisor);
+    const std::size_t given = static_cast<std::size_t>(std::max(perSecond, 0.0) / givenOutDivisor);
     const std::size_t members = std::max(m_seenAt.size(), fewestMembers);
     const std::size_t each = given / members;
     if (each > 0)
--- a/src/serving/gossip.cpp
+++ b/src/serving/gossip.cpp
@@ -31,6 +31,29 @@
     return member;
 }
 
+// Endpoints in one datagram of loads.
+constexpr std::size_t loadsPerDatagram = 128;
+
+Json encodeLoads(std::span<const EndpointLoadOf> loads)
+{
+    Json list = Json::array();
+    for (const EndpointLoadOf &entry : loads)
+        list.push_back({entry.endpoint.text(), entry.load.requests, entry.load.memoryTokens,
+                        entry.load.prefillTokens});
+    return list;
+}
+
+std::vector<EndpointLoadOf> decodeLoads(const Json &list)
+{
+    std::vector<EndpointLoadOf> loads;
+    for (const Json &entry : list) {
+        loads.push_back({EndpointName(entry.at(0).get<std::string>()),
+                         {entry.at(1).get<std::uint32_t>(), entry.at(2).get<std::uint64_t>(),
+                          entry.at(3).get<std::uint64_t>()}});
+    }
+    return loads;
+}
+
 Json encodeLives(std::span<const EndpointLife> lives)
 {
     Json list = Json::array();
@@ -52,10 +75,7 @@
 
 std::string encodeGossip(const Gossip &gossip)
 {
-    Json loads = Json::array();
-    for (const EndpointLoadOf &entry : gossip.loads)
-        loads.push_back({entry.endpoint.text(), entry.load.requests, entry.load.memoryTokens,
-                         entry.load.prefillTokens});
+    const Json loads = encodeLoads(gossip.loads);
     Json repeats = Json::array();
     for (const RepeatsOf &entry : gossip.repeats)
         repeats.push_back({entry.service.text(), entry.used});
@@ -71,12 +91,7 @@
         Gossip gossip;
         gossip.member = decodeMember(json.at(1));
         gossip.configVersion = {json.at(2).get<std::uint64_t>()};
-        for (const Json &entry : json.at(3)) {
-            gossip.loads.push_back(
-                {EndpointName(entry.at(0).get<std::string>()),
-                 {entry.at(1).get<std::uint32_t>(), entry.at(2).get<std::uint64_t>(),
-                  entry.at(3).get<std::uint64_t>()}});
-        }
+        gossip.loads = decodeLoads(json.at(3));
         for (const Json &entry : json.at(4)) {
             gossip.repeats.push_back(
                 {ServiceName(entry.at(0).get<std::string>()), entry.at(1).get<std::uint32_t>()});
@@ -104,4 +119,29 @@
     });
 }
 
+std::vector<std::string> encodeZoneLoads(std::span<const ZoneLoads> zones)
+{
+    std::vector<std::string> texts;
+    for (const ZoneLoads &zone : zones) {
+        std::span<const EndpointLoadOf> rest = zone.loads;
+        // A zone without load is told as well: it is known then.
+        do {
+            const std::span<const EndpointLoadOf> part =
+                rest.first(std::min(rest.size(), loadsPerDatagram));
+            texts.push_back(
+                toCbor({layoutVersion, zone.zone.text(), zone.age.count, encodeLoads(part)}));
+            rest = rest.subspan(part.size());
+        } while (!rest.empty());
+    }
+    return texts;
+}
+
+Result<ZoneLoads> decodeZoneLoads(std::string_view bytes)
+{
+    return readCbor<ZoneLoads>(bytes, layoutVersion, "zone loads", [](const Json &json) {
+        return ZoneLoads {ZoneName(json.at(1).get<std::string>()),
+                          Millis {json.at(2).get<std::int64_t>()}, decodeLoads(json.at(3))};
+    });
+}
+
 } // namespace fescue::serving
--- a/src/serving/loadledger.cpp
+++ b/src/serving/loadledger.cpp
@@ -55,9 +55,69 @@
                 sum += told.load;
         }
     }
+    for (const std::pair<const ZoneName, std::map<EndpointName, ZoneLoad>> &zone : m_zones) {
+        const auto load = zone.second.find(endpoint);
+        if (load != zone.second.end() && now - load->second.at <= zoneLifetime)
+            sum += load->second.load;
+    }
     return sum;
 }
 
+void LoadLedger::zoneTold(Millis now, const ZoneName &zone, Millis age,
+                          std::span<const EndpointLoadOf> loads)
+{
+    const Millis at = now - age;
+    std::map<EndpointName, ZoneLoad> &known = m_zones[zone];
+    std::erase_if(known, [now](const std::pair<const EndpointName, ZoneLoad> &entry) {
+        return now - entry.second.at > zoneLifetime;
+    });
+    for (const EndpointLoadOf &told : loads) {
+        ZoneLoad &load = known[told.endpoint];
+        // Figures may come over two relays, and overtake each other.
+        if (at >= load.at)
+            load = {at, told.load};
+    }
+    Millis &heardAt = m_zonesHeardAt[zone];
+    heardAt = std::max(heardAt, at);
+}
+
+bool LoadLedger::hearsZone(Millis now, const ZoneName &zone) const
+{
+    const auto it = m_zonesHeardAt.find(zone);
+    return it != m_zonesHeardAt.end() && now - it->second <= zoneLifetime;
+}
+
+std::vector<EndpointLoadOf> LoadLedger::sum(Millis now) const
+{
+    std::map<EndpointName, EndpointLoad> sums = m_own;
+    for (const std::pair<const MemberName, PeerLoads> &peer : m_peers) {
+        if (now - peer.second.at > peerLifetime)
+            continue;
+        for (const EndpointLoadOf &told : peer.second.loads)
+            sums[told.endpoint] += told.load;
+    }
+    std::vector<EndpointLoadOf> loads;
+    for (const std::pair<const EndpointName, EndpointLoad> &entry : sums)
+        loads.push_back({entry.first, entry.second});
+    return loads;
+}
+
+std::vector<ZoneLoads> LoadLedger::zones(Millis now) const
+{
+    std::vector<ZoneLoads> zones;
+    for (const std::pair<const ZoneName, std::map<EndpointName, ZoneLoad>> &zone : m_zones) {
+        if (!hearsZone(now, zone.first))
+            continue;
+        ZoneLoads told {zone.first, now - m_zonesHeardAt.at(zone.first), {}};
+        for (const std::pair<const EndpointName, ZoneLoad> &entry : zone.second) {
+            if (now - entry.second.at <= zoneLifetime)
+                told.loads.push_back({entry.first, entry.second.load});
+        }
+        zones.push_back(std::move(told));
+    }
+    return zones;
+}
+
 std::size_t LoadLedger::holders(Millis now, const EndpointName &endpoint) const
 {
     const auto own = m_own.find(endpoint);
--- a/src/serving/moveplan.cpp
+++ b/src/serving/moveplan.cpp
@@ -50,7 +50,7 @@
     double used = 0;
     std::size_t n = 0;
     for (const EndpointView *candidate : candidates) {
-        if (view.otherZonesUnknown && candidate->record.zone != view.zone)
+        if (!view.knowsLoadIn(candidate->record.zone))
             continue;
         const EndpointLoad load = view.ledger.total(view.now, candidate->record.name);
         used += static_cast<double>(load.memoryTokens);
@@ -131,7 +131,7 @@
             continue;
         const double cost = filled + (record.zone == engine.record.zone ? 0 : backupOtherZoneCost);
         // Without its load nothing says that an engine has room to spare.
-        if (view.otherZonesUnknown && record.zone != view.zone)
+        if (!view.knowsLoadIn(record.zone))
             continue;
         if (cost < least) {
             least = cost;
@@ -169,8 +169,8 @@
         const Millis copy =
             links.backlog(record.name, view.now) + copyTime(model, run.memoryTokens, sameZone);
         double cost = static_cast<double>(copy.count) + filled * filled * fullMemoryCost;
-        if (view.otherZonesUnknown && record.zone != view.zone)
-            cost += view.otherZoneCost();
+        if (view.isLarge)
+            cost += view.zoneCost(record.zone, spread(uniform, record.name));
         cost += spreadCost * spread(uniform, record.name);
         if (candidate->isCold(view.now))
             cost += coldCost;
--- a/src/serving/placement.cpp
+++ b/src/serving/placement.cpp
@@ -24,6 +24,10 @@
 constexpr double scarceMemoryCost = 3000;
 // Calls to another availability zone cost money and a few milliseconds.
 constexpr double nearZoneCost = 8;
+// In a large system the loads of other zones are known as of a second ago: what may have come
+// since, and a random part, since all processes of other zones see the same figures.
+constexpr double knownZoneCost = 60;
+constexpr double knownZoneSpread = 80;
 // Where the loads of other zones are not known, they are used when the own one is full: more than
 // the prompts that wait at a busy engine cost.
 constexpr double unknownZoneCost = 800;
@@ -63,8 +67,7 @@
 double commonCost(const EndpointView &endpoint, const PlacementView &view, double uniform)
 {
     double cost = jitterCost * spread(uniform, endpoint.record.name);
-    if (endpoint.record.zone != view.zone)
-        cost += view.otherZoneCost();
+    cost += view.zoneCost(endpoint.record.zone, spread(uniform, endpoint.record.name));
     if (endpoint.isCold(view.now))
         cost += coldCost;
     if (view.health.isSuspect(view.now, endpoint.record.name))
@@ -96,9 +99,18 @@
         || coldGate.wouldTake(now, name, coldShares.part(now, name, coldPerSecond));
 }
 
-double PlacementView::otherZoneCost() const noexcept
+bool PlacementView::knowsLoadIn(const ZoneName &other) const
 {
-    return otherZonesUnknown ? unknownZoneCost : nearZoneCost;
+    return !isLarge || other == zone || ledger.hearsZone(now, other);
+}
+
+double PlacementView::zoneCost(const ZoneName &other, double uniform) const
+{
+    if (other == zone)
+        return 0;
+    if (!knowsLoadIn(other))
+        return unknownZoneCost;
+    return isLarge ? knownZoneCost + knownZoneSpread * uniform : nearZoneCost;
 }
 
 double spread(double uniform, const EndpointName &name)
--- a/tests/serving/gossip_test.cpp
+++ b/tests/serving/gossip_test.cpp
@@ -62,4 +62,30 @@
     EXPECT_EQ(decodeGossip(bytes)->leaving.size(), maxLivesPerDatagram);
 }
 
+TEST(Gossip, LoadsOfManyEndpointsAreDividedOverDatagrams)
+{
+    ZoneLoads zone {ZoneName("north"), 250_ms, {}};
+    for (int n = 0; n < 610; ++n)
+        zone.loads.push_back({EndpointName("endpoint-" + std::to_string(n)), {24, 34'000, 9'000}});
+    std::vector<EndpointLoadOf> decoded;
+    for (const std::string &text : encodeZoneLoads({&zone, 1})) {
+        EXPECT_LT(text.size(), 8192U);
+        const Result<ZoneLoads> part = decodeZoneLoads(text);
+        ASSERT_TRUE(part) << part.error().message;
+        EXPECT_EQ(part->zone, zone.zone);
+        EXPECT_EQ(part->age, zone.age);
+        decoded.insert(decoded.end(), part->loads.begin(), part->loads.end());
+    }
+    EXPECT_EQ(decoded, zone.loads);
+    EXPECT_FALSE(decodeZoneLoads("nonsense"));
+}
+
+TEST(Gossip, ZoneWithoutLoadIsToldAsWell)
+{
+    const ZoneLoads zone {ZoneName("north"), 0_ms, {}};
+    const std::vector<std::string> texts = encodeZoneLoads({&zone, 1});
+    ASSERT_EQ(texts.size(), 1U);
+    EXPECT_EQ(*decodeZoneLoads(texts.front()), zone);
+}
+
 } // namespace
--- /dev/null
+++ b/tests/serving/loadledger_test.cpp
@@ -0,0 +1,69 @@
+#include "fescue/serving/loadledger.h"
+
+#include <gtest/gtest.h>
+
+namespace {
+
+using namespace fescue;
+using namespace fescue::serving;
+
+const EndpointName first("e1");
+const EndpointName second("e2");
+
+TEST(LoadLedger, TotalsCountOwnWorkPeersAndOtherZones)
+{
+    LoadLedger ledger;
+    ledger.add(first, {1, 100, 10});
+    ledger.peerTold(1_s, MemberName("peer"), {{first, {2, 200, 20}}});
+    const EndpointLoadOf south {first, {4, 400, 40}};
+    ledger.zoneTold(1_s, ZoneName("south"), 0_ms, {&south, 1});
+    EXPECT_EQ(ledger.total(1_s, first), (EndpointLoad {7, 700, 70}));
+    // Peers and zones that are silent stop counting.
+    EXPECT_EQ(ledger.total(Millis {2'600}, first), (EndpointLoad {5, 500, 50}));
+    EXPECT_EQ(ledger.total(Millis {4'100}, first), (EndpointLoad {1, 100, 10}));
+}
+
+TEST(LoadLedger, SumForOtherZonesLeavesTheirOwnFiguresOut)
+{
+    LoadLedger ledger;
+    ledger.add(first, {1, 100, 0});
+    ledger.peerTold(1_s, MemberName("peer"), {{first, {2, 200, 0}}, {second, {1, 50, 0}}});
+    const EndpointLoadOf south {first, {4, 400, 0}};
+    ledger.zoneTold(1_s, ZoneName("south"), 0_ms, {&south, 1});
+    const std::vector<EndpointLoadOf> expected {{first, {3, 300, 0}}, {second, {1, 50, 0}}};
+    EXPECT_EQ(ledger.sum(1_s), expected);
+}
+
+TEST(LoadLedger, OlderFiguresOfAZoneDoNotReplaceNewerOnes)
+{
+    LoadLedger ledger;
+    const EndpointLoadOf newer {first, {4, 400, 0}};
+    const EndpointLoadOf older {first, {9, 900, 0}};
+    ledger.zoneTold(2_s, ZoneName("south"), 100_ms, {&newer, 1});
+    ledger.zoneTold(2_s, ZoneName("south"), 700_ms, {&older, 1});
+    EXPECT_EQ(ledger.total(2_s, first).requests, 4U);
+    const std::vector<ZoneLoads> zones = ledger.zones(Millis {2'300});
+    ASSERT_EQ(zones.size(), 1U);
+    EXPECT_EQ(zones.front().age, 400_ms);
+}
+
+TEST(LoadLedger, ZoneWithoutLoadIsKnown)
+{
+    LoadLedger ledger;
+    EXPECT_FALSE(ledger.hearsZone(1_s, ZoneName("south")));
+    ledger.zoneTold(1_s, ZoneName("south"), 0_ms, {});
+    EXPECT_TRUE(ledger.hearsZone(1_s, ZoneName("south")));
+    EXPECT_FALSE(ledger.hearsZone(1_s + LoadLedger::zoneLifetime + 1_ms, ZoneName("south")));
+}
+
+TEST(LoadLedger, HoldersAreProcessesWithRequests)
+{
+    LoadLedger ledger;
+    ledger.add(first, {1, 100, 0});
+    ledger.peerTold(1_s, MemberName("p1"), {{first, {2, 200, 0}}});
+    ledger.peerTold(1_s, MemberName("p2"), {{first, {0, 500, 0}}});
+    EXPECT_EQ(ledger.holders(1_s, first), 2U);
+    EXPECT_EQ(ledger.holders(1_s, second), 0U);
+}
+
+} // namespace
--- a/tests/serving/placement_test.cpp
+++ b/tests/serving/placement_test.cpp
@@ -128,7 +128,7 @@
     add("far", "south");
     ledger.add(EndpointName("near"), {4, 12'000, 4'000});
     PlacementView large = view();
-    large.otherZonesUnknown = true;
+    large.isLarge = true;
     EngineModel model;
     model.slots = 24;
     model.memoryTokens = 27'000;
@@ -198,4 +198,34 @@
     EXPECT_TRUE(ledger.own().empty());
 }
 
+// Pattern: callers of one zone bring more than its engines bear, in a large system; other zones
+// have room, and their sums are known.
+TEST_F(Placement, LargeSystemSpreadsOverZonesWhoseLoadsAreKnown)
+{
+    add("near", "north");
+    add("far", "south");
+    add("farther", "west");
+    PlacementView large = view();
+    large.isLarge = true;
+    ledger.add(EndpointName("near"), {5, 20'000, 0});
+    const EndpointLoadOf busy {EndpointName("far"), {6, 26'000, 0}};
+    const EndpointLoadOf idle {EndpointName("farther"), {1, 3'000, 0}};
+    EngineModel model;
+    model.slots = 24;
+    model.memoryTokens = 34'452;
+    const auto choose = [&](double uniform) {
+        return chooseEngine(table.usable(service), model, large, {4'000, 3'000, false, {}}, uniform)
+            ->record.name.text();
+    };
+    for (const double uniform : {0.1, 0.5, 0.9})
+        EXPECT_EQ(choose(uniform), "near");
+    ledger.zoneTold(now, ZoneName("south"), 500_ms, {&busy, 1});
+    ledger.zoneTold(now, ZoneName("west"), 500_ms, {&idle, 1});
+    for (const double uniform : {0.1, 0.5, 0.9})
+        EXPECT_EQ(choose(uniform), "farther");
+    large.now = now + LoadLedger::zoneLifetime;
+    for (const double uniform : {0.1, 0.5, 0.9})
+        EXPECT_EQ(choose(uniform), "near");
+}
+
 } // namespace
--- a/tests/soak/endpointfarm.cpp
+++ b/tests/soak/endpointfarm.cpp
@@ -29,6 +29,14 @@
 // A backup lags behind by what its engine sends at once.
 constexpr std::uint64_t backupStep = 8;
 constexpr Millis leaseOfStore = 3600_ms;
+// An answer without end is given up by the endpoint after this, for the sake of the soak's own
+// load.
+constexpr Millis longestEndless = 1500_ms;
+constexpr std::size_t mostEndlessBytes = std::size_t {48} * 1024 * 1024;
+constexpr std::size_t endlessPiece = std::size_t {64} * 1024;
+// Pauses that endpoints ask for.
+constexpr Millis shortestPause = 800_ms;
+constexpr Millis longestPause = 3_s;
 
 const std::vector<net::Header> notExecuted {{std::string(names::notExecuted), "1"}};
 
@@ -143,6 +151,56 @@
     });
 }
 
+void EndpointFarm::sayLeaving(Endpoint &endpoint, Millis notice)
+{
+    endpoint.saysLeaving = true;
+    m_pool->spawn(0, [this, &endpoint, notice] {
+        net::sleepFor(notice);
+        endpoint.alive = false;
+        endpoint.server->stopAccepting();
+        endpoint.server->closeConnections();
+        m_ledger->endpoint(endpoint.index).goneAt = steadyNow();
+        m_store->remove(std::string(names::endpointPrefix) + endpoint.id);
+        m_ledger->endpoint(endpoint.index).leavingAt = steadyNow();
+    });
+}
+
+void EndpointFarm::askForPause(Endpoint &endpoint, const Call &call, net::ResponseWriter &writer)
+{
+    const double part = std::uniform_real_distribution<double>(0, 1)(m_random);
+    const Millis span = shortestPause
+        + Millis {static_cast<std::int64_t>(
+            part * static_cast<double>((longestPause - shortestPause).count))};
+    std::vector<net::Header> headers = notExecuted;
+    headers.push_back(
+        {std::string(names::retryAfter), std::to_string(static_cast<double>(span.count) / 1000)});
+    if (writer.send({503, headers, {}}))
+        m_ledger->endpointAsksPause(call.entry, endpoint.index, steadyNow(), span);
+}
+
+void EndpointFarm::writeEndlessly(const Endpoint &endpoint, net::ResponseWriter &writer)
+{
+    const std::string piece(endlessPiece, 'x');
+    const Millis until = steadyNow() + longestEndless;
+    std::size_t n = 0;
+    Result<void> written = writer.startStream(200, {});
+    while (written && endpoint.alive && n < mostEndlessBytes && steadyNow() < until) {
+        written = writer.write(piece);
+        n += piece.size();
+    }
+    writer.abort();
+}
+
+std::vector<net::Header> EndpointFarm::headersFor(const Endpoint &endpoint, Call &call)
+{
+    std::vector<net::Header> headers = answerHeaders(call);
+    if (endpoint.saysLeaving) {
+        headers.push_back({std::string(names::leaving), "1"});
+        call.saidLeavingBy = endpoint.index;
+    }
+    return headers;
+}
+
 void EndpointFarm::crash(Endpoint &endpoint)
 {
     endpoint.alive = false;
@@ -166,7 +224,8 @@
 {
     std::vector<Endpoint *> found;
     for (const std::unique_ptr<Endpoint> &endpoint : m_endpoints) {
-        if (endpoint->alive && !endpoint->draining && endpoint->service == service)
+        if (endpoint->alive && !endpoint->draining && !endpoint->saysLeaving
+            && endpoint->service == service)
             found.push_back(endpoint.get());
     }
     return found;
@@ -230,7 +289,9 @@
         return;
     }
     checkSystemHeaders(*call, request);
-    if (chance(endpoint.trouble.shedding))
+    if (chance(endpoint.trouble.pausing))
+        askForPause(endpoint, *call, writer);
+    else if (chance(endpoint.trouble.shedding))
         reject(writer, 503);
     else if (endpoint.service == engineService)
         serveDraft(endpoint, *call, request, writer);
@@ -247,6 +308,10 @@
         writer.abort();
         return;
     }
+    if (chance(endpoint.trouble.endless)) {
+        writeEndlessly(endpoint, writer);
+        return;
+    }
     const bool fails = chance(endpoint.trouble.failing);
     const std::string body = plainAnswer(call.id);
     if (chance(endpoint.trouble.truncating)) {
@@ -256,7 +321,7 @@
         return;
     }
     call.endpointStatus = fails ? 500 : 200;
-    static_cast<void>(writer.send({call.endpointStatus, answerHeaders(call), body}));
+    static_cast<void>(writer.send({call.endpointStatus, headersFor(endpoint, call), body}));
 }
 
 bool EndpointFarm::takeCopy(Endpoint &endpoint, const Call &call, std::string_view from)
@@ -296,9 +361,14 @@
         return;
     }
     const std::size_t run = m_ledger->begins(call, endpoint.index, resumed, steadyNow());
+    if (chance(endpoint.trouble.endless)) {
+        writeEndlessly(endpoint, writer);
+        m_ledger->ends(call, run, steadyNow());
+        return;
+    }
     endpoint.running[call.id] = first - 1;
     endpoint.stopped.erase(call.id);
-    Result<void> written = writer.startStream(200, answerHeaders(call));
+    Result<void> written = writer.startStream(200, headersFor(endpoint, call));
     std::uint64_t next = first;
     const std::uint64_t cut =
         chance(endpoint.trouble.truncating) ? call.events / 2 : call.events + 1;
@@ -359,6 +429,7 @@
     const Json body = Json::parse(request.body);
     const std::string id = body.at("Id").get<std::string>();
     const bool stop = body.value("Final", false);
+    m_ledger->controlArrives(id, endpoint.index, steadyNow());
     Endpoint *destination = at(body.at("To").get<std::string>());
     if (!endpoint.running.contains(id)) {
         static_cast<void>(writer.send(net::jsonResponse(404, "{}")));
--- a/tests/soak/endpointfarm.h
+++ b/tests/soak/endpointfarm.h
@@ -30,6 +30,10 @@
     // The answer breaks off in its middle.
     double truncating = 0;
     double shedding = 0;
+    // The request is turned away, with a time for which the endpoint wants nothing.
+    double pausing = 0;
+    // Bytes that are no answer come until the caller closes.
+    double endless = 0;
 };
 
 // The memory of a generation, kept at an engine that does not run it.
@@ -49,6 +53,8 @@
     Millis bornAt {0};
     bool draining = false;
     bool alive = true;
+    // Says in its answers that it leaves; the store does not know.
+    bool saysLeaving = false;
     Millis leavesAt = endOfTime;
     EndpointTrouble trouble;
     std::unique_ptr<net::HttpServer> server;
@@ -73,6 +79,8 @@
     Endpoint &start(std::string_view service, std::string_view zone, bool cold);
     // Gives notice, serves for `notice` and ends.
     void drain(Endpoint &endpoint, Millis notice);
+    // Gives notice in its answers only, serves for `notice` and ends.
+    void sayLeaving(Endpoint &endpoint, Millis notice);
     // Ends without notice; the entry in the store goes later.
     void crash(Endpoint &endpoint);
     // Lets the address of an endpoint that is gone lead to another one.
@@ -99,6 +107,12 @@
     void keepBackup(const std::string &address, const Call &call);
     // First event that follows a copy; nothing where there is no such copy here.
     [[nodiscard]] bool takeCopy(Endpoint &endpoint, const Call &call, std::string_view from);
+    // Turns a request away and names a time for which the endpoint wants nothing.
+    void askForPause(Endpoint &endpoint, const Call &call, net::ResponseWriter &writer);
+    // Writes until the caller closes, or for a bounded time and size.
+    void writeEndlessly(const Endpoint &endpoint, net::ResponseWriter &writer);
+    // Headers of an answer to a call; records what they say of the endpoint.
+    [[nodiscard]] std::vector<net::Header> headersFor(const Endpoint &endpoint, Call &call);
     void checkSystemHeaders(const Call &call, const net::HttpRequest &request);
     [[nodiscard]] Endpoint *at(std::string_view address);
     [[nodiscard]] bool chance(double part);
--- a/tests/soak/faultplan.cpp
+++ b/tests/soak/faultplan.cpp
@@ -48,6 +48,9 @@
     "config-grows",
     "config-storm",
     "zone-out",
+    "endpoint-says-leaving",
+    "endpoint-asks-pause",
+    "endpoint-endless",
 };
 
 // Faults begin once the system has served for a moment.
@@ -57,29 +60,23 @@
 // Mean time between faults, of the calmest and of the roughest run.
 constexpr Millis calmGap = 4_s;
 constexpr Millis roughGap = 350_ms;
+// The same for the kinds of the second draw.
+constexpr Millis secondDrawGap = 5_s;
+constexpr std::uint64_t secondDrawSeed = 0x9e3779b97f4a7c15;
 
-} // namespace
-
-std::string_view toString(FaultKind kind) noexcept
-{
-    return kindNames[static_cast<std::size_t>(kind)];
-}
-
-std::vector<Fault> drawFaults(std::uint64_t seed, Millis end, double density)
+// Draws faults of the kinds from `first` on, `kinds` of them.
+std::vector<Fault> draw(std::mt19937_64 &random, double meanGap, std::size_t first,
+                        std::size_t kinds, Millis end)
 {
-    std::mt19937_64 random(seed);
     std::uniform_real_distribution<double> part(0, 1);
-    const double roughness = part(random);
-    const double meanGap = static_cast<double>(calmGap.count)
-        - roughness * static_cast<double>((calmGap - roughGap).count);
-    std::exponential_distribution<double> gap(density / meanGap);
+    std::exponential_distribution<double> gap(1 / meanGap);
     std::vector<Fault> faults;
     Millis at = quietStart;
     while (true) {
         at += Millis {static_cast<std::int64_t>(gap(random)) + 1};
         Fault fault;
         fault.at = at;
-        fault.kind = static_cast<FaultKind>(random() % faultKinds);
+        fault.kind = static_cast<FaultKind>(first + random() % kinds);
         const double span = part(random) * part(random);
         fault.lasts = shortest
             + Millis {
@@ -87,9 +84,32 @@
         fault.target = static_cast<std::uint32_t>(random());
         fault.strength = part(random);
         if (fault.at + fault.lasts >= end)
-            break;
+            return faults;
         faults.push_back(fault);
     }
+}
+
+} // namespace
+
+std::string_view toString(FaultKind kind) noexcept
+{
+    return kindNames[static_cast<std::size_t>(kind)];
+}
+
+std::vector<Fault> drawFaults(std::uint64_t seed, Millis end, double density)
+{
+    std::mt19937_64 random(seed);
+    std::uniform_real_distribution<double> part(0, 1);
+    const double roughness = part(random);
+    const double meanGap = static_cast<double>(calmGap.count)
+        - roughness * static_cast<double>((calmGap - roughGap).count);
+    std::vector<Fault> faults = draw(random, meanGap / density, 0, firstDrawKinds, end);
+    std::mt19937_64 second(seed ^ secondDrawSeed);
+    const std::vector<Fault> more = draw(second, static_cast<double>(secondDrawGap.count) / density,
+                                         firstDrawKinds, faultKinds - firstDrawKinds, end);
+    faults.insert(faults.end(), more.begin(), more.end());
+    std::stable_sort(faults.begin(), faults.end(),
+                     [](const Fault &a, const Fault &b) { return a.at < b.at; });
     return faults;
 }
 
--- a/tests/soak/injector.cpp
+++ b/tests/soak/injector.cpp
@@ -18,6 +18,9 @@
 constexpr Millis shortestNotice = 1500_ms;
 // Some endpoints serve on for many seconds after they have given notice.
 constexpr Millis longestExtraNotice = 6500_ms;
+// An endpoint that says in its answers that it leaves serves on for longer than it takes until
+// nothing may reach it any more.
+constexpr Millis drainWord = 3_s;
 constexpr Millis stormGap = 150_ms;
 constexpr unsigned stormVersions = 6;
 constexpr unsigned manyRoutes = 300;
@@ -67,6 +70,8 @@
         hitEndpoint(fault);
     else if (fault.kind == FaultKind::ZoneOut)
         takeZoneOut(fault);
+    else if (fault.kind >= FaultKind::EndpointSaysLeaving)
+        hitEndpoint(fault);
     else
         changeConfig(fault);
 }
@@ -210,14 +215,18 @@
 {
     std::vector<Endpoint *> live;
     for (const std::unique_ptr<Endpoint> &endpoint : m_world->farm.all()) {
-        if (endpoint->alive && !endpoint->draining)
+        if (endpoint->alive && !endpoint->draining && !endpoint->saysLeaving)
             live.push_back(endpoint.get());
     }
     if (live.empty())
         return;
     Endpoint &endpoint = *live[fault.target % live.size()];
-    if (fault.kind <= FaultKind::EndpointAddressReused)
+    const bool ends = fault.kind <= FaultKind::EndpointAddressReused
+        || fault.kind == FaultKind::EndpointSaysLeaving;
+    if (ends)
         endEndpoint(fault, endpoint);
+    else if (fault.kind == FaultKind::EndpointAsksPause)
+        pauseEndpoint(fault, endpoint);
     else
         troubleEndpoint(fault, endpoint);
 }
@@ -229,9 +238,13 @@
     const Millis notice = shortestNotice + part(longestExtraNotice, fault.strength);
     if (crashes)
         farm.crash(endpoint);
+    else if (fault.kind == FaultKind::EndpointSaysLeaving)
+        farm.sayLeaving(endpoint, notice + drainWord);
     else
         farm.drain(endpoint, notice);
-    const Millis pause = (crashes ? 0_ms : notice) + std::max(replacementPause, reuseAfter);
+    const Millis served =
+        fault.kind == FaultKind::EndpointSaysLeaving ? notice + drainWord : notice;
+    const Millis pause = (crashes ? 0_ms : served) + std::max(replacementPause, reuseAfter);
     after(pause, [&farm, &endpoint, fault] {
         const bool reuses = fault.kind == FaultKind::EndpointAddressReused;
         const bool isEngine = endpoint.service == engineService;
@@ -242,6 +255,13 @@
     });
 }
 
+void Injector::pauseEndpoint(const Fault &fault, Endpoint &endpoint)
+{
+    // The endpoint is sound: no disturbance excuses what reaches it.
+    endpoint.trouble.pausing = fault.strength;
+    after(fault.lasts, [&endpoint] { endpoint.trouble.pausing = 0; });
+}
+
 void Injector::troubleEndpoint(const Fault &fault, Endpoint &endpoint)
 {
     FaultRelay &relay = *endpoint.relay;
@@ -260,6 +280,9 @@
     case FaultKind::EndpointSheds:
         trouble.shedding = fault.strength;
         break;
+    case FaultKind::EndpointEndless:
+        trouble.endless = fault.strength;
+        break;
     case FaultKind::EndpointGarbles:
         relay.setGarbled(true);
         break;
--- a/tests/soak/injector.h
+++ b/tests/soak/injector.h
@@ -27,6 +27,7 @@
     void hitStoreLink(const Fault &fault);
     void hitCallerLink(const Fault &fault);
     void hitEndpoint(const Fault &fault);
+    void pauseEndpoint(const Fault &fault, Endpoint &endpoint);
     void troubleEndpoint(const Fault &fault, Endpoint &endpoint);
     void endEndpoint(const Fault &fault, Endpoint &endpoint);
     void changeConfig(const Fault &fault);
--- a/tests/soak/ledger.cpp
+++ b/tests/soak/ledger.cpp
@@ -41,6 +41,10 @@
     call.end = end;
     call.status = status;
     call.endedAt = now;
+    // The entry may have replaced the endpoint's answer, where that arrived damaged.
+    const bool passedOn = end == CallEnd::Answered && status == call.endpointStatus;
+    if (passedOn && call.saidLeavingBy)
+        m_endpoints[*call.saidLeavingBy].saidLeavingTo.emplace(call.entry, now);
 }
 
 Call *Ledger::arrives(const std::string &id, std::size_t endpoint, std::string_view prefix,
@@ -70,6 +74,7 @@
     else if (!rightAccount)
         violation("UNASKED", describe(call) + " reached an endpoint for " + std::string(account));
     checkLeaving(call, facts, now);
+    checkPause(call.entry, endpoint, now);
     checkCold(facts, now);
     if (++call.arrivals > 1) {
         m_repeats[facts.service].push_back(now);
@@ -78,8 +83,46 @@
     return &call;
 }
 
+void Ledger::controlArrives(const std::string &id, std::size_t endpoint, Millis now)
+{
+    const auto it = m_calls.find(id);
+    if (it != m_calls.end())
+        checkPause(it->second.entry, endpoint, now);
+}
+
+void Ledger::endpointAsksPause(std::size_t entry, std::size_t endpoint, Millis now, Millis span)
+{
+    Pause &pause = m_endpoints[endpoint].pauses[entry];
+    // A later answer may shorten it no more than lengthen it.
+    if (now + span > pause.until)
+        pause = {now + pauseSlack, now + span, 0};
+}
+
+void Ledger::checkPause(std::size_t entry, std::size_t endpoint, Millis now)
+{
+    EndpointFacts &facts = m_endpoints[endpoint];
+    const auto it = facts.pauses.find(entry);
+    if (it == facts.pauses.end() || now < it->second.from || now >= it->second.until)
+        return;
+    const Millis asked = it->second.from - pauseSlack;
+    const bool excused = m_disturbances->entries[entry].touch(asked, now)
+        || m_disturbances->stops[entry].touch(asked, now)
+        || m_disturbances->driver.touch(asked, now)
+        || !m_disturbances->endpointCalm(endpoint, asked, now);
+    if (!excused && ++it->second.arrivals > pauseAllowance)
+        violation("BUDGET",
+                  std::to_string(it->second.arrivals) + " requests at " + facts.id + " from entry "
+                      + std::to_string(entry) + " within the pause it asked for");
+}
+
 void Ledger::checkLeaving(const Call &call, const EndpointFacts &facts, Millis now)
 {
+    const auto said = facts.saidLeavingTo.find(call.entry);
+    const bool bound = said != facts.saidLeavingTo.end() && call.sentAt > said->second + drainTime
+        && !m_disturbances->entries[call.entry].touch(said->second, now)
+        && !m_disturbances->stops[call.entry].touch(said->second, now);
+    if (bound)
+        violation("DRAIN", describe(call) + " reached " + facts.id + " that had said it leaves");
     if (!m_disturbances->inTouch(call.entry, now))
         return;
     if (now > facts.leavingAt + drainTime)
--- a/tests/soak/ledger.h
+++ b/tests/soak/ledger.h
@@ -6,6 +6,7 @@
 #include <cstdint>
 #include <deque>
 #include <map>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -61,6 +62,16 @@
     std::vector<Run> runs;
     // Status of the endpoint's answer, where it gave a whole one.
     int endpointStatus = 0;
+    // The endpoint whose answer said that it leaves.
+    std::optional<std::size_t> saidLeavingBy;
+};
+
+// A time for which an endpoint wants nothing from an entry.
+struct Pause
+{
+    Millis from {0};
+    Millis until {0};
+    std::uint32_t arrivals = 0;
 };
 
 // An endpoint as the operator and the store know it.
@@ -74,6 +85,10 @@
     Millis goneAt = endOfTime;
     Millis coldUntil {0};
     std::deque<Millis> coldArrivals;
+    // By entry: when it had passed on an answer that said that the endpoint leaves.
+    std::map<std::size_t, Millis> saidLeavingTo;
+    // By entry: the time for which the endpoint wanted nothing from it.
+    std::map<std::size_t, Pause> pauses;
 };
 
 // Records what callers and endpoints see, and which promises of the system that breaks.
@@ -86,6 +101,9 @@
     static constexpr Millis overlapLimit = 400_ms;
     static constexpr Millis workAfterLeaving = 500_ms;
     static constexpr Millis answerSlack = 500_ms;
+    // Requests that were under way when an endpoint asked for a pause, and how many may follow.
+    static constexpr Millis pauseSlack = 500_ms;
+    static constexpr std::uint32_t pauseAllowance = 2;
     static constexpr Millis lossSlack = 200_ms;
     static constexpr Millis budgetWindow = 10_s;
     static constexpr double retryRatio = 0.2;
@@ -109,6 +127,10 @@
     // Checks a request that reached an endpoint; returns its call, or null where there is none.
     [[nodiscard]] Call *arrives(const std::string &id, std::size_t endpoint,
                                 std::string_view prefix, std::string_view account, Millis now);
+    // A control call of the entry that serves a call.
+    void controlArrives(const std::string &id, std::size_t endpoint, Millis now);
+    // An endpoint has turned a request away and wants nothing from the entry for a time.
+    void endpointAsksPause(std::size_t entry, std::size_t endpoint, Millis now, Millis span);
     // A request that its endpoint begins to work on. Returns the index of the run.
     std::size_t begins(Call &call, std::size_t endpoint, bool resumed, Millis now);
     void ends(Call &call, std::size_t run, Millis now);
@@ -133,6 +155,7 @@
     };
 
     void checkLeaving(const Call &call, const EndpointFacts &facts, Millis now);
+    void checkPause(std::size_t entry, std::size_t endpoint, Millis now);
     void checkCold(EndpointFacts &facts, Millis now);
     void checkRepeats(const std::string &service, Millis now);
     void checkRuns(const Call &call);
--- a/tests/soakledger/ledger_test.cpp
+++ b/tests/soakledger/ledger_test.cpp
@@ -214,6 +214,53 @@
     EXPECT_EQ(broken(), Names {"GONE"});
 }
 
+TEST_F(LedgerTest, FindsRequestsToAnEngineThatSaidItLeaves)
+{
+    Call &told = send(CallKind::Read);
+    told.saidLeavingBy = readEndpoint;
+    told.endpointStatus = 200;
+    m_ledger.callerEnds(told, CallEnd::Answered, 200, start);
+    arrive(send(CallKind::Read, start + Ledger::drainTime), readEndpoint, start + 3_s);
+    EXPECT_TRUE(broken().empty());
+    arrive(send(CallKind::Read, start + Ledger::drainTime + 1_ms), readEndpoint, start + 3_s);
+    EXPECT_EQ(broken(), Names {"DRAIN"});
+}
+
+TEST_F(LedgerTest, ExcusesAnEntryThatCouldNotReadTheWord)
+{
+    Call &told = send(CallKind::Read);
+    told.saidLeavingBy = readEndpoint;
+    told.endpointStatus = 200;
+    m_ledger.callerEnds(told, CallEnd::Answered, 502, start);
+    arrive(send(CallKind::Read, start + 9_s), readEndpoint, start + 9_s);
+    EXPECT_TRUE(broken().empty());
+}
+
+TEST_F(LedgerTest, ExcusesAnEntryThatStartedAgainSinceTheWord)
+{
+    Call &told = send(CallKind::Read);
+    told.saidLeavingBy = readEndpoint;
+    told.endpointStatus = 200;
+    m_ledger.callerEnds(told, CallEnd::Answered, 200, start);
+    m_disturbances.entries[0].add(start + 1_s, start + 2_s);
+    arrive(send(CallKind::Read, start + 9_s), readEndpoint, start + 9_s);
+    EXPECT_TRUE(broken().empty());
+}
+
+TEST_F(LedgerTest, FindsRequestsWithinThePauseThatAnEndpointAskedFor)
+{
+    m_ledger.endpointAsksPause(0, readEndpoint, start, 3_s);
+    const Call &call = send(CallKind::Read);
+    // What was under way, two more, and what comes after the end.
+    arrive(call, readEndpoint, start + Ledger::pauseSlack - 1_ms);
+    arrive(call, readEndpoint, start + 1_s);
+    m_ledger.controlArrives(call.id, readEndpoint, start + 2_s);
+    arrive(call, readEndpoint, start + 3_s);
+    EXPECT_TRUE(broken().empty());
+    arrive(call, readEndpoint, start + 2_s);
+    EXPECT_EQ(broken(), Names {"BUDGET"});
+}
+
 TEST_F(LedgerTest, FindsTooManyRequestsAtAColdEngine)
 {
     m_ledger.endpoint(engine).coldUntil = start + 1_s;
