As many copies as a link carries; engines that drain without a time are used while the store is silent

Two causes: - 11 engines that drain as planned cannot give the store their word and serve on until it returns; the report says "draining" without a time. Taking them for lost left a third less of the engines. - Copies begun too late to end were cut off with their engine and kept their memory at the destinations for seconds: 77 to 84 lost generations had such a copy.

Change: only a report with a time counts as the word of an engine that leaves. The time is told to the peers. A copy is begun only where the link carries it in the time left, about as many as fit (copyFits, by the request's id).

Ruled out: colder use of cold engines (their part was nothing before, first events of calm windows are the same with it); load of the reports (a report needs no slot).

--- a/include/fescue/serving/edgedaemon.h
+++ b/include/fescue/serving/edgedaemon.h
@@ -39,8 +39,9 @@
     void sendGossip();
     void sendNews(std::span<const MemberView *const> to, std::string_view bytes);
     // Moves the generations of an endpoint that said that it leaves, and tells the other processes.
-    void endpointSaidLeaving(const EndpointLife &notice);
-    void tellLeaving(std::span<const EndpointLife> notices, bool toOtherZones);
+    void endpointSaidLeaving(const EndpointLife &notice, std::optional<Millis> leavesIn);
+    void tellLeaving(std::span<const EndpointLife> notices, std::optional<Millis> leavesIn,
+                     bool toOtherZones);
     void takeLeaving(std::string_view bytes);
     // In a large system, tells the sum of this zone to the relays of others, and their sums to this
     // zone, where this process is a relay.
@@ -48,6 +49,7 @@
     void takeZoneLoads(std::string_view bytes);
     // Takes the word of a peer; returns what was news here.
     [[nodiscard]] std::vector<EndpointLife> takeNotices(std::span<const EndpointLife> notices,
+                                                        std::optional<Millis> leavesIn,
                                                         std::string_view from);
     // Sends a datagram of one kind to a member; false where that fails.
     bool sendTo(const MemberInfo &member, const std::string &datagram);
--- a/include/fescue/serving/edgedaemon.inl
+++ b/include/fescue/serving/edgedaemon.inl
@@ -90,7 +90,9 @@
         return opened;
     m_state.members.heartbeat(ServingState::now(), m_self);
     m_state.tellPeers = [this] { sendGossip(); };
-    m_state.endpointSaidLeaving = [this](const EndpointLife &n) { endpointSaidLeaving(n); };
+    m_state.endpointSaidLeaving = [this](const EndpointLife &life, std::optional<Millis> leavesIn) {
+        endpointSaidLeaving(life, leavesIn);
+    };
     m_store.start();
     m_pool->spawn(net::currentWorker(), [this] { tick(); });
     m_pool->spawn(net::currentWorker(), [this] { m_mover.watchEngines(); });
@@ -242,17 +244,20 @@
 }
 
 template <PlatformProtocol P>
-void EdgeDaemon<P>::endpointSaidLeaving(const EndpointLife &notice)
+void EdgeDaemon<P>::endpointSaidLeaving(const EndpointLife &notice,
+                                        std::optional<Millis> leavesIn)
 {
-    m_mover.evacuate(notice.endpoint);
-    tellLeaving({&notice, 1}, true);
+    m_mover.evacuate(notice.endpoint, leavesIn);
+    tellLeaving({&notice, 1}, leavesIn, true);
 }
 
 template <PlatformProtocol P>
-void EdgeDaemon<P>::tellLeaving(std::span<const EndpointLife> notices, bool toOtherZones)
+void EdgeDaemon<P>::tellLeaving(std::span<const EndpointLife> notices,
+                                std::optional<Millis> leavesIn, bool toOtherZones)
 {
     const std::string datagram = leavingKind
-        + encodeLeaving({m_self.zone, std::vector<EndpointLife>(notices.begin(), notices.end())});
+        + encodeLeaving({m_self.zone, std::vector<EndpointLife>(notices.begin(), notices.end()),
+                         leavesIn});
     const bool all = !m_state.isLarge();
     std::map<ZoneName, std::size_t> told;
     for (const MemberView &member : m_state.members.members(ServingState::now())) {
@@ -264,6 +269,7 @@
 
 template <PlatformProtocol P>
 std::vector<EndpointLife> EdgeDaemon<P>::takeNotices(std::span<const EndpointLife> notices,
+                                                      std::optional<Millis> leavesIn,
                                                       std::string_view from)
 {
     std::vector<EndpointLife> news;
@@ -275,7 +281,7 @@
                             {"state", "leaving"},
                             {"peer", from},
                             {"reason", "said so to a peer"}});
-        m_mover.evacuate(notice.endpoint);
+        m_mover.evacuate(notice.endpoint, leavesIn);
         news.push_back(notice);
     }
     return news;
@@ -289,10 +295,10 @@
         m_malformed.Increment();
         return;
     }
-    const std::vector<EndpointLife> news = takeNotices(told->endpoints, told->fromZone.text());
+    const std::vector<EndpointLife> news = takeNotices(told->endpoints, told->leavesIn, told->fromZone.text());
     // In a large system a few processes of each zone are told from outside it.
     if (!news.empty() && told->fromZone != m_self.zone && m_state.isLarge())
-        tellLeaving(news, false);
+        tellLeaving(news, told->leavesIn, false);
 }
 
 template <PlatformProtocol P>
@@ -382,7 +388,7 @@
         m_state.repeatsOf(repeats.service).peerTold(now, gossip->member.name, repeats.used);
     for (const EndpointLife &endpoint : gossip->refusing)
         m_state.peerRefusedBy(endpoint);
-    static_cast<void>(takeNotices(gossip->leaving, gossip->member.name.text()));
+    static_cast<void>(takeNotices(gossip->leaving, std::nullopt, gossip->member.name.text()));
 }
 
 template <PlatformProtocol P>
--- a/include/fescue/serving/enginesend.h
+++ b/include/fescue/serving/enginesend.h
@@ -52,6 +52,8 @@
     bool otherEndpoint = false;
     // The endpoint says that it leaves.
     bool leaving = false;
+    // Time until it is gone, where it says so.
+    std::optional<Millis> leavesIn;
     // The endpoint turned the request away and wants nothing from this process for a time.
     bool asksPause = false;
     // That time; none where it cannot be read.
@@ -63,8 +65,6 @@
 // What a model engine says of its state. The figures are some hundred milliseconds old.
 struct EngineReport
 {
-    // It leaves, or is about to.
-    bool leaving = false;
     // Time until it is gone, where it knows.
     std::optional<Millis> leavesIn;
     std::uint64_t memoryUsedTokens = 0;
--- a/include/fescue/serving/generationmover.h
+++ b/include/fescue/serving/generationmover.h
@@ -4,6 +4,8 @@
 #include "fescue/serving/generationrun.h"
 #include "fescue/serving/servingstate.h"
 
+#include <optional>
+
 namespace fescue::serving {
 
 // Moves generations from engines that leave: copies the memory while they run on, then stops them
@@ -14,8 +16,9 @@
 public:
     explicit GenerationMover(ServingState &state) noexcept : m_state(&state) { }
 
-    // Starts to move all generations of this process from an engine that has begun to leave.
-    void evacuate(const EndpointName &engine);
+    // Starts to move all generations of this process from an engine that has begun to leave, and is
+    // gone after `leavesIn` where that is known.
+    void evacuate(const EndpointName &engine, std::optional<Millis> leavesIn = std::nullopt);
     // Asks the engines of this process' generations whether they leave while the store, which tells
     // so otherwise, is silent. Returns at the end of the process.
     void watchEngines();
@@ -52,6 +55,9 @@
                                                  const PlacementDemand &demand);
     [[nodiscard]] bool isUsable(const std::optional<EndpointRecord> &engine) const;
     [[nodiscard]] Millis endOf(const EndpointView &engine);
+    // False where the engine's link carries too few copies until its end for this one to be begun.
+    [[nodiscard]] bool fitsIntoNotice(const GenerationRun &run, const EndpointView &source,
+                                      const EngineModel &model);
     void move(const GenerationRunPtr &run);
     [[nodiscard]] NextStep moveOnce(const GenerationRunPtr &run, const EndpointView &source,
                                     PlacementDemand &demand);
--- a/include/fescue/serving/generationmover.inl
+++ b/include/fescue/serving/generationmover.inl
@@ -28,7 +28,7 @@
 inline constexpr Millis notBegunPause = 30_ms;
 
 template <PlatformProtocol P>
-void GenerationMover<P>::evacuate(const EndpointName &engine)
+void GenerationMover<P>::evacuate(const EndpointName &engine, std::optional<Millis> leavesIn)
 {
     replaceCopies(engine);
     const std::vector<GenerationRunPtr> runs = m_state->runs.runsAt(engine);
@@ -39,7 +39,7 @@
     std::erase_if(m_ends, [](const std::pair<const EndpointName, Millis> &entry) {
         return ServingState::now() - entry.second > forgetDeparture;
     });
-    m_ends[engine] = expectedEnd(view->leavingSince);
+    m_ends[engine] = leavesIn ? ServingState::now() + *leavesIn : expectedEnd(view->leavingSince);
     m_state->pool.spawn(net::currentWorker(), [this, record] { askEnd(record); });
     for (const GenerationRunPtr &run : runs)
         check(run);
@@ -92,13 +92,13 @@
         return;
     }
     const Result<EngineReport> report = P::decodeReport(response->body);
-    if (!report || !report->leaving)
+    // One that drains without a time serves on until the store has taken its word and told us.
+    if (!report || !report->leavesIn)
         return;
     EngineAnswerHead word;
     word.leaving = true;
+    word.leavesIn = report->leavesIn;
     m_state->heardFrom(engine, word);
-    if (report->leavesIn)
-        m_ends[engine.name] = ServingState::now() + *report->leavesIn;
 }
 
 template <PlatformProtocol P>
@@ -257,6 +257,16 @@
     return decision;
 }
 
+template <PlatformProtocol P>
+bool GenerationMover<P>::fitsIntoNotice(const GenerationRun &run, const EndpointView &source,
+                                        const EngineModel &model)
+{
+    const Millis now = ServingState::now();
+    const std::uint32_t others = m_state->ledger.total(now, source.record.name).requests;
+    return copyFits(run.requestId, endOf(source) - now, others,
+                    copyTime(model, run.memoryTokens(), true));
+}
+
 template <PlatformProtocol P>
 typename GenerationMover<P>::NextStep GenerationMover<P>::moveOnce(const GenerationRunPtr &run,
                                                                    const EndpointView &source,
@@ -280,6 +290,8 @@
             net::sleepFor(handOverPoll);
         return NextStep::TryAgain;
     }
+    if (!isUsable(run->copyAhead) && !fitsIntoNotice(*run, source, *model))
+        return NextStep::TryAgain;
     const MoveDecision decision = chooseDestination(*run, source, *model, demand);
     if (decision.verdict == MoveVerdict::EndsInTime)
         return NextStep::TryAgain;
--- a/include/fescue/serving/gossip.h
+++ b/include/fescue/serving/gossip.h
@@ -7,6 +7,7 @@
 #include "fescue/serving/loadledger.h"
 #include "fescue/serving/repeatbudget.h"
 
+#include <optional>
 #include <span>
 #include <string>
 #include <string_view>
@@ -40,6 +41,8 @@
 {
     ZoneName fromZone;
     std::vector<EndpointLife> endpoints;
+    // Time until they are gone, where it is known.
+    std::optional<Millis> leavesIn;
     bool operator==(const LeavingNews &) const = default;
 };
 
--- a/include/fescue/serving/moveplan.h
+++ b/include/fescue/serving/moveplan.h
@@ -4,6 +4,7 @@
 
 #include <cstdint>
 #include <optional>
+#include <string_view>
 #include <vector>
 
 namespace fescue::serving {
@@ -81,6 +82,14 @@
     Millis m_leavesAt;
 };
 
+// Says whether a generation's memory is copied from an engine that is gone after `left`, where
+// `requests` generations run and a copy takes `copy` over an idle link. A link carries one copy
+// after the other, and a copy that is cut off keeps memory at its destination for seconds. So only
+// as many are begun as the link carries, chosen by their ids: each process decides for its own, and
+// all together begin about as many as fit.
+[[nodiscard]] bool copyFits(std::string_view requestId, Millis left, std::uint32_t requests,
+                            Millis copy);
+
 // When an engine that gave notice is expected to be gone, where it does not say so itself.
 [[nodiscard]] Millis expectedEnd(Millis noticeAt) noexcept;
 
--- a/include/fescue/serving/servingstate.h
+++ b/include/fescue/serving/servingstate.h
@@ -108,7 +108,8 @@
     // Tells peers of new work at once; they choose endpoints by it.
     std::function<void()> tellPeers = [] {};
     // Called once for each endpoint that says in an answer that it leaves.
-    std::function<void(const EndpointLife &)> endpointSaidLeaving = [](const EndpointLife &) {};
+    std::function<void(const EndpointLife &, std::optional<Millis> leavesIn)> endpointSaidLeaving =
+        [](const EndpointLife &, std::optional<Millis>) {};
     // When the store answered last, to this process or to a peer that told it.
     Millis storeHeardAt {0};
     // True where the store has answered nobody for longer than its watchers are ever silent.
--- a/src/serving/gossip.cpp
+++ b/src/serving/gossip.cpp
@@ -31,6 +31,8 @@
     return member;
 }
 
+// Stands for a time that is not known.
+constexpr std::int64_t unknownTime = -1;
 // Endpoints in one datagram of loads.
 constexpr std::size_t loadsPerDatagram = 128;
 
@@ -109,13 +111,18 @@
 
 std::string encodeLeaving(const LeavingNews &news)
 {
-    return toCbor({layoutVersion, news.fromZone.text(), encodeLives(news.endpoints)});
+    const std::int64_t leaves = news.leavesIn ? news.leavesIn->count : unknownTime;
+    return toCbor({layoutVersion, news.fromZone.text(), encodeLives(news.endpoints), leaves});
 }
 
 Result<LeavingNews> decodeLeaving(std::string_view bytes)
 {
     return readCbor<LeavingNews>(bytes, layoutVersion, "leaving endpoints", [](const Json &json) {
-        return LeavingNews {ZoneName(json.at(1).get<std::string>()), decodeLives(json.at(2))};
+        LeavingNews news {ZoneName(json.at(1).get<std::string>()), decodeLives(json.at(2)), {}};
+        const std::int64_t leaves = json.at(3).get<std::int64_t>();
+        if (leaves != unknownTime)
+            news.leavesIn = Millis {leaves};
+        return news;
     });
 }
 
--- a/src/serving/moveplan.cpp
+++ b/src/serving/moveplan.cpp
@@ -1,5 +1,7 @@
 #include "fescue/serving/moveplan.h"
 
+#include "fescue/core/rendezvous.h"
+
 #include <algorithm>
 #include <limits>
 
@@ -101,6 +103,20 @@
     return noticeAt + shortestNotice;
 }
 
+bool copyFits(std::string_view requestId, Millis left, std::uint32_t requests, Millis copy)
+{
+    const Millis usable = left - stopMargin;
+    if (usable < copy)
+        return false;
+    const Millis all = copy * std::max<std::int64_t>(requests, 1);
+    if (all <= usable)
+        return true;
+    constexpr std::uint64_t steps = 1'000'000;
+    const std::uint64_t place = rendezvousScore("copies", requestId) % steps;
+    return place * static_cast<std::uint64_t>(all.count)
+        < steps * static_cast<std::uint64_t>(usable.count);
+}
+
 Millis copyTime(const EngineModel &model, std::uint64_t tokens, bool sameZone)
 {
     if (model.linkMegabitsPerSecond <= 0)
--- a/src/serving/placement.cpp
+++ b/src/serving/placement.cpp
@@ -26,8 +26,8 @@
 constexpr double nearZoneCost = 8;
 // In a large system the loads of other zones are known as of a second ago: what may have come
 // since, and a random part, since all processes of other zones see the same figures.
-constexpr double knownZoneCost = 60;
-constexpr double knownZoneSpread = 80;
+constexpr double knownZoneCost = 500;
+constexpr double knownZoneSpread = 200;
 // Where the loads of other zones are not known, they are used when the own one is full: more than
 // the prompts that wait at a busy engine cost.
 constexpr double unknownZoneCost = 800;
--- a/src/serving/servingstate.cpp
+++ b/src/serving/servingstate.cpp
@@ -196,7 +196,7 @@
                             {"zone", endpoint.zone.text()},
                             {"state", "leaving"},
                             {"reason", "said so in an answer"}});
-        endpointSaidLeaving(notice);
+        endpointSaidLeaving(notice, head.leavesIn);
     }
 }
 
--- a/tests/serving/moveplan_test.cpp
+++ b/tests/serving/moveplan_test.cpp
@@ -187,4 +187,31 @@
     EXPECT_EQ(links.backlog(EndpointName("a"), 2_s), 0_ms);
 }
 
+// Pattern: many generations on an engine that is gone before its link has carried all copies;
+// copies that were cut off filled the memory of the engines that were left.
+TEST(CopyFits, AboutAsManyCopiesAreBegunAsTheLinkCarries)
+{
+    const auto begun = [](Millis left, std::uint32_t requests) {
+        std::uint32_t n = 0;
+        for (std::uint32_t i = 0; i < 100 * requests; ++i)
+            n += copyFits("id-" + std::to_string(i), left, requests, 200_ms) ? 1 : 0;
+        return static_cast<double>(n) / 100;
+    };
+    // Seven copies fit into 1.5 s, less the margin for the stop.
+    EXPECT_DOUBLE_EQ(begun(1500_ms, 5), 5);
+    EXPECT_NEAR(begun(1500_ms, 9), 6.75, 0.5);
+    EXPECT_NEAR(begun(650_ms, 8), 2.5, 0.5);
+    EXPECT_DOUBLE_EQ(begun(340_ms, 8), 0);
+    EXPECT_DOUBLE_EQ(begun(Millis {-5000}, 1), 0);
+}
+
+TEST(CopyFits, ChoiceStaysWhileTimePasses)
+{
+    for (int i = 0; i < 50; ++i) {
+        const std::string id = "id-" + std::to_string(i);
+        if (!copyFits(id, 1200_ms, 9, 200_ms))
+            EXPECT_FALSE(copyFits(id, 800_ms, 9, 200_ms));
+    }
+}
+
 } // namespace
--- a/tests/soak/endpointfarm.cpp
+++ b/tests/soak/endpointfarm.cpp
@@ -135,6 +135,14 @@
         registerEndpoint(endpoint);
 }
 
+void EndpointFarm::end(Endpoint &endpoint)
+{
+    endpoint.alive = false;
+    endpoint.server->stopAccepting();
+    endpoint.server->closeConnections();
+    m_ledger->endpoint(endpoint.index).goneAt = steadyNow();
+}
+
 void EndpointFarm::drain(Endpoint &endpoint, Millis notice)
 {
     endpoint.draining = true;
@@ -143,10 +151,7 @@
     m_ledger->endpoint(endpoint.index).leavingAt = steadyNow();
     m_pool->spawn(0, [this, &endpoint, notice] {
         net::sleepFor(notice);
-        endpoint.alive = false;
-        endpoint.server->stopAccepting();
-        endpoint.server->closeConnections();
-        m_ledger->endpoint(endpoint.index).goneAt = steadyNow();
+        end(endpoint);
         m_store->remove(std::string(names::endpointPrefix) + endpoint.id);
     });
 }
@@ -156,10 +161,7 @@
     endpoint.saysLeaving = true;
     m_pool->spawn(0, [this, &endpoint, notice] {
         net::sleepFor(notice);
-        endpoint.alive = false;
-        endpoint.server->stopAccepting();
-        endpoint.server->closeConnections();
-        m_ledger->endpoint(endpoint.index).goneAt = steadyNow();
+        end(endpoint);
         m_store->remove(std::string(names::endpointPrefix) + endpoint.id);
         m_ledger->endpoint(endpoint.index).leavingAt = steadyNow();
     });
@@ -203,10 +205,7 @@
 
 void EndpointFarm::crash(Endpoint &endpoint)
 {
-    endpoint.alive = false;
-    endpoint.server->stopAccepting();
-    endpoint.server->closeConnections();
-    m_ledger->endpoint(endpoint.index).goneAt = steadyNow();
+    end(endpoint);
     m_disturbances->endpoints[endpoint.index].add(steadyNow(), endOfTime);
     m_pool->spawn(0, [this, &endpoint] {
         net::sleepFor(leaseOfStore);
--- a/tests/soak/endpointfarm.h
+++ b/tests/soak/endpointfarm.h
@@ -93,6 +93,8 @@
     void setRegistered(Endpoint &endpoint, bool registered);
 
 private:
+    // Ends the process of an endpoint; its entry in the store stays.
+    void end(Endpoint &endpoint);
     void handle(Endpoint &endpoint, const net::HttpRequest &request, net::ResponseWriter &writer);
     void serveCall(Endpoint &endpoint, const net::HttpRequest &request,
                    net::ResponseWriter &writer);
