--- a/include/fescue/serving/edgedaemon.inl
+++ b/include/fescue/serving/edgedaemon.inl
@@ -19,8 +19,8 @@
 inline const std::string newsKind = "N";
 inline const std::string leavingKind = "L";
 inline const std::string zoneLoadsKind = "Z";
-// In a large system, processes of each other zone that are told directly of an endpoint that leaves;
-// they tell the rest of their zone.
+// In a large system, processes of each other zone that are told directly of an endpoint that
+// leaves; they tell the rest of their zone.
 inline constexpr std::size_t toldPerZone = 2;
 // After a stop is asked for, callers that keep an old answer of the directory are served at least
 // this long.
@@ -178,8 +178,7 @@
         m_state.coldShares.seen(now, m_state.members.members(now));
         m_state.health.purge(now);
         m_state.coldGate.purge(now);
-        for (EndpointPauses *pauses :
-             {&m_state.pauses, &m_state.refusing, &m_state.ownRefusals})
+        for (EndpointPauses *pauses : {&m_state.pauses, &m_state.refusing, &m_state.ownRefusals})
             pauses->purge(now);
         sendGossip();
         tellZoneLoads();
@@ -191,13 +190,13 @@
 void EdgeDaemon<P>::sendGossip()
 {
     const std::uint64_t version = m_state.routes ? m_state.routes->version().value : 0;
-    const std::string datagram =
-        gossipKind + encodeGossip({m_self,
-                                   {version},
-                                   m_state.ledger.own(),
-                                   m_state.ownRepeats(),
-                                   m_state.endpoints.recentNotices(ServingState::now()),
-                                   m_state.ownRefusals.paused(ServingState::now())});
+    const std::string datagram = gossipKind
+        + encodeGossip({m_self,
+                        {version},
+                        m_state.ledger.own(),
+                        m_state.ownRepeats(),
+                        m_state.endpoints.recentNotices(ServingState::now()),
+                        m_state.ownRefusals.paused(ServingState::now())});
     const std::vector<MemberView> members = m_state.members.members(ServingState::now());
     // In a large system loads are told within a zone only: entries prefer endpoints of their zone.
     const bool all = !m_state.isLarge();
@@ -244,8 +243,7 @@
 }
 
 template <PlatformProtocol P>
-void EdgeDaemon<P>::endpointSaidLeaving(const EndpointLife &notice,
-                                        std::optional<Millis> leavesIn)
+void EdgeDaemon<P>::endpointSaidLeaving(const EndpointLife &notice, std::optional<Millis> leavesIn)
 {
     m_mover.evacuate(notice.endpoint, leavesIn);
     tellLeaving({&notice, 1}, leavesIn, true);
@@ -269,8 +267,8 @@
 
 template <PlatformProtocol P>
 std::vector<EndpointLife> EdgeDaemon<P>::takeNotices(std::span<const EndpointLife> notices,
-                                                      std::optional<Millis> leavesIn,
-                                                      std::string_view from)
+                                                     std::optional<Millis> leavesIn,
+                                                     std::string_view from)
 {
     std::vector<EndpointLife> news;
     for (const EndpointLife &notice : notices) {
@@ -295,7 +293,8 @@
         m_malformed.Increment();
         return;
     }
-    const std::vector<EndpointLife> news = takeNotices(told->endpoints, told->leavesIn, told->fromZone.text());
+    const std::vector<EndpointLife> news =
+        takeNotices(told->endpoints, told->leavesIn, told->fromZone.text());
     // In a large system a few processes of each zone are told from outside it.
     if (!news.empty() && told->fromZone != m_self.zone && m_state.isLarge())
         tellLeaving(news, told->leavesIn, false);
--- a/include/fescue/serving/plainforwarder.inl
+++ b/include/fescue/serving/plainforwarder.inl
@@ -19,9 +19,9 @@
 }
 
 template <PlatformProtocol P>
-typename PlainForwarder<P>::Attempt
-PlainForwarder<P>::attempt(RequestContext &context, const EndpointRecord &endpoint, bool isLast,
-                           ByteShare &memory)
+typename PlainForwarder<P>::Attempt PlainForwarder<P>::attempt(RequestContext &context,
+                                                               const EndpointRecord &endpoint,
+                                                               bool isLast, ByteShare &memory)
 {
     const LoadShare load(m_state->ledger, endpoint.name, {1, 0, 0});
     Millis timeout = context.timeLeft();
@@ -31,16 +31,16 @@
     }
     const Millis until = ServingState::now() + timeout;
     net::ResponseWriter &writer = context.writer;
-    ExchangeResult result = exchange<P>(*m_state, endpoint, context.request,
-                                        makeSend(context, endpoint), context.caller.requestId,
-                                        timeout, [&writer] { return writer.callerGone(); });
+    ExchangeResult result =
+        exchange<P>(*m_state, endpoint, context.request, makeSend(context, endpoint),
+                    context.caller.requestId, timeout, [&writer] { return writer.callerGone(); });
     Attempt done;
     done.outcome = result.outcome;
     const bool hasAnswer =
         result.outcome == SendOutcome::Succeeded || result.outcome == SendOutcome::Failed;
     if (hasAnswer) {
-        Result<std::string> body = readWhole(result.stream, memory, maxPlainAnswerBytes,
-                                             until - ServingState::now());
+        Result<std::string> body =
+            readWhole(result.stream, memory, maxPlainAnswerBytes, until - ServingState::now());
         if (body) {
             done.answer = {result.head.status, P::answerHeaders(result.stream.headers()),
                            std::move(*body)};
@@ -72,10 +72,9 @@
         demand.excluded.insert(record.name);
         const bool isLast = !mayRepeat || policy.sent() + 1 >= route.maxAttempts;
         last = attempt(context, record, isLast, memory);
-        verdict =
-            policy.after(last.outcome, context.timeLeft(), [this, &context](RepeatUse use) {
-                return m_state->takeRepeat(context.service, use);
-            });
+        verdict = policy.after(last.outcome, context.timeLeft(), [this, &context](RepeatUse use) {
+            return m_state->takeRepeat(context.service, use);
+        });
         if (verdict != AttemptVerdict::TryAnother)
             break;
     }
--- a/include/fescue/serving/servingstate.h
+++ b/include/fescue/serving/servingstate.h
@@ -65,6 +65,8 @@
     // Time until the first endpoint of a service that asked for a pause may be used; 0 where none
     // is paused.
     [[nodiscard]] Millis shortestPause(const ServiceName &service) const;
+    // True where the store has answered nobody for longer than its watchers are ever silent.
+    [[nodiscard]] bool storeSilent() const noexcept;
     // Records what an answer of an endpoint says of the endpoint itself.
     void heardFrom(const EndpointRecord &endpoint, const EngineAnswerHead &head);
     // Takes the right to send a request to an endpoint; false where it is cold and the part of this
@@ -96,9 +98,11 @@
     EndpointHealth health;
     // Endpoints that asked this process for a pause.
     EndpointPauses pauses;
-    // Endpoints at whose addresses nothing listened lately, and those that this process met itself.
+    // Endpoints at whose addresses nothing listened lately, as this process or a peer met it.
     EndpointPauses refusing;
+    // Those of them that this process met itself; only these are told to peers.
     EndpointPauses ownRefusals;
+    // Memory for answers that are read whole before they are passed on.
     ByteBudget answerMemory;
     ColdGate coldGate;
     ColdShares coldShares;
@@ -112,8 +116,6 @@
         [](const EndpointLife &, std::optional<Millis>) {};
     // When the store answered last, to this process or to a peer that told it.
     Millis storeHeardAt {0};
-    // True where the store has answered nobody for longer than its watchers are ever silent.
-    [[nodiscard]] bool storeSilent() const noexcept;
     // True once the process has been asked to stop.
     bool draining = false;
     // Requests that have no final answer yet.
--- a/include/fescue/serving/storesession.inl
+++ b/include/fescue/serving/storesession.inl
@@ -7,8 +7,8 @@
 
 namespace fescue::serving {
 
-// Longest time that one watch waits: a store or a connection that has gone silent is found after it.
-// Only a few processes watch, so short waits cost few calls.
+// Longest time that one watch waits: a store or a connection that has gone silent is found after
+// it. Only a few processes watch, so short waits cost few calls.
 inline constexpr Millis watchWait = 700_ms;
 // How often a process that relies on peers looks whether it has missed changes.
 inline constexpr Millis peerPollInterval = 150_ms;
@@ -300,8 +300,7 @@
 bool StoreSession<P>::watchOnce()
 {
     const net::StoreResult<net::StoreList> changes = m_watchStore.watch({}, m_at, watchWait);
-    noteCall("watch",
-             changes.has_value() || changes.error().code == ResultCode::StoreNotFound);
+    noteCall("watch", changes.has_value() || changes.error().code == ResultCode::StoreNotFound);
     if (changes) {
         setReachable(true, "watch");
         takeWatched(*changes);
@@ -503,7 +502,8 @@
     Backoff backoff(otherStoreBackoff);
     while (!net::stopRequested()) {
         const bool registered = m_lease.has_value();
-        const net::StoreResult<void> done = registered ? m_store.renewLease(*m_lease) : registerSelf();
+        const net::StoreResult<void> done =
+            registered ? m_store.renewLease(*m_lease) : registerSelf();
         if (registered)
             noteCall("renew", done || done.error().code == ResultCode::StoreNotFound);
         if (done) {
--- a/include/fescue/serving/streamforwarder.inl
+++ b/include/fescue/serving/streamforwarder.inl
@@ -96,8 +96,8 @@
     EngineSend send = makeGenerationSend(context, record);
     addBackup(passing, *endpoint, send);
     ExchangeResult result =
-        exchange<P>(*m_state, record, context.request, send,
-                    context.caller.requestId, context.timeLeft(), abandonCheck(passing));
+        exchange<P>(*m_state, record, context.request, send, context.caller.requestId,
+                    context.timeLeft(), abandonCheck(passing));
     noteAttempt(*m_state, context, record, result.outcome, result.detail);
     verdict = policy.after(result.outcome, context.timeLeft(), [this, &context](RepeatUse use) {
         return m_state->takeRepeat(context.service, use);
@@ -333,9 +333,9 @@
     if (view != nullptr)
         addBackup(passing, *view, send);
     net::ResponseWriter &writer = context.writer;
-    ExchangeResult result = exchange<P>(
-        *m_state, engine, context.request, send, run.requestId,
-        std::min(resumeTimeout, context.timeLeft()), [&writer] { return writer.callerGone(); });
+    ExchangeResult result = exchange<P>(*m_state, engine, context.request, send, run.requestId,
+                                        std::min(resumeTimeout, context.timeLeft()),
+                                        [&writer] { return writer.callerGone(); });
     observe::logChange("resume",
                        {{"id", run.requestId},
                         {"endpoint", engine.name.text()},
--- a/lint.sh
+++ b/lint.sh
@@ -2,7 +2,7 @@
 # Checks formatting and runs clang-tidy over every source file. With --fix, formats in place.
 set -euo pipefail
 cd "$(dirname "$0")"
-mapfile -t files < <(git ls-files '*.h' '*.cpp')
+mapfile -t files < <(git ls-files '*.h' '*.inl' '*.cpp')
 [ "${#files[@]}" -gt 0 ] || exit 0
 if [ "${1:-}" = --fix ]; then
     clang-format -i "${files[@]}"
--- a/tests/serving/exchange_test.cpp
+++ b/tests/serving/exchange_test.cpp
@@ -489,4 +489,62 @@
     onWorker([&] { EXPECT_TRUE(state.endpoints.find(EndpointName("e1"))->leaving()); });
 }
 
+// Pattern: an engine is lost, and the one that keeps the backup has just asked for a pause.
+TEST_F(Exchange, GenerationWaitsForTheEndOfAPauseBeforeItGoesOn)
+{
+    constexpr Millis pause = 300_ms;
+    Millis pausedAt {0};
+    Millis resumedAt {0};
+    for (const char *name : {"e1", "e2"}) {
+        const EndpointName other(name == std::string("e1") ? "e2" : "e1");
+        addEndpoint(name, [&, other](const net::HttpRequest &request, net::ResponseWriter &writer) {
+            const std::vector<net::Header> headers {{"Request", "id-1"}};
+            static_cast<void>(writer.startStream(200, headers));
+            if (request.header("Resume-After").empty()) {
+                static_cast<void>(writer.write(eventText(1) + eventText(2)));
+                pausedAt = ServingState::now();
+                state.pauses.pause(pausedAt, other, {}, pause);
+                writer.abort();
+                return;
+            }
+            resumedAt = ServingState::now();
+            static_cast<void>(writer.write(eventText(3)));
+            static_cast<void>(writer.finish());
+        });
+    }
+    const Result<net::HttpResponse> response = call("/stream/x", {{"Tokens", "1"}});
+    ASSERT_TRUE(response) << response.error().message;
+    EXPECT_EQ(response->body, eventText(1) + eventText(2) + eventText(3));
+    EXPECT_GE(resumedAt - pausedAt, pause);
+}
+
+// Pattern: an engine that leaves has asked for a pause; moves are requests as well.
+TEST_F(Exchange, MovesAreNotAskedForWhileTheEngineWantsNoRequests)
+{
+    std::atomic<int> moves {0};
+    for (const char *name : {"e1", "e2"}) {
+        addEndpoint(name, [&, name](const net::HttpRequest &request, net::ResponseWriter &writer) {
+            if (request.target != "/stream/x") {
+                ++moves;
+                static_cast<void>(writer.send({503, {}, {}}));
+                return;
+            }
+            const EndpointName self(name);
+            const std::vector<net::Header> headers {{"Request", "id-1"}};
+            static_cast<void>(writer.startStream(200, headers));
+            state.pauses.pause(ServingState::now(), self, {}, 10_s);
+            static_cast<void>(writer.write(eventText(1)));
+            state.endpoints.removed(ServingState::now(), self);
+            mover.evacuate(self);
+            net::sleepFor(150_ms);
+            static_cast<void>(writer.finish());
+        });
+    }
+    config.services.front().engine->canBackUp = false;
+    const Result<net::HttpResponse> response = call("/stream/x", {{"Tokens", "1"}});
+    ASSERT_TRUE(response) << response.error().message;
+    EXPECT_EQ(response->body, eventText(1));
+    EXPECT_EQ(moves, 0);
+}
+
 } // namespace
