--- a/scripts/regression.sh
+++ b/scripts/regression.sh
@@ -1,8 +1,8 @@
 #!/usr/bin/env bash
 # Plays hunts on the sites that every change has to hold, newest deployments first:
 #   scripts/regression.sh BENCH SITES
-# BENCH is the users' bench, SITES the folder of their pages. Ends with 1 where a hunt found a broken
-# rule. The deployments of the first milestone (sites/) are covered by grown/ and large/.
+# BENCH is the users' bench, SITES the folder of their pages. Ends with 1 where a hunt ended with
+# a failure; its lines name broken rules. The deployments of the first milestone (sites/) are covered by grown/ and large/.
 set -euo pipefail
 bench=${1:?usage: scripts/regression.sh BENCH SITES}
 sites=${2:?usage: scripts/regression.sh BENCH SITES}
