--- a/src/serving/generationrun.cpp
+++ b/src/serving/generationrun.cpp
@@ -62,6 +62,7 @@
     for (const std::pair<const std::string, GenerationRunPtr> &entry : m_runs)
         engines.emplace(entry.second->engine.name, entry.second->engine);
     std::vector<EndpointRecord> records;
+    records.reserve(engines.size());
     for (const std::pair<const EndpointName, EndpointRecord> &entry : engines)
         records.push_back(entry.second);
     return records;
--- a/src/serving/loadledger.cpp
+++ b/src/serving/loadledger.cpp
@@ -97,6 +97,7 @@
             sums[told.endpoint] += told.load;
     }
     std::vector<EndpointLoadOf> loads;
+    loads.reserve(sums.size());
     for (const std::pair<const EndpointName, EndpointLoad> &entry : sums)
         loads.push_back({entry.first, entry.second});
     return loads;
--- a/tests/soak/injector.cpp
+++ b/tests/soak/injector.cpp
@@ -66,12 +66,11 @@
         hitStoreLink(fault);
     else if (fault.kind <= FaultKind::CallerConnectionsSilenced)
         hitCallerLink(fault);
-    else if (fault.kind <= FaultKind::EndpointConnectionsSilenced)
+    else if (fault.kind <= FaultKind::EndpointConnectionsSilenced
+             || fault.kind >= FaultKind::EndpointSaysLeaving)
         hitEndpoint(fault);
     else if (fault.kind == FaultKind::ZoneOut)
         takeZoneOut(fault);
-    else if (fault.kind >= FaultKind::EndpointSaysLeaving)
-        hitEndpoint(fault);
     else
         changeConfig(fault);
 }
