Loads of other zones end with the sum that told them; refusals told again last no longer

- A relay kept each endpoint's figure until it was 3 s old, and passed all of them on with the age of the newest.
Now a later sum replaces the one before; figures within 150 ms are parts of one.

--- a/include/fescue/serving/loadledger.h
+++ b/include/fescue/serving/loadledger.h
@@ -51,6 +51,8 @@
     static constexpr Millis peerLifetime {1500};
     // The same for the sums of other zones, which come less often and through relays.
     static constexpr Millis zoneLifetime {3000};
+    // Parts of one sum are told within this time.
+    static constexpr Millis sumSpan {150};
 
     void add(const EndpointName &endpoint, const EndpointLoad &load);
     void subtract(const EndpointName &endpoint, const EndpointLoad &load);
@@ -58,7 +60,7 @@
     void peerTold(Millis now, const MemberName &peer, std::vector<EndpointLoadOf> loads);
 
     // Records what all processes of another availability zone have sent to endpoints, as one of its
-    // relays told `age` ago.
+    // relays told `age` ago. Figures of the same time are parts of one sum; later ones replace it.
     void zoneTold(Millis now, const ZoneName &zone, Millis age,
                   std::span<const EndpointLoadOf> loads);
     // True where the loads of that zone's processes are known.
@@ -82,16 +84,16 @@
         std::vector<EndpointLoadOf> loads;
     };
 
-    std::map<EndpointName, EndpointLoad> m_own;
-    struct ZoneLoad
+    // The latest sum of a zone.
+    struct ZoneSum
     {
         Millis at {0};
-        EndpointLoad load;
+        std::map<EndpointName, EndpointLoad> loads;
     };
 
+    std::map<EndpointName, EndpointLoad> m_own;
     std::map<MemberName, PeerLoads> m_peers;
-    std::map<ZoneName, std::map<EndpointName, ZoneLoad>> m_zones;
-    std::map<ZoneName, Millis> m_zonesHeardAt;
+    std::map<ZoneName, ZoneSum> m_zones;
 };
 
 // Load that counts for as long as this object lives.
--- a/src/serving/loadledger.cpp
+++ b/src/serving/loadledger.cpp
@@ -5,6 +5,19 @@
 
 namespace fescue::serving {
 
+namespace {
+
+std::vector<EndpointLoadOf> listOf(const std::map<EndpointName, EndpointLoad> &loads)
+{
+    std::vector<EndpointLoadOf> list;
+    list.reserve(loads.size());
+    for (const std::pair<const EndpointName, EndpointLoad> &entry : loads)
+        list.push_back({entry.first, entry.second});
+    return list;
+}
+
+} // namespace
+
 EndpointLoad &EndpointLoad::operator+=(const EndpointLoad &other) noexcept
 {
     requests += other.requests;
@@ -55,10 +68,10 @@
                 sum += told.load;
         }
     }
-    for (const std::pair<const ZoneName, std::map<EndpointName, ZoneLoad>> &zone : m_zones) {
-        const auto load = zone.second.find(endpoint);
-        if (load != zone.second.end() && now - load->second.at <= zoneLifetime)
-            sum += load->second.load;
+    for (const std::pair<const ZoneName, ZoneSum> &zone : m_zones) {
+        const auto load = zone.second.loads.find(endpoint);
+        if (load != zone.second.loads.end() && now - zone.second.at <= zoneLifetime)
+            sum += load->second;
     }
     return sum;
 }
@@ -67,24 +80,20 @@
                           std::span<const EndpointLoadOf> loads)
 {
     const Millis at = now - age;
-    std::map<EndpointName, ZoneLoad> &known = m_zones[zone];
-    std::erase_if(known, [now](const std::pair<const EndpointName, ZoneLoad> &entry) {
-        return now - entry.second.at > zoneLifetime;
-    });
-    for (const EndpointLoadOf &told : loads) {
-        ZoneLoad &load = known[told.endpoint];
-        // Figures may come over two relays, and overtake each other.
-        if (at >= load.at)
-            load = {at, told.load};
-    }
-    Millis &heardAt = m_zonesHeardAt[zone];
-    heardAt = std::max(heardAt, at);
+    ZoneSum &known = m_zones[zone];
+    // Figures come over two relays, and overtake each other.
+    if (at + sumSpan < known.at)
+        return;
+    if (at > known.at + sumSpan)
+        known = {at, {}};
+    for (const EndpointLoadOf &told : loads)
+        known.loads[told.endpoint] = told.load;
 }
 
 bool LoadLedger::hearsZone(Millis now, const ZoneName &zone) const
 {
-    const auto it = m_zonesHeardAt.find(zone);
-    return it != m_zonesHeardAt.end() && now - it->second <= zoneLifetime;
+    const auto it = m_zones.find(zone);
+    return it != m_zones.end() && now - it->second.at <= zoneLifetime;
 }
 
 std::vector<EndpointLoadOf> LoadLedger::sum(Millis now) const
@@ -96,25 +105,16 @@
         for (const EndpointLoadOf &told : peer.second.loads)
             sums[told.endpoint] += told.load;
     }
-    std::vector<EndpointLoadOf> loads;
-    loads.reserve(sums.size());
-    for (const std::pair<const EndpointName, EndpointLoad> &entry : sums)
-        loads.push_back({entry.first, entry.second});
-    return loads;
+    return listOf(sums);
 }
 
 std::vector<ZoneLoads> LoadLedger::zones(Millis now) const
 {
     std::vector<ZoneLoads> zones;
-    for (const std::pair<const ZoneName, std::map<EndpointName, ZoneLoad>> &zone : m_zones) {
-        if (!hearsZone(now, zone.first))
-            continue;
-        ZoneLoads told {zone.first, now - m_zonesHeardAt.at(zone.first), {}};
-        for (const std::pair<const EndpointName, ZoneLoad> &entry : zone.second) {
-            if (now - entry.second.at <= zoneLifetime)
-                told.loads.push_back({entry.first, entry.second.load});
-        }
-        zones.push_back(std::move(told));
+    for (const std::pair<const ZoneName, ZoneSum> &zone : m_zones) {
+        const Millis age = now - zone.second.at;
+        if (age <= zoneLifetime)
+            zones.push_back({zone.first, age, listOf(zone.second.loads)});
     }
     return zones;
 }
@@ -137,11 +137,7 @@
 
 std::vector<EndpointLoadOf> LoadLedger::own() const
 {
-    std::vector<EndpointLoadOf> loads;
-    loads.reserve(m_own.size());
-    for (const std::pair<const EndpointName, EndpointLoad> &entry : m_own)
-        loads.push_back({entry.first, entry.second});
-    return loads;
+    return listOf(m_own);
 }
 
 LoadShare::LoadShare(LoadLedger &ledger, EndpointName endpoint, const EndpointLoad &load)
--- a/src/serving/servingstate.cpp
+++ b/src/serving/servingstate.cpp
@@ -151,7 +151,10 @@
 
 void ServingState::peerRefusedBy(const EndpointLife &endpoint)
 {
-    refusing.pause(now(), endpoint.endpoint, endpoint.incarnation, refusedPause);
+    // Peers repeat it for as long as their own pause lasts.
+    const Millis time = now();
+    if (!refusing.isPaused(time, endpoint.endpoint, endpoint.incarnation))
+        refusing.pause(time, endpoint.endpoint, endpoint.incarnation, refusedPause);
 }
 
 bool ServingState::storeSilent() const noexcept
--- a/tests/serving/exchange_test.cpp
+++ b/tests/serving/exchange_test.cpp
@@ -427,6 +427,20 @@
     });
 }
 
+// Pattern: a peer repeats for as long as its own pause lasts that nothing listens at an address.
+TEST_F(Exchange, RefusalThatAPeerRepeatsDoesNotLastLonger)
+{
+    const EndpointLife gone {EndpointName("e1"), {}};
+    onWorker([&] {
+        state.peerRefusedBy(gone);
+        const Millis told = ServingState::now();
+        const Millis span = state.refusing.remaining(told, gone.endpoint, gone.incarnation);
+        net::sleepFor(50_ms);
+        state.peerRefusedBy(gone);
+        EXPECT_LE(state.refusing.remaining(told, gone.endpoint, gone.incarnation), span);
+    });
+}
+
 // Pattern: an engine is lost whose generation has no backup, but a copy that was made ahead.
 TEST_F(Exchange, GenerationGoesOnFromACopyMadeAheadWhenItsEngineIsLost)
 {
--- a/tests/serving/loadledger_test.cpp
+++ b/tests/serving/loadledger_test.cpp
@@ -66,4 +66,43 @@
     EXPECT_EQ(ledger.holders(1_s, second), 0U);
 }
 
+// Pattern: two relays of a zone pass the sums of another zone on, also to each other, and work
+// there has ended.
+TEST(LoadLedger, RelaysDoNotKeepLoadsAliveThatHaveEnded)
+{
+    const ZoneName south("south");
+    LoadLedger a;
+    LoadLedger b;
+    const EndpointLoadOf busy {first, {4, 400, 0}};
+    const EndpointLoadOf other {second, {1, 100, 0}};
+    const std::vector<EndpointLoadOf> both {busy, other};
+    a.zoneTold(1_s, south, 0_ms, both);
+    b.zoneTold(1_s, south, 0_ms, both);
+    for (Millis now {1'700}; now < 9_s; now += 700_ms) {
+        for (LoadLedger *ledger : {&a, &b})
+            ledger->zoneTold(now, south, 1_ms, {&other, 1});
+        const Millis passedOn = now + 350_ms;
+        for (const ZoneLoads &zone : a.zones(passedOn))
+            b.zoneTold(passedOn, zone.zone, zone.age, zone.loads);
+        for (const ZoneLoads &zone : b.zones(passedOn))
+            a.zoneTold(passedOn, zone.zone, zone.age, zone.loads);
+        EXPECT_EQ(a.total(passedOn, first).requests, 0U) << passedOn.count;
+        EXPECT_EQ(b.total(passedOn, second).requests, 1U) << passedOn.count;
+    }
+}
+
+// Pattern: a zone's sum is longer than a datagram.
+TEST(LoadLedger, PartsOfOneSumStandBesideEachOther)
+{
+    LoadLedger ledger;
+    const EndpointLoadOf one {first, {4, 400, 0}};
+    const EndpointLoadOf two {second, {1, 100, 0}};
+    ledger.zoneTold(1_s, ZoneName("south"), 0_ms, {&one, 1});
+    ledger.zoneTold(Millis {1'003}, ZoneName("south"), 1_ms, {&two, 1});
+    EXPECT_EQ(ledger.total(2_s, first).requests, 4U);
+    EXPECT_EQ(ledger.total(2_s, second).requests, 1U);
+    ASSERT_EQ(ledger.zones(2_s).size(), 1U);
+    EXPECT_EQ(ledger.zones(2_s).front().loads.size(), 2U);
+}
+
 } // namespace
