--- a/include/fescue/net/httpclient.h
+++ b/include/fescue/net/httpclient.h
@@ -44,10 +44,12 @@
     // Errors: LinkSilent when nothing arrives for the whole timeout (the stream can still be read
     // from), BackEndLost when the connection ended early, BackEndProtocol.
     [[nodiscard]] Result<std::size_t> read(std::span<char> buf, Millis timeout);
-    // Reads the rest of the body, at most maxBytes.
-    [[nodiscard]] Result<std::string> readAll(std::size_t maxBytes, Millis timeout);
+    // Reads the rest of the body, at most maxBytes. Where `mayTake` is given, it is asked for the
+    // memory of each piece; once it returns false, the read ends with BackEndProtocol.
+    [[nodiscard]] Result<std::string> readAll(std::size_t maxBytes, Millis timeout,
+                                              const std::function<bool(std::size_t)> &mayTake = {});
     // Skips a whole answer and reads the head of the next one on the same connection, for peers
-    // that repeat an earlier answer before the one that is due.
+    // that repeat an earlier answer before the one that is due. Keeps nothing of the one skipped.
     [[nodiscard]] Result<void> nextAnswer(std::size_t maxBytes, Millis timeout);
     // Closes the connection. A read that waits on another fiber of the worker ends with
     // BackEndLost.
--- a/include/fescue/serving/bytebudget.h
+++ b/include/fescue/serving/bytebudget.h
@@ -1,7 +1,6 @@
 #pragma once
 
 #include <cstddef>
-#include <utility>
 
 namespace fescue::serving {
 
--- a/include/fescue/serving/coldshares.h
+++ b/include/fescue/serving/coldshares.h
@@ -27,7 +27,8 @@
     // A process takes no part before it has known others for this time: it has just started, and
     // others that start with it are not registered yet.
     static constexpr Millis settle = 3_s;
-    // Parts are worked out for at least as many members; deployments have 7 entry VMs or more.
+    // Bounds are divided as if there were at least as many members: a process that has just started
+    // knows few of the others. Deployments have 7 entry VMs or more.
     static constexpr std::size_t fewestMembers = 7;
 
     explicit ColdShares(MemberName self) : m_self(std::move(self)) { }
--- a/include/fescue/serving/edgedaemon.h
+++ b/include/fescue/serving/edgedaemon.h
@@ -39,13 +39,14 @@
     void sendGossip();
     void sendNews(std::span<const MemberView *const> to, std::string_view bytes);
     // Moves the generations of an endpoint that said that it leaves, and tells the other processes.
-    void endpointSaidLeaving(const EndpointLife &notice, std::optional<Millis> leavesIn);
-    void tellLeaving(std::span<const EndpointLife> notices, std::optional<Millis> leavesIn,
+    void endpointSaidLeaving(const EndpointLife &life, std::optional<Millis> leavesIn);
+    // In a large system, other zones are told through their relays.
+    void tellLeaving(std::vector<EndpointLife> lives, std::optional<Millis> leavesIn,
                      bool toOtherZones);
     void takeLeaving(std::string_view bytes);
     // In a large system, tells the sum of this zone to the relays of others, and their sums to this
     // zone, where this process is a relay.
-    void tellZoneLoads();
+    void tellZoneLoads(std::span<const MemberView> members);
     void takeZoneLoads(std::string_view bytes);
     // Takes the word of a peer; returns what was news here.
     [[nodiscard]] std::vector<EndpointLife> takeNotices(std::span<const EndpointLife> notices,
--- a/include/fescue/serving/edgedaemon.inl
+++ b/include/fescue/serving/edgedaemon.inl
@@ -19,9 +19,6 @@
 inline const std::string newsKind = "N";
 inline const std::string leavingKind = "L";
 inline const std::string zoneLoadsKind = "Z";
-// In a large system, processes of each other zone that are told directly of an endpoint that
-// leaves; they tell the rest of their zone.
-inline constexpr std::size_t toldPerZone = 2;
 // After a stop is asked for, callers that keep an old answer of the directory are served at least
 // this long.
 inline constexpr Millis drainLinger = 3500_ms;
@@ -175,13 +172,14 @@
             m_mover.evacuate(endpoint);
         }
         m_state.members.purge(now);
-        m_state.coldShares.seen(now, m_state.members.members(now));
+        const std::vector<MemberView> members = m_state.members.members(now);
+        m_state.coldShares.seen(now, members);
         m_state.health.purge(now);
         m_state.coldGate.purge(now);
         for (EndpointPauses *pauses : {&m_state.pauses, &m_state.refusing, &m_state.ownRefusals})
             pauses->purge(now);
         sendGossip();
-        tellZoneLoads();
+        tellZoneLoads(members);
         net::sleepFor(m_state.isLarge() ? largeTickInterval : tickInterval);
     }
 }
@@ -243,24 +241,25 @@
 }
 
 template <PlatformProtocol P>
-void EdgeDaemon<P>::endpointSaidLeaving(const EndpointLife &notice, std::optional<Millis> leavesIn)
+void EdgeDaemon<P>::endpointSaidLeaving(const EndpointLife &life, std::optional<Millis> leavesIn)
 {
-    m_mover.evacuate(notice.endpoint, leavesIn);
-    tellLeaving({&notice, 1}, leavesIn, true);
+    m_mover.evacuate(life.endpoint, leavesIn);
+    tellLeaving({life}, leavesIn, true);
 }
 
 template <PlatformProtocol P>
-void EdgeDaemon<P>::tellLeaving(std::span<const EndpointLife> notices,
-                                std::optional<Millis> leavesIn, bool toOtherZones)
+void EdgeDaemon<P>::tellLeaving(std::vector<EndpointLife> lives, std::optional<Millis> leavesIn,
+                                bool toOtherZones)
 {
-    const std::string datagram = leavingKind
-        + encodeLeaving({m_self.zone, std::vector<EndpointLife>(notices.begin(), notices.end()),
-                         leavesIn});
+    const std::string datagram =
+        leavingKind + encodeLeaving({m_self.zone, std::move(lives), leavesIn});
+    const std::vector<MemberView> members = m_state.members.members(ServingState::now());
     const bool all = !m_state.isLarge();
-    std::map<ZoneName, std::size_t> told;
-    for (const MemberView &member : m_state.members.members(ServingState::now())) {
+    const std::set<MemberName> relays =
+        !all && toOtherZones ? FeedPolicy::relays(m_self.name, members) : std::set<MemberName>();
+    for (const MemberView &member : members) {
         const bool sameZone = member.info.zone == m_self.zone;
-        if (all || sameZone || (toOtherZones && told[member.info.zone]++ < toldPerZone))
+        if (all || sameZone || relays.contains(member.info.name))
             sendTo(member.info, datagram);
     }
 }
@@ -293,41 +292,31 @@
         m_malformed.Increment();
         return;
     }
-    const std::vector<EndpointLife> news =
+    std::vector<EndpointLife> news =
         takeNotices(told->endpoints, told->leavesIn, told->fromZone.text());
-    // In a large system a few processes of each zone are told from outside it.
+    // In a large system only the relays of a zone are told from outside it.
     if (!news.empty() && told->fromZone != m_self.zone && m_state.isLarge())
-        tellLeaving(news, told->leavesIn, false);
+        tellLeaving(std::move(news), told->leavesIn, false);
 }
 
 template <PlatformProtocol P>
-void EdgeDaemon<P>::tellZoneLoads()
+void EdgeDaemon<P>::tellZoneLoads(std::span<const MemberView> members)
 {
     if (!m_state.isLarge())
         return;
-    const Millis now = ServingState::now();
-    const std::vector<MemberView> members = m_state.members.members(now);
-    const std::vector<MemberName> own = FeedPolicy::relaysOf(m_self.zone, m_self.name, members);
-    if (std::find(own.begin(), own.end(), m_self.name) == own.end())
+    const std::set<MemberName> relays = FeedPolicy::relays(m_self.name, members);
+    if (!relays.contains(m_self.name))
         return;
+    const Millis now = ServingState::now();
     const ZoneLoads sum {m_self.zone, Millis {0}, m_state.ledger.sum(now)};
     const std::vector<std::string> toOthers = encodeZoneLoads({&sum, 1});
     const std::vector<std::string> toZone = encodeZoneLoads(m_state.ledger.zones(now));
-    std::map<ZoneName, std::vector<MemberName>> relays;
     for (const MemberView &member : members) {
-        const MemberInfo &info = member.info;
-        if (info.zone == m_self.zone) {
-            for (const std::string &text : toZone)
-                sendTo(info, zoneLoadsKind + text);
-            continue;
-        }
-        if (!relays.contains(info.zone))
-            relays[info.zone] = FeedPolicy::relaysOf(info.zone, m_self.name, members);
-        const std::vector<MemberName> &others = relays[info.zone];
-        if (std::find(others.begin(), others.end(), info.name) == others.end())
+        const bool sameZone = member.info.zone == m_self.zone;
+        if (!sameZone && !relays.contains(member.info.name))
             continue;
-        for (const std::string &text : toOthers)
-            sendTo(info, zoneLoadsKind + text);
+        for (const std::string &text : sameZone ? toZone : toOthers)
+            sendTo(member.info, zoneLoadsKind + text);
     }
 }
 
--- a/include/fescue/serving/engineexchange.h
+++ b/include/fescue/serving/engineexchange.h
@@ -39,11 +39,6 @@
 callEndpoint(ServingState &state, const EndpointRecord &endpoint, const net::HttpRequest &request,
              Millis timeout);
 
-// Reads the rest of an answer. Fails with BackEndProtocol where it is longer than `maxBytes`, or
-// where the answers that are being read take all the memory for them.
-[[nodiscard]] Result<std::string> readWhole(net::ClientStream &stream, ByteShare &memory,
-                                            std::size_t maxBytes, Millis timeout);
-
 } // namespace fescue::serving
 
 #include "fescue/serving/engineexchange.inl"
--- a/include/fescue/serving/generationmover.h
+++ b/include/fescue/serving/generationmover.h
@@ -37,6 +37,7 @@
         TryAgain,
     };
 
+    [[nodiscard]] Result<EngineReport> askReport(const EndpointRecord &engine);
     // Asks an engine that has begun to leave when it will be gone.
     void askEnd(const EndpointRecord &engine);
     // Asks one engine for its state and records what it says.
--- a/include/fescue/serving/generationmover.inl
+++ b/include/fescue/serving/generationmover.inl
@@ -1,7 +1,6 @@
 #pragma once
 
 #include "fescue/observe/log.h"
-#include "fescue/serving/engineinquiry.h"
 
 namespace fescue::serving {
 
@@ -46,12 +45,17 @@
 }
 
 template <PlatformProtocol P>
-void GenerationMover<P>::askEnd(const EndpointRecord &engine)
+Result<EngineReport> GenerationMover<P>::askReport(const EndpointRecord &engine)
 {
     const Result<net::HttpResponse> response =
         callEndpoint<P>(*m_state, engine, P::encodeReportCall(), reportTimeout);
-    const Result<EngineReport> report =
-        response ? P::decodeReport(response->body) : tl::unexpected(response.error());
+    return response ? P::decodeReport(response->body) : tl::unexpected(response.error());
+}
+
+template <PlatformProtocol P>
+void GenerationMover<P>::askEnd(const EndpointRecord &engine)
+{
+    const Result<EngineReport> report = askReport(engine);
     const bool known = report && report->leavesIn;
     if (known)
         m_ends[engine.name] = ServingState::now() + *report->leavesIn;
@@ -73,8 +77,11 @@
         const Millis now = ServingState::now();
         for (const EndpointRecord &engine : m_state->runs.engines()) {
             const EndpointView *view = m_state->endpoints.find(engine.name);
-            const bool known = view == nullptr || view->leaving() || !m_state->mayCall(engine);
-            if (known || m_state->uniform() >= askChance(m_state->ledger.holders(now, engine.name)))
+            if (view == nullptr || view->leaving() || !m_state->mayCall(engine))
+                continue;
+            // All processes with generations there ask about once.
+            const std::size_t holders = m_state->ledger.holders(now, engine.name);
+            if (m_state->uniform() * static_cast<double>(holders) >= 1)
                 continue;
             m_state->pool.spawn(net::currentWorker(), [this, engine] { ask(engine); });
         }
@@ -84,14 +91,9 @@
 template <PlatformProtocol P>
 void GenerationMover<P>::ask(const EndpointRecord &engine)
 {
-    const Result<net::HttpResponse> response =
-        callEndpoint<P>(*m_state, engine, P::encodeReportCall(), reportTimeout);
-    if (!response) {
-        if (outcomeOf(response.error()) == SendOutcome::Refused)
-            m_state->refusedBy(engine);
-        return;
-    }
-    const Result<EngineReport> report = P::decodeReport(response->body);
+    const Result<EngineReport> report = askReport(engine);
+    if (!report && outcomeOf(report.error()) == SendOutcome::Refused)
+        m_state->refusedBy(engine);
     // One that drains without a time serves on until the store has taken its word and told us.
     if (!report || !report->leavesIn)
         return;
@@ -262,8 +264,8 @@
                                         const EngineModel &model)
 {
     const Millis now = ServingState::now();
-    const std::uint32_t others = m_state->ledger.total(now, source.record.name).requests;
-    return copyFits(run.requestId, endOf(source) - now, others,
+    const std::uint32_t requests = m_state->ledger.total(now, source.record.name).requests;
+    return copyFits(run.requestId, endOf(source) - now, requests,
                     copyTime(model, run.memoryTokens(), true));
 }
 
@@ -377,10 +379,8 @@
         if (schedule.after(now, now - begun) == CopyStep::Stop)
             break;
     }
-    if (!m_state->takeRepeat(run->service)) {
-        observe::logChange("move-refused", {{"id", run->requestId}, {"reason", "repeat budget"}});
+    if (!m_state->takeRescue(*run))
         return NextStep::TryAgain;
-    }
     return stop(run, source, destination);
 }
 
--- a/include/fescue/serving/plainforwarder.inl
+++ b/include/fescue/serving/plainforwarder.inl
@@ -40,7 +40,8 @@
         result.outcome == SendOutcome::Succeeded || result.outcome == SendOutcome::Failed;
     if (hasAnswer) {
         Result<std::string> body =
-            readWhole(result.stream, memory, maxPlainAnswerBytes, until - ServingState::now());
+            result.stream.readAll(maxPlainAnswerBytes, until - ServingState::now(),
+                                  [&memory](std::size_t n) { return memory.take(n); });
         if (body) {
             done.answer = {result.head.status, P::answerHeaders(result.stream.headers()),
                            std::move(*body)};
--- a/include/fescue/serving/servingstate.h
+++ b/include/fescue/serving/servingstate.h
@@ -62,9 +62,9 @@
     void peerRefusedBy(const EndpointLife &endpoint);
     // False while the endpoint wants nothing from this process, whatever the request is for.
     [[nodiscard]] bool mayCall(const EndpointRecord &endpoint) const;
-    // Time until the first endpoint of a service that asked for a pause may be used; 0 where none
-    // is paused.
-    [[nodiscard]] Millis shortestPause(const ServiceName &service) const;
+    // Time until some endpoint of a service may be used, where all of them asked for a pause, else
+    // 0.
+    [[nodiscard]] Millis pauseOfAll(const ServiceName &service) const;
     // True where the store has answered nobody for longer than its watchers are ever silent.
     [[nodiscard]] bool storeSilent() const noexcept;
     // Records what an answer of an endpoint says of the endpoint itself.
@@ -76,6 +76,8 @@
 
     // Takes one repeat of a request to a service out of the bound for all processes.
     [[nodiscard]] bool takeRepeat(const ServiceName &service, RepeatUse use = RepeatUse::Rescue);
+    // The same for going on with a generation elsewhere; logs where none is left.
+    [[nodiscard]] bool takeRescue(const GenerationRun &run);
     [[nodiscard]] RepeatBudget &repeatsOf(const ServiceName &service);
     // Repeats that this process has used lately, by service, for telling it to peers.
     [[nodiscard]] std::vector<RepeatsOf> ownRepeats();
@@ -122,8 +124,6 @@
     std::size_t open = 0;
 
 private:
-    [[nodiscard]] std::size_t membersForShares(Millis time, std::size_t known);
-
     std::map<ServiceName, RepeatBudget> m_repeats;
     LengthForecast m_lengths;
     std::mt19937_64 m_random;
--- a/include/fescue/serving/storefeed.h
+++ b/include/fescue/serving/storefeed.h
@@ -8,6 +8,7 @@
 #include <deque>
 #include <map>
 #include <optional>
+#include <set>
 #include <span>
 #include <string>
 #include <string_view>
@@ -106,12 +107,10 @@
     // True where this process is one of the watchers.
     [[nodiscard]] static bool isWatcher(const MemberName &self,
                                         std::span<const MemberView> members);
-    // Returns the watchers.
-    [[nodiscard]] static std::vector<MemberName> watchersOf(const MemberName &self,
-                                                            std::span<const MemberView> members);
-    // Returns the processes of an availability zone that pass news on within it, in a large system.
-    [[nodiscard]] static std::vector<MemberName>
-    relaysOf(const ZoneName &zone, const MemberName &self, std::span<const MemberView> members);
+    // Returns the processes that pass news on within their availability zone, in a large system: a
+    // few of each zone.
+    [[nodiscard]] static std::set<MemberName> relays(const MemberName &self,
+                                                     std::span<const MemberView> members);
     // Members that a process tells of news. In a small system, watchers tell all others. In a large
     // one they tell the relays of each zone, which tell their zone: fewer bytes pass between zones,
     // and no process sends to all.
--- a/include/fescue/serving/storesession.h
+++ b/include/fescue/serving/storesession.h
@@ -7,13 +7,25 @@
 #include "fescue/serving/storefeed.h"
 #include "fescue/serving/storemirror.h"
 
+#include <array>
 #include <functional>
-#include <map>
 #include <optional>
 #include <string>
 
 namespace fescue::serving {
 
+// What a call to the store is for.
+enum class StoreCall : std::uint8_t
+{
+    List,
+    Watch,
+    Renew,
+    // Also the word that this process leaves.
+    Register,
+};
+inline constexpr std::array<std::string_view, 4> storeCallNames {"list", "watch", "renew",
+                                                                 "register"};
+
 // What the owner of a store session does with its news.
 struct StoreSessionHooks
 {
@@ -70,9 +82,9 @@
                                std::vector<MemberInfo> &members);
     void setReachable(bool reachable, std::string_view reason);
     // Counts a call to the store by its cause, and records that the store answered.
-    void noteCall(std::string_view cause, bool answered);
-    // Waits before a call that failed is made again.
-    void waitForStore(Backoff &backoff);
+    void noteCall(StoreCall cause, bool answered);
+    // Waits before a call that failed is made again; watchers try on while the store is silent.
+    void waitForStore(Backoff &backoff, bool watches);
     [[nodiscard]] bool isWatcher() const;
 
     void logCalls();
@@ -97,8 +109,9 @@
     bool m_listed = false;
     bool m_reachable = true;
     std::optional<net::LeaseId> m_lease;
-    // Calls by cause since they were logged last.
-    std::map<std::string, std::uint64_t> m_calls;
+    // Calls since they were logged last, by cause, and those of them that failed.
+    std::array<std::uint64_t, storeCallNames.size()> m_calls {};
+    std::uint64_t m_failedCalls = 0;
 };
 
 } // namespace fescue::serving
--- a/include/fescue/serving/storesession.inl
+++ b/include/fescue/serving/storesession.inl
@@ -66,7 +66,8 @@
             otherBackoff.reset();
             continue;
         }
-        waitForStore(FeedPolicy::isWatcher(m_self.name, members) ? watcherBackoff : otherBackoff);
+        const bool watches = FeedPolicy::isWatcher(m_self.name, members);
+        waitForStore(watches ? watcherBackoff : otherBackoff, watches);
     }
 }
 
@@ -77,13 +78,13 @@
 }
 
 template <PlatformProtocol P>
-void StoreSession<P>::waitForStore(Backoff &backoff)
+void StoreSession<P>::waitForStore(Backoff &backoff, bool watches)
 {
     const Millis begun = ServingState::now();
     const auto nobodyReachesIt = [this] {
         return m_state->storeSilent() && m_feed.hearsWatcher(ServingState::now());
     };
-    if (isWatcher() || !nobodyReachesIt()) {
+    if (watches || !nobodyReachesIt()) {
         net::sleepFor(backoff.next(m_state->uniform()));
         return;
     }
@@ -94,17 +95,19 @@
 }
 
 template <PlatformProtocol P>
-void StoreSession<P>::noteCall(std::string_view cause, bool answered)
+void StoreSession<P>::noteCall(StoreCall cause, bool answered)
 {
+    const std::size_t index = static_cast<std::size_t>(cause);
+    ++m_calls[index];
     if (answered)
         m_state->storeHeardAt = ServingState::now();
+    else
+        ++m_failedCalls;
     m_state->metrics
         .counter("fescue_store_calls_total",
-                 {{"cause", std::string(cause)}, {"outcome", answered ? "answered" : "failed"}})
+                 {{"cause", std::string(storeCallNames[index])},
+                  {"outcome", answered ? "answered" : "failed"}})
         .Increment();
-    ++m_calls[std::string(cause)];
-    if (!answered)
-        ++m_calls["failed"];
 }
 
 template <PlatformProtocol P>
@@ -113,12 +116,13 @@
     while (!net::stopRequested()) {
         net::sleepFor(callLogInterval);
         observe::logChange("store-calls",
-                           {{"list", m_calls["list"]},
-                            {"watch", m_calls["watch"]},
-                            {"renew", m_calls["renew"]},
-                            {"register", m_calls["register"]},
-                            {"failed", m_calls["failed"]}});
-        m_calls.clear();
+                           {{storeCallNames[0], m_calls[0]},
+                            {storeCallNames[1], m_calls[1]},
+                            {storeCallNames[2], m_calls[2]},
+                            {storeCallNames[3], m_calls[3]},
+                            {"failed", m_failedCalls}});
+        m_calls = {};
+        m_failedCalls = 0;
     }
 }
 
@@ -271,7 +275,7 @@
     std::vector<MemberInfo> members;
     while (true) {
         const net::StoreResult<typename Store::Page> page = m_watchStore.listPage({}, after);
-        noteCall("list", page.has_value());
+        noteCall(StoreCall::List, page.has_value());
         if (!page) {
             setReachable(false, page.error().message);
             return false;
@@ -300,7 +304,8 @@
 bool StoreSession<P>::watchOnce()
 {
     const net::StoreResult<net::StoreList> changes = m_watchStore.watch({}, m_at, watchWait);
-    noteCall("watch", changes.has_value() || changes.error().code == ResultCode::StoreNotFound);
+    noteCall(StoreCall::Watch,
+             changes.has_value() || changes.error().code == ResultCode::StoreNotFound);
     if (changes) {
         setReachable(true, "watch");
         takeWatched(*changes);
@@ -477,20 +482,21 @@
 net::StoreResult<void> StoreSession<P>::writeSelf()
 {
     const std::string key = std::string(node::memberKeyPrefix) + m_self.name.text();
-    return m_store.put(key, node::toJson(m_self, m_self.callerAddress), *m_lease)
-        .map([](net::StoreRevision) {});
+    const net::StoreResult<net::StoreRevision> written =
+        m_store.put(key, node::toJson(m_self, m_self.callerAddress), *m_lease);
+    noteCall(StoreCall::Register, written.has_value());
+    return written.map([](net::StoreRevision) {});
 }
 
 template <PlatformProtocol P>
 net::StoreResult<void> StoreSession<P>::registerSelf()
 {
     const net::StoreResult<net::LeaseId> lease = m_store.createLease(registrationTtl);
-    noteCall("register", lease.has_value());
+    noteCall(StoreCall::Register, lease.has_value());
     if (!lease)
         return tl::unexpected(lease.error());
     m_lease = *lease;
     net::StoreResult<void> written = writeSelf();
-    noteCall("register", written.has_value());
     if (!written)
         m_lease.reset();
     return written;
@@ -505,7 +511,7 @@
         const net::StoreResult<void> done =
             registered ? m_store.renewLease(*m_lease) : registerSelf();
         if (registered)
-            noteCall("renew", done || done.error().code == ResultCode::StoreNotFound);
+            noteCall(StoreCall::Renew, done || done.error().code == ResultCode::StoreNotFound);
         if (done) {
             backoff.reset();
             net::sleepFor(renewInterval);
@@ -515,7 +521,7 @@
             observe::logChange("registration-lapsed", {{"reason", done.error().message}});
             m_lease.reset();
         }
-        waitForStore(backoff);
+        waitForStore(backoff, isWatcher());
     }
 }
 
--- a/include/fescue/serving/streamforwarder.inl
+++ b/include/fescue/serving/streamforwarder.inl
@@ -166,8 +166,8 @@
 void StreamForwarder<P>::passOnFailure(RequestContext &context, ExchangeResult &result)
 {
     ByteShare memory(m_state->answerMemory);
-    Result<std::string> body =
-        readWhole(result.stream, memory, maxFailureBytes, context.timeLeft());
+    Result<std::string> body = result.stream.readAll(
+        maxFailureBytes, context.timeLeft(), [&memory](std::size_t n) { return memory.take(n); });
     if (!body) {
         context.detail = body.error().message;
         refuse<P>(*m_state, context,
@@ -246,10 +246,8 @@
     const EndpointRecord backup = *run.backup;
     run.backup.reset();
     passing.backupLoad.reset();
-    if (!m_state->takeRepeat(run.service)) {
-        observe::logChange("move-refused", {{"id", run.requestId}, {"reason", "repeat budget"}});
+    if (!m_state->takeRescue(run))
         return false;
-    }
     run.resume = ResumePoint {backup.address, run.requestId, passing.events.lastId()};
     return resumeAt(passing, backup);
 }
@@ -311,10 +309,8 @@
     const EndpointRecord keeper = *run.copyAhead;
     const std::string handle = run.copyHandle;
     run.forgetCopy();
-    if (!m_state->takeRepeat(run.service)) {
-        observe::logChange("move-refused", {{"id", run.requestId}, {"reason", "repeat budget"}});
+    if (!m_state->takeRescue(run))
         return false;
-    }
     run.resume = ResumePoint {run.engine.address, handle, passing.events.lastId()};
     return resumeAt(passing, keeper);
 }
--- a/src/net/httpclient.cpp
+++ b/src/net/httpclient.cpp
@@ -10,8 +10,16 @@
 
 constexpr std::size_t bodyPieceBytes = 16ULL * 1024;
 
+tl::unexpected<Error> tooLong(const ClientConnection &connection, std::size_t maxBytes)
+{
+    return fail(ResultCode::BackEndProtocol,
+                connection.address().toString() + ": the answer is longer than "
+                    + std::to_string(maxBytes) + " bytes");
+}
+
 // Reads the rest of the body; the deadline is for all of it.
-Result<std::string> readRest(ClientConnection &connection, std::size_t maxBytes, Millis deadline)
+Result<std::string> readRest(ClientConnection &connection, std::size_t maxBytes, Millis deadline,
+                             const std::function<bool(std::size_t)> &mayTake = {})
 {
     std::string body;
     while (true) {
@@ -23,14 +31,32 @@
         body.resize(size + *n);
         if (*n == 0)
             return body;
-        if (body.size() > maxBytes) {
+        if (body.size() > maxBytes)
+            return tooLong(connection, maxBytes);
+        if (mayTake && !mayTake(*n)) {
             return fail(ResultCode::BackEndProtocol,
-                        connection.address().toString() + ": the answer is longer than "
-                            + std::to_string(maxBytes) + " bytes");
+                        connection.address().toString() + ": no memory is left for the answer");
         }
     }
 }
 
+// Reads the rest of the body and keeps nothing of it.
+Result<void> skipRest(ClientConnection &connection, std::size_t maxBytes, Millis deadline)
+{
+    std::string piece(bodyPieceBytes, '\0');
+    std::size_t skipped = 0;
+    while (true) {
+        const Result<std::size_t> n = connection.readBody(piece, deadline);
+        if (!n)
+            return tl::unexpected(n.error());
+        if (*n == 0)
+            return {};
+        skipped += *n;
+        if (skipped > maxBytes)
+            return tooLong(connection, maxBytes);
+    }
+}
+
 using ConnectionPtr = std::unique_ptr<ClientConnection>;
 
 Result<ConnectionPtr> openConnection(const std::shared_ptr<HttpClient::Shared> &shared,
@@ -177,20 +203,23 @@
     return m_connection->readBody(buf, deadlineAfter(timeout));
 }
 
-Result<std::string> ClientStream::readAll(std::size_t maxBytes, Millis timeout)
+Result<std::string> ClientStream::readAll(std::size_t maxBytes, Millis timeout,
+                                          const std::function<bool(std::size_t)> &mayTake)
 {
     if (!m_connection)
         return fail(ResultCode::BackEndLost, "the stream is not open");
-    return readRest(*m_connection, maxBytes, deadlineAfter(timeout));
+    return readRest(*m_connection, maxBytes, deadlineAfter(timeout), mayTake);
 }
 
 Result<void> ClientStream::nextAnswer(std::size_t maxBytes, Millis timeout)
 {
-    Result<std::string> skipped = readAll(maxBytes, timeout);
-    if (!skipped)
-        return tl::unexpected(skipped.error());
+    if (!m_connection)
+        return fail(ResultCode::BackEndLost, "the stream is not open");
+    const Millis deadline = deadlineAfter(timeout);
+    if (Result<void> skipped = skipRest(*m_connection, maxBytes, deadline); !skipped)
+        return skipped;
     return m_connection->readHead(m_connection->pool()->limits.maxHeadBytes, std::nullopt,
-                                  deadlineAfter(timeout));
+                                  deadline);
 }
 
 void ClientStream::close() noexcept
--- a/src/serving/requestcontext.cpp
+++ b/src/serving/requestcontext.cpp
@@ -127,9 +127,8 @@
         code == ResultCode::NoCapacity ? RefusalCause::Full : RefusalCause::Passing;
     const Millis delay = returnDelay(cause, context.timeLeft(), state.uniform());
     // Nobody is asked back while all endpoints of the service want no requests.
-    const bool allPaused = state.routes && state.candidates(context.service).empty();
-    const Millis pause = allPaused ? state.shortestPause(context.service) : Millis {0};
-    return {statusUnavailable, code, RunState::NotRun, std::move(detail), std::max(delay, pause)};
+    return {statusUnavailable, code, RunState::NotRun, std::move(detail),
+            std::max(delay, state.pauseOfAll(context.service))};
 }
 
 net::Problem unknownProblem(SendOutcome outcome, std::string detail)
--- a/src/serving/servingstate.cpp
+++ b/src/serving/servingstate.cpp
@@ -2,9 +2,6 @@
 
 #include "fescue/observe/log.h"
 
-#include <algorithm>
-#include <iterator>
-
 #include <algorithm>
 #include <utility>
 
@@ -12,12 +9,6 @@
 
 namespace {
 
-// Time for which the greatest number of members counts after some have gone; longer than any
-// outage in which a process that is out of sight can still reach endpoints.
-constexpr Millis rememberMembers = 60_s;
-// Bounds are divided as if there were at least this many processes: one that has just started knows
-// few of the others. Deployments have 7 or more entry VMs.
-constexpr std::size_t fewestMembers = 7;
 // With more entry processes than this, each would hear a hundred datagrams a second and more.
 constexpr std::size_t membersForFullGossip = 20;
 // Connecting to an endpoint within the region takes a few milliseconds; one that takes longer has
@@ -89,13 +80,8 @@
 std::size_t ServingState::membersForShares()
 {
     const Millis time = now();
-    return membersForShares(time, members.count(time));
-}
-
-std::size_t ServingState::membersForShares(Millis time, std::size_t known)
-{
-    const std::size_t n = std::max(known, fewestMembers);
-    if (n >= m_mostMembers || time - m_mostMembersAt > rememberMembers) {
+    const std::size_t n = std::max(members.count(time), ColdShares::fewestMembers);
+    if (n >= m_mostMembers || time - m_mostMembersAt > ColdShares::remember) {
         m_mostMembers = n;
         m_mostMembersAt = time;
     }
@@ -116,16 +102,8 @@
 
 PlacementView ServingState::placementView(const ServiceName &service)
 {
-    const Millis time = now();
-    const std::size_t known = members.count(time);
-    return {ledger,
-            health,
-            coldGate,
-            coldShares,
-            coldBound(service),
-            settings.zone,
-            time,
-            known > membersForFullGossip};
+    return {ledger,        health, coldGate, coldShares, coldBound(service),
+            settings.zone, now(),  isLarge()};
 }
 
 std::vector<const EndpointView *> ServingState::candidates(const ServiceName &service) const
@@ -133,12 +111,12 @@
     std::vector<const EndpointView *> usable = endpoints.usable(service);
     std::erase_if(usable, [this](const EndpointView *view) { return !mayCall(view->record); });
     const Millis time = now();
-    std::vector<const EndpointView *> listening;
-    std::copy_if(usable.begin(), usable.end(), std::back_inserter(listening),
-                 [this, time](const EndpointView *view) {
-                     return !refusing.isPaused(time, view->record.name, view->record.incarnation);
-                 });
-    return listening.empty() ? usable : listening;
+    const auto refuses = [this, time](const EndpointView *view) {
+        return refusing.isPaused(time, view->record.name, view->record.incarnation);
+    };
+    if (!std::all_of(usable.begin(), usable.end(), refuses))
+        std::erase_if(usable, refuses);
+    return usable;
 }
 
 void ServingState::refusedBy(const EndpointRecord &endpoint)
@@ -167,16 +145,15 @@
     return !pauses.isPaused(now(), endpoint.name, endpoint.incarnation);
 }
 
-Millis ServingState::shortestPause(const ServiceName &service) const
+Millis ServingState::pauseOfAll(const ServiceName &service) const
 {
     const Millis time = now();
-    Millis shortest {0};
+    std::optional<Millis> shortest;
     for (const EndpointView *view : endpoints.usable(service)) {
         const Millis left = pauses.remaining(time, view->record.name, view->record.incarnation);
-        if (left > Millis {0} && (shortest == Millis {0} || left < shortest))
-            shortest = left;
+        shortest = std::min(shortest.value_or(left), left);
     }
-    return shortest;
+    return shortest.value_or(Millis {0});
 }
 
 void ServingState::heardFrom(const EndpointRecord &endpoint, const EngineAnswerHead &head)
@@ -191,15 +168,15 @@
                             {"pause_ms", span.count},
                             {"readable", head.pause ? "yes" : "no"}});
     }
-    const EndpointLife notice {endpoint.name, endpoint.incarnation};
-    if (head.leaving && endpoints.saidLeaving(time, notice)) {
+    const EndpointLife life {endpoint.name, endpoint.incarnation};
+    if (head.leaving && endpoints.saidLeaving(time, life)) {
         observe::logChange("endpoint",
                            {{"endpoint", endpoint.name.text()},
                             {"service", endpoint.service.text()},
                             {"zone", endpoint.zone.text()},
                             {"state", "leaving"},
                             {"reason", "said so in an answer"}});
-        endpointSaidLeaving(notice, head.leavesIn);
+        endpointSaidLeaving(life, head.leavesIn);
     }
 }
 
@@ -228,6 +205,14 @@
     return repeatsOf(service).tryTake(now(), membersForShares(), use);
 }
 
+bool ServingState::takeRescue(const GenerationRun &run)
+{
+    if (takeRepeat(run.service))
+        return true;
+    observe::logChange("move-refused", {{"id", run.requestId}, {"reason", "repeat budget"}});
+    return false;
+}
+
 std::vector<RepeatsOf> ServingState::ownRepeats()
 {
     std::vector<RepeatsOf> used;
--- a/src/serving/storefeed.cpp
+++ b/src/serving/storefeed.cpp
@@ -4,7 +4,6 @@
 #include "serving/cbor.h"
 
 #include <algorithm>
-#include <map>
 #include <numeric>
 
 namespace fescue::serving {
@@ -24,8 +23,8 @@
 
 // Returns the first `n` live members of a zone, or of all zones, in the rendezvous order for a key,
 // of those with wide links.
-std::vector<MemberName> firstOf(std::string_view key, std::size_t n, const MemberName &self,
-                                std::span<const MemberView> members, const ZoneName *zone)
+std::set<MemberName> firstOf(std::string_view key, std::size_t n, const MemberName &self,
+                             std::span<const MemberView> members, const ZoneName *zone)
 {
     const auto counts = [zone](const MemberView &member) {
         return zone == nullptr || member.info.zone == *zone;
@@ -41,12 +40,10 @@
         if (counts(member) && live && member.info.linkMegabits >= widest / linkClass)
             names.push_back(member.info.name.text());
     }
-    std::vector<MemberName> first;
-    for (const std::size_t i : rendezvousOrder(key, names)) {
-        if (first.size() == n)
-            break;
-        first.emplace_back(std::string(names[i]));
-    }
+    const std::vector<std::size_t> order = rendezvousOrder(key, names);
+    std::set<MemberName> first;
+    for (std::size_t i = 0; i < std::min(order.size(), n); ++i)
+        first.emplace(std::string(names[order[i]]));
     return first;
 }
 
@@ -219,53 +216,37 @@
     beat = {now, std::max(beat.revision, news.at), news.reachable, now - news.storeAge};
 }
 
-std::vector<MemberName> FeedPolicy::watchersOf(const MemberName &self,
-                                               std::span<const MemberView> members)
-{
-    return firstOf("watchers", watchers, self, members, nullptr);
-}
-
-std::vector<MemberName> FeedPolicy::relaysOf(const ZoneName &zone, const MemberName &self,
-                                             std::span<const MemberView> members)
+std::set<MemberName> FeedPolicy::relays(const MemberName &self, std::span<const MemberView> members)
 {
-    return firstOf("relays", relaysPerZone, self, members, &zone);
+    std::set<ZoneName> zones;
+    for (const MemberView &member : members)
+        zones.insert(member.info.zone);
+    std::set<MemberName> names;
+    for (const ZoneName &zone : zones)
+        names.merge(firstOf("relays", relaysPerZone, self, members, &zone));
+    return names;
 }
 
 bool FeedPolicy::isWatcher(const MemberName &self, std::span<const MemberView> members)
 {
-    const std::vector<MemberName> names = watchersOf(self, members);
-    return std::find(names.begin(), names.end(), self) != names.end();
+    return firstOf("watchers", watchers, self, members, nullptr).contains(self);
 }
 
 std::vector<const MemberView *>
 FeedPolicy::audience(const MemberName &self, std::span<const MemberView> members, bool isLarge)
 {
     const bool watches = isWatcher(self, members);
+    const std::set<MemberName> relayNames =
+        isLarge ? relays(self, members) : std::set<MemberName>();
+    const bool relaysOn = relayNames.contains(self);
+    const auto own =
+        std::find_if(members.begin(), members.end(),
+                     [&self](const MemberView &member) { return member.info.name == self; });
     std::vector<const MemberView *> told;
-    if (!isLarge) {
-        for (const MemberView &member : members) {
-            if (watches && member.info.name != self)
-                told.push_back(&member);
-        }
-        return told;
-    }
-    std::map<ZoneName, std::vector<MemberName>> relays;
-    std::optional<ZoneName> ownZone;
-    for (const MemberView &member : members) {
-        if (member.info.name == self)
-            ownZone = member.info.zone;
-        if (!relays.contains(member.info.zone))
-            relays[member.info.zone] = relaysOf(member.info.zone, self, members);
-    }
-    const auto isRelay = [&relays](const ZoneName &zone, const MemberName &name) {
-        const std::vector<MemberName> &names = relays[zone];
-        return std::find(names.begin(), names.end(), name) != names.end();
-    };
-    const bool relaysOn = ownZone && isRelay(*ownZone, self);
     for (const MemberView &member : members) {
         const MemberInfo &info = member.info;
-        const bool asWatcher = watches && isRelay(info.zone, info.name);
-        const bool asRelay = relaysOn && info.zone == *ownZone;
+        const bool asWatcher = watches && (!isLarge || relayNames.contains(info.name));
+        const bool asRelay = relaysOn && own != members.end() && info.zone == own->info.zone;
         if (info.name != self && (asWatcher || asRelay))
             told.push_back(&member);
     }
--- a/tests/net/endlessbytes_test.cpp
+++ b/tests/net/endlessbytes_test.cpp
@@ -33,6 +33,17 @@
         return code;
     }
 
+    // Sends `start` and then `piece` without end. The client gives up, and takes little of it.
+    void expectGivenUp(std::string_view start, std::string_view piece)
+    {
+        RawServer server([start, piece](RawServer &s) {
+            s.write(start);
+            s.writeEndlessly(piece, mostOffered);
+        });
+        EXPECT_EQ(call(server), ResultCode::BackEndProtocol);
+        EXPECT_LT(server.written(), mostTaken);
+    }
+
     static ClientLimits limits()
     {
         ClientLimits limits;
@@ -47,69 +58,37 @@
 
 TEST_F(EndlessBytes, HeadWithoutALineEnd)
 {
-    RawServer server([](RawServer &s) { s.writeEndlessly("x", mostOffered); });
-    EXPECT_EQ(call(server), ResultCode::BackEndProtocol);
-    EXPECT_LT(server.written(), mostTaken);
+    expectGivenUp("", "x");
 }
 
 TEST_F(EndlessBytes, HeadOfEndlessFields)
 {
-    RawServer server([](RawServer &s) {
-        s.write("HTTP/1.1 200 OK\r\n");
-        s.writeEndlessly("X-Field: value\r\n", mostOffered);
-    });
-    EXPECT_EQ(call(server), ResultCode::BackEndProtocol);
-    EXPECT_LT(server.written(), mostTaken);
+    expectGivenUp("HTTP/1.1 200 OK\r\n", "X-Field: value\r\n");
 }
 
 TEST_F(EndlessBytes, InterimAnswersWithoutAnAnswer)
 {
-    RawServer server(
-        [](RawServer &s) { s.writeEndlessly("HTTP/1.1 100 Continue\r\n\r\n", mostOffered); });
-    EXPECT_EQ(call(server), ResultCode::BackEndProtocol);
-    EXPECT_LT(server.written(), mostTaken);
+    expectGivenUp("", "HTTP/1.1 100 Continue\r\n\r\n");
 }
 
 TEST_F(EndlessBytes, BodyWithoutALength)
 {
-    RawServer server([](RawServer &s) {
-        s.write("HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n");
-        s.writeEndlessly("x", mostOffered);
-    });
-    EXPECT_EQ(call(server), ResultCode::BackEndProtocol);
-    EXPECT_LT(server.written(), mostTaken);
+    expectGivenUp("HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n", "x");
 }
 
 TEST_F(EndlessBytes, BodyOfEndlessChunks)
 {
-    RawServer server([](RawServer &s) {
-        s.write(chunkedHead);
-        s.writeEndlessly("4\r\nabcd\r\n", mostOffered);
-    });
-    EXPECT_EQ(call(server), ResultCode::BackEndProtocol);
-    EXPECT_LT(server.written(), mostTaken);
+    expectGivenUp(chunkedHead, "4\r\nabcd\r\n");
 }
 
 TEST_F(EndlessBytes, ChunkExtensionWithoutALineEnd)
 {
-    RawServer server([](RawServer &s) {
-        s.write(chunkedHead);
-        s.write("4;a=");
-        s.writeEndlessly("x", mostOffered);
-    });
-    EXPECT_EQ(call(server), ResultCode::BackEndProtocol);
-    EXPECT_LT(server.written(), mostTaken);
+    expectGivenUp(std::string(chunkedHead) + "4;a=", "x");
 }
 
 TEST_F(EndlessBytes, TrailerOfEndlessFields)
 {
-    RawServer server([](RawServer &s) {
-        s.write(chunkedHead);
-        s.write("4\r\nabcd\r\n0\r\n");
-        s.writeEndlessly("X-Field: value\r\n", mostOffered);
-    });
-    EXPECT_EQ(call(server), ResultCode::BackEndProtocol);
-    EXPECT_LT(server.written(), mostTaken);
+    expectGivenUp(std::string(chunkedHead) + "4\r\nabcd\r\n0\r\n", "X-Field: value\r\n");
 }
 
 TEST_F(EndlessBytes, HeadThatGetsAByteNowAndThenEndsAtTheTimeout)
--- a/tests/serving/exchange_test.cpp
+++ b/tests/serving/exchange_test.cpp
@@ -97,6 +97,21 @@
         onWorker([&] { state.endpoints.listed(ServingState::now(), record); });
     }
 
+    // Calls an endpoint whose answer to a request has no end.
+    void expectEndlessAnswerGivenUp(const char *target, const std::string &answered = "id-1")
+    {
+        test::RawServer faulty([answered](test::RawServer &server) {
+            server.write("HTTP/1.1 200 OK\r\nRequest: " + answered
+                         + "\r\nConnection: close\r\n\r\n");
+            server.writeEndlessly("x", std::size_t {256} * 1024 * 1024);
+        });
+        addEndpointAt("e1", faulty.address());
+        const Result<net::HttpResponse> response = call(target);
+        ASSERT_TRUE(response);
+        EXPECT_EQ(response->status, 502);
+        EXPECT_LT(faulty.written(), std::size_t {32} * 1024 * 1024);
+    }
+
     // Runs a task on the worker and waits for its end.
     void onWorker(const std::function<void()> &task)
     {
@@ -363,15 +378,7 @@
 // Pattern: an endpoint's bytes come without end until its caller closes.
 TEST_F(Exchange, BodyWithoutEndIsGivenUpWithinBoundedMemory)
 {
-    test::RawServer faulty([](test::RawServer &server) {
-        server.write("HTTP/1.1 200 OK\r\nRequest: id-1\r\nConnection: close\r\n\r\n");
-        server.writeEndlessly("x", std::size_t {256} * 1024 * 1024);
-    });
-    addEndpointAt("e1", faulty.address());
-    const Result<net::HttpResponse> response = call("/once/x");
-    ASSERT_TRUE(response);
-    EXPECT_EQ(response->status, 502);
-    EXPECT_LT(faulty.written(), std::size_t {32} * 1024 * 1024);
+    expectEndlessAnswerGivenUp("/once/x");
     onWorker([&] {
         EXPECT_EQ(state.answerMemory.used(), 0U);
         EXPECT_GT(state.health.failureRate(ServingState::now(), EndpointName("e1")), 0);
@@ -380,15 +387,13 @@
 
 TEST_F(Exchange, StreamWithoutEventsIsGivenUpWithinBoundedMemory)
 {
-    test::RawServer faulty([](test::RawServer &server) {
-        server.write("HTTP/1.1 200 OK\r\nRequest: id-1\r\nConnection: close\r\n\r\n");
-        server.writeEndlessly("x", std::size_t {256} * 1024 * 1024);
-    });
-    addEndpointAt("e1", faulty.address());
-    const Result<net::HttpResponse> response = call("/stream/x");
-    ASSERT_TRUE(response);
-    EXPECT_EQ(response->status, 502);
-    EXPECT_LT(faulty.written(), std::size_t {32} * 1024 * 1024);
+    expectEndlessAnswerGivenUp("/stream/x");
+}
+
+// Pattern: an answer to another request comes first, and has no end.
+TEST_F(Exchange, EndlessAnswerToAnotherRequestIsGivenUpWithinBoundedMemory)
+{
+    expectEndlessAnswerGivenUp("/once/x", "id-other");
 }
 
 TEST_F(Exchange, AnswersTogetherTakeNoMoreThanTheirMemory)
@@ -409,6 +414,7 @@
 TEST_F(Exchange, EndpointWhereNothingListensIsLeftOutAndToldToPeers)
 {
     addEndpointAt("e0", {"127.0.0.1", 1});
+    EXPECT_EQ(call("/once/x")->status, 503);
     addEndpoint("e1", [](const net::HttpRequest &, net::ResponseWriter &writer) {
         static_cast<void>(writer.send(answer(200, "id-1")));
     });
--- a/tests/serving/storefeed_test.cpp
+++ b/tests/serving/storefeed_test.cpp
@@ -1,5 +1,6 @@
 #include "fescue/serving/storefeed.h"
 
+#include <algorithm>
 #include <gtest/gtest.h>
 #include <map>
 #include <string>
@@ -21,6 +22,15 @@
     return members;
 }
 
+// A member that does not watch the store.
+MemberName someOther(std::span<const MemberView> members)
+{
+    const auto it = std::find_if(members.begin(), members.end(), [members](const MemberView &view) {
+        return !FeedPolicy::isWatcher(view.info.name, members);
+    });
+    return it->info.name;
+}
+
 StoreNews makeNews(const MemberName &from, std::uint64_t at, bool reachable = true)
 {
     StoreNews news;
@@ -91,11 +101,7 @@
 TEST(FeedPolicy, WatcherWithoutTheStoreDoesNotCount)
 {
     const std::vector<MemberView> members = makeMembers(9);
-    MemberName other;
-    for (const MemberView &member : members) {
-        if (!FeedPolicy::isWatcher(member.info.name, members))
-            other = member.info.name;
-    }
+    const MemberName other = someOther(members);
     FeedPolicy policy;
     policy.heard(1_s, makeNews(MemberName("w1"), 5, false));
     EXPECT_TRUE(policy.mustWatch(1_s, other, members));
@@ -166,11 +172,7 @@
 TEST(FeedPolicy, ProcessesThatHearOnlyEachOtherFindOutThatTheStoreIsSilent)
 {
     const std::vector<MemberView> members = makeMembers(30);
-    MemberName self;
-    for (const MemberView &member : members) {
-        if (!FeedPolicy::isWatcher(member.info.name, members))
-            self = member.info.name;
-    }
+    const MemberName self = someOther(members);
     FeedPolicy policy;
     StoreNews news = makeNews(MemberName("other"), 5);
     for (Millis now = 1_s; now <= 5_s; now += 250_ms) {
--- a/tests/soak/injector.cpp
+++ b/tests/soak/injector.cpp
@@ -234,16 +234,16 @@
 {
     EndpointFarm &farm = m_world->farm;
     const bool crashes = fault.kind == FaultKind::EndpointCrashes;
-    const Millis notice = shortestNotice + part(longestExtraNotice, fault.strength);
+    const bool saysSo = fault.kind == FaultKind::EndpointSaysLeaving;
+    const Millis notice =
+        shortestNotice + part(longestExtraNotice, fault.strength) + (saysSo ? drainWord : 0_ms);
     if (crashes)
         farm.crash(endpoint);
-    else if (fault.kind == FaultKind::EndpointSaysLeaving)
-        farm.sayLeaving(endpoint, notice + drainWord);
+    else if (saysSo)
+        farm.sayLeaving(endpoint, notice);
     else
         farm.drain(endpoint, notice);
-    const Millis served =
-        fault.kind == FaultKind::EndpointSaysLeaving ? notice + drainWord : notice;
-    const Millis pause = (crashes ? 0_ms : served) + std::max(replacementPause, reuseAfter);
+    const Millis pause = (crashes ? 0_ms : notice) + std::max(replacementPause, reuseAfter);
     after(pause, [&farm, &endpoint, fault] {
         const bool reuses = fault.kind == FaultKind::EndpointAddressReused;
         const bool isEngine = endpoint.service == engineService;
--- a/tests/soakledger/ledger_test.cpp
+++ b/tests/soakledger/ledger_test.cpp
@@ -49,6 +49,15 @@
         static_cast<void>(m_ledger.arrives(call.id, endpoint, call.prefix, account, at));
     }
 
+    // The endpoint of reads says in a whole answer that it leaves; its caller gets `status`.
+    void answerWithWord(int status)
+    {
+        Call &told = send(CallKind::Read);
+        told.saidLeavingBy = readEndpoint;
+        told.endpointStatus = 200;
+        m_ledger.callerEnds(told, CallEnd::Answered, status, start);
+    }
+
     // Names of the promises that were broken, each once.
     std::vector<std::string> broken()
     {
@@ -216,10 +225,7 @@
 
 TEST_F(LedgerTest, FindsRequestsToAnEngineThatSaidItLeaves)
 {
-    Call &told = send(CallKind::Read);
-    told.saidLeavingBy = readEndpoint;
-    told.endpointStatus = 200;
-    m_ledger.callerEnds(told, CallEnd::Answered, 200, start);
+    answerWithWord(200);
     arrive(send(CallKind::Read, start + Ledger::drainTime), readEndpoint, start + 3_s);
     EXPECT_TRUE(broken().empty());
     arrive(send(CallKind::Read, start + Ledger::drainTime + 1_ms), readEndpoint, start + 3_s);
@@ -228,20 +234,14 @@
 
 TEST_F(LedgerTest, ExcusesAnEntryThatCouldNotReadTheWord)
 {
-    Call &told = send(CallKind::Read);
-    told.saidLeavingBy = readEndpoint;
-    told.endpointStatus = 200;
-    m_ledger.callerEnds(told, CallEnd::Answered, 502, start);
+    answerWithWord(502);
     arrive(send(CallKind::Read, start + 9_s), readEndpoint, start + 9_s);
     EXPECT_TRUE(broken().empty());
 }
 
 TEST_F(LedgerTest, ExcusesAnEntryThatStartedAgainSinceTheWord)
 {
-    Call &told = send(CallKind::Read);
-    told.saidLeavingBy = readEndpoint;
-    told.endpointStatus = 200;
-    m_ledger.callerEnds(told, CallEnd::Answered, 200, start);
+    answerWithWord(200);
     m_disturbances.entries[0].add(start + 1_s, start + 2_s);
     arrive(send(CallKind::Read, start + 9_s), readEndpoint, start + 9_s);
     EXPECT_TRUE(broken().empty());
