--- a/include/fescue/net/storeclient.h
+++ b/include/fescue/net/storeclient.h
@@ -3,6 +3,7 @@
 #include "fescue/net/httpclient.h"
 
 #include <atomic>
+#include <compare>
 #include <cstdint>
 #include <optional>
 #include <string>
@@ -11,11 +12,22 @@
 
 namespace fescue::net {
 
-// Position in the store's single sequence of changes; 0 means absent.
+// Position in the store's sequence of changes; 0 means absent. A store that was restored from an
+// older copy gives revisions out again, so those of a later era are later whatever their numbers.
 struct StoreRevision
 {
     std::uint64_t value = 0;
-    auto operator<=>(const StoreRevision &) const noexcept = default;
+    // Counts the restores of the store; 0 where it tells none.
+    std::uint64_t era = 0;
+
+    friend constexpr bool operator==(const StoreRevision &,
+                                     const StoreRevision &) noexcept = default;
+    friend constexpr std::strong_ordering operator<=>(const StoreRevision &a,
+                                                      const StoreRevision &b) noexcept
+    {
+        const std::strong_ordering eras = a.era <=> b.era;
+        return eras != 0 ? eras : a.value <=> b.value;
+    }
 };
 
 // A lease of the store; 0 means none.
--- a/include/fescue/serving/edgedaemon.inl
+++ b/include/fescue/serving/edgedaemon.inl
@@ -26,6 +26,19 @@
 inline constexpr Millis drainMargin = 300_ms;
 inline constexpr Millis drainPoll = 50_ms;
 
+// Reads a number of a query; none where it is missing or malformed.
+[[nodiscard]] inline std::optional<std::uint64_t> readNumber(const std::optional<std::string> &text)
+{
+    std::uint64_t number = 0;
+    if (!text)
+        return std::nullopt;
+    const char *end = text->data() + text->size();
+    const std::from_chars_result read = std::from_chars(text->data(), end, number);
+    if (read.ec != std::errc() || read.ptr != end)
+        return std::nullopt;
+    return number;
+}
+
 template <PlatformProtocol P>
 EdgeDaemon<P>::EdgeDaemon(NodeSettings settings, net::WorkerPool &pool, Incarnation incarnation)
     : m_pool(&pool), m_self {settings.name,
@@ -171,6 +184,11 @@
                                 {"reason", "missing after the store returned"}});
             m_mover.evacuate(endpoint);
         }
+        for (const ZoneName &zone : m_state.endpoints.endZoneDoubts(now)) {
+            observe::logChange(
+                "zone-in",
+                {{"zone", zone.text()}, {"reason", "the order has not come back to the store"}});
+        }
         m_state.members.purge(now);
         const std::vector<MemberView> members = m_state.members.members(now);
         m_state.coldShares.seen(now, members);
@@ -350,15 +368,16 @@
         static_cast<void>(writer.send({404, {}, {}}));
         return;
     }
-    const std::string after = request.queryValue("after").value_or(std::string());
-    std::uint64_t revision = 0;
-    const std::from_chars_result read =
-        std::from_chars(after.data(), after.data() + after.size(), revision);
-    if (read.ec != std::errc()) {
+    const std::optional<std::uint64_t> revision = readNumber(request.queryValue("after"));
+    // Processes of earlier releases tell no era.
+    const std::optional<std::uint64_t> era = readNumber(request.queryValue("era").value_or("0"));
+    if (!revision || !era) {
         static_cast<void>(writer.send({400, {}, {}}));
         return;
     }
-    static_cast<void>(writer.send({200, {}, encodeCopy(m_store.copy({revision}))}));
+    const CopyPart part =
+        request.queryValue("part") == std::string("held") ? CopyPart::Held : CopyPart::All;
+    static_cast<void>(writer.send({200, {}, encodeCopy(m_store.copy({*revision, *era}, part))}));
 }
 
 template <PlatformProtocol P>
@@ -376,6 +395,7 @@
         m_state.repeatsOf(repeats.service).peerTold(now, gossip->member.name, repeats.used);
     for (const EndpointLife &endpoint : gossip->refusing)
         m_state.peerRefusedBy(endpoint);
+    m_store.heardConfig(gossip->member.name, gossip->configVersion);
     static_cast<void>(takeNotices(gossip->leaving, std::nullopt, gossip->member.name.text()));
 }
 
--- a/include/fescue/serving/endpointtable.h
+++ b/include/fescue/serving/endpointtable.h
@@ -4,6 +4,7 @@
 #include "fescue/serving/endpointrecord.h"
 
 #include <map>
+#include <optional>
 #include <set>
 #include <span>
 #include <vector>
@@ -22,6 +23,21 @@
     Millis rememberNotices = 120_s;
     // Peers are told of an endpoint's own word for this time.
     Millis repeatNotices = 30_s;
+    // Entries of endpoints that are silent lapse within this time: three heartbeats of 1.2 s on the
+    // platform, and some delay.
+    Millis entryLifetime = 4500_ms;
+    // After the store came back older, the operator's orders that it has lost hold for this time.
+    // The platform's pages give no time for their return; five times the one for entries.
+    Millis operatorGrace = 10_s;
+};
+
+// How an entry of the store became known.
+enum class EntrySource : std::uint8_t
+{
+    // It was written just now.
+    Written,
+    // It stood in a listing. After the store came back older it may be out of date.
+    Listed,
 };
 
 // An endpoint as this process sees it.
@@ -51,7 +67,8 @@
     explicit EndpointTable(EndpointTableLimits limits = {}) noexcept : m_limits(limits) { }
 
     // Records an entry that was written or read.
-    void listed(Millis now, const EndpointRecord &record);
+    void listed(Millis now, const EndpointRecord &record,
+                EntrySource source = EntrySource::Written);
     // Records that an entry was removed, or cannot be read any more.
     void removed(Millis now, const EndpointName &name);
     // Records that an endpoint said in an answer, to this process or to a peer, that this life of
@@ -62,10 +79,21 @@
     // Says whether the store answers. Entries that are removed while it does not, or within the
     // grace of its return, are only doubted.
     void storeReachable(Millis now, bool reachable) noexcept;
+    // Says that the store came back from an older copy, which is listed next. Entries that it lacks
+    // are only doubted. Endpoints that had gone stay so until they write anew, or until their
+    // entries have outlived the time in which those of silent endpoints lapse.
+    void storeRewound(Millis now);
 
-    void zoneOut(const ZoneName &zone) { m_zonesOut.insert(zone); }
-    void zoneIn(const ZoneName &zone) { m_zonesOut.erase(zone); }
+    void zoneOut(const ZoneName &zone);
+    void zoneIn(const ZoneName &zone);
+    // Says that a listing lacks a zone that is out of service. After the store came back older the
+    // zone stays out for the operator's grace. True where it is in service from now on.
+    bool zoneMissing(Millis now, const ZoneName &zone);
+    // Takes a zone out of service by an order that the store has lost, as a peer told.
+    void zoneHeld(Millis now, const ZoneName &zone);
     [[nodiscard]] const std::set<ZoneName> &zonesOut() const noexcept { return m_zonesOut; }
+    // Puts zones back into service whose order the operator has not written again in time.
+    [[nodiscard]] std::vector<ZoneName> endZoneDoubts(Millis now);
 
     // Ends doubts that have lasted long enough and forgets endpoints that are long gone. Returns
     // the endpoints that count as leaving from now on.
@@ -83,6 +111,8 @@
 private:
     [[nodiscard]] bool doubtful(Millis now) const noexcept;
     void markLeaving(Millis now, EndpointView &endpoint) noexcept;
+    // Uses endpoints again whose entries have outlived the time of silent ones.
+    void confirmListed(Millis now);
     [[nodiscard]] bool hasNotice(const EndpointName &name, Incarnation incarnation) const;
 
     struct Notice
@@ -98,9 +128,16 @@
     // Also of endpoints that are not listed yet.
     std::map<EndpointName, Notice> m_notices;
     std::set<ZoneName> m_zonesOut;
+    // Out of service by an order that the store has lost.
+    std::set<ZoneName> m_zonesDoubted;
     bool m_reachable = true;
     Millis m_reachableSince {0};
     bool m_everLost = false;
+    // When the store came back older.
+    std::optional<Millis> m_rewoundAt;
+    // Endpoints that had gone by then, and those of them that its older copy lists.
+    std::set<EndpointName> m_goneBefore;
+    std::set<EndpointName> m_unconfirmed;
 };
 
 } // namespace fescue::serving
--- a/include/fescue/serving/storefeed.h
+++ b/include/fescue/serving/storefeed.h
@@ -5,6 +5,7 @@
 #include "fescue/core/memberinfo.h"
 #include "fescue/net/storeclient.h"
 
+#include <cstdint>
 #include <deque>
 #include <map>
 #include <optional>
@@ -43,6 +44,15 @@
 // change that is too long by itself ends them; it has to be fetched.
 [[nodiscard]] std::vector<StoreNews> splitNews(StoreNews news);
 
+// What a process asks another one for.
+enum class CopyPart : std::uint8_t
+{
+    // Changes that it has missed, and what holds of earlier eras.
+    All,
+    // Only what holds of earlier eras.
+    Held,
+};
+
 // What one process knows of the store, for one that has missed changes.
 struct StoreCopy
 {
@@ -50,6 +60,8 @@
     // The items are all keys; else the changes after the revision that was asked for.
     bool whole = true;
     std::vector<net::StoreItem> items;
+    // Items of an earlier era that hold on although the store has not got them back yet.
+    std::vector<net::StoreItem> held = {};
 };
 
 // The latest changes that a process has seen, for peers that have missed a few.
--- a/include/fescue/serving/storemirror.h
+++ b/include/fescue/serving/storemirror.h
@@ -2,7 +2,6 @@
 
 #include "fescue/net/storeclient.h"
 
-#include <functional>
 #include <map>
 #include <set>
 #include <string>
@@ -17,11 +16,13 @@
     std::string value;
     net::StoreRevision revision;
     bool removed = false;
+    // Found by comparing a listing with what was known, not told as a change by itself.
+    bool fromListing = false;
 };
 
 // The keys of the store as this process knows them. Finds out what a listing in pages changes,
 // although keys may be written between two of its pages, and never takes over an older state of a
-// key.
+// key. A listing of a later era replaces all that is known, also by older values.
 class StoreMirror
 {
 public:
--- a/include/fescue/serving/storesession.h
+++ b/include/fescue/serving/storesession.h
@@ -2,6 +2,7 @@
 
 #include "fescue/core/backoff.h"
 #include "fescue/core/memberinfo.h"
+#include "fescue/net/storeera.h"
 #include "fescue/serving/protocol.h"
 #include "fescue/serving/servingstate.h"
 #include "fescue/serving/storefeed.h"
@@ -9,6 +10,7 @@
 
 #include <array>
 #include <functional>
+#include <map>
 #include <optional>
 #include <string>
 
@@ -53,8 +55,12 @@
 
     // Takes what a watcher passes on.
     void takeNews(const StoreNews &news);
-    // Everything that this process knows of the store, for a peer that has missed changes.
-    [[nodiscard]] StoreCopy copy(net::StoreRevision after) const;
+    // Records which configuration a peer has in force. One that stays ahead is asked for what this
+    // process has missed.
+    void heardConfig(const MemberName &peer, ConfigVersion version);
+    // What this process knows of the store, for a peer that has missed the changes after a
+    // revision.
+    [[nodiscard]] StoreCopy copy(net::StoreRevision after, CopyPart part) const;
 
 private:
     using Store = typename P::Store;
@@ -63,8 +69,19 @@
     // One step of following the store itself, or what peers tell of it. False where it failed.
     [[nodiscard]] bool followStore();
     [[nodiscard]] bool followPeers(const std::vector<MemberView> &members);
-    [[nodiscard]] bool fetchCopy(const MemberName &peer, const std::vector<MemberView> &members);
+    // Asks a peer that knows later changes for them. False where none does, or it does not answer.
+    [[nodiscard]] bool catchUp(const std::vector<MemberView> &members);
+    [[nodiscard]] bool fetchCopy(const MemberName &peer, const std::vector<MemberView> &members,
+                                 CopyPart part = CopyPart::All);
     void adopt(const StoreCopy &copy);
+    // Asks a peer for what it holds of an earlier era: the store's copy may be older than that.
+    void askForHeldItems();
+    void takeHeld(const std::vector<net::StoreItem> &items);
+    // Items of an earlier era that still hold.
+    [[nodiscard]] std::vector<net::StoreItem> heldItems() const;
+    // Prepares for a listing of a later era than the one known. What the operator has ordered holds
+    // on until it has written it again.
+    void beginEra(net::StoreRevision at);
     // Takes changes from a peer that follow those known here and lead to revision `at`.
     void takeNext(net::StoreRevision at, const std::vector<net::StoreItem> &items);
     // Passes changes on where this process is a watcher.
@@ -75,6 +92,7 @@
     void takeWatched(const net::StoreList &changes);
     void takeChanges(const std::vector<StoreChange> &changes);
     void takeChange(const StoreChange &change);
+    void takeZone(const ZoneName &zone, const StoreChange &change);
     void takeConfig(const StoreChange &change);
     void takeEndpoint(const EndpointName &name, const StoreChange &change);
     void takeMember(const StoreChange &change);
@@ -91,12 +109,15 @@
     void keepRegistered();
     [[nodiscard]] net::StoreResult<void> registerSelf();
     [[nodiscard]] net::StoreResult<void> writeSelf();
+    // True where the lease was given in an earlier era, in which case it may be another's by now.
+    [[nodiscard]] bool isLeaseOutdated() const noexcept;
 
     ServingState *m_state;
     MemberInfo m_self;
     StoreSessionHooks m_hooks;
     net::HttpClient m_client;
     net::HttpClient m_watchClient;
+    net::StoreEraTracker m_eras;
     Store m_store;
     Store m_watchStore;
     StoreMirror m_mirror;
@@ -107,8 +128,16 @@
     Millis m_behindSince {0};
     net::StoreRevision m_at;
     bool m_listed = false;
+    // A listing or a copy has been taken in this life.
+    bool m_everListed = false;
     bool m_reachable = true;
     std::optional<net::LeaseId> m_lease;
+    // Era in which the lease was given.
+    std::uint64_t m_leaseEra = 0;
+    // Orders of the operator from an earlier era, by key.
+    std::map<std::string, net::StoreItem> m_held;
+    // Since when a peer has had a later configuration in force; none where no peer has.
+    std::optional<Millis> m_configBehindSince;
     // Calls since they were logged last, by cause, and those of them that failed.
     std::array<std::uint64_t, storeCallNames.size()> m_calls {};
     std::uint64_t m_failedCalls = 0;
--- a/include/fescue/serving/storesession.inl
+++ b/include/fescue/serving/storesession.inl
@@ -32,14 +32,21 @@
 inline constexpr Millis silentStorePoll = 250_ms;
 // Processes that waited for the store come back over this span, not all at once.
 inline constexpr Millis returnSpread = 800_ms;
+// Processes register anew over this span after the store came back older.
+inline constexpr Millis reregisterSpread = 500_ms;
+// News of a configuration take less time than this on their way; a process that has not got it by
+// then asks for it.
+inline constexpr Millis configNewsGrace = 600_ms;
+// Peers that a process asks for what they hold of an earlier era.
+inline constexpr std::size_t peersAskedForHeld = 2;
 // How often the calls to the store are logged by their causes.
 inline constexpr Millis callLogInterval = 10_s;
 
 template <PlatformProtocol P>
 StoreSession<P>::StoreSession(ServingState &state, MemberInfo self, StoreSessionHooks hooks)
     : m_state(&state), m_self(std::move(self)), m_hooks(std::move(hooks)),
-      m_store(m_client, state.settings.storeAddress, storeCallTimeout),
-      m_watchStore(m_watchClient, state.settings.storeAddress, storeCallTimeout)
+      m_store(m_client, m_eras, state.settings.storeAddress, storeCallTimeout),
+      m_watchStore(m_watchClient, m_eras, state.settings.storeAddress, storeCallTimeout)
 { }
 
 template <PlatformProtocol P>
@@ -61,7 +68,8 @@
         const Millis now = ServingState::now();
         const std::vector<MemberView> members = m_state->members.members(now);
         const bool own = m_feed.mustWatch(now, m_self.name, members);
-        if (own ? followStore() : followPeers(members)) {
+        // A watcher that the store turns away hears of changes from the others.
+        if (own ? followStore() || catchUp(members) : followPeers(members)) {
             watcherBackoff.reset();
             otherBackoff.reset();
             continue;
@@ -129,9 +137,19 @@
 template <PlatformProtocol P>
 bool StoreSession<P>::followStore()
 {
+    if (m_listed && m_eras.current() > m_at.era)
+        m_listed = false;
     return m_listed ? watchOnce() : listAll();
 }
 
+template <PlatformProtocol P>
+bool StoreSession<P>::catchUp(const std::vector<MemberView> &members)
+{
+    const std::optional<MemberName> ahead =
+        m_feed.fresher(ServingState::now(), m_at, m_state->settings.zone, members);
+    return ahead && fetchCopy(*ahead, members);
+}
+
 template <PlatformProtocol P>
 bool StoreSession<P>::followPeers(const std::vector<MemberView> &members)
 {
@@ -150,7 +168,7 @@
         net::sleepFor(peerPollInterval);
         return true;
     }
-    if (ahead && fetchCopy(*ahead, members)) {
+    if (catchUp(members)) {
         m_behindSince = {};
         return true;
     }
@@ -158,7 +176,8 @@
 }
 
 template <PlatformProtocol P>
-bool StoreSession<P>::fetchCopy(const MemberName &peer, const std::vector<MemberView> &members)
+bool StoreSession<P>::fetchCopy(const MemberName &peer, const std::vector<MemberView> &members,
+                                CopyPart part)
 {
     const auto it = std::find_if(members.begin(), members.end(), [&peer](const MemberView &view) {
         return view.info.name == peer;
@@ -170,7 +189,10 @@
         return false;
     net::HttpRequest request;
     request.target = storeCopyPath;
-    request.query = "after=" + std::to_string(m_listed ? m_at.value : 0);
+    const net::StoreRevision after = m_listed ? m_at : net::StoreRevision {};
+    request.query = "after=" + std::to_string(after.value) + "&era=" + std::to_string(after.era);
+    if (part == CopyPart::Held)
+        request.query += "&part=held";
     request.mayResend = true;
     const Result<net::HttpResponse> response =
         m_peerClient.request(*address, request, storeCallTimeout);
@@ -180,12 +202,16 @@
         "store-copy",
         {{"peer", peer.text()},
          {"revision", copy ? copy->at.value : 0},
+         {"era", copy ? copy->at.era : 0},
          {"before", m_at.value},
+         {"held", copy ? copy->held.size() : 0},
          {"reason",
-          copy ? std::string_view("missed changes") : std::string_view(copy.error().message)}});
+          copy ? std::string_view(part == CopyPart::Held ? "started" : "missed changes")
+               : std::string_view(copy.error().message)}});
     if (!copy)
         return false;
     adopt(*copy);
+    takeHeld(copy->held);
     return true;
 }
 
@@ -194,11 +220,15 @@
 {
     if (copy.at <= m_at && m_listed)
         return;
+    // An outdated copy of a peer that has not heard of the new era yet.
+    if (!m_eras.take(copy.at.era))
+        return;
     setReachable(true, "told by a peer");
     if (!copy.whole) {
         takeNext(copy.at, copy.items);
         return;
     }
+    beginEra(copy.at);
     m_mirror.beginListing();
     takeChanges(m_mirror.addPage(copy.items));
     takeChanges(m_mirror.endListing());
@@ -208,15 +238,105 @@
     m_state->members.storeListed(ServingState::now(), members);
     m_at = copy.at;
     m_listed = true;
+    m_everListed = true;
+}
+
+template <PlatformProtocol P>
+void StoreSession<P>::beginEra(net::StoreRevision at)
+{
+    if (!m_everListed || at.era <= m_at.era)
+        return;
+    observe::logChange("store-era",
+                       {{"era", at.era},
+                        {"era_before", m_at.era},
+                        {"revision", at.value},
+                        {"revision_before", m_at.value}});
+    for (net::StoreItem &item : m_mirror.items()) {
+        const StoreSubjectKind kind = P::classifyKey(item.key).kind;
+        if (kind == StoreSubjectKind::Config || kind == StoreSubjectKind::ZoneOut)
+            m_held.try_emplace(item.key, std::move(item));
+    }
+    m_state->endpoints.storeRewound(ServingState::now());
+    // Members have the time to register again that they have after an outage.
+    m_state->members.storeLost();
+}
+
+template <PlatformProtocol P>
+std::vector<net::StoreItem> StoreSession<P>::heldItems() const
+{
+    std::vector<net::StoreItem> items;
+    for (const std::pair<const std::string, net::StoreItem> &entry : m_held) {
+        const StoreSubject subject = P::classifyKey(entry.first);
+        const bool zoneIsIn = subject.kind == StoreSubjectKind::ZoneOut
+            && !m_state->endpoints.zonesOut().contains(ZoneName(subject.name));
+        if (!zoneIsIn)
+            items.push_back(entry.second);
+    }
+    return items;
+}
+
+template <PlatformProtocol P>
+void StoreSession<P>::takeHeld(const std::vector<net::StoreItem> &items)
+{
+    const Millis now = ServingState::now();
+    for (const net::StoreItem &item : items) {
+        const StoreSubject subject = P::classifyKey(item.key);
+        if (subject.kind == StoreSubjectKind::Config) {
+            takeConfig({item.key, item.value, item.revision, false, true});
+        } else if (subject.kind == StoreSubjectKind::ZoneOut
+                   && !m_state->endpoints.zonesOut().contains(ZoneName(subject.name))) {
+            m_state->endpoints.zoneHeld(now, ZoneName(subject.name));
+            observe::logChange("zone-out", {{"zone", subject.name}, {"reason", "told by a peer"}});
+        } else {
+            continue;
+        }
+        m_held.try_emplace(item.key, item);
+    }
 }
 
 template <PlatformProtocol P>
-StoreCopy StoreSession<P>::copy(net::StoreRevision after) const
+void StoreSession<P>::askForHeldItems()
 {
+    std::vector<MemberView> members = m_state->members.members(ServingState::now());
+    std::erase_if(members, [this](const MemberView &member) {
+        return member.info.name == m_self.name || member.state != MemberState::Live;
+    });
+    const ZoneName &zone = m_self.zone;
+    std::stable_partition(members.begin(), members.end(),
+                          [&zone](const MemberView &member) { return member.info.zone == zone; });
+    for (std::size_t i = 0; i < std::min(members.size(), peersAskedForHeld); ++i) {
+        if (fetchCopy(members[i].info.name, members, CopyPart::Held))
+            return;
+    }
+}
+
+template <PlatformProtocol P>
+void StoreSession<P>::heardConfig(const MemberName &peer, ConfigVersion version)
+{
+    const bool ahead = !m_state->routes || m_state->routes->version() < version;
+    const Millis now = ServingState::now();
+    if (!ahead || !m_everListed)
+        return;
+    if (!m_configBehindSince)
+        m_configBehindSince = now;
+    if (now - *m_configBehindSince < configNewsGrace)
+        return;
+    // Asks again after the same time if this fails.
+    m_configBehindSince = now;
+    m_state->pool.spawn(net::currentWorker(), [this, peer] {
+        static_cast<void>(fetchCopy(peer, m_state->members.members(ServingState::now())));
+    });
+}
+
+template <PlatformProtocol P>
+StoreCopy StoreSession<P>::copy(net::StoreRevision after, CopyPart part) const
+{
+    if (part == CopyPart::Held)
+        return {after, false, {}, heldItems()};
     std::optional<std::vector<net::StoreItem>> recent = m_recent.since(after);
     if (recent)
-        return {m_at, false, std::move(*recent)};
-    return {m_at, true, m_mirror.items()};
+        return {m_at, false, std::move(*recent), heldItems()};
+    return {m_at, true, m_mirror.items(), heldItems()};
 }
 
 template <PlatformProtocol P>
@@ -269,7 +389,6 @@
 template <PlatformProtocol P>
 bool StoreSession<P>::listAll()
 {
-    m_mirror.beginListing();
     std::string after;
     std::optional<net::StoreRevision> first;
     std::vector<MemberInfo> members;
@@ -281,8 +400,14 @@
             return false;
         }
         // Keys that are written while the pages are read are told again by the watch.
-        if (!first)
+        if (!first) {
             first = page->at;
+            beginEra(*first);
+            m_mirror.beginListing();
+        }
+        // The store came back older between two pages: the pages before tell another history.
+        if (page->at.era != first->era)
+            return true;
         takeChanges(m_mirror.addPage(page->items));
         collectMembers(page->items, members);
         if (!page->hasMore || page->items.empty())
@@ -296,7 +421,10 @@
     m_recent.restart(m_at);
     m_listed = true;
     tell(m_at, {});
-    observe::logChange("store-listed", {{"revision", m_at.value}});
+    observe::logChange("store-listed", {{"revision", m_at.value}, {"era", m_at.era}});
+    if (!m_everListed)
+        m_state->pool.spawn(net::currentWorker(), [this] { askForHeldItems(); });
+    m_everListed = true;
     return true;
 }
 
@@ -308,7 +436,9 @@
              changes.has_value() || changes.error().code == ResultCode::StoreNotFound);
     if (changes) {
         setReachable(true, "watch");
-        takeWatched(*changes);
+        // Changes of a later era do not follow what is known; followStore() lists anew.
+        if (changes->revision.era == m_at.era)
+            takeWatched(*changes);
         return true;
     }
     if (changes.error().code == ResultCode::StoreNotFound) {
@@ -383,12 +513,7 @@
         takeConfig(change);
         break;
     case StoreSubjectKind::ZoneOut:
-        if (change.removed)
-            m_state->endpoints.zoneIn(ZoneName(subject.name));
-        else
-            m_state->endpoints.zoneOut(ZoneName(subject.name));
-        observe::logChange(change.removed ? "zone-in" : "zone-out",
-                           {{"zone", subject.name}, {"revision", change.revision.value}});
+        takeZone(ZoneName(subject.name), change);
         break;
     case StoreSubjectKind::Endpoint:
         takeEndpoint(EndpointName(subject.name), change);
@@ -400,6 +525,25 @@
     }
 }
 
+template <PlatformProtocol P>
+void StoreSession<P>::takeZone(const ZoneName &zone, const StoreChange &change)
+{
+    EndpointTable &endpoints = m_state->endpoints;
+    const bool held =
+        change.removed && change.fromListing && !endpoints.zoneMissing(ServingState::now(), zone);
+    if (!held) {
+        m_held.erase(change.key);
+        if (change.removed)
+            endpoints.zoneIn(zone);
+        else
+            endpoints.zoneOut(zone);
+    }
+    observe::logChange(held                 ? "zone-held"
+                           : change.removed ? "zone-in"
+                                            : "zone-out",
+                       {{"zone", zone.text()}, {"revision", change.revision.value}});
+}
+
 template <PlatformProtocol P>
 void StoreSession<P>::takeConfig(const StoreChange &change)
 {
@@ -415,13 +559,18 @@
     const std::uint64_t version = config->version.value;
     const std::size_t routes = config->routes.size();
     const bool applied = m_state->applyConfig(std::move(*config));
+    // The store has got back what it had lost.
+    if (m_state->routes->version().value == version)
+        m_held.erase(change.key);
     observe::logChange(applied ? "config-applied" : "config-outdated",
                        {{"version", version},
                         {"revision", change.revision.value},
                         {"routes", routes},
                         {"in_force", m_state->routes->version().value}});
-    if (applied)
+    if (applied) {
+        m_configBehindSince.reset();
         m_hooks.configApplied();
+    }
 }
 
 template <PlatformProtocol P>
@@ -433,10 +582,12 @@
     const Result<EndpointRecord> record = change.removed
         ? fail(ResultCode::StoreNotFound, "the entry was removed")
         : P::decodeEndpoint(name, change.value);
-    if (record)
-        m_state->endpoints.listed(now, *record);
-    else
+    if (record) {
+        m_state->endpoints.listed(now, *record,
+                                  change.fromListing ? EntrySource::Listed : EntrySource::Written);
+    } else {
         m_state->endpoints.removed(now, name);
+    }
     const EndpointView *after = m_state->endpoints.find(name);
     if (after == nullptr)
         return;
@@ -496,12 +647,19 @@
     if (!lease)
         return tl::unexpected(lease.error());
     m_lease = *lease;
+    m_leaseEra = m_eras.current();
     net::StoreResult<void> written = writeSelf();
     if (!written)
         m_lease.reset();
     return written;
 }
 
+template <PlatformProtocol P>
+bool StoreSession<P>::isLeaseOutdated() const noexcept
+{
+    return m_lease && m_eras.current() > m_leaseEra;
+}
+
 template <PlatformProtocol P>
 void StoreSession<P>::keepRegistered()
 {
@@ -512,6 +670,13 @@
             registered ? m_store.renewLease(*m_lease) : registerSelf();
         if (registered)
             noteCall(StoreCall::Renew, done || done.error().code == ResultCode::StoreNotFound);
+        if (isLeaseOutdated()) {
+            observe::logChange("registration-lapsed", {{"reason", "the store came back older"}});
+            m_lease.reset();
+            const double spread = static_cast<double>(reregisterSpread.count) * m_state->uniform();
+            net::sleepFor(Millis {static_cast<std::int64_t>(spread)});
+            continue;
+        }
         if (done) {
             backoff.reset();
             net::sleepFor(renewInterval);
--- a/src/serving/endpointtable.cpp
+++ b/src/serving/endpointtable.cpp
@@ -4,16 +4,25 @@
 
 namespace fescue::serving {
 
-void EndpointTable::listed(Millis now, const EndpointRecord &record)
+void EndpointTable::listed(Millis now, const EndpointRecord &record, EntrySource source)
 {
-    m_doubted.erase(record.name);
     const auto it = m_endpoints.find(record.name);
     const bool sameLife =
         it != m_endpoints.end() && it->second.record.incarnation == record.incarnation;
+    const bool fromListing = source == EntrySource::Listed;
+    if (fromListing && sameLife && m_goneBefore.contains(record.name)) {
+        m_unconfirmed.insert(record.name);
+        return;
+    }
+    m_doubted.erase(record.name);
+    m_goneBefore.erase(record.name);
+    m_unconfirmed.erase(record.name);
+    // The time that an endpoint stays cold runs from the writing of its entry.
+    const bool isKnown = fromListing && sameLife && it->second.record == record;
     EndpointView view;
     view.record = record;
     view.seenSince = sameLife ? it->second.seenSince : now;
-    view.coldUntil = now + record.coldRemaining;
+    view.coldUntil = isKnown ? it->second.coldUntil : now + record.coldRemaining;
     const bool saidBefore =
         (sameLife && it->second.saidLeaving) || hasNotice(record.name, record.incarnation);
     view.saidLeaving = record.draining || saidBefore;
@@ -67,6 +76,7 @@
 
 void EndpointTable::removed(Millis now, const EndpointName &name)
 {
+    m_unconfirmed.erase(name);
     const auto it = m_endpoints.find(name);
     if (it == m_endpoints.end())
         return;
@@ -85,8 +95,78 @@
     m_reachable = reachable;
 }
 
+void EndpointTable::storeRewound(Millis now)
+{
+    m_everLost = true;
+    m_reachableSince = now;
+    m_rewoundAt = now;
+    for (const std::pair<const EndpointName, EndpointView> &entry : m_endpoints) {
+        const EndpointView &endpoint = entry.second;
+        const Incarnation life = endpoint.record.incarnation;
+        // Peers that start now read that it is usable.
+        if (endpoint.saidLeaving && !hasNotice(entry.first, life))
+            m_notices[entry.first] = {life, now};
+        else if (endpoint.leaving() && !endpoint.saidLeaving)
+            m_goneBefore.insert(entry.first);
+    }
+}
+
+void EndpointTable::zoneOut(const ZoneName &zone)
+{
+    m_zonesOut.insert(zone);
+    m_zonesDoubted.erase(zone);
+}
+
+void EndpointTable::zoneIn(const ZoneName &zone)
+{
+    m_zonesOut.erase(zone);
+    m_zonesDoubted.erase(zone);
+}
+
+bool EndpointTable::zoneMissing(Millis now, const ZoneName &zone)
+{
+    const bool doubted = m_rewoundAt && now - *m_rewoundAt < m_limits.operatorGrace;
+    if (doubted && m_zonesOut.contains(zone))
+        m_zonesDoubted.insert(zone);
+    else
+        zoneIn(zone);
+    return !doubted;
+}
+
+void EndpointTable::zoneHeld(Millis now, const ZoneName &zone)
+{
+    if (!m_rewoundAt)
+        m_rewoundAt = now;
+    m_zonesOut.insert(zone);
+    m_zonesDoubted.insert(zone);
+}
+
+std::vector<ZoneName> EndpointTable::endZoneDoubts(Millis now)
+{
+    if (m_zonesDoubted.empty() || (m_rewoundAt && now - *m_rewoundAt < m_limits.operatorGrace))
+        return {};
+    const std::vector<ZoneName> zones(m_zonesDoubted.begin(), m_zonesDoubted.end());
+    for (const ZoneName &zone : zones)
+        zoneIn(zone);
+    return zones;
+}
+
+void EndpointTable::confirmListed(Millis now)
+{
+    if (!m_rewoundAt || now - *m_rewoundAt < m_limits.entryLifetime)
+        return;
+    for (const EndpointName &name : m_unconfirmed) {
+        const auto it = m_endpoints.find(name);
+        if (it != m_endpoints.end() && !it->second.saidLeaving)
+            it->second.leavingSince = {0};
+    }
+    m_unconfirmed.clear();
+    m_goneBefore.clear();
+}
+
 std::vector<EndpointName> EndpointTable::tick(Millis now)
 {
+    confirmListed(now);
     std::vector<EndpointName> leaving;
     if (!doubtful(now)) {
         leaving.assign(m_doubted.begin(), m_doubted.end());
--- a/src/serving/storefeed.cpp
+++ b/src/serving/storefeed.cpp
@@ -53,11 +53,11 @@
     return {item.key, item.revision.value, item.deleted, Json::binary(value)};
 }
 
-net::StoreItem decodeItem(const Json &json)
+net::StoreItem decodeItem(const Json &json, std::uint64_t era)
 {
     net::StoreItem item;
     item.key = json.at(0).get<std::string>();
-    item.revision = {json.at(1).get<std::uint64_t>()};
+    item.revision = {json.at(1).get<std::uint64_t>(), era};
     item.deleted = json.at(2).get<bool>();
     const Json::binary_t &value = json.at(3).get_binary();
     item.value.assign(value.begin(), value.end());
@@ -72,36 +72,45 @@
     return list;
 }
 
-std::vector<net::StoreItem> decodeItems(const Json &list)
+std::vector<net::StoreItem> decodeItems(const Json &list, std::uint64_t era)
 {
     std::vector<net::StoreItem> items;
     for (const Json &item : list)
-        items.push_back(decodeItem(item));
+        items.push_back(decodeItem(item, era));
     return items;
 }
 
-Json encodeHead(const StoreNews &news)
+// Fields that processes of earlier releases do not send.
+constexpr std::size_t newsAgeField = 6;
+constexpr std::size_t newsEraField = 7;
+constexpr std::size_t copyEraField = 4;
+constexpr std::size_t copyHeldField = 5;
+
+std::uint64_t readEra(const Json &json, std::size_t field)
+{
+    return json.size() > field ? json.at(field).get<std::uint64_t>() : 0;
+}
+
+Json encodeMessage(const StoreNews &news)
 {
-    return {layoutVersion, news.from.text(), news.after.value, news.at.value, news.reachable};
+    // Changes never lead from one era to the next.
+    const net::StoreRevision after = news.after.era == news.at.era ? news.after : news.at;
+    return {layoutVersion,  news.from.text(),        after.value,         news.at.value,
+            news.reachable, encodeItems(news.items), news.storeAge.count, news.at.era};
 }
 
 } // namespace
 
 std::string encodeNews(const StoreNews &news)
 {
-    Json json = encodeHead(news);
-    json.push_back(encodeItems(news.items));
-    json.push_back(news.storeAge.count);
-    std::string bytes = toCbor(json);
+    std::string bytes = toCbor(encodeMessage(news));
     if (bytes.size() <= maxNewsBytes)
         return bytes;
     // Without the items the changes do not follow any revision that a receiver may have.
     StoreNews head = news;
     head.after = news.at;
-    json = encodeHead(head);
-    json.push_back(Json::array());
-    json.push_back(news.storeAge.count);
-    return toCbor(json);
+    head.items.clear();
+    return toCbor(encodeMessage(head));
 }
 
 Result<StoreNews> decodeNews(std::string_view bytes)
@@ -109,28 +118,34 @@
     return readCbor<StoreNews>(bytes, layoutVersion, messageName, [](const Json &json) {
         StoreNews news;
         news.from = MemberName(json.at(1).get<std::string>());
-        news.after = {json.at(2).get<std::uint64_t>()};
-        news.at = {json.at(3).get<std::uint64_t>()};
+        const std::uint64_t era = readEra(json, newsEraField);
+        news.after = {json.at(2).get<std::uint64_t>(), era};
+        news.at = {json.at(3).get<std::uint64_t>(), era};
         news.reachable = json.at(4).get<bool>();
-        news.items = decodeItems(json.at(5));
-        // Processes of the release before do not send it.
-        constexpr std::size_t ageField = 6;
-        if (json.size() > ageField)
-            news.storeAge = Millis {json.at(ageField).get<std::int64_t>()};
+        news.items = decodeItems(json.at(5), era);
+        if (json.size() > newsAgeField)
+            news.storeAge = Millis {json.at(newsAgeField).get<std::int64_t>()};
         return news;
     });
 }
 
 std::string encodeCopy(const StoreCopy &copy)
 {
-    return toCbor({layoutVersion, copy.at.value, copy.whole, encodeItems(copy.items)});
+    return toCbor({layoutVersion, copy.at.value, copy.whole, encodeItems(copy.items), copy.at.era,
+                   encodeItems(copy.held)});
 }
 
 Result<StoreCopy> decodeCopy(std::string_view bytes)
 {
     return readCbor<StoreCopy>(bytes, layoutVersion, messageName, [](const Json &json) {
-        return StoreCopy {
-            {json.at(1).get<std::uint64_t>()}, json.at(2).get<bool>(), decodeItems(json.at(3))};
+        const std::uint64_t era = readEra(json, copyEraField);
+        StoreCopy copy {{json.at(1).get<std::uint64_t>(), era},
+                        json.at(2).get<bool>(),
+                        decodeItems(json.at(3), era),
+                        {}};
+        if (json.size() > copyHeldField)
+            copy.held = decodeItems(json.at(copyHeldField), 0);
+        return copy;
     });
 }
 
--- a/src/serving/storemirror.cpp
+++ b/src/serving/storemirror.cpp
@@ -19,7 +19,10 @@
 {
     for (const net::StoreItem &item : items)
         m_missing.erase(item.key);
-    return apply(items);
+    std::vector<StoreChange> changes = apply(items);
+    for (StoreChange &change : changes)
+        change.fromListing = true;
+    return changes;
 }
 
 std::vector<StoreChange> StoreMirror::endListing()
@@ -27,7 +30,7 @@
     std::vector<StoreChange> changes;
     for (const std::string &key : m_missing) {
         m_items.erase(key);
-        changes.push_back({key, {}, {}, true});
+        changes.push_back({key, {}, {}, true, true});
     }
     m_missing.clear();
     return changes;
--- a/tests/platform/storecodec_test.cpp
+++ b/tests/platform/storecodec_test.cpp
@@ -63,4 +63,23 @@
     }
 }
 
+TEST(StoreCodec, ReadsTheEra)
+{
+    EXPECT_EQ(platform::decodeEra("1"), 1U);
+    EXPECT_EQ(platform::decodeEra("0"), 0U);
+    EXPECT_EQ(platform::decodeEra("18446744073709551615"), 18446744073709551615U);
+    for (const std::string_view text :
+         {"", "-1", "+1", "1.5", " 1", "1 ", "x", "0x2", "18446744073709551616"})
+        EXPECT_FALSE(platform::decodeEra(text)) << text;
+}
+
+TEST(StoreCodec, RevisionsCarryTheEraOfTheirAnswer)
+{
+    const net::StoreResult<net::StoreList> changes = platform::decodeChanges(
+        R"({"events":[{"Key":"a","Revision":4,"Deleted":true}],"At":5})", 3);
+    ASSERT_TRUE(changes);
+    EXPECT_EQ(changes->revision, (net::StoreRevision {5, 3}));
+    EXPECT_EQ(changes->items[0].revision, (net::StoreRevision {4, 3}));
+}
+
 } // namespace
--- /dev/null
+++ b/tests/serving/storeera_test.cpp
@@ -0,0 +1,293 @@
+#include "fescue/net/storeera.h"
+#include "fescue/serving/endpointtable.h"
+#include "fescue/serving/storefeed.h"
+#include "fescue/serving/storemirror.h"
+
+#include <algorithm>
+#include <gtest/gtest.h>
+#include <random>
+
+namespace {
+
+using namespace fescue;
+using namespace fescue::serving;
+
+const ServiceName service("engines");
+
+net::StoreItem item(std::string key, net::StoreRevision revision, std::string value = "v")
+{
+    return {std::move(key), std::move(value), revision, false};
+}
+
+EndpointRecord makeRecord(const char *name, std::uint64_t life = 1)
+{
+    EndpointRecord record;
+    record.name = EndpointName(name);
+    record.service = service;
+    record.zone = ZoneName("north");
+    record.incarnation = {life};
+    return record;
+}
+
+bool isUsable(const EndpointTable &table, const char *name)
+{
+    const std::vector<const EndpointView *> usable = table.usable(service);
+    return std::any_of(usable.begin(), usable.end(), [name](const EndpointView *view) {
+        return view->record.name == EndpointName(name);
+    });
+}
+
+// Pattern: the store comes back from a copy that is some seconds old, and gives its revisions out
+// again.
+TEST(StoreEra, RevisionsOfALaterEraAreLaterWhateverTheirNumbers)
+{
+    EXPECT_LT((net::StoreRevision {900, 1}), (net::StoreRevision {400, 2}));
+    EXPECT_LT((net::StoreRevision {400, 2}), (net::StoreRevision {401, 2}));
+    EXPECT_NE((net::StoreRevision {400, 1}), (net::StoreRevision {400, 2}));
+}
+
+TEST(StoreEra, AnswersWithoutAnEraBelongToTheLatestOne)
+{
+    net::StoreEraTracker eras;
+    EXPECT_EQ(eras.take(std::nullopt), 0U);
+    EXPECT_EQ(eras.take(3), 3U);
+    EXPECT_EQ(eras.take(std::nullopt), 3U);
+    EXPECT_EQ(eras.current(), 3U);
+}
+
+TEST(StoreEra, LateAnswersOfAnEarlierEraAreOutdated)
+{
+    net::StoreEraTracker eras;
+    EXPECT_EQ(eras.take(4), 4U);
+    EXPECT_EQ(eras.take(3), std::nullopt);
+    EXPECT_EQ(eras.current(), 4U);
+}
+
+TEST(StoreEra, ListingOfALaterEraReplacesWhatIsKnown)
+{
+    StoreMirror mirror;
+    static_cast<void>(mirror.apply({item("a", {5, 1}, "new"), item("b", {9, 1})}));
+    mirror.beginListing();
+    const std::vector<StoreChange> changes = mirror.addPage({item("a", {4, 2}, "old")});
+    ASSERT_EQ(changes.size(), 1U);
+    EXPECT_EQ(changes.front().value, "old");
+    EXPECT_TRUE(changes.front().fromListing);
+    const std::vector<StoreChange> missing = mirror.endListing();
+    ASSERT_EQ(missing.size(), 1U);
+    EXPECT_EQ(missing.front().key, "b");
+    EXPECT_TRUE(missing.front().fromListing);
+}
+
+TEST(StoreEra, LateNewsOfAnEarlierEraChangeNothing)
+{
+    StoreMirror mirror;
+    static_cast<void>(mirror.apply({item("a", {4, 2})}));
+    EXPECT_TRUE(mirror.apply({item("a", {900, 1})}).empty());
+    EXPECT_EQ(mirror.apply({item("a", {5, 2})}).size(), 1U);
+}
+
+TEST(StoreEra, PeerOfALaterEraIsAhead)
+{
+    FeedPolicy policy;
+    StoreNews news;
+    news.from = MemberName("entry-1");
+    news.at = {400, 2};
+    news.after = news.at;
+    news.reachable = true;
+    policy.heard(1_s, news);
+    EXPECT_TRUE(policy.fresher(1_s, {900, 1}, ZoneName("north"), {}));
+    EXPECT_FALSE(policy.fresher(1_s, {400, 2}, ZoneName("north"), {}));
+    EXPECT_FALSE(policy.fresher(1_s, {300, 3}, ZoneName("north"), {}));
+}
+
+TEST(StoreEra, NewsAndCopiesCarryIt)
+{
+    StoreNews news;
+    news.from = MemberName("entry-1");
+    news.after = {399, 2};
+    news.at = {400, 2};
+    news.items = {item("a", {400, 2})};
+    const Result<StoreNews> read = decodeNews(encodeNews(news));
+    ASSERT_TRUE(read);
+    EXPECT_EQ(read->after, (net::StoreRevision {399, 2}));
+    EXPECT_EQ(read->items.front().revision, (net::StoreRevision {400, 2}));
+    const Result<StoreCopy> copy =
+        decodeCopy(encodeCopy({{400, 2}, true, news.items, {item("held", {900, 1}, "order")}}));
+    ASSERT_TRUE(copy);
+    EXPECT_EQ(copy->at, (net::StoreRevision {400, 2}));
+    ASSERT_EQ(copy->held.size(), 1U);
+    EXPECT_EQ(copy->held.front().value, "order");
+}
+
+TEST(StoreEra, ChangesNeverLeadFromOneEraToTheNext)
+{
+    StoreNews news;
+    news.from = MemberName("entry-1");
+    news.after = {300, 1};
+    news.at = {400, 2};
+    const Result<StoreNews> read = decodeNews(encodeNews(news));
+    ASSERT_TRUE(read);
+    EXPECT_EQ(read->after, read->at);
+    RecentChanges recent;
+    recent.restart({400, 2});
+    EXPECT_FALSE(recent.since({900, 1}));
+}
+
+TEST(StoreEra, EntriesThatTheOlderCopyLacksAreDoubted)
+{
+    EndpointTable table;
+    table.listed(1_s, makeRecord("e1"));
+    table.storeRewound(10_s);
+    table.removed(10_s, EndpointName("e1"));
+    EXPECT_TRUE(isUsable(table, "e1"));
+    table.listed(11_s, makeRecord("e1"));
+    EXPECT_TRUE(table.tick(13_s).empty());
+    EXPECT_TRUE(isUsable(table, "e1"));
+}
+
+TEST(StoreEra, EntriesThatDoNotComeBackAreGone)
+{
+    EndpointTable table;
+    table.listed(1_s, makeRecord("e1"));
+    table.storeRewound(10_s);
+    table.removed(10_s, EndpointName("e1"));
+    EXPECT_EQ(table.tick(12_s).size(), 1U);
+    EXPECT_FALSE(isUsable(table, "e1"));
+}
+
+// Pattern: an engine left and removed its entry, and the older copy lists it again.
+TEST(StoreEra, OlderCopyDoesNotReviveAnEndpointThatHasGone)
+{
+    EndpointTable table;
+    table.listed(1_s, makeRecord("e1"));
+    table.removed(8_s, EndpointName("e1"));
+    table.storeRewound(10_s);
+    table.listed(10_s, makeRecord("e1"), EntrySource::Listed);
+    EXPECT_FALSE(isUsable(table, "e1"));
+    table.removed(12_s, EndpointName("e1"));
+    static_cast<void>(table.tick(20_s));
+    EXPECT_FALSE(isUsable(table, "e1"));
+}
+
+TEST(StoreEra, EndpointThatHadLapsedIsUsedOnceItWritesAnew)
+{
+    EndpointTable table;
+    table.listed(1_s, makeRecord("e1"));
+    table.removed(8_s, EndpointName("e1"));
+    table.storeRewound(10_s);
+    table.listed(10_s, makeRecord("e1"), EntrySource::Listed);
+    table.listed(11_s, makeRecord("e1"), EntrySource::Written);
+    EXPECT_TRUE(isUsable(table, "e1"));
+}
+
+TEST(StoreEra, EndpointWhoseEntryOutlivesThatOfASilentOneIsUsed)
+{
+    EndpointTable table;
+    table.listed(1_s, makeRecord("e1"));
+    table.removed(8_s, EndpointName("e1"));
+    table.storeRewound(10_s);
+    table.listed(10_s, makeRecord("e1"), EntrySource::Listed);
+    static_cast<void>(table.tick(14_s));
+    EXPECT_FALSE(isUsable(table, "e1"));
+    static_cast<void>(table.tick(15_s));
+    EXPECT_TRUE(isUsable(table, "e1"));
+}
+
+TEST(StoreEra, OlderCopyDoesNotReviveAnEndpointThatSaidItLeaves)
+{
+    EndpointTable table;
+    EndpointRecord record = makeRecord("e1");
+    table.listed(1_s, record);
+    record.draining = true;
+    table.listed(9_s, record);
+    table.storeRewound(10_s);
+    table.listed(10_s, makeRecord("e1"), EntrySource::Listed);
+    static_cast<void>(table.tick(20_s));
+    EXPECT_FALSE(isUsable(table, "e1"));
+    // Processes that start meanwhile hear of it from this one.
+    const std::vector<EndpointLife> notices = table.recentNotices(11_s);
+    ASSERT_EQ(notices.size(), 1U);
+    EXPECT_EQ(notices.front().endpoint, EndpointName("e1"));
+}
+
+TEST(StoreEra, EndpointThatTheOlderCopyListsAsItWasStaysAsWarmAsItIs)
+{
+    EndpointTable table;
+    EndpointRecord record = makeRecord("e1");
+    record.coldRemaining = 3_s;
+    table.listed(1_s, record);
+    table.storeRewound(10_s);
+    table.listed(10_s, record, EntrySource::Listed);
+    EXPECT_FALSE(table.find(EndpointName("e1"))->isCold(10_s));
+}
+
+// Pattern: the operator took a zone out of service in the seconds that the store has lost.
+TEST(StoreEra, ZoneStaysOutOfServiceUntilItsOrderHasHadTimeToComeBack)
+{
+    EndpointTable table;
+    const ZoneName zone("north");
+    table.zoneOut(zone);
+    table.storeRewound(10_s);
+    EXPECT_FALSE(table.zoneMissing(10_s, zone));
+    EXPECT_TRUE(table.zonesOut().contains(zone));
+    EXPECT_TRUE(table.endZoneDoubts(19_s).empty());
+    EXPECT_EQ(table.endZoneDoubts(20_s).size(), 1U);
+    EXPECT_FALSE(table.zonesOut().contains(zone));
+}
+
+TEST(StoreEra, ZoneWhoseOrderCameBackStaysOut)
+{
+    EndpointTable table;
+    const ZoneName zone("north");
+    table.zoneOut(zone);
+    table.storeRewound(10_s);
+    static_cast<void>(table.zoneMissing(10_s, zone));
+    table.zoneOut(zone);
+    EXPECT_TRUE(table.endZoneDoubts(30_s).empty());
+    EXPECT_TRUE(table.zonesOut().contains(zone));
+}
+
+TEST(StoreEra, ZoneThatAnOrdinaryListingLacksIsInServiceAtOnce)
+{
+    EndpointTable table;
+    const ZoneName zone("north");
+    table.zoneOut(zone);
+    EXPECT_TRUE(table.zoneMissing(10_s, zone));
+    EXPECT_FALSE(table.zonesOut().contains(zone));
+}
+
+// Pattern: news of two eras reach the processes in any order, some twice.
+TEST(StoreEraProperty, AllProcessesEndInTheStateOfTheLaterEra)
+{
+    const std::vector<net::StoreItem> first = {item("a", {7, 1}, "a7"), item("b", {8, 1}, "b8"),
+                                               item("a", {9, 1}, "a9")};
+    const std::vector<net::StoreItem> second = {item("a", {8, 2}, "a-again"),
+                                                item("c", {9, 2}, "c9")};
+    for (std::uint32_t seed = 0; seed < 200; ++seed) {
+        std::mt19937 random(seed);
+        std::vector<net::StoreItem> news = first;
+        news.insert(news.end(), second.begin(), second.end());
+        news.insert(news.end(), first.begin(), first.end());
+        std::shuffle(news.begin(), news.end(), random);
+        StoreMirror mirror;
+        const std::size_t listedAfter = random() % news.size();
+        for (std::size_t i = 0; i < news.size(); ++i) {
+            if (i == listedAfter) {
+                mirror.beginListing();
+                static_cast<void>(mirror.addPage({item("a", {6, 2}, "a6"), item("b", {5, 2}, "b5")}));
+                static_cast<void>(mirror.endListing());
+            }
+            // A process takes no news of an era before the one that it has listed.
+            if (i < listedAfter ? news[i].revision.era == 1 : news[i].revision.era == 2)
+                static_cast<void>(mirror.apply({news[i]}));
+        }
+        for (const net::StoreItem &late : second)
+            static_cast<void>(mirror.apply({late}));
+        std::string state;
+        for (const net::StoreItem &known : mirror.items())
+            state += known.key + '=' + known.value + ' ';
+        EXPECT_EQ(state, "a=a-again b=b5 c=c9 ") << "seed " << seed;
+    }
+}
+
+} // namespace
--- /dev/null
+++ b/tests/serving/storesession_test.cpp
@@ -0,0 +1,318 @@
+#include "fescue/net/httpserver.h"
+#include "fescue/node/memberjson.h"
+#include "fescue/serving/storesession.h"
+#include "tests/serving/scriptedstore.h"
+
+#include <chrono>
+#include <future>
+#include <gtest/gtest.h>
+
+namespace {
+
+using namespace fescue;
+using namespace fescue::serving;
+using test::ScriptedStore;
+
+// Longest wait for what a session does in the background.
+constexpr Millis longestWait = 10_s;
+
+// One process' session with a store that the test scripts.
+class StoreSessionTest : public testing::Test
+{
+protected:
+    StoreSessionTest() : pool(1), state(makeSettings(), pool, metrics)
+    {
+        ScriptedStore::current = &store;
+        store.put("config", "5");
+        self.name = MemberName("entry-0");
+        self.incarnation = {1};
+        session = std::make_unique<StoreSession<test::StoreProtocol>>(
+            state, self,
+            StoreSessionHooks {[] {}, [](const EndpointName &) {},
+                               [](std::span<const MemberView *const>, std::string_view) {}});
+    }
+
+    ~StoreSessionTest() override
+    {
+        pool.stop();
+        pool.join();
+    }
+
+    static NodeSettings makeSettings()
+    {
+        NodeSettings settings;
+        settings.name = MemberName("entry-0");
+        return settings;
+    }
+
+    void onWorker(const std::function<void()> &task)
+    {
+        std::promise<void> done;
+        pool.spawn(0, [&] {
+            task();
+            done.set_value();
+        });
+        done.get_future().wait();
+    }
+
+    // Waits on the worker until a condition holds; false where it does not in time.
+    bool eventually(const std::function<bool()> &condition)
+    {
+        bool holds = false;
+        onWorker([&] {
+            const Millis until = ServingState::now() + longestWait;
+            while (!(holds = condition()) && ServingState::now() < until)
+                net::sleepFor(5_ms);
+        });
+        return holds;
+    }
+
+    [[nodiscard]] std::uint64_t version() const
+    {
+        return state.routes ? state.routes->version().value : 0;
+    }
+
+    [[nodiscard]] bool isOut(const char *zone) const
+    {
+        return state.endpoints.zonesOut().contains(ZoneName(zone));
+    }
+
+    // Starts the session and waits until it follows the store and is registered.
+    void start()
+    {
+        onWorker([this] {
+            state.members.heartbeat(ServingState::now(), self);
+            session->start();
+        });
+        ASSERT_TRUE(eventually([this] { return version() == 5 && registered(); }));
+    }
+
+    [[nodiscard]] bool registered() const
+    {
+        return store.contents.items.contains("members/entry-0");
+    }
+
+    // A revision that only a listing of the era after the present one gives.
+    void awaitEra(std::uint64_t era)
+    {
+        ASSERT_TRUE(eventually([this, era] {
+            return session->copy({}, CopyPart::All).at.era == era;
+        }));
+    }
+
+    ScriptedStore store;
+    observe::Metrics metrics;
+    net::WorkerPool pool;
+    ServingState state;
+    MemberInfo self;
+    std::unique_ptr<StoreSession<test::StoreProtocol>> session;
+};
+
+// Pattern: the store comes back older, and the operator's next write has a revision that was given
+// out before.
+TEST_F(StoreSessionTest, ConfigurationWithARevisionGivenOutBeforeComesIntoForce)
+{
+    start();
+    ScriptedStore::Contents older;
+    onWorker([&] {
+        older = store.contents;
+        for (int i = 0; i < 20; ++i)
+            store.put("config", std::to_string(6 + i));
+    });
+    ASSERT_TRUE(eventually([this] { return version() == 25; }));
+    onWorker([&] {
+        store.rewind(older);
+        store.put("config", "30");
+    });
+    EXPECT_TRUE(eventually([this] { return version() == 30; }));
+}
+
+TEST_F(StoreSessionTest, OlderConfigurationOfARewoundStoreIsNotTaken)
+{
+    start();
+    ScriptedStore::Contents older;
+    onWorker([&] {
+        older = store.contents;
+        store.put("config", "9");
+    });
+    ASSERT_TRUE(eventually([this] { return version() == 9; }));
+    onWorker([&] { store.rewind(older); });
+    awaitEra(2);
+    onWorker([&] {
+        EXPECT_EQ(version(), 9U);
+        // Who starts now is told.
+        const StoreCopy copy = session->copy({}, CopyPart::Held);
+        ASSERT_EQ(copy.held.size(), 1U);
+        EXPECT_EQ(copy.held.front().value, "9");
+        store.put("config", "9");
+    });
+    EXPECT_TRUE(eventually([this] { return session->copy({}, CopyPart::Held).held.empty(); }));
+}
+
+TEST_F(StoreSessionTest, TwoRewindsInARowLoseNothing)
+{
+    start();
+    ScriptedStore::Contents older;
+    onWorker([&] {
+        older = store.contents;
+        store.put("config", "9");
+        store.put("zones-out/north", "{}");
+    });
+    ASSERT_TRUE(eventually([this] { return version() == 9 && isOut("north"); }));
+    onWorker([&] { store.rewind(older); });
+    awaitEra(2);
+    onWorker([&] { store.rewind(older); });
+    awaitEra(3);
+    onWorker([&] {
+        EXPECT_EQ(version(), 9U);
+        EXPECT_TRUE(isOut("north"));
+        EXPECT_EQ(session->copy({}, CopyPart::Held).held.size(), 2U);
+        store.put("config", "10");
+    });
+    EXPECT_TRUE(eventually([this] { return version() == 10; }));
+}
+
+TEST_F(StoreSessionTest, ZoneStaysOutUntilTheOperatorTakesItsOrderBack)
+{
+    start();
+    ScriptedStore::Contents older;
+    onWorker([&] {
+        older = store.contents;
+        store.put("zones-out/north", "{}");
+    });
+    ASSERT_TRUE(eventually([this] { return isOut("north"); }));
+    onWorker([&] { store.rewind(older); });
+    awaitEra(2);
+    onWorker([&] {
+        EXPECT_TRUE(isOut("north"));
+        store.put("zones-out/north", "{}");
+    });
+    ASSERT_TRUE(eventually([this] { return session->copy({}, CopyPart::Held).held.empty(); }));
+    onWorker([&] { store.remove("zones-out/north"); });
+    EXPECT_TRUE(eventually([this] { return !isOut("north"); }));
+}
+
+// Pattern: the lease that this process had is given to another one.
+TEST_F(StoreSessionTest, RegistersAnewAndRenewsNoLeaseOfAnEarlierEra)
+{
+    start();
+    onWorker([&] {
+        ScriptedStore::Contents older = store.contents;
+        older.items.erase("members/entry-0");
+        // Its number is given out again, to somebody else.
+        store.rewind(older);
+        store.renewed.clear();
+    });
+    ASSERT_TRUE(eventually([this] { return registered(); }));
+    onWorker([&] { EXPECT_LE(store.renewed.size(), 1U); });
+    EXPECT_TRUE(eventually([this] { return store.renewed.size() > 1; }));
+    onWorker([&] { EXPECT_EQ(store.renewed.back(), store.contents.lastLease); });
+}
+
+TEST_F(StoreSessionTest, StoreThatComesBackOlderBetweenTwoPagesIsListedAnew)
+{
+    start();
+    onWorker([&] {
+        store.put("endpoints/a", "ready");
+        store.put("endpoints/z", "ready");
+    });
+    ASSERT_TRUE(eventually([this] { return state.endpoints.all().size() == 2; }));
+    onWorker([&] {
+        ScriptedStore::Contents older = store.contents;
+        older.items.erase("endpoints/z");
+        store.pageItems = 1;
+        store.afterPage = [this, older] {
+            store.rewind(older);
+            store.put("config", "8");
+        };
+        store.rewind(store.contents);
+    });
+    awaitEra(3);
+    EXPECT_TRUE(eventually([this] { return version() == 8; }));
+    onWorker([&] {
+        const StoreCopy copy = session->copy({}, CopyPart::All);
+        EXPECT_TRUE(std::none_of(
+            copy.items.begin(), copy.items.end(),
+            [](const net::StoreItem &item) { return item.key == "endpoints/z"; }));
+        for (const net::StoreItem &item : copy.items)
+            EXPECT_EQ(item.revision.era, 3U) << item.key;
+    });
+}
+
+// A peer over HTTP that gives one copy, and what it was asked.
+class PeerWithCopy
+{
+public:
+    PeerWithCopy(net::WorkerPool &pool, StoreCopy copy)
+        : m_server(pool, {"127.0.0.1", 0}, {},
+                   [this, copy](const net::HttpRequest &request, net::ResponseWriter &writer) {
+                       asked.push_back(request.query);
+                       static_cast<void>(writer.send({200, {}, encodeCopy(copy)}));
+                   })
+    {
+        EXPECT_TRUE(m_server.start());
+    }
+
+    [[nodiscard]] MemberInfo member() const
+    {
+        MemberInfo info;
+        info.name = MemberName("entry-1");
+        info.incarnation = {1};
+        info.peerAddress = m_server.address().toString();
+        return info;
+    }
+
+    std::vector<std::string> asked;
+
+private:
+    net::HttpServer m_server;
+};
+
+// Pattern: the store comes back older while it turns some processes away.
+TEST_F(StoreSessionTest, WatcherThatTheStoreTurnsAwayHearsOfTheNewEraFromAPeer)
+{
+    start();
+    const StoreCopy copy {{2, 2}, true, {{"config", "7", {2, 2}, false}}, {}};
+    PeerWithCopy peer(pool, copy);
+    onWorker([&] {
+        store.turnsAway = true;
+        state.members.heartbeat(ServingState::now(), peer.member());
+        session->takeNews({peer.member().name, copy.at, copy.at, true, {}, 0_ms});
+    });
+    EXPECT_TRUE(eventually([this] { return version() == 7; }));
+    onWorker([&] { EXPECT_EQ(session->copy({}, CopyPart::All).at, copy.at); });
+}
+
+// Pattern: a process starts while the store has not got back what it lost.
+TEST_F(StoreSessionTest, ProcessThatStartsAsksAPeerForWhatHolds)
+{
+    const StoreCopy copy {{2, 2},
+                          false,
+                          {},
+                          {{"config", "9", {40, 1}, false}, {"zones-out/north", "{}", {41, 1}, false}}};
+    PeerWithCopy peer(pool, copy);
+    onWorker([&] {
+        state.members.heartbeat(ServingState::now(), peer.member());
+        session->start();
+    });
+    EXPECT_TRUE(eventually([this] { return version() == 9 && isOut("north"); }));
+    onWorker([&] {
+        ASSERT_EQ(peer.asked.size(), 1U);
+        EXPECT_NE(peer.asked.front().find("part=held"), std::string::npos);
+    });
+}
+
+// Pattern: a process that starts is not told in time, and hears that a peer has a later version.
+TEST_F(StoreSessionTest, ProcessAsksAPeerWhoseConfigurationStaysAhead)
+{
+    start();
+    const StoreCopy copy {{1, 1}, false, {}, {{"config", "12", {40, 1}, false}}};
+    PeerWithCopy peer(pool, copy);
+    onWorker([&] { state.members.heartbeat(ServingState::now(), peer.member()); });
+    EXPECT_TRUE(eventually([this, &peer] {
+        session->heardConfig(peer.member().name, {12});
+        return version() == 12;
+    }));
+}
+
+} // namespace
--- a/tests/soak/faultplan.cpp
+++ b/tests/soak/faultplan.cpp
@@ -51,6 +51,7 @@
     "endpoint-says-leaving",
     "endpoint-asks-pause",
     "endpoint-endless",
+    "store-comes-back-older",
 };
 
 // Faults begin once the system has served for a moment.
@@ -60,9 +61,11 @@
 // Mean time between faults, of the calmest and of the roughest run.
 constexpr Millis calmGap = 4_s;
 constexpr Millis roughGap = 350_ms;
-// The same for the kinds of the second draw.
+// The same for the kinds of the second and third draw.
 constexpr Millis secondDrawGap = 5_s;
 constexpr std::uint64_t secondDrawSeed = 0x9e3779b97f4a7c15;
+constexpr Millis thirdDrawGap = 8_s;
+constexpr std::uint64_t thirdDrawSeed = 0xd1b54a32d192ed03;
 
 // Draws faults of the kinds from `first` on, `kinds` of them.
 std::vector<Fault> draw(std::mt19937_64 &random, double meanGap, std::size_t first,
@@ -104,10 +107,14 @@
     const double meanGap = static_cast<double>(calmGap.count)
         - roughness * static_cast<double>((calmGap - roughGap).count);
     std::vector<Fault> faults = draw(random, meanGap / density, 0, firstDrawKinds, end);
-    std::mt19937_64 second(seed ^ secondDrawSeed);
-    const std::vector<Fault> more = draw(second, static_cast<double>(secondDrawGap.count) / density,
-                                         firstDrawKinds, faultKinds - firstDrawKinds, end);
-    faults.insert(faults.end(), more.begin(), more.end());
+    const auto drawMore = [&](std::uint64_t salt, Millis gap, std::size_t first, std::size_t past) {
+        std::mt19937_64 source(seed ^ salt);
+        const std::vector<Fault> more =
+            draw(source, static_cast<double>(gap.count) / density, first, past - first, end);
+        faults.insert(faults.end(), more.begin(), more.end());
+    };
+    drawMore(secondDrawSeed, secondDrawGap, firstDrawKinds, secondDrawKinds);
+    drawMore(thirdDrawSeed, thirdDrawGap, secondDrawKinds, faultKinds);
     std::stable_sort(faults.begin(), faults.end(),
                      [](const Fault &a, const Fault &b) { return a.at < b.at; });
     return faults;
--- a/tests/soak/faultplan.h
+++ b/tests/soak/faultplan.h
@@ -52,11 +52,15 @@
     EndpointSaysLeaving,
     EndpointAsksPause,
     EndpointEndless,
+    StoreComesBackOlder,
 };
-inline constexpr std::size_t faultKinds = static_cast<std::size_t>(FaultKind::EndpointEndless) + 1;
-// Kinds of the first draw. Later ones are drawn beside them, so that the faults of a seed that once
-// failed stay the same.
+inline constexpr std::size_t faultKinds =
+    static_cast<std::size_t>(FaultKind::StoreComesBackOlder) + 1;
+// Kinds of the first draw and of the first two. Later ones are drawn beside them, so that the
+// faults of a seed that once failed stay the same.
 inline constexpr std::size_t firstDrawKinds = static_cast<std::size_t>(FaultKind::ZoneOut) + 1;
+inline constexpr std::size_t secondDrawKinds =
+    static_cast<std::size_t>(FaultKind::EndpointEndless) + 1;
 
 [[nodiscard]] std::string_view toString(FaultKind kind) noexcept;
 
--- a/tests/soak/injector.cpp
+++ b/tests/soak/injector.cpp
@@ -56,7 +56,9 @@
 
 void Injector::apply(const Fault &fault)
 {
-    if (fault.kind <= FaultKind::AllEntriesKilled)
+    if (fault.kind == FaultKind::StoreComesBackOlder)
+        rewindStore(fault);
+    else if (fault.kind <= FaultKind::AllEntriesKilled)
         hitEntry(fault);
     else if (fault.kind <= FaultKind::StoreTurnsEntryAway)
         hitStore(fault);
@@ -166,6 +168,29 @@
     });
 }
 
+void Injector::rewindStore(const Fault &fault)
+{
+    // The store is away for a moment at most; the operator and the endpoints write again soon.
+    constexpr Millis longestAway = 800_ms;
+    constexpr Millis latestReturn = 2_s;
+    constexpr Millis furthestBack = 6_s;
+    const Millis away = part(longestAway, fault.target % 16 / 16.0);
+    const Millis back = part(furthestBack, fault.strength);
+    const Millis now = World::now();
+    PlatformStore &store = m_world->store;
+    m_world->disturbances.store.add(now, now + away + latestReturn);
+    // Sometimes nobody sees that it was away.
+    const bool seen = fault.target / 16 % 4 != 0;
+    if (seen)
+        store.setMode(StoreMode::Unavailable);
+    after(away, [&store, back, latestReturn, fault] {
+        store.rewind(back);
+        store.setMode(StoreMode::Serve);
+        net::sleepFor(part(latestReturn, fault.target / 64 % 16 / 16.0));
+        store.writeAgain();
+    });
+}
+
 void Injector::hitStoreLink(const Fault &fault)
 {
     const std::size_t index = fault.target % m_world->entries.size();
--- a/tests/soak/injector.h
+++ b/tests/soak/injector.h
@@ -33,6 +33,7 @@
     void changeConfig(const Fault &fault);
     void takeZoneOut(const Fault &fault);
     void lapseEntries(const Fault &fault);
+    void rewindStore(const Fault &fault);
     // Runs `over` when the fault is over.
     void after(Millis span, std::function<void()> over);
 
--- a/tests/soak/ledger.cpp
+++ b/tests/soak/ledger.cpp
@@ -1,6 +1,7 @@
 #include "tests/soak/ledger.h"
 
 #include <algorithm>
+#include <cstdlib>
 
 namespace fescue::soak {
 
@@ -57,6 +58,11 @@
     }
     Call &call = it->second;
     EndpointFacts &facts = m_endpoints[endpoint];
+    const std::size_t mark = account.rfind(versionMark);
+    if (mark != std::string_view::npos) {
+        checkVersion(call, account.substr(mark + 1), now);
+        account = account.substr(0, mark);
+    }
     if (prefix != call.prefix)
         violation("UNASKED", describe(call) + " reached an endpoint as " + std::string(prefix));
     const bool inTouch = m_disturbances->inTouch(call.entry, now);
@@ -132,6 +138,20 @@
         violation("EVAC", describe(call) + " reached zone " + facts.zone);
 }
 
+void Ledger::checkVersion(const Call &call, std::string_view version, Millis now)
+{
+    const std::uint64_t told = std::strtoull(std::string(version).c_str(), nullptr, 10);
+    ShownVersion &shown = m_shown[call.entry];
+    const bool sameLife = !m_disturbances->entries[call.entry].touch(shown.at, now)
+        && !m_disturbances->stops[call.entry].touch(shown.at, now);
+    if (told > shown.version || !sameLife)
+        shown = {told, now};
+    else if (told < shown.version && call.sentAt > shown.at + rollbackSlack)
+        violation("CONFIG",
+                  describe(call) + " was handled by version " + std::to_string(told) + " after "
+                      + std::to_string(shown.version));
+}
+
 void Ledger::checkCold(EndpointFacts &facts, Millis now)
 {
     if (now >= facts.coldUntil)
--- a/tests/soak/ledger.h
+++ b/tests/soak/ledger.h
@@ -105,6 +105,7 @@
     static constexpr Millis pauseSlack = 500_ms;
     static constexpr std::uint32_t pauseAllowance = 2;
     static constexpr Millis lossSlack = 200_ms;
+    static constexpr Millis rollbackSlack = 250_ms;
     static constexpr Millis budgetWindow = 10_s;
     static constexpr double retryRatio = 0.2;
     static constexpr double retryAllowance = 58;
@@ -148,6 +149,13 @@
     [[nodiscard]] double servedShare(Millis from, Millis to) const;
 
 private:
+    // The latest configuration that an entry has shown.
+    struct ShownVersion
+    {
+        std::uint64_t version = 0;
+        Millis at {0};
+    };
+
     struct Tally
     {
         std::uint32_t counted = 0;
@@ -156,6 +164,8 @@
 
     void checkLeaving(const Call &call, const EndpointFacts &facts, Millis now);
     void checkPause(std::size_t entry, std::size_t endpoint, Millis now);
+    // An entry never goes back to an earlier configuration in one life.
+    void checkVersion(const Call &call, std::string_view version, Millis now);
     void checkCold(EndpointFacts &facts, Millis now);
     void checkRepeats(const std::string &service, Millis now);
     void checkRuns(const Call &call);
@@ -173,6 +183,7 @@
     // By service: requests of callers, and arrivals beyond the first of each.
     std::map<std::string, std::deque<Millis>> m_requests;
     std::map<std::string, std::deque<Millis>> m_repeats;
+    std::map<std::size_t, ShownVersion> m_shown;
     Tally m_left;
     Tally m_held;
     std::vector<std::string> m_violations;
--- a/tests/soak/soakconfig.cpp
+++ b/tests/soak/soakconfig.cpp
@@ -82,7 +82,8 @@
     for (const std::pair<const std::string, std::string> &entry : keys)
         accounts[entry.second].push_back(entry.first);
     for (const std::pair<const std::string, Json> &entry : accounts)
-        json["Tenants"].push_back({{"Name", entry.first}, {"ApiKeys", entry.second}});
+        json["Tenants"].push_back({{"Name", entry.first + versionMark + std::to_string(version)},
+                                   {"ApiKeys", entry.second}});
     return json.dump();
 }
 
--- a/tests/soak/soakconfig.h
+++ b/tests/soak/soakconfig.h
@@ -49,6 +49,10 @@
     [[nodiscard]] std::string encode() const;
 };
 
+// Divides an account's name from the version of the configuration that told it, so that each
+// request shows an endpoint which version its entry has in force.
+inline constexpr char versionMark = '@';
+
 // The configuration that the soak begins with.
 [[nodiscard]] SoakConfig firstConfig();
 
--- a/tests/soakledger/ledger_test.cpp
+++ b/tests/soakledger/ledger_test.cpp
@@ -83,6 +83,23 @@
 
 } // namespace
 
+TEST_F(LedgerTest, EntryThatGoesBackToAnEarlierConfiguration)
+{
+    arrive(send(CallKind::Read), readEndpoint, start + 10_ms, "diner@7");
+    arrive(send(CallKind::Read, start + 200_ms), readEndpoint, start + 210_ms, "diner@6");
+    EXPECT_TRUE(m_ledger.violations().empty());
+    arrive(send(CallKind::Read, start + 500_ms), readEndpoint, start + 510_ms, "diner@6");
+    EXPECT_EQ(broken(), Names {"CONFIG"});
+}
+
+TEST_F(LedgerTest, EntryThatStartsAgainMayKnowAnEarlierConfiguration)
+{
+    arrive(send(CallKind::Read), readEndpoint, start + 10_ms, "diner@7");
+    m_disturbances.entries[0].add(start + 100_ms, start + 300_ms);
+    arrive(send(CallKind::Read, start + 500_ms), readEndpoint, start + 510_ms, "diner@6");
+    EXPECT_TRUE(broken().empty());
+}
+
 TEST_F(LedgerTest, AcceptsAServedPost)
 {
     Call &call = send(CallKind::Post);
