Place long prompts away from running generations

Cause: a prompt is read in chunks between the tokens of those that run on its engine, so each of them waits for the whole reading time (3,000 tokens: 214 ms). Placement counted 6 ms for each.

Change: an engine costs half of the delay that the prompt gives to those that run there. An engine whose load is not known counts as full, so that unknown zones stay the last choice (UnknownZonesAreUsedOnlyWhenTheOwnOneIsFull, LargeSystemSpreadsOverZonesWhoseLoadsAreKnown were red without that).

--- a/src/serving/placement.cpp
+++ b/src/serving/placement.cpp
@@ -16,6 +16,10 @@
 // A request slows each step of an engine by about this much over a generation's events that reach
 // the caller; from the engine sheets' step time for each slot.
 constexpr double crowdCostPerRequest = 6;
+// A prompt is read between the tokens of the requests that run there, which delays each of them by
+// its reading time on an idle engine. Those requests are already on time, so the delay weighs half.
+constexpr double idlePrefillTokensPerMilli = 14;
+constexpr double neighbourDelayWeight = 0.5;
 // Memory in use raises the risk of preemption; cost at a full engine.
 constexpr double fullMemoryCost = 400;
 // Above this part in use, forecasts that are too low make a request wait for memory, or preempt
@@ -174,9 +178,15 @@
         const double filled = filledPart(load, model, demand);
         const double prefill =
             static_cast<double>(load.prefillTokens + demand.prefillTokens) / prefillTokensPerMilli;
+        // An engine whose load is not known may be full.
+        const std::uint32_t others =
+            view.knowsLoadIn(endpoint.record.zone) ? load.requests : model.slots;
+        const double delayOfOthers = others * neighbourDelayWeight
+            * static_cast<double>(demand.prefillTokens) / idlePrefillTokensPerMilli;
         const double scarce = std::max(filled - scarceMemory, 0.0);
-        return commonCost(endpoint, view, uniform) + prefill + load.requests * crowdCostPerRequest
-            + filled * filled * fullMemoryCost + scarce * scarceMemoryCost;
+        return commonCost(endpoint, view, uniform) + prefill + delayOfOthers
+            + load.requests * crowdCostPerRequest + filled * filled * fullMemoryCost
+            + scarce * scarceMemoryCost;
     });
 }
 
--- a/tests/serving/placement_test.cpp
+++ b/tests/serving/placement_test.cpp
@@ -96,6 +96,19 @@
     EXPECT_EQ(engine(0.2, 4'000, 3'000), "free");
 }
 
+// Pattern: long prompts of short answers among long generations; each prompt holds up the tokens of
+// every generation that runs beside it.
+TEST_F(Placement, LongPromptsStayAwayFromRunningGenerations)
+{
+    add("generating");
+    add("reading");
+    ledger.add(EndpointName("generating"), {3, 12'000, 0});
+    ledger.add(EndpointName("reading"), {1, 1'000, 1'000});
+    EXPECT_EQ(engine(0.2, 2'600, 2'500), "reading");
+    // A short one delays nobody by much, and begins sooner where nothing is read.
+    EXPECT_EQ(engine(0.2, 100, 64), "generating");
+}
+
 TEST_F(Placement, GenerationsGoWhereTheirMemoryFits)
 {
     add("full");
--- a/tests/serving/scriptedstore.h
+++ b/tests/serving/scriptedstore.h
@@ -103,8 +103,8 @@
         return page;
     }
 
-    [[nodiscard]] net::StoreResult<net::StoreList>
-    watch(std::string_view, net::StoreRevision after, Millis) const
+    [[nodiscard]] net::StoreResult<net::StoreList> watch(std::string_view, net::StoreRevision after,
+                                                         Millis) const
     {
         ScriptedStore &store = *ScriptedStore::current;
         net::sleepFor(5_ms);
@@ -121,9 +121,8 @@
         return list;
     }
 
-    [[nodiscard]] net::StoreResult<net::StoreRevision> put(std::string_view key,
-                                                           std::string_view value,
-                                                           net::LeaseId lease) const
+    [[nodiscard]] net::StoreResult<net::StoreRevision>
+    put(std::string_view key, std::string_view value, net::LeaseId lease) const
     {
         ScriptedStore &store = *ScriptedStore::current;
         if (store.turnsAway)
--- a/tests/serving/storeera_test.cpp
+++ b/tests/serving/storeera_test.cpp
@@ -274,7 +274,8 @@
         for (std::size_t i = 0; i < news.size(); ++i) {
             if (i == listedAfter) {
                 mirror.beginListing();
-                static_cast<void>(mirror.addPage({item("a", {6, 2}, "a6"), item("b", {5, 2}, "b5")}));
+                static_cast<void>(
+                    mirror.addPage({item("a", {6, 2}, "a6"), item("b", {5, 2}, "b5")}));
                 static_cast<void>(mirror.endListing());
             }
             // A process takes no news of an era before the one that it has listed.
--- a/tests/serving/storesession_test.cpp
+++ b/tests/serving/storesession_test.cpp
@@ -95,9 +95,8 @@
     // A revision that only a listing of the era after the present one gives.
     void awaitEra(std::uint64_t era)
     {
-        ASSERT_TRUE(eventually([this, era] {
-            return session->copy({}, CopyPart::All).at.era == era;
-        }));
+        ASSERT_TRUE(
+            eventually([this, era] { return session->copy({}, CopyPart::All).at.era == era; }));
     }
 
     ScriptedStore store;
@@ -231,9 +230,9 @@
     EXPECT_TRUE(eventually([this] { return version() == 8; }));
     onWorker([&] {
         const StoreCopy copy = session->copy({}, CopyPart::All);
-        EXPECT_TRUE(std::none_of(
-            copy.items.begin(), copy.items.end(),
-            [](const net::StoreItem &item) { return item.key == "endpoints/z"; }));
+        EXPECT_TRUE(
+            std::none_of(copy.items.begin(), copy.items.end(),
+                         [](const net::StoreItem &item) { return item.key == "endpoints/z"; }));
         for (const net::StoreItem &item : copy.items)
             EXPECT_EQ(item.revision.era, 3U) << item.key;
     });
@@ -286,10 +285,11 @@
 // Pattern: a process starts while the store has not got back what it lost.
 TEST_F(StoreSessionTest, ProcessThatStartsAsksAPeerForWhatHolds)
 {
-    const StoreCopy copy {{2, 2},
-                          false,
-                          {},
-                          {{"config", "9", {40, 1}, false}, {"zones-out/north", "{}", {41, 1}, false}}};
+    const StoreCopy copy {
+        {2, 2},
+        false,
+        {},
+        {{"config", "9", {40, 1}, false}, {"zones-out/north", "{}", {41, 1}, false}}};
     PeerWithCopy peer(pool, copy);
     onWorker([&] {
         state.members.heartbeat(ServingState::now(), peer.member());
