Ask peers for missed changes only, also while the store turns a watcher away

A watcher that the store turns away forgot that it had listed, and would have asked for whole copies with each change; a part of a peer that is behind could have put its revision back. WatcherThatTheStoreTurnsAwayAsks... shows the first. The test of the era share their set-up.

--- a/include/fescue/serving/storesession.inl
+++ b/include/fescue/serving/storesession.inl
@@ -169,6 +169,7 @@
         return true;
     }
     if (catchUp(members)) {
+        setReachable(true, "told by a peer");
         m_behindSince = {};
         return true;
     }
@@ -189,8 +190,7 @@
         return false;
     net::HttpRequest request;
     request.target = storeCopyPath;
-    const net::StoreRevision after = m_listed ? m_at : net::StoreRevision {};
-    request.query = "after=" + std::to_string(after.value) + "&era=" + std::to_string(after.era);
+    request.query = "after=" + std::to_string(m_at.value) + "&era=" + std::to_string(m_at.era);
     if (part == CopyPart::Held)
         request.query += "&part=held";
     request.mayResend = true;
@@ -218,14 +218,16 @@
 template <PlatformProtocol P>
 void StoreSession<P>::adopt(const StoreCopy &copy)
 {
-    if (copy.at <= m_at && m_listed)
+    const bool isNews = copy.at > m_at || (copy.at == m_at && !m_listed);
+    // Changes only continue what a listing has begun.
+    if (!isNews || (!copy.whole && !m_everListed))
         return;
     // An outdated copy of a peer that has not heard of the new era yet.
     if (!m_eras.take(copy.at.era))
         return;
-    setReachable(true, "told by a peer");
     if (!copy.whole) {
         takeNext(copy.at, copy.items);
+        m_listed = true;
         return;
     }
     beginEra(copy.at);
--- a/tests/serving/storeera_test.cpp
+++ b/tests/serving/storeera_test.cpp
@@ -37,6 +37,17 @@
     });
 }
 
+// A table whose endpoint e1 went at 8 s, and which the store's older copy lists again at 10 s.
+EndpointTable makeTableWithAGoneEndpoint()
+{
+    EndpointTable table;
+    table.listed(1_s, makeRecord("e1"));
+    table.removed(8_s, EndpointName("e1"));
+    table.storeRewound(10_s);
+    table.listed(10_s, makeRecord("e1"), EntrySource::Listed);
+    return table;
+}
+
 // Pattern: the store comes back from a copy that is some seconds old, and gives its revisions out
 // again.
 TEST(StoreEra, RevisionsOfALaterEraAreLaterWhateverTheirNumbers)
@@ -158,11 +169,7 @@
 // Pattern: an engine left and removed its entry, and the older copy lists it again.
 TEST(StoreEra, OlderCopyDoesNotReviveAnEndpointThatHasGone)
 {
-    EndpointTable table;
-    table.listed(1_s, makeRecord("e1"));
-    table.removed(8_s, EndpointName("e1"));
-    table.storeRewound(10_s);
-    table.listed(10_s, makeRecord("e1"), EntrySource::Listed);
+    EndpointTable table = makeTableWithAGoneEndpoint();
     EXPECT_FALSE(isUsable(table, "e1"));
     table.removed(12_s, EndpointName("e1"));
     static_cast<void>(table.tick(20_s));
@@ -171,22 +178,14 @@
 
 TEST(StoreEra, EndpointThatHadLapsedIsUsedOnceItWritesAnew)
 {
-    EndpointTable table;
-    table.listed(1_s, makeRecord("e1"));
-    table.removed(8_s, EndpointName("e1"));
-    table.storeRewound(10_s);
-    table.listed(10_s, makeRecord("e1"), EntrySource::Listed);
+    EndpointTable table = makeTableWithAGoneEndpoint();
     table.listed(11_s, makeRecord("e1"), EntrySource::Written);
     EXPECT_TRUE(isUsable(table, "e1"));
 }
 
 TEST(StoreEra, EndpointWhoseEntryOutlivesThatOfASilentOneIsUsed)
 {
-    EndpointTable table;
-    table.listed(1_s, makeRecord("e1"));
-    table.removed(8_s, EndpointName("e1"));
-    table.storeRewound(10_s);
-    table.listed(10_s, makeRecord("e1"), EntrySource::Listed);
+    EndpointTable table = makeTableWithAGoneEndpoint();
     static_cast<void>(table.tick(14_s));
     EXPECT_FALSE(isUsable(table, "e1"));
     static_cast<void>(table.tick(15_s));
--- a/tests/serving/storesession_test.cpp
+++ b/tests/serving/storesession_test.cpp
@@ -92,7 +92,15 @@
         return store.contents.items.contains("members/entry-0");
     }
 
-    // A revision that only a listing of the era after the present one gives.
+    // The store as it is now, to come back to.
+    ScriptedStore::Contents contentsNow()
+    {
+        ScriptedStore::Contents contents;
+        onWorker([&] { contents = store.contents; });
+        return contents;
+    }
+
+    // Waits until the session has listed the store's present era.
     void awaitEra(std::uint64_t era)
     {
         ASSERT_TRUE(
@@ -112,9 +120,8 @@
 TEST_F(StoreSessionTest, ConfigurationWithARevisionGivenOutBeforeComesIntoForce)
 {
     start();
-    ScriptedStore::Contents older;
+    const ScriptedStore::Contents older = contentsNow();
     onWorker([&] {
-        older = store.contents;
         for (int i = 0; i < 20; ++i)
             store.put("config", std::to_string(6 + i));
     });
@@ -129,11 +136,8 @@
 TEST_F(StoreSessionTest, OlderConfigurationOfARewoundStoreIsNotTaken)
 {
     start();
-    ScriptedStore::Contents older;
-    onWorker([&] {
-        older = store.contents;
-        store.put("config", "9");
-    });
+    const ScriptedStore::Contents older = contentsNow();
+    onWorker([&] { store.put("config", "9"); });
     ASSERT_TRUE(eventually([this] { return version() == 9; }));
     onWorker([&] { store.rewind(older); });
     awaitEra(2);
@@ -151,9 +155,8 @@
 TEST_F(StoreSessionTest, TwoRewindsInARowLoseNothing)
 {
     start();
-    ScriptedStore::Contents older;
+    const ScriptedStore::Contents older = contentsNow();
     onWorker([&] {
-        older = store.contents;
         store.put("config", "9");
         store.put("zones-out/north", "{}");
     });
@@ -174,11 +177,8 @@
 TEST_F(StoreSessionTest, ZoneStaysOutUntilTheOperatorTakesItsOrderBack)
 {
     start();
-    ScriptedStore::Contents older;
-    onWorker([&] {
-        older = store.contents;
-        store.put("zones-out/north", "{}");
-    });
+    const ScriptedStore::Contents older = contentsNow();
+    onWorker([&] { store.put("zones-out/north", "{}"); });
     ASSERT_TRUE(eventually([this] { return isOut("north"); }));
     onWorker([&] { store.rewind(older); });
     awaitEra(2);
@@ -282,6 +282,26 @@
     onWorker([&] { EXPECT_EQ(session->copy({}, CopyPart::All).at, copy.at); });
 }
 
+// Pattern: the store turns a watcher away for a while; each change that it hears of would cost a
+// copy of everything.
+TEST_F(StoreSessionTest, WatcherThatTheStoreTurnsAwayAsksForWhatItMissedOnly)
+{
+    start();
+    net::StoreRevision before;
+    onWorker([&] { before = session->copy({}, CopyPart::All).at; });
+    const StoreCopy copy {
+        {before.value + 3, 1}, false, {{"config", "7", {before.value + 3, 1}, false}}, {}};
+    PeerWithCopy peer(pool, copy);
+    onWorker([&] {
+        store.turnsAway = true;
+        state.members.heartbeat(ServingState::now(), peer.member());
+        session->takeNews({peer.member().name, copy.at, copy.at, true, {}, 0_ms});
+    });
+    ASSERT_TRUE(eventually([this] { return version() == 7; }));
+    onWorker(
+        [&] { EXPECT_EQ(peer.asked.front(), "after=" + std::to_string(before.value) + "&era=1"); });
+}
+
 // Pattern: a process starts while the store has not got back what it lost.
 TEST_F(StoreSessionTest, ProcessThatStartsAsksAPeerForWhatHolds)
 {
