Zones held by a peer have their time; hold only what the store lacks

Read as a newcomer: a zone that a peer told of long after an earlier rewind was back in service at once (ZoneThatAPeerHoldsHasItsTimeAlsoLongAfterAnEarlierRewind failed first), and a configuration that the store had got back already was held and sent with each copy from then on (WhatTheStoreHasIsNotHeldBesides).

--- a/include/fescue/serving/endpointtable.h
+++ b/include/fescue/serving/endpointtable.h
@@ -128,8 +128,8 @@
     // Also of endpoints that are not listed yet.
     std::map<EndpointName, Notice> m_notices;
     std::set<ZoneName> m_zonesOut;
-    // Out of service by an order that the store has lost.
-    std::set<ZoneName> m_zonesDoubted;
+    // Out of service by an order that the store has lost, and until when without a new one.
+    std::map<ZoneName, Millis> m_zonesDoubted;
     bool m_reachable = true;
     Millis m_reachableSince {0};
     bool m_everLost = false;
--- a/include/fescue/serving/storesession.inl
+++ b/include/fescue/serving/storesession.inl
@@ -283,16 +283,20 @@
     const Millis now = ServingState::now();
     for (const net::StoreItem &item : items) {
         const StoreSubject subject = P::classifyKey(item.key);
+        bool isNews = false;
         if (subject.kind == StoreSubjectKind::Config) {
+            const RouteTablePtr before = m_state->routes;
             takeConfig({item.key, item.value, item.revision, false, true});
+            isNews = m_state->routes != before;
         } else if (subject.kind == StoreSubjectKind::ZoneOut
                    && !m_state->endpoints.zonesOut().contains(ZoneName(subject.name))) {
             m_state->endpoints.zoneHeld(now, ZoneName(subject.name));
             observe::logChange("zone-out", {{"zone", subject.name}, {"reason", "told by a peer"}});
-        } else {
-            continue;
+            isNews = true;
         }
-        m_held.try_emplace(item.key, item);
+        // The store of this era has the others.
+        if (isNews)
+            m_held.try_emplace(item.key, item);
     }
 }
 
--- a/src/serving/endpointtable.cpp
+++ b/src/serving/endpointtable.cpp
@@ -127,7 +127,7 @@
 {
     const bool doubted = m_rewoundAt && now - *m_rewoundAt < m_limits.operatorGrace;
     if (doubted && m_zonesOut.contains(zone))
-        m_zonesDoubted.insert(zone);
+        m_zonesDoubted[zone] = *m_rewoundAt + m_limits.operatorGrace;
     else
         zoneIn(zone);
     return !doubted;
@@ -135,17 +135,17 @@
 
 void EndpointTable::zoneHeld(Millis now, const ZoneName &zone)
 {
-    if (!m_rewoundAt)
-        m_rewoundAt = now;
     m_zonesOut.insert(zone);
-    m_zonesDoubted.insert(zone);
+    m_zonesDoubted[zone] = now + m_limits.operatorGrace;
 }
 
 std::vector<ZoneName> EndpointTable::endZoneDoubts(Millis now)
 {
-    if (m_zonesDoubted.empty() || (m_rewoundAt && now - *m_rewoundAt < m_limits.operatorGrace))
-        return {};
-    const std::vector<ZoneName> zones(m_zonesDoubted.begin(), m_zonesDoubted.end());
+    std::vector<ZoneName> zones;
+    for (const std::pair<const ZoneName, Millis> &doubted : m_zonesDoubted) {
+        if (now >= doubted.second)
+            zones.push_back(doubted.first);
+    }
     for (const ZoneName &zone : zones)
         zoneIn(zone);
     return zones;
--- a/tests/serving/storesession_test.cpp
+++ b/tests/serving/storesession_test.cpp
@@ -302,6 +302,20 @@
         [&] { EXPECT_EQ(peer.asked.front(), "after=" + std::to_string(before.value) + "&era=1"); });
 }
 
+TEST_F(StoreSessionTest, WhatTheStoreHasIsNotHeldBesides)
+{
+    const StoreCopy copy {{1, 1}, false, {}, {{"config", "5", {40, 1}, false}}};
+    PeerWithCopy peer(pool, copy);
+    onWorker([&] { state.members.heartbeat(ServingState::now(), peer.member()); });
+    start();
+    ASSERT_TRUE(eventually([&peer] { return !peer.asked.empty(); }));
+    EXPECT_TRUE(eventually([this] {
+        // The fiber that asked takes the answer before it waits again.
+        net::sleepFor(50_ms);
+        return session->copy({}, CopyPart::Held).held.empty();
+    }));
+}
+
 // Pattern: a process starts while the store has not got back what it lost.
 TEST_F(StoreSessionTest, ProcessThatStartsAsksAPeerForWhatHolds)
 {
