Soak: endpoints that live write again after the store came back older

Cause: the stand-ins. Entries lapsed, the store came back with a copy that had them, so the endpoints that returned found themselves listed; then the removals were written again. Endpoints that live now register where they are missing, as real ones do.

--- a/tests/soak/injector.cpp
+++ b/tests/soak/injector.cpp
@@ -163,11 +163,16 @@
     after(fault.lasts, [this, &store, latestReturn, fault] {
         store.setMode(StoreMode::Serve);
         net::sleepFor(part(latestReturn, fault.strength * 0.9));
-        for (const std::unique_ptr<Endpoint> &endpoint : m_world->farm.all())
-            m_world->farm.setRegistered(*endpoint, true);
+        registerLiveEndpoints();
     });
 }
 
+void Injector::registerLiveEndpoints()
+{
+    for (const std::unique_ptr<Endpoint> &endpoint : m_world->farm.all())
+        m_world->farm.setRegistered(*endpoint, true);
+}
+
 void Injector::rewindStore(const Fault &fault)
 {
     // The store is away for a moment at most; the operator and the endpoints write again soon.
@@ -183,11 +188,12 @@
     const bool seen = fault.target / 16 % 4 != 0;
     if (seen)
         store.setMode(StoreMode::Unavailable);
-    after(away, [&store, back, latestReturn, fault] {
+    after(away, [this, &store, back, latestReturn, fault] {
         store.rewind(back);
         store.setMode(StoreMode::Serve);
         net::sleepFor(part(latestReturn, fault.target / 64 % 16 / 16.0));
         store.writeAgain();
+        registerLiveEndpoints();
     });
 }
 
--- a/tests/soak/injector.h
+++ b/tests/soak/injector.h
@@ -34,6 +34,8 @@
     void takeZoneOut(const Fault &fault);
     void lapseEntries(const Fault &fault);
     void rewindStore(const Fault &fault);
+    // Endpoints that live write their entries again where the store lacks them.
+    void registerLiveEndpoints();
     // Runs `over` when the fault is over.
     void after(Millis span, std::function<void()> over);
 
