--- a/tests/serving/storesession_test.cpp
+++ b/tests/serving/storesession_test.cpp
@@ -242,7 +242,7 @@
 class PeerWithCopy
 {
 public:
-    PeerWithCopy(net::WorkerPool &pool, StoreCopy copy)
+    PeerWithCopy(net::WorkerPool &pool, const StoreCopy &copy)
         : m_server(pool, {"127.0.0.1", 0}, {},
                    [this, copy](const net::HttpRequest &request, net::ResponseWriter &writer) {
                        asked.push_back(request.query);
