Wait for the watch before a position is read in a session's test

Seen once in a whole run beside load (storesession_test.cpp:302): the session's own registration came by the watch after the test had read the position, so the peer was asked from the next revision.

--- a/tests/serving/storesession_test.cpp
+++ b/tests/serving/storesession_test.cpp
@@ -288,7 +288,11 @@
 {
     start();
     net::StoreRevision before;
-    onWorker([&] { before = session->copy({}, CopyPart::All).at; });
+    // The watch may not have told the registration yet.
+    ASSERT_TRUE(eventually([&] {
+        before = session->copy({}, CopyPart::All).at;
+        return before.value == store.contents.revision;
+    }));
     const StoreCopy copy {
         {before.value + 3, 1}, false, {{"config", "7", {before.value + 3, 1}, false}}, {}};
     PeerWithCopy peer(pool, copy);
