Only the fiber that follows the store adopts copies; derive whether it has listed

Found in reading the change: a peer with a later configuration was asked for a whole copy on a fiber of its own, which could have been adopted between two pages of a listing. It is asked for what it holds only.

--- a/include/fescue/serving/storesession.h
+++ b/include/fescue/serving/storesession.h
@@ -55,8 +55,8 @@
 
     // Takes what a watcher passes on.
     void takeNews(const StoreNews &news);
-    // Records which configuration a peer has in force. One that stays ahead is asked for what this
-    // process has missed.
+    // Records which configuration a peer has in force. One that stays ahead is asked for what it
+    // holds of an earlier era.
     void heardConfig(const MemberName &peer, ConfigVersion version);
     // What this process knows of the store, for a peer that has missed the changes after a
     // revision.
@@ -79,6 +79,8 @@
     void takeHeld(const std::vector<net::StoreItem> &items);
     // Items of an earlier era that still hold.
     [[nodiscard]] std::vector<net::StoreItem> heldItems() const;
+    // True once a listing or a copy has been taken: the store's revisions begin above 0.
+    [[nodiscard]] bool hasListed() const noexcept { return m_at != net::StoreRevision {}; }
     // Prepares for a listing of a later era than the one known. What the operator has ordered holds
     // on until it has written it again.
     void beginEra(net::StoreRevision at);
@@ -128,8 +130,6 @@
     Millis m_behindSince {0};
     net::StoreRevision m_at;
     bool m_listed = false;
-    // A listing or a copy has been taken in this life.
-    bool m_everListed = false;
     bool m_reachable = true;
     std::optional<net::LeaseId> m_lease;
     // Era in which the lease was given.
--- a/include/fescue/serving/storesession.inl
+++ b/include/fescue/serving/storesession.inl
@@ -168,7 +168,7 @@
         net::sleepFor(peerPollInterval);
         return true;
     }
-    if (catchUp(members)) {
+    if (ahead && fetchCopy(*ahead, members)) {
         setReachable(true, "told by a peer");
         m_behindSince = {};
         return true;
@@ -210,7 +210,8 @@
                : std::string_view(copy.error().message)}});
     if (!copy)
         return false;
-    adopt(*copy);
+    if (part == CopyPart::All)
+        adopt(*copy);
     takeHeld(copy->held);
     return true;
 }
@@ -220,7 +221,7 @@
 {
     const bool isNews = copy.at > m_at || (copy.at == m_at && !m_listed);
     // Changes only continue what a listing has begun.
-    if (!isNews || (!copy.whole && !m_everListed))
+    if (!isNews || (!copy.whole && !hasListed()))
         return;
     // An outdated copy of a peer that has not heard of the new era yet.
     if (!m_eras.take(copy.at.era))
@@ -240,13 +241,12 @@
     m_state->members.storeListed(ServingState::now(), members);
     m_at = copy.at;
     m_listed = true;
-    m_everListed = true;
 }
 
 template <PlatformProtocol P>
 void StoreSession<P>::beginEra(net::StoreRevision at)
 {
-    if (!m_everListed || at.era <= m_at.era)
+    if (!hasListed() || at.era <= m_at.era)
         return;
     observe::logChange("store-era",
                        {{"era", at.era},
@@ -321,7 +321,7 @@
 {
     const bool ahead = !m_state->routes || m_state->routes->version() < version;
     const Millis now = ServingState::now();
-    if (!ahead || !m_everListed)
+    if (!ahead || !hasListed())
         return;
     if (!m_configBehindSince)
         m_configBehindSince = now;
@@ -330,7 +330,9 @@
     // Asks again after the same time if this fails.
     m_configBehindSince = now;
     m_state->pool.spawn(net::currentWorker(), [this, peer] {
-        static_cast<void>(fetchCopy(peer, m_state->members.members(ServingState::now())));
+        // Only follow() may adopt a copy: it may be in the middle of a listing.
+        const std::vector<MemberView> members = m_state->members.members(ServingState::now());
+        static_cast<void>(fetchCopy(peer, members, CopyPart::Held));
     });
 }
 
@@ -421,6 +423,7 @@
         after = page->items.back().key;
     }
     setReachable(true, "listed");
+    const bool isFirst = !hasListed();
     takeChanges(m_mirror.endListing());
     m_state->members.storeListed(ServingState::now(), members);
     m_at = std::max(m_at, *first);
@@ -428,9 +431,8 @@
     m_listed = true;
     tell(m_at, {});
     observe::logChange("store-listed", {{"revision", m_at.value}, {"era", m_at.era}});
-    if (!m_everListed)
+    if (isFirst)
         m_state->pool.spawn(net::currentWorker(), [this] { askForHeldItems(); });
-    m_everListed = true;
     return true;
 }
 
