One reader of whole numbers where three stood; one rate of reading prompts

parseNumber in core/ serves the adapter's headers, the era and the query of peers. The rate beside others is half of the idle one by its definition.

--- a/include/fescue/serving/edgedaemon.inl
+++ b/include/fescue/serving/edgedaemon.inl
@@ -1,10 +1,9 @@
 #pragma once
 
+#include "fescue/core/parsenumber.h"
 #include "fescue/observe/log.h"
 #include "fescue/serving/entrydirectory.h"
 
-#include <charconv>
-
 namespace fescue::serving {
 
 // Time for which callers may keep an answer of the directory. Short enough for them to leave a dead
@@ -26,19 +25,6 @@
 inline constexpr Millis drainMargin = 300_ms;
 inline constexpr Millis drainPoll = 50_ms;
 
-// Reads a number of a query; none where it is missing or malformed.
-[[nodiscard]] inline std::optional<std::uint64_t> readNumber(const std::optional<std::string> &text)
-{
-    std::uint64_t number = 0;
-    if (!text)
-        return std::nullopt;
-    const char *end = text->data() + text->size();
-    const std::from_chars_result read = std::from_chars(text->data(), end, number);
-    if (read.ec != std::errc() || read.ptr != end)
-        return std::nullopt;
-    return number;
-}
-
 template <PlatformProtocol P>
 EdgeDaemon<P>::EdgeDaemon(NodeSettings settings, net::WorkerPool &pool, Incarnation incarnation)
     : m_pool(&pool), m_self {settings.name,
@@ -368,9 +354,11 @@
         static_cast<void>(writer.send({404, {}, {}}));
         return;
     }
-    const std::optional<std::uint64_t> revision = readNumber(request.queryValue("after"));
+    const std::optional<std::uint64_t> revision =
+        parseNumber<std::uint64_t>(request.queryValue("after").value_or(std::string()));
     // Processes of earlier releases tell no era.
-    const std::optional<std::uint64_t> era = readNumber(request.queryValue("era").value_or("0"));
+    const std::optional<std::uint64_t> era =
+        parseNumber<std::uint64_t>(request.queryValue("era").value_or("0"));
     if (!revision || !era) {
         static_cast<void>(writer.send({400, {}, {}}));
         return;
--- a/src/serving/placement.cpp
+++ b/src/serving/placement.cpp
@@ -10,15 +10,15 @@
 
 // Costs below are in milliseconds of expected delay.
 
-// Prompt tokens that an engine reads in a millisecond, shared by all prompts that wait there: half
-// of the sheets' rate, since steps that make tokens for others take the other half.
-constexpr double prefillTokensPerMilli = 7;
+// Prompt tokens that an idle engine reads in a millisecond; from the engine sheets.
+constexpr double idlePrefillTokensPerMilli = 14;
+// The same beside others, shared by all prompts that wait there: steps that make tokens take half.
+constexpr double prefillTokensPerMilli = idlePrefillTokensPerMilli / 2;
 // A request slows each step of an engine by about this much over a generation's events that reach
 // the caller; from the engine sheets' step time for each slot.
 constexpr double crowdCostPerRequest = 6;
 // A prompt is read between the tokens of the requests that run there, which delays each of them by
 // its reading time on an idle engine. Those requests are already on time, so the delay weighs half.
-constexpr double idlePrefillTokensPerMilli = 14;
 constexpr double neighbourDelayWeight = 0.5;
 // Memory in use raises the risk of preemption; cost at a full engine.
 constexpr double fullMemoryCost = 400;
--- a/tests/serving/scriptedstore.h
+++ b/tests/serving/scriptedstore.h
@@ -46,7 +46,7 @@
     {
         contents = older;
         ++era;
-        for (auto &entry : contents.items)
+        for (std::pair<const std::string, net::StoreItem> &entry : contents.items)
             entry.second.revision.era = era;
         changes.clear();
         historyFrom = contents.revision;
@@ -89,7 +89,7 @@
             return refuse();
         Page page;
         page.at = {store.contents.revision, store.era};
-        for (const auto &entry : store.contents.items) {
+        for (const std::pair<const std::string, net::StoreItem> &entry : store.contents.items) {
             if (entry.first <= after)
                 continue;
             page.hasMore = page.items.size() >= store.pageItems;
