--- a/tests/serving/exchange_test.cpp
+++ b/tests/serving/exchange_test.cpp
@@ -1,6 +1,7 @@
 #include "fescue/serving/requesthandler.h"
 #include "tests/gateway/scriptedengine.h"
 #include "tests/net/rawserver.h"
+#include "tests/serving/onworker.h"
 #include "tests/serving/testprotocol.h"
 
 #include <atomic>
@@ -113,15 +114,7 @@
     }
 
     // Runs a task on the worker and waits for its end.
-    void onWorker(const std::function<void()> &task)
-    {
-        std::promise<void> done;
-        pool.spawn(0, [&] {
-            task();
-            done.set_value();
-        });
-        done.get_future().wait();
-    }
+    void onWorker(const std::function<void()> &task) { test::runOnWorker(pool, task); }
 
     Result<net::HttpResponse> call(std::string target, std::vector<net::Header> headers = {},
                                    Millis timeout = 5_s)
--- a/tests/serving/storesession_test.cpp
+++ b/tests/serving/storesession_test.cpp
@@ -1,6 +1,7 @@
 #include "fescue/net/httpserver.h"
 #include "fescue/node/memberjson.h"
 #include "fescue/serving/storesession.h"
+#include "tests/serving/onworker.h"
 #include "tests/serving/scriptedstore.h"
 
 #include <chrono>
@@ -45,15 +46,7 @@
         return settings;
     }
 
-    void onWorker(const std::function<void()> &task)
-    {
-        std::promise<void> done;
-        pool.spawn(0, [&] {
-            task();
-            done.set_value();
-        });
-        done.get_future().wait();
-    }
+    void onWorker(const std::function<void()> &task) { test::runOnWorker(pool, task); }
 
     // Waits on the worker until a condition holds; false where it does not in time.
     bool eventually(const std::function<bool()> &condition)
