--- a/tests/soak/storestandin.cpp
+++ b/tests/soak/storestandin.cpp
@@ -54,12 +54,9 @@
     if (m_delay > Millis {0})
         net::sleepFor(m_delay);
     switch (modeFor(entry)) {
-    case StoreMode::Unavailable: {
-        net::HttpResponse refused = plain(503);
-        refused.headers.push_back({std::string(names::storeEraHeader), std::to_string(m_era)});
-        static_cast<void>(writer.send(refused));
+    case StoreMode::Unavailable:
+        send(plain(503), writer);
         return;
-    }
     case StoreMode::Reset:
         writer.abort();
         return;
@@ -71,8 +68,7 @@
     }
     endLeases();
     keepContents();
-    net::HttpResponse response = answer(request, writer);
-    response.headers.push_back({std::string(names::storeEraHeader), std::to_string(m_era)});
+    const net::HttpResponse response = answer(request, writer);
     if (request.method != "GET" && ++m_calls % 10 < m_lostOfTen) {
         writer.abort();
         return;
@@ -81,6 +77,12 @@
         writer.abort();
         return;
     }
+    send(response, writer);
+}
+
+void PlatformStore::send(net::HttpResponse response, net::ResponseWriter &writer) const
+{
+    response.headers.push_back({std::string(names::storeEraHeader), std::to_string(m_era)});
     static_cast<void>(writer.send(response));
 }
 
--- a/tests/soak/storestandin.h
+++ b/tests/soak/storestandin.h
@@ -94,6 +94,8 @@
 
     [[nodiscard]] net::HttpResponse answer(const net::HttpRequest &request,
                                            net::ResponseWriter &writer);
+    // Sends an answer with the store's era, which all answers tell.
+    void send(net::HttpResponse response, net::ResponseWriter &writer) const;
     [[nodiscard]] net::HttpResponse get(const net::HttpRequest &request) const;
     [[nodiscard]] net::HttpResponse range(const net::HttpRequest &request) const;
     [[nodiscard]] net::HttpResponse watch(const net::HttpRequest &request,
