--- a/include/fescue/serving/callerrequest.h
+++ b/include/fescue/serving/callerrequest.h
@@ -24,7 +24,6 @@
     std::uint32_t maxOutputTokens = 0;
     // The caller's estimate of the output length; right at the median, often far off.
     std::optional<std::uint32_t> expectedOutputTokens;
-    std::vector<PromptPart> parts;
     bool operator==(const GenerationSize &) const = default;
 };
 
@@ -39,6 +38,8 @@
     // Time that the caller waits, counted from the arrival of the request.
     std::optional<Millis> patience;
     std::optional<GenerationSize> generation;
+    // Parts of the prompt in their order; the last one belongs to this request or its session.
+    std::vector<PromptPart> promptParts;
 };
 
 } // namespace fescue::serving
--- a/include/fescue/serving/requestcontext.h
+++ b/include/fescue/serving/requestcontext.h
@@ -41,6 +41,8 @@
     std::string detail;
     Millis firstByteAt {0};
     std::uint32_t moves = 0;
+    // Events of a stream that were forwarded to the caller.
+    std::uint64_t events = 0;
 
     [[nodiscard]] Millis timeLeft() const noexcept { return deadline - ServingState::now(); }
 };
--- a/src/serving/requestcontext.cpp
+++ b/src/serving/requestcontext.cpp
@@ -4,6 +4,11 @@
 #include "fescue/serving/enginesend.h"
 #include "fescue/serving/refusal.h"
 
+#include <algorithm>
+#include <array>
+#include <charconv>
+#include <span>
+
 namespace fescue::serving {
 
 namespace {
@@ -25,6 +30,22 @@
     return "unknown";
 }
 
+// Maximum number of prompt parts in a log line.
+constexpr std::size_t maxLoggedParts = 8;
+
+// Returns the ids of the parts in hexadecimal, with commas between them; "..." if there are more.
+std::string describeParts(std::span<const PromptPart> parts)
+{
+    std::string text;
+    for (const PromptPart &part : parts.first(std::min(parts.size(), maxLoggedParts))) {
+        std::array<char, 2 * sizeof(part.id)> buf {};
+        const std::to_chars_result end =
+            std::to_chars(buf.data(), buf.data() + buf.size(), part.id, 16);
+        text += (text.empty() ? "" : ",") + std::string(buf.data(), end.ptr);
+    }
+    return parts.size() > maxLoggedParts ? text + ",..." : text;
+}
+
 } // namespace
 
 EngineSend makeSend(const RequestContext &context, const EndpointRecord &endpoint)
@@ -107,6 +128,8 @@
          {"load_prefill", context.endpointLoad.prefillTokens},
          {"attempts", context.attempts},
          {"moves", context.moves},
+         {"events", context.events},
+         {"parts", describeParts(context.caller.promptParts)},
          {"first_ms", first.count},
          {"total_ms", total.count},
          {"left_ms", context.timeLeft().count},
--- a/tests/platform/requestcodec_test.cpp
+++ b/tests/platform/requestcodec_test.cpp
@@ -63,8 +63,8 @@
     EXPECT_EQ(caller->generation->promptTokens, 1'460U);
     EXPECT_EQ(caller->generation->maxOutputTokens, 80U);
     EXPECT_EQ(caller->generation->expectedOutputTokens, 60U);
-    ASSERT_EQ(caller->generation->parts.size(), 2U);
-    EXPECT_EQ(caller->generation->parts[1], (PromptPart {0x91bd3f06, 410}));
+    ASSERT_EQ(caller->promptParts.size(), 2U);
+    EXPECT_EQ(caller->promptParts[1], (PromptPart {0x91bd3f06, 410}));
 }
 
 TEST(RequestCodec, MalformedNumbersAreRefused)
--- a/tests/serving/testprotocol.h
+++ b/tests/serving/testprotocol.h
@@ -33,7 +33,7 @@
         if (!patience.empty())
             caller.patience = Millis {std::stoll(patience)};
         if (!request.header("Tokens").empty())
-            caller.generation = serving::GenerationSize {1'000, 800, 800, {}};
+            caller.generation = serving::GenerationSize {1'000, 800, 800};
         return caller;
     }
     static net::HttpRequest encodeSend(const net::HttpRequest &request,
