--- a/tests/serving/testprotocol.h
+++ b/tests/serving/testprotocol.h
@@ -1,8 +1,13 @@
 #pragma once
 
+#include "fescue/core/parsenumber.h"
 #include "fescue/serving/protocol.h"
 
+#include <algorithm>
+#include <optional>
 #include <string>
+#include <string_view>
+#include <vector>
 
 namespace fescue::test {
 
@@ -34,8 +39,22 @@
             caller.patience = Millis {std::stoll(patience)};
         if (!request.header("Tokens").empty())
             caller.generation = serving::GenerationSize {1'000, 800, 800};
+        caller.promptParts = parseParts(request.header("Parts"));
         return caller;
     }
+    // Parses ids with commas between them; each part has 100 tokens.
+    static std::vector<serving::PromptPart> parseParts(std::string_view text)
+    {
+        std::vector<serving::PromptPart> parts;
+        while (!text.empty()) {
+            const std::size_t end = std::min(text.find(','), text.size());
+            const std::optional<std::uint64_t> id = parseNumber<std::uint64_t>(text.substr(0, end));
+            if (id)
+                parts.push_back({*id, 100});
+            text.remove_prefix(std::min(end + 1, text.size()));
+        }
+        return parts;
+    }
     static net::HttpRequest encodeSend(const net::HttpRequest &request,
                                        const serving::EngineSend &send)
     {
