Keep prompt parts that crash engines away from them

Cause: nothing related the loss of an engine to the requests that were open there. Each entry saw one to three of the crashes and sent the next request with the part to the next engine. Ruled out by the logs: retries and moves (attempts=1, moves=0 on each), load and cold engines.

Change: PromptQuarantine, a module without network or clock. An entry that loses a request before its second event checks that the engine has crashed, and reports the parts of the prompt, except the last, to all entries. A part that a started request has is cleared everywhere. A part that is left in three crashes is quarantined: requests with it are refused at once (2009, 503, not run), checked at the one place that all attempts, retries and resumes pass. Entries are sent in datagrams, repeated, and stored; trials are claimed in the store by a conditional write, two for each part at most.

Why it works: sound parts of the same requests start elsewhere, so they lose their suspicion or, with as few starts as the part itself, get a trial without it at once. The deadly part never starts.

--- a/include/fescue/core/resultcode.h
+++ b/include/fescue/core/resultcode.h
@@ -34,6 +34,7 @@
     StoreUnavailable = 2006,
     RetryBudgetSpent = 2007,
     NoEndpoint = 2008,
+    PromptQuarantined = 2009,
 
     // Failures of back ends.
     BackEndRefused = 3000,
--- a/include/fescue/serving/attemptpolicy.h
+++ b/include/fescue/serving/attemptpolicy.h
@@ -30,6 +30,8 @@
     TimedOut,
     // The caller closed its connection.
     CallerGone,
+    // Nothing was sent: a part of the prompt is in quarantine.
+    Quarantined,
 };
 
 [[nodiscard]] std::string_view toString(SendOutcome outcome) noexcept;
--- a/include/fescue/serving/edgedaemon.h
+++ b/include/fescue/serving/edgedaemon.h
@@ -56,6 +56,17 @@
     [[nodiscard]] std::vector<EndpointIncarnation>
     applyLeavingNotices(std::span<const EndpointIncarnation> notices,
                         std::optional<Millis> leavesIn, std::string_view from);
+    // Sends news about crashes and quarantined parts to the other processes, now and with the next
+    // ticks, since datagrams may be lost. In a large system, other zones receive them through their
+    // relays.
+    void sendQuarantineNotice(const QuarantineNotice &notice, bool toOtherZones);
+    void sendQuarantineDatagrams(const QuarantineNotice &notice, bool toOtherZones);
+    // Repeats recent notices, and sends all entries at a longer interval, for processes that have
+    // started meanwhile.
+    void repeatQuarantineNotices();
+    void handleQuarantineNotice(std::string_view bytes);
+    // Lists and releases quarantined parts for operators.
+    void answerQuarantine(const net::HttpRequest &request, net::ResponseWriter &writer);
     // Sends a datagram to a member other than this process. Returns false if that fails.
     bool sendTo(const MemberInfo &member, const std::string &datagram);
     void handleDatagram(std::string_view bytes);
@@ -72,6 +83,15 @@
     GossipSocket m_gossip;
     std::vector<std::unique_ptr<net::HttpServer>> m_servers;
     net::HttpServer *m_front = nullptr;
+    // A notice that is sent again.
+    struct RepeatedNotice
+    {
+        QuarantineNotice notice;
+        bool toOtherZones = false;
+        int repeatsLeft = 0;
+    };
+    std::vector<RepeatedNotice> m_repeatedNotices;
+    std::uint64_t m_ticks = 0;
     observe::Counter &m_datagramsSent = m_metrics.counter("fescue_datagrams_sent_total");
     observe::Counter &m_datagramsNotSent = m_metrics.counter("fescue_datagrams_not_sent_total");
     observe::Counter &m_datagramsMalformed = m_metrics.counter("fescue_datagrams_malformed_total");
--- a/include/fescue/serving/edgedaemon.inl
+++ b/include/fescue/serving/edgedaemon.inl
@@ -2,6 +2,7 @@
 
 #include "fescue/core/parsenumber.h"
 #include "fescue/observe/log.h"
+#include "fescue/observe/timeline.h"
 #include "fescue/serving/entrydirectory.h"
 
 namespace fescue::serving {
@@ -18,6 +19,13 @@
 inline const std::string storeUpdateKind = "N";
 inline const std::string leavingKind = "L";
 inline const std::string zoneLoadsKind = "Z";
+inline const std::string quarantineKind = "Q";
+// Number of ticks with which a notice about crashes and quarantined parts is sent again.
+inline constexpr int quarantineRepeats = 2;
+// Number of ticks between two messages with all quarantine entries.
+inline constexpr std::uint64_t ticksPerQuarantineSync = 4;
+// Path at which operators list and release quarantined prompt parts.
+inline constexpr std::string_view quarantinePath = "/quarantine";
 // Minimum time for which the process keeps serving after a stop request, for callers that still use
 // a cached answer of the directory.
 inline constexpr Millis minDrainDuration = 3500_ms;
@@ -90,6 +98,10 @@
                                               std::optional<Millis> leavesIn) {
         endpointAnnouncedLeaving(leavingEndpoint, leavesIn);
     };
+    m_state.sendQuarantineNotice = [this](const QuarantineNotice &notice) {
+        sendQuarantineNotice(notice, true);
+    };
+    m_state.claimTrial = [this](const QuarantineEntry &entry) { return m_store.claimTrial(entry); };
     m_store.start();
     m_pool->spawn(net::currentWorker(), [this] { tick(); });
     m_pool->spawn(net::currentWorker(), [this] { m_mover.pollEngines(); });
@@ -140,6 +152,8 @@
     m_metrics.gauge("fescue_ready").Set(ready() ? 1 : 0);
     m_metrics.gauge("fescue_open_requests").Set(static_cast<double>(m_state.open));
     m_metrics.gauge("fescue_generations_open").Set(static_cast<double>(m_state.runs.size()));
+    m_metrics.gauge("fescue_quarantined_entries")
+        .Set(static_cast<double>(m_state.quarantine.activeCount()));
     m_metrics.gauge("fescue_log_lines_dropped")
         .Set(static_cast<double>(observe::droppedLogLines()));
     static_cast<void>(
@@ -187,6 +201,8 @@
             pauses->purge(now);
         sendGossip();
         sendZoneLoads(members);
+        m_state.quarantine.purge(now);
+        repeatQuarantineNotices();
         net::sleepFor(m_state.isLarge() ? largeTickInterval : tickInterval);
     }
 }
@@ -243,6 +259,8 @@
         handleLeavingNotice(bytes.substr(leavingKind.size()));
     else if (bytes.starts_with(zoneLoadsKind))
         handleZoneLoads(bytes.substr(zoneLoadsKind.size()));
+    else if (bytes.starts_with(quarantineKind))
+        handleQuarantineNotice(bytes.substr(quarantineKind.size()));
     else
         m_datagramsMalformed.Increment();
 }
@@ -343,6 +361,97 @@
                                     received->loads);
 }
 
+template <PlatformProtocol P>
+void EdgeDaemon<P>::sendQuarantineNotice(const QuarantineNotice &notice, bool toOtherZones)
+{
+    sendQuarantineDatagrams(notice, toOtherZones);
+    m_repeatedNotices.push_back({notice, toOtherZones, quarantineRepeats});
+}
+
+template <PlatformProtocol P>
+void EdgeDaemon<P>::sendQuarantineDatagrams(const QuarantineNotice &notice, bool toOtherZones)
+{
+    QuarantineNotice own = notice;
+    own.fromZone = m_self.zone;
+    const std::vector<std::string> messages = encodeQuarantineNotice(own, ServingState::now());
+    const std::vector<MemberView> members = m_state.members.members(ServingState::now());
+    const bool all = !m_state.isLarge();
+    const std::set<MemberName> relays =
+        !all && toOtherZones ? FeedPolicy::relays(m_self.name, members) : std::set<MemberName>();
+    for (const MemberView &member : members) {
+        const bool sameZone = member.info.zone == m_self.zone;
+        if (!all && !sameZone && !relays.contains(member.info.name))
+            continue;
+        for (const std::string &message : messages)
+            sendTo(member.info, quarantineKind + message);
+    }
+}
+
+template <PlatformProtocol P>
+void EdgeDaemon<P>::repeatQuarantineNotices()
+{
+    for (RepeatedNotice &repeated : m_repeatedNotices) {
+        --repeated.repeatsLeft;
+        sendQuarantineDatagrams(repeated.notice, repeated.toOtherZones);
+    }
+    std::erase_if(m_repeatedNotices,
+                  [](const RepeatedNotice &repeated) { return repeated.repeatsLeft <= 0; });
+    const bool isSyncDue = ++m_ticks % ticksPerQuarantineSync == 0;
+    QuarantineNotice all;
+    if (isSyncDue)
+        all.entries = m_state.quarantine.entries();
+    if (!all.empty())
+        sendQuarantineDatagrams(all, false);
+}
+
+template <PlatformProtocol P>
+void EdgeDaemon<P>::handleQuarantineNotice(std::string_view bytes)
+{
+    const Result<QuarantineNotice> received = decodeQuarantineNotice(bytes, ServingState::now());
+    if (!received) {
+        m_datagramsMalformed.Increment();
+        return;
+    }
+    const QuarantineNotice news = m_handler.guard().handleNotice(*received);
+    // In a large system only the relays of a zone receive notices from other zones, so they forward
+    // them.
+    if (!news.empty() && received->fromZone != m_self.zone && m_state.isLarge())
+        sendQuarantineNotice(news, false);
+}
+
+template <PlatformProtocol P>
+void EdgeDaemon<P>::answerQuarantine(const net::HttpRequest &request, net::ResponseWriter &writer)
+{
+    const Millis now = ServingState::now();
+    const Millis wallNow {observe::wallMillisNow()};
+    const std::string_view wanted = std::string_view(request.target).substr(quarantinePath.size());
+    std::string list;
+    QuarantineNotice notice;
+    for (const QuarantineEntry &entry : m_state.quarantine.entries()) {
+        const bool isWanted = wanted.empty() || wanted.substr(1) == partsText(entry.parts);
+        if (!isWanted)
+            continue;
+        list += (list.empty() ? "" : ",\n") + quarantineJson(entry, now, wallNow);
+        if (request.method != "DELETE")
+            continue;
+        if (std::optional<QuarantineEntry> released =
+                m_state.quarantine.release(now, entry.parts)) {
+            observe::logChange("quarantine-released",
+                               {{"parts", partsText(entry.parts)},
+                                {"crashes", entry.crashes},
+                                {"reason", "ordered by an operator"}});
+            notice.entries.push_back(std::move(*released));
+        }
+    }
+    const bool known = wanted.empty() || !list.empty();
+    const bool allowed = request.method == "GET" || request.method == "DELETE";
+    if (!notice.empty())
+        sendQuarantineNotice(notice, true);
+    static_cast<void>(writer.send(!allowed     ? net::HttpResponse {405, {}, {}}
+                                      : !known ? net::HttpResponse {404, {}, {}}
+                                               : net::jsonResponse(200, "[" + list + "]\n")));
+}
+
 template <PlatformProtocol P>
 void EdgeDaemon<P>::handleStoreUpdate(std::string_view bytes)
 {
@@ -356,6 +465,10 @@
 template <PlatformProtocol P>
 void EdgeDaemon<P>::answerPeer(const net::HttpRequest &request, net::ResponseWriter &writer)
 {
+    if (request.target.starts_with(quarantinePath)) {
+        answerQuarantine(request, writer);
+        return;
+    }
     if (request.target != storeCopyPath) {
         static_cast<void>(writer.send({404, {}, {}}));
         return;
--- a/include/fescue/serving/engineexchange.h
+++ b/include/fescue/serving/engineexchange.h
@@ -3,6 +3,7 @@
 #include "fescue/net/httpclient.h"
 #include "fescue/serving/attemptpolicy.h"
 #include "fescue/serving/protocol.h"
+#include "fescue/serving/requestcontext.h"
 #include "fescue/serving/servingstate.h"
 
 #include <functional>
@@ -23,14 +24,14 @@
 // Returns the outcome of an attempt that failed with this error.
 [[nodiscard]] SendOutcome outcomeOf(const Error &error) noexcept;
 
-// Sends a request to an endpoint on a separate connection and reads the head of the answer. Skips
-// answers to other requests that arrive first. Records what the answer reports about the endpoint
-// in the state. `abandoned` returns true once the caller no longer waits.
+// Sends a caller's request to an endpoint on a separate connection and reads the head of the
+// answer. Sends nothing if a part of its prompt is in quarantine; all attempts, retries and resumes
+// pass here. Skips answers to other requests that arrive first. Records what the answer reports
+// about the endpoint in the state. `abandoned` returns true once the caller no longer waits.
 template <PlatformProtocol P>
-[[nodiscard]] ExchangeResult exchange(ServingState &state, const EndpointRecord &endpoint,
-                                      const net::HttpRequest &request, const EngineSend &send,
-                                      const std::string &requestId, Millis timeout,
-                                      const std::function<bool()> &abandoned);
+[[nodiscard]] ExchangeResult exchange(ServingState &state, RequestContext &context,
+                                      const EndpointRecord &endpoint, const EngineSend &send,
+                                      Millis timeout, const std::function<bool()> &abandoned);
 
 // Sends a control call of this process to an endpoint and reads the complete answer. Fails with
 // BackEndRefused, and sends nothing, while the endpoint has asked for a pause.
--- a/include/fescue/serving/engineexchange.inl
+++ b/include/fescue/serving/engineexchange.inl
@@ -1,5 +1,7 @@
 #pragma once
 
+#include <utility>
+
 namespace fescue::serving {
 
 // Maximum number of answers to other requests that are skipped on one connection, and maximum size
@@ -8,15 +10,24 @@
 inline constexpr std::size_t maxSkippedBytes = std::size_t {4} * 1024 * 1024;
 
 template <PlatformProtocol P>
-ExchangeResult exchange(ServingState &state, const EndpointRecord &endpoint,
-                        const net::HttpRequest &request, const EngineSend &send,
-                        const std::string &requestId, Millis timeout,
+ExchangeResult exchange(ServingState &state, RequestContext &context,
+                        const EndpointRecord &endpoint, const EngineSend &send, Millis timeout,
                         const std::function<bool()> &abandoned)
 {
     const Millis deadline = SteadyClock {}.now() + timeout;
+    const std::string &requestId = context.caller.requestId;
     ExchangeResult result;
+    // A trial may be sent once.
+    const bool isTrial = std::exchange(context.isTrial, false);
+    const PromptDecision decision =
+        state.quarantine.decide(ServingState::now(), context.caller.promptParts);
+    if (decision.verdict != PromptVerdict::Admit && !isTrial) {
+        result.outcome = SendOutcome::Quarantined;
+        result.detail = "prompt part " + partsText(decision.entry.parts) + " is in quarantine";
+        return result;
+    }
     Result<net::ClientStream> stream = state.engineClient.openStream(
-        endpoint.address, P::encodeSend(request, send), timeout, abandoned);
+        endpoint.address, P::encodeSend(context.request, send), timeout, abandoned);
     if (!stream) {
         result.outcome = outcomeOf(stream.error());
         result.detail = stream.error().message;
--- a/include/fescue/serving/plainforwarder.h
+++ b/include/fescue/serving/plainforwarder.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "fescue/serving/engineexchange.h"
+#include "fescue/serving/promptguard.h"
 #include "fescue/serving/refuse.h"
 #include "fescue/serving/requestcontext.h"
 
@@ -12,7 +13,9 @@
 class PlainForwarder
 {
 public:
-    explicit PlainForwarder(ServingState &state) noexcept : m_state(&state) { }
+    PlainForwarder(ServingState &state, PromptGuard<P> &guard) noexcept
+        : m_state(&state), m_guard(&guard)
+    { }
 
     void serve(RequestContext &context);
 
@@ -30,6 +33,7 @@
     void finish(RequestContext &context, AttemptVerdict verdict, Attempt &attempt);
 
     ServingState *m_state;
+    PromptGuard<P> *m_guard;
 };
 
 } // namespace fescue::serving
--- a/include/fescue/serving/plainforwarder.inl
+++ b/include/fescue/serving/plainforwarder.inl
@@ -31,9 +31,8 @@
     }
     const Millis until = ServingState::now() + timeout;
     net::ResponseWriter &writer = context.writer;
-    ExchangeResult result =
-        exchange<P>(*m_state, endpoint, context.request, makeSend(context, endpoint),
-                    context.caller.requestId, timeout, [&writer] { return writer.callerGone(); });
+    ExchangeResult result = exchange<P>(*m_state, context, endpoint, makeSend(context, endpoint),
+                                        timeout, [&writer] { return writer.callerGone(); });
     Attempt done;
     done.outcome = result.outcome;
     const bool hasAnswer =
@@ -51,6 +50,10 @@
         }
     }
     noteAttempt(*m_state, context, endpoint, done.outcome, result.detail);
+    if (done.outcome == SendOutcome::Succeeded)
+        m_guard->recordStart(context);
+    else if (done.outcome == SendOutcome::Lost)
+        m_guard->recordLoss(context, endpoint);
     return done;
 }
 
@@ -113,6 +116,10 @@
                   unknownProblem(attempt.outcome, "the endpoint gave no whole answer"));
         break;
     default:
+        if (const std::optional<net::Problem> problem = m_guard->refusal(context)) {
+            refuse<P>(*m_state, context, *problem);
+            break;
+        }
         refuse<P>(*m_state, context,
                   notRunProblem(*m_state, context,
                                 context.attempts == 0 ? ResultCode::NoEndpoint
--- a/include/fescue/serving/requestcontext.h
+++ b/include/fescue/serving/requestcontext.h
@@ -44,6 +44,11 @@
     // Events of a stream that were forwarded to the caller.
     std::uint64_t events = 0;
 
+    // True if the request is a claimed trial of a quarantined part that has not been sent yet.
+    bool isTrial = false;
+    // True once engines are known to answer the prompt without crashing.
+    bool promptStarted = false;
+
     [[nodiscard]] Millis timeLeft() const noexcept { return deadline - ServingState::now(); }
 };
 
@@ -70,6 +75,10 @@
 [[nodiscard]] net::Problem notRunProblem(ServingState &state, const RequestContext &context,
                                          ResultCode code, std::string detail);
 
+// Returns the refusal of a request with a quarantined prompt part.
+[[nodiscard]] net::Problem quarantineProblem(RequestContext &context,
+                                             const PromptDecision &decision);
+
 // Returns the failure of a request that may have run.
 [[nodiscard]] net::Problem unknownProblem(SendOutcome outcome, std::string detail);
 
--- a/include/fescue/serving/requesthandler.h
+++ b/include/fescue/serving/requesthandler.h
@@ -12,10 +12,11 @@
 {
 public:
     RequestHandler(ServingState &state, GenerationMover<P> &mover) noexcept
-        : m_state(&state), m_plain(state), m_streams(state, mover)
+        : m_state(&state), m_guard(state), m_plain(state, m_guard), m_streams(state, mover, m_guard)
     { }
 
     void handle(const net::HttpRequest &request, net::ResponseWriter &writer);
+    [[nodiscard]] PromptGuard<P> &guard() noexcept { return m_guard; }
 
 private:
     void serve(RequestContext &context);
@@ -25,6 +26,7 @@
     void refuse(const RequestContext &context, const net::Problem &problem);
 
     ServingState *m_state;
+    PromptGuard<P> m_guard;
     PlainForwarder<P> m_plain;
     StreamForwarder<P> m_streams;
 };
--- a/include/fescue/serving/requesthandler.inl
+++ b/include/fescue/serving/requesthandler.inl
@@ -24,7 +24,9 @@
 template <PlatformProtocol P>
 void RequestHandler<P>::serve(RequestContext &context)
 {
-    const std::optional<net::Problem> problem = resolve(context);
+    std::optional<net::Problem> problem = resolve(context);
+    if (!problem)
+        problem = m_guard.admit(context);
     if (problem)
         refuse(context, *problem);
     else
--- a/include/fescue/serving/servingstate.h
+++ b/include/fescue/serving/servingstate.h
@@ -17,6 +17,7 @@
 #include "fescue/serving/loadledger.h"
 #include "fescue/serving/nodesettings.h"
 #include "fescue/serving/placement.h"
+#include "fescue/serving/promptquarantine.h"
 #include "fescue/serving/routetable.h"
 #include "fescue/serving/sharedretrybudget.h"
 
@@ -126,6 +127,16 @@
     // Called once for each endpoint that announces leaving in an answer.
     std::function<void(const EndpointIncarnation &, std::optional<Millis> leavesIn)>
         endpointAnnouncedLeaving = [](const EndpointIncarnation &, std::optional<Millis>) {};
+    // Prompt parts that crash engines.
+    PromptQuarantine quarantine;
+    // Sends news about crashes and quarantined parts to the other processes.
+    std::function<void(const QuarantineNotice &)> sendQuarantineNotice =
+        [](const QuarantineNotice &) {};
+    // Claims a trial of an entry in the store. Returns false if another process has claimed it or
+    // the store does not answer.
+    std::function<bool(const QuarantineEntry &)> claimTrial = [](const QuarantineEntry &) {
+        return false;
+    };
     // Time of the store's last answer to this process or to a peer that reported it.
     Millis storeAnsweredAt {0};
     // True after a stop request.
--- a/include/fescue/serving/storemirror.h
+++ b/include/fescue/serving/storemirror.h
@@ -39,6 +39,8 @@
 
     // Returns all keys with their values.
     [[nodiscard]] std::vector<net::StoreItem> items() const;
+    // Returns the item of a key, or null if the store has none.
+    [[nodiscard]] const net::StoreItem *find(const std::string &key) const;
 
 private:
     [[nodiscard]] bool isNewer(const net::StoreItem &item) const;
--- a/include/fescue/serving/storesession.h
+++ b/include/fescue/serving/storesession.h
@@ -24,9 +24,11 @@
     Renew,
     // Writes the entry of this process, also to announce that the process leaves.
     Register,
+    // Writes an entry of the quarantine of prompt parts, or claims a trial of one.
+    Quarantine,
 };
-inline constexpr std::array<std::string_view, 4> storeCallNames {"list", "watch", "renew",
-                                                                 "register"};
+inline constexpr std::array<std::string_view, 5> storeCallNames {"list", "watch", "renew",
+                                                                 "register", "quarantine"};
 
 // Callbacks of a store session's owner.
 struct StoreSessionHooks
@@ -58,6 +60,9 @@
     // Handles the configuration version that a peer has in force. If the peer stays ahead, requests
     // the orders that it retains of an earlier era.
     void handlePeerConfigVersion(const MemberName &peer, ConfigVersion version);
+    // Claims a trial of a quarantine entry. Returns false if another process has claimed it, or if
+    // the store does not confirm it.
+    [[nodiscard]] bool claimTrial(const QuarantineEntry &entry);
     // Returns this process' copy of the store, for a peer that has missed the changes after a
     // revision.
     [[nodiscard]] StoreCopy copy(net::StoreRevision after, CopyScope scope) const;
@@ -100,6 +105,13 @@
     void applyConfigChange(const StoreChange &change);
     void applyEndpointChange(const EndpointName &name, const StoreChange &change);
     void applyMemberChange(const StoreChange &change);
+    void applyQuarantineChange(const StoreChange &change);
+    // Writes quarantine entries that the store lacks or has in an earlier state. Returns when the
+    // process stops.
+    void storeQuarantine();
+    [[nodiscard]] bool isStored(const QuarantineEntry &entry) const;
+    // Writes an entry unless the store's copy has changed since this process received it.
+    [[nodiscard]] net::StoreResult<void> writeEntry(const QuarantineEntry &entry);
     static void collectMembers(std::span<const net::StoreItem> items,
                                std::vector<MemberInfo> &members);
     void setReachable(bool reachable, std::string_view reason);
@@ -141,6 +153,8 @@
     std::map<std::string, net::StoreItem> m_retained;
     // Time since which a peer has had a later configuration in force; empty if no peer has.
     std::optional<Millis> m_configBehindSince;
+    // Times at which this process writes quarantine entries that the store lacks, by key.
+    std::map<std::string, Millis> m_quarantineWrites;
     // Number of calls since the last log line, by cause, and of the failed ones among them.
     std::array<std::uint64_t, storeCallNames.size()> m_calls {};
     std::uint64_t m_failedCalls = 0;
--- a/include/fescue/serving/storesession.inl
+++ b/include/fescue/serving/storesession.inl
@@ -2,6 +2,7 @@
 
 #include "fescue/node/memberjson.h"
 #include "fescue/observe/log.h"
+#include "fescue/observe/timeline.h"
 
 #include <algorithm>
 
@@ -39,6 +40,13 @@
 inline constexpr Millis configUpdateGrace = 600_ms;
 // Maximum number of peers from which a process requests retained orders of an earlier era.
 inline constexpr std::size_t maxPeersAskedForRetained = 2;
+// Interval at which quarantine entries are compared with the store.
+inline constexpr Millis quarantineCheckInterval = 250_ms;
+// Store watchers write an entry within this time; other processes wait longer by this factor.
+inline constexpr Millis quarantineWriteSpread = 300_ms;
+inline constexpr std::int64_t otherWriterFactor = 10;
+// Time for a written entry to be reported by the watch, before it is written again.
+inline constexpr Millis quarantineRewriteDelay = 5_s;
 // Interval at which the number of calls to the store is logged by cause.
 inline constexpr Millis callLogInterval = 10_s;
 
@@ -57,6 +65,7 @@
     m_state->pool.spawn(worker, [this] { keepRegistered(); });
     m_state->pool.spawn(worker, [this] { sendHeartbeats(); });
     m_state->pool.spawn(worker, [this] { logCalls(); });
+    m_state->pool.spawn(worker, [this] { storeQuarantine(); });
 }
 
 template <PlatformProtocol P>
@@ -128,6 +137,7 @@
                             {storeCallNames[1], m_calls[1]},
                             {storeCallNames[2], m_calls[2]},
                             {storeCallNames[3], m_calls[3]},
+                            {storeCallNames[4], m_calls[4]},
                             {"failed", m_failedCalls}});
         m_calls = {};
         m_failedCalls = 0;
@@ -533,6 +543,8 @@
     case StoreSubjectKind::Other:
         if (change.key.starts_with(node::memberKeyPrefix))
             applyMemberChange(change);
+        else if (change.key.starts_with(quarantineKeyPrefix))
+            applyQuarantineChange(change);
         break;
     }
 }
@@ -641,6 +653,118 @@
                         {"revision", change.revision.value}});
 }
 
+template <PlatformProtocol P>
+void StoreSession<P>::applyQuarantineChange(const StoreChange &change)
+{
+    const Millis now = ServingState::now();
+    if (change.removed) {
+        // A store that was restored from an older copy may lack the key; it is written again.
+        if (change.fromListing)
+            return;
+        for (const QuarantineEntry &entry : m_state->quarantine.entries()) {
+            if (quarantineKey(entry) == change.key && m_state->quarantine.release(now, entry.parts))
+                observe::logChange(
+                    "quarantine-released",
+                    {{"parts", partsText(entry.parts)}, {"reason", "the key was removed"}});
+        }
+        return;
+    }
+    const Result<QuarantineEntry> entry =
+        parseQuarantineJson(change.value, now, Millis {observe::wallMillisNow()});
+    if (!entry) {
+        observe::logChange(observe::LogLevel::Warning, "quarantine-malformed",
+                           {{"key", change.key}, {"reason", entry.error().message}});
+        return;
+    }
+    if (!m_state->quarantine.mergeEntry(*entry))
+        return;
+    observe::logChange(entry->active ? "quarantined" : "quarantine-released",
+                       {{"parts", partsText(entry->parts)},
+                        {"crashes", entry->crashes},
+                        {"version", entry->version},
+                        {"trials", entry->trials},
+                        {"revision", change.revision.value},
+                        {"reason", "stored"}});
+}
+
+template <PlatformProtocol P>
+bool StoreSession<P>::isStored(const QuarantineEntry &entry) const
+{
+    const net::StoreItem *item = m_mirror.find(quarantineKey(entry));
+    if (item == nullptr)
+        return !entry.active;
+    const Result<QuarantineEntry> stored =
+        parseQuarantineJson(item->value, ServingState::now(), Millis {observe::wallMillisNow()});
+    return stored && stored->version >= entry.version && stored->trials >= entry.trials;
+}
+
+template <PlatformProtocol P>
+net::StoreResult<void> StoreSession<P>::writeEntry(const QuarantineEntry &entry)
+{
+    const std::string key = quarantineKey(entry);
+    const net::StoreItem *item = m_mirror.find(key);
+    const std::string value =
+        quarantineJson(entry, ServingState::now(), Millis {observe::wallMillisNow()});
+    const net::StoreResult<net::StoreRevision> written =
+        m_store.putIfMatch(key, value, item == nullptr ? net::StoreRevision {} : item->revision);
+    countCall(StoreCall::Quarantine, written || written.error().code == ResultCode::StoreConflict);
+    return written.map([](net::StoreRevision) {});
+}
+
+template <PlatformProtocol P>
+bool StoreSession<P>::claimTrial(const QuarantineEntry &entry)
+{
+    // A store that was restored from an older copy may lack trials that were claimed before.
+    if (!m_listed || m_state->isStoreSilent() || !isStored(entry))
+        return false;
+    const QuarantineEntry claimed = PromptQuarantine::withTrial(ServingState::now(), entry);
+    const net::StoreResult<void> written = writeEntry(claimed);
+    if (written)
+        static_cast<void>(m_state->quarantine.mergeEntry(claimed));
+    else
+        observe::logChange(
+            "quarantine-trial-refused",
+            {{"parts", partsText(entry.parts)}, {"reason", written.error().message}});
+    return written.has_value();
+}
+
+template <PlatformProtocol P>
+void StoreSession<P>::storeQuarantine()
+{
+    while (!net::stopRequested()) {
+        net::sleepFor(quarantineCheckInterval);
+        if (!m_listed || m_state->isStoreSilent())
+            continue;
+        for (const QuarantineEntry &entry : m_state->quarantine.entries()) {
+            const std::string key = quarantineKey(entry);
+            if (isStored(entry)) {
+                m_quarantineWrites.erase(key);
+                continue;
+            }
+            // All processes learn of an entry at about the same time. The store watchers write
+            // first.
+            const Millis now = ServingState::now();
+            const Millis spread =
+                isWatcher() ? quarantineWriteSpread : quarantineWriteSpread * otherWriterFactor;
+            const double share = m_state->uniform() + (isWatcher() ? 0 : 1);
+            const Millis due =
+                now + Millis {static_cast<std::int64_t>(static_cast<double>(spread.count) * share)};
+            const auto write = m_quarantineWrites.try_emplace(key, due).first;
+            if (write->second > now)
+                continue;
+            m_quarantineWrites.erase(write);
+            const net::StoreResult<void> written = writeEntry(entry);
+            if (written || written.error().code == ResultCode::StoreConflict) {
+                // The watch reports the new state soon.
+                m_quarantineWrites[key] = now + quarantineRewriteDelay;
+            } else {
+                observe::logChange("quarantine-not-stored",
+                                   {{"key", key}, {"reason", written.error().message}});
+            }
+        }
+    }
+}
+
 template <PlatformProtocol P>
 net::StoreResult<void> StoreSession<P>::writeSelf()
 {
--- a/include/fescue/serving/streamforwarder.h
+++ b/include/fescue/serving/streamforwarder.h
@@ -4,6 +4,7 @@
 #include "fescue/serving/eventsplitter.h"
 #include "fescue/serving/generationmover.h"
 #include "fescue/serving/generationrun.h"
+#include "fescue/serving/promptguard.h"
 #include "fescue/serving/refuse.h"
 #include "fescue/serving/requestcontext.h"
 
@@ -17,8 +18,8 @@
 class StreamForwarder
 {
 public:
-    StreamForwarder(ServingState &state, GenerationMover<P> &mover) noexcept
-        : m_state(&state), m_mover(&mover)
+    StreamForwarder(ServingState &state, GenerationMover<P> &mover, PromptGuard<P> &guard) noexcept
+        : m_state(&state), m_mover(&mover), m_guard(&guard)
     { }
 
     void serve(RequestContext &context);
@@ -85,6 +86,7 @@
 
     ServingState *m_state;
     GenerationMover<P> *m_mover;
+    PromptGuard<P> *m_guard;
 };
 
 } // namespace fescue::serving
--- a/include/fescue/serving/streamforwarder.inl
+++ b/include/fescue/serving/streamforwarder.inl
@@ -23,6 +23,9 @@
 inline constexpr Millis maxPauseWait = 1800_ms;
 // Timeout for the first byte of a stream that resumes on another engine.
 inline constexpr Millis resumeTimeout = 3_s;
+// Number of events after which a prompt is considered sound: an engine may still send the first
+// event of a prompt that crashes it.
+inline constexpr std::uint64_t eventsOfSoundPrompt = 2;
 
 template <PlatformProtocol P>
 const EndpointView *StreamForwarder<P>::choose(const RequestContext &context,
@@ -97,9 +100,10 @@
     EngineSend send = makeGenerationSend(context, record);
     addBackup(forwarded, *endpoint, send);
     ExchangeResult result =
-        exchange<P>(*m_state, record, context.request, send, context.caller.requestId,
-                    context.timeLeft(), abandonCheck(forwarded));
+        exchange<P>(*m_state, context, record, send, context.timeLeft(), abandonCheck(forwarded));
     noteAttempt(*m_state, context, record, result.outcome, result.detail);
+    if (result.outcome == SendOutcome::Lost)
+        m_guard->recordLoss(context, record);
     verdict = policy.verdictAfter(result.outcome, context.timeLeft(),
                                   [this, &context](RetryPurpose purpose) {
                                       return m_state->tryTakeRetry(context.service, purpose);
@@ -157,6 +161,8 @@
     } else if (policy.mayHaveRun()) {
         const SendOutcome outcome = result ? result->outcome : SendOutcome::Lost;
         refuse<P>(*m_state, context, unknownProblem(outcome, "the engine gave no answer"));
+    } else if (const std::optional<net::Problem> problem = m_guard->refusal(context)) {
+        refuse<P>(*m_state, context, *problem);
     } else {
         const ResultCode code =
             context.attempts == 0 ? ResultCode::NoCapacity : ResultCode::BackEndRefused;
@@ -188,8 +194,13 @@
 template <PlatformProtocol P>
 void StreamForwarder<P>::forward(ForwardedStream &forwarded)
 {
+    const RequestContext &context = forwarded.context;
     while (true) {
         const StreamEnd end = forwardUntilBreak(forwarded);
+        const bool mayBeCrash =
+            end == StreamEnd::EngineLost && forwarded.run->phase == MovePhase::Running;
+        if (mayBeCrash && !context.promptStarted)
+            m_guard->recordLoss(context, forwarded.run->engine);
         const bool resumed = end == StreamEnd::EngineLost && resume(forwarded);
         if (!resumed) {
             finish(forwarded, end);
@@ -279,6 +290,8 @@
     context.events = forwarded.run->events;
     const Result<void> written = context.writer.write(ready);
     forwarded.events.clearReady();
+    if (context.events >= eventsOfSoundPrompt)
+        m_guard->recordStart(context);
     if (isFirst) {
         m_mover->moveIfLeaving(forwarded.run);
         m_mover->startStandbyCopy(forwarded.run);
@@ -335,9 +348,9 @@
     if (view != nullptr)
         addBackup(forwarded, *view, send);
     net::ResponseWriter &writer = context.writer;
-    ExchangeResult result = exchange<P>(*m_state, engine, context.request, send, run.requestId,
-                                        std::min(resumeTimeout, context.timeLeft()),
-                                        [&writer] { return writer.callerGone(); });
+    ExchangeResult result =
+        exchange<P>(*m_state, context, engine, send, std::min(resumeTimeout, context.timeLeft()),
+                    [&writer] { return writer.callerGone(); });
     observe::logChange("resume",
                        {{"id", run.requestId},
                         {"endpoint", engine.name.text()},
@@ -393,6 +406,7 @@
     RequestContext &context = forwarded.context;
     const int status = forwarded.started ? forwarded.upstream.status() : 0;
     if (end == StreamEnd::Complete && !forwarded.events.midEvent()) {
+        m_guard->recordStart(context);
         if (!forwarded.started)
             static_cast<void>(
                 context.writer.startStream(forwarded.upstream.status(), forwarded.headers));
--- a/src/core/resultcode.cpp
+++ b/src/core/resultcode.cpp
@@ -35,6 +35,7 @@
     CodeName {ResultCode::StoreUnavailable, "store-unavailable"},
     CodeName {ResultCode::RetryBudgetSpent, "retry-budget-spent"},
     CodeName {ResultCode::NoEndpoint, "no-endpoint"},
+    CodeName {ResultCode::PromptQuarantined, "prompt-quarantined"},
     CodeName {ResultCode::BackEndRefused, "back-end-refused"},
     CodeName {ResultCode::BackEndLost, "back-end-lost"},
     CodeName {ResultCode::GenerationLost, "generation-lost"},
--- a/src/gateway/problem.cpp
+++ b/src/gateway/problem.cpp
@@ -45,6 +45,7 @@
     case ResultCode::StoreUnavailable:
     case ResultCode::RetryBudgetSpent:
     case ResultCode::NoEndpoint:
+    case ResultCode::PromptQuarantined:
     case ResultCode::BackEndRefused:
         return 503;
     case ResultCode::BackEndTimeout:
@@ -84,6 +85,8 @@
         return "the endpoint failed, and too many requests are being retried already";
     case ResultCode::NoEndpoint:
         return "no endpoint of the service is in service";
+    case ResultCode::PromptQuarantined:
+        return "engines crashed when they answered prompts with a part of this one";
     case ResultCode::ViewOutdated:
         return "this entry cannot confirm that its configuration is current; use another address";
     case ResultCode::StoreUnavailable:
--- a/src/serving/attemptpolicy.cpp
+++ b/src/serving/attemptpolicy.cpp
@@ -36,6 +36,8 @@
         return "timed-out";
     case SendOutcome::CallerGone:
         return "caller-gone";
+    case SendOutcome::Quarantined:
+        return "quarantined";
     }
     return "unknown";
 }
@@ -66,6 +68,8 @@
         break;
     case SendOutcome::CallerGone:
         return AttemptVerdict::Abandon;
+    case SendOutcome::Quarantined:
+        break;
     }
     return m_mayHaveRun ? AttemptVerdict::FailUnknown : AttemptVerdict::RefuseNotRun;
 }
--- a/src/serving/requestcontext.cpp
+++ b/src/serving/requestcontext.cpp
@@ -78,7 +78,7 @@
 void noteAttempt(ServingState &state, RequestContext &context, const EndpointRecord &endpoint,
                  SendOutcome outcome, std::string_view detail)
 {
-    if (outcome == SendOutcome::CallerGone)
+    if (outcome == SendOutcome::CallerGone || outcome == SendOutcome::Quarantined)
         return;
     const Millis now = ServingState::now();
     const bool unreachable = outcome == SendOutcome::NotSent || outcome == SendOutcome::Refused
@@ -155,6 +155,17 @@
             std::max(delay, state.pauseOfAll(context.service))};
 }
 
+net::Problem quarantineProblem(RequestContext &context, const PromptDecision &decision)
+{
+    const QuarantineEntry &entry = decision.entry;
+    const Millis age = ServingState::now() - entry.lastCrashAt;
+    context.detail = "prompt part " + partsText(entry.parts)
+        + " is in quarantine: " + std::to_string(entry.crashes) + " engine crashes, the last one "
+        + std::to_string(age.count) + " ms ago, " + std::to_string(entry.trials) + " trials";
+    return {statusUnavailable, ResultCode::PromptQuarantined, RunState::NotRun, context.detail,
+            decision.retryAfter};
+}
+
 net::Problem unknownProblem(SendOutcome outcome, std::string detail)
 {
     if (outcome == SendOutcome::TimedOut) {
--- a/src/serving/storemirror.cpp
+++ b/src/serving/storemirror.cpp
@@ -51,6 +51,12 @@
     return changes;
 }
 
+const net::StoreItem *StoreMirror::find(const std::string &key) const
+{
+    const auto it = m_items.find(key);
+    return it == m_items.end() ? nullptr : &it->second;
+}
+
 std::vector<net::StoreItem> StoreMirror::items() const
 {
     std::vector<net::StoreItem> all;
--- a/tests/serving/scriptedstore.h
+++ b/tests/serving/scriptedstore.h
@@ -134,6 +134,22 @@
         return net::StoreRevision {store.contents.revision, store.era};
     }
 
+    [[nodiscard]] net::StoreResult<net::StoreRevision>
+    putIfMatch(std::string_view key, std::string_view value, net::StoreRevision expected) const
+    {
+        ScriptedStore &store = *ScriptedStore::current;
+        if (store.rejectsCalls)
+            return refuse();
+        trackEra();
+        const auto it = store.contents.items.find(std::string(key));
+        const std::uint64_t current =
+            it == store.contents.items.end() ? 0 : it->second.revision.value;
+        if (current != expected.value)
+            return refuse(ResultCode::StoreConflict);
+        store.put(std::string(key), std::string(value));
+        return net::StoreRevision {store.contents.revision, store.era};
+    }
+
     [[nodiscard]] net::StoreResult<net::LeaseId> createLease(Millis) const
     {
         ScriptedStore &store = *ScriptedStore::current;
