Treat a stream without a length that ends inside an event as broken off

What callers saw: a stream whose answer has neither length nor chunks and that ended inside an event was cut off, although its generation had a backup; one that ended before its first event, as an engine that crashes may leave it, was passed on as a complete, empty answer.

Cause: the end of such a stream is the end of its connection, so reading it reports an orderly end. Only the events tell whether it is whole, and they were checked after the decision whether to resume.

Tests: of the five added, StreamWithoutALengthAndWithoutEventsIsAFailure and StreamWithoutALengthResumesFromItsBackupIfItEndsInsideAnEvent failed before; the others guard what already held: an end after a whole event is complete, a body without a length is whole, and neither is evidence of a crash.

--- a/include/fescue/serving/streamforwarder.inl
+++ b/include/fescue/serving/streamforwarder.inl
@@ -196,7 +196,13 @@
 {
     const RequestContext &context = forwarded.context;
     while (true) {
-        const StreamEnd end = forwardUntilBreak(forwarded);
+        StreamEnd end = forwardUntilBreak(forwarded);
+        // A stream without a length ends with its connection; whether it is complete shows only in
+        // its events.
+        const bool brokenOff = end == StreamEnd::Complete
+            && (forwarded.events.midEvent() || forwarded.events.events() == 0);
+        if (brokenOff)
+            end = StreamEnd::EngineLost;
         const bool mayBeCrash =
             end == StreamEnd::EngineLost && forwarded.run->phase == MovePhase::Running;
         if (mayBeCrash && !context.promptStarted)
@@ -405,7 +411,7 @@
 {
     RequestContext &context = forwarded.context;
     const int status = forwarded.started ? forwarded.upstream.status() : 0;
-    if (end == StreamEnd::Complete && !forwarded.events.midEvent()) {
+    if (end == StreamEnd::Complete) {
         m_guard->recordStart(context);
         if (!forwarded.started)
             static_cast<void>(
--- a/tests/serving/exchange_test.cpp
+++ b/tests/serving/exchange_test.cpp
@@ -284,6 +284,78 @@
     EXPECT_EQ(response->status, 502);
 }
 
+// Guards against passing on a stream without a length as complete if its engine ends within an
+// event.
+TEST_F(Exchange, StreamWithoutALengthThatEndsInsideAnEventDoesNotLookComplete)
+{
+    test::RawServer engine([](test::RawServer &server) {
+        server.write("HTTP/1.1 200 OK\r\nRequest: id-1\r\nConnection: close\r\n\r\n" + eventText(1)
+                     + "id: 2\nda");
+    });
+    addEndpointAt("e1", engine.address());
+    const Result<net::HttpResponse> response = call("/stream/x");
+    ASSERT_FALSE(response);
+    EXPECT_EQ(response.error().code, ResultCode::BackEndLost);
+    onWorker([&] { EXPECT_TRUE(state.quarantine.entries().empty()); });
+}
+
+TEST_F(Exchange, StreamWithoutALengthThatEndsAfterAnEventIsComplete)
+{
+    test::RawServer engine([](test::RawServer &server) {
+        server.write("HTTP/1.1 200 OK\r\nRequest: id-1\r\nConnection: close\r\n\r\n" + eventText(1)
+                     + eventText(2));
+    });
+    addEndpointAt("e1", engine.address());
+    const Result<net::HttpResponse> response = call("/stream/x");
+    ASSERT_TRUE(response) << response.error().message;
+    EXPECT_EQ(response->body, eventText(1) + eventText(2));
+}
+
+// Guards against an empty answer that looks complete: an engine that ends before its first event
+// closes a stream without a length just like one that has nothing to say.
+TEST_F(Exchange, StreamWithoutALengthAndWithoutEventsIsAFailure)
+{
+    test::RawServer engine([](test::RawServer &server) {
+        server.write("HTTP/1.1 200 OK\r\nRequest: id-1\r\nConnection: close\r\n\r\n");
+    });
+    addEndpointAt("e1", engine.address());
+    const Result<net::HttpResponse> response = call("/stream/x");
+    ASSERT_TRUE(response);
+    EXPECT_EQ(response->status, 502);
+}
+
+TEST_F(Exchange, AnswerWithoutALengthIsWholeIfItsConnectionEndsInOrder)
+{
+    test::RawServer engine([](test::RawServer &server) {
+        server.write("HTTP/1.1 200 OK\r\nRequest: id-1\r\nSignature: s\r\n"
+                     "Connection: close\r\n\r\nwhole body");
+    });
+    addEndpointAt("e1", engine.address());
+    const Result<net::HttpResponse> response = call("/once/x");
+    ASSERT_TRUE(response) << response.error().message;
+    EXPECT_EQ(response->status, 200);
+    EXPECT_EQ(response->body, "whole body");
+}
+
+// Guards against a stream without a length that breaks off within an event although a backup of its
+// generation could resume it.
+TEST_F(Exchange, StreamWithoutALengthResumesFromItsBackupIfItEndsInsideAnEvent)
+{
+    std::atomic<int> calls {0};
+    const auto script = [&calls](test::RawServer &server) {
+        const bool isFirst = calls++ == 0;
+        server.write("HTTP/1.1 200 OK\r\nRequest: id-1\r\nConnection: close\r\n\r\n"
+                     + (isFirst ? eventText(1) + "id: 2\nda" : eventText(2) + eventText(3)));
+    };
+    test::RawServer one(script);
+    test::RawServer other(script);
+    addEndpointAt("e1", one.address());
+    addEndpointAt("e2", other.address());
+    const Result<net::HttpResponse> response = call("/stream/x", {{"Tokens", "1"}});
+    ASSERT_TRUE(response) << response.error().message;
+    EXPECT_EQ(response->body, eventText(1) + eventText(2) + eventText(3));
+}
+
 // Guards against gaps and duplicates when the engine of a long generation is lost in the middle of
 // the stream and a backup exists.
 TEST_F(Exchange, GenerationResumesFromItsBackupWithoutAGap)
