Keep the worker free while a generation cannot be copied

Cause: maintainStandbyCopy left its inner loop before the first sleep when there was no copy, and renewStandbyCopy returns at once for such engines, so the fiber never yielded the only worker.

Evidence: Exchange.GenerationOnAnEngineThatCannotCopyLeavesTheWorkerFree hung before (killed after 10 s) and passes now.

--- a/include/fescue/serving/generationmover.inl
+++ b/include/fescue/serving/generationmover.inl
@@ -195,11 +195,11 @@
         const bool mayCopy = run->phase == MovePhase::Running && !view.leaving();
         Millis pause = mayCopy ? renewStandbyCopy(run, view) : standbyCheckInterval;
         while (pause > Millis {0} && !run->finished) {
-            // A lost copy is replaced without waiting for the next renewal.
-            if (mayCopy && !run->standbyEngine && pause < standbyRenewInterval)
-                break;
             net::sleepFor(std::min(pause, standbyCheckInterval));
             pause -= standbyCheckInterval;
+            // A lost copy is replaced without waiting for the next renewal.
+            if (mayCopy && !run->standbyEngine)
+                break;
         }
     }
 }
--- a/tests/serving/exchange_test.cpp
+++ b/tests/serving/exchange_test.cpp
@@ -521,6 +521,25 @@
     });
 }
 
+// Guards against a process that hangs for good: a generation whose engine cannot copy it must not
+// keep the worker busy.
+TEST_F(Exchange, GenerationOnAnEngineThatCannotCopyLeavesTheWorkerFree)
+{
+    config.services.front().engine->canBackUp = false;
+    config.services.front().engine->canMove = false;
+    addEndpoint("e1", [](const net::HttpRequest &, net::ResponseWriter &writer) {
+        const std::vector<net::Header> headers {{"Request", "id-1"}};
+        static_cast<void>(writer.startStream(200, headers));
+        static_cast<void>(writer.write(eventText(1)));
+        net::sleepFor(150_ms);
+        static_cast<void>(writer.write(eventText(2)));
+        static_cast<void>(writer.finish());
+    });
+    const Result<net::HttpResponse> response = call("/stream/x", {{"Tokens", "1"}});
+    ASSERT_TRUE(response) << response.error().message;
+    EXPECT_EQ(response->body, eventText(1) + eventText(2));
+}
+
 // Guards against losing a generation without a backup when its engine is lost but a standby copy
 // exists.
 TEST_F(Exchange, GenerationResumesFromItsStandbyCopyWhenItsEngineIsLost)
