Forget the evidence against a prompt part when it is released

What an operator would have seen: a part that was taken out of quarantine by hand was back with the next crash of any engine, since the crashes before the release still counted.

Change: a release, also one that another process reports, clears the part from all crashes known so far.

--- a/include/fescue/serving/crashevidence.h
+++ b/include/fescue/serving/crashevidence.h
@@ -50,6 +50,8 @@
     std::vector<PartId> add(Millis now, const CrashReport &report);
     // Records that a request with these parts has started. Returns the parts that were suspected.
     std::vector<PartId> recordStart(Millis now, std::span<const PartId> parts);
+    // Removes a part from the suspects of all crashes known so far. Returns false if it was none.
+    bool clear(PartId part);
     // Returns true if a request with the part is known to have started after a point in time.
     [[nodiscard]] bool startedSince(Millis time, PartId part) const;
     // Returns true if a part is suspected of a crash.
--- a/src/serving/crashevidence.cpp
+++ b/src/serving/crashevidence.cpp
@@ -46,15 +46,7 @@
     for (const PartId part : parts) {
         m_startedAt[part] = now;
         m_startOrder.emplace_back(now, part);
-        bool wasSuspect = false;
-        for (Crash &crash : m_crashes) {
-            const auto it = crash.parts.find(part);
-            if (it == crash.parts.end() || !it->second)
-                continue;
-            it->second = false;
-            wasSuspect = true;
-        }
-        if (wasSuspect)
+        if (clear(part))
             cleared.push_back(part);
     }
     while (m_startedAt.size() > maxStarts || m_startOrder.size() > 2 * maxStarts) {
@@ -67,6 +59,19 @@
     return cleared;
 }
 
+bool CrashEvidence::clear(PartId part)
+{
+    bool wasSuspect = false;
+    for (Crash &crash : m_crashes) {
+        const auto it = crash.parts.find(part);
+        if (it == crash.parts.end() || !it->second)
+            continue;
+        it->second = false;
+        wasSuspect = true;
+    }
+    return wasSuspect;
+}
+
 bool CrashEvidence::startedSince(Millis time, PartId part) const
 {
     const auto it = m_startedAt.find(part);
--- a/src/serving/promptquarantine.cpp
+++ b/src/serving/promptquarantine.cpp
@@ -170,6 +170,10 @@
         known.active = entry.active;
         known.rivals = entry.rivals;
         known.since = entry.since;
+        if (!known.active) {
+            for (const PartId part : known.parts)
+                static_cast<void>(m_evidence.clear(part));
+        }
     }
     known.crashes = std::max(known.crashes, entry.crashes);
     known.trials = std::max(known.trials, entry.trials);
@@ -234,6 +238,9 @@
     ++entry.version;
     entry.active = false;
     entry.since = now;
+    // Crashes before the release are no evidence any more.
+    for (const PartId part : entry.parts)
+        static_cast<void>(m_evidence.clear(part));
     return entry;
 }
 
