--- a/include/fescue/serving/storesession.inl
+++ b/include/fescue/serving/storesession.inl
@@ -659,8 +659,10 @@
     const Millis now = ServingState::now();
     if (change.removed) {
         // A store that was restored from an older copy may lack the key; it is written again.
-        if (change.fromListing)
+        if (change.fromListing) {
+            m_quarantineWrites.erase(change.key);
             return;
+        }
         for (const QuarantineEntry &entry : m_state->quarantine.entries()) {
             if (quarantineKey(entry) == change.key && m_state->quarantine.release(now, entry.parts))
                 observe::logChange(
