--- a/include/fescue/serving/edgedaemon.h
+++ b/include/fescue/serving/edgedaemon.h
@@ -2,6 +2,7 @@
 
 #include "fescue/serving/gossip.h"
 #include "fescue/serving/gossipsocket.h"
+#include "fescue/serving/quarantineroutes.h"
 #include "fescue/serving/requesthandler.h"
 #include "fescue/serving/storesession.h"
 
@@ -65,8 +66,6 @@
     // started meanwhile.
     void repeatQuarantineNotices();
     void handleQuarantineNotice(std::string_view bytes);
-    // Lists and releases quarantined parts for operators.
-    void answerQuarantine(const net::HttpRequest &request, net::ResponseWriter &writer);
     // Sends a datagram to a member other than this process. Returns false if that fails.
     bool sendTo(const MemberInfo &member, const std::string &datagram);
     void handleDatagram(std::string_view bytes);
--- a/include/fescue/serving/edgedaemon.inl
+++ b/include/fescue/serving/edgedaemon.inl
@@ -24,8 +24,6 @@
 inline constexpr int quarantineRepeats = 2;
 // Number of ticks between two messages with all quarantine entries.
 inline constexpr std::uint64_t ticksPerQuarantineSync = 4;
-// Path at which operators list and release quarantined prompt parts.
-inline constexpr std::string_view quarantinePath = "/quarantine";
 // Minimum time for which the process keeps serving after a stop request, for callers that still use
 // a cached answer of the directory.
 inline constexpr Millis minDrainDuration = 3500_ms;
@@ -419,39 +417,6 @@
         sendQuarantineNotice(news, false);
 }
 
-template <PlatformProtocol P>
-void EdgeDaemon<P>::answerQuarantine(const net::HttpRequest &request, net::ResponseWriter &writer)
-{
-    const Millis now = ServingState::now();
-    const Millis wallNow {observe::wallMillisNow()};
-    const std::string_view wanted = std::string_view(request.target).substr(quarantinePath.size());
-    std::string list;
-    QuarantineNotice notice;
-    for (const QuarantineEntry &entry : m_state.quarantine.entries()) {
-        const bool isWanted = wanted.empty() || wanted.substr(1) == partsText(entry.parts);
-        if (!isWanted)
-            continue;
-        list += (list.empty() ? "" : ",\n") + quarantineJson(entry, now, wallNow);
-        if (request.method != "DELETE")
-            continue;
-        if (std::optional<QuarantineEntry> released =
-                m_state.quarantine.release(now, entry.parts)) {
-            observe::logChange("quarantine-released",
-                               {{"parts", partsText(entry.parts)},
-                                {"crashes", entry.crashes},
-                                {"reason", "ordered by an operator"}});
-            notice.entries.push_back(std::move(*released));
-        }
-    }
-    const bool known = wanted.empty() || !list.empty();
-    const bool allowed = request.method == "GET" || request.method == "DELETE";
-    if (!notice.empty())
-        sendQuarantineNotice(notice, true);
-    static_cast<void>(writer.send(!allowed     ? net::HttpResponse {405, {}, {}}
-                                      : !known ? net::HttpResponse {404, {}, {}}
-                                               : net::jsonResponse(200, "[" + list + "]\n")));
-}
-
 template <PlatformProtocol P>
 void EdgeDaemon<P>::handleStoreUpdate(std::string_view bytes)
 {
@@ -466,7 +431,11 @@
 void EdgeDaemon<P>::answerPeer(const net::HttpRequest &request, net::ResponseWriter &writer)
 {
     if (request.target.starts_with(quarantinePath)) {
-        answerQuarantine(request, writer);
+        QuarantineAnswer answer = answerQuarantine(m_state.quarantine, request, ServingState::now(),
+                                                   Millis {observe::wallMillisNow()});
+        if (!answer.released.empty())
+            sendQuarantineNotice({{}, {}, {}, std::move(answer.released)}, true);
+        static_cast<void>(writer.send(answer.response));
         return;
     }
     if (request.target != storeCopyPath) {
