--- a/tests/serving/crashevidence_test.cpp
+++ b/tests/serving/crashevidence_test.cpp
@@ -80,7 +80,7 @@
 {
     CrashEvidence evidence;
     for (int n = 0; n < 5; ++n)
-        static_cast<void>(evidence.add(Millis {n * 1000}, crash(1, {7})));
+        static_cast<void>(evidence.add(1_s * n, crash(1, {7})));
     EXPECT_FALSE(evidence.findCause(20_s, neverExplained));
     EXPECT_EQ(evidence.add(9_s, crash(1, {7, 8})), std::vector<PartId>({8}));
 }
@@ -120,7 +120,7 @@
 {
     CrashEvidence evidence;
     for (int n = 0; n < 3; ++n)
-        static_cast<void>(evidence.add(Millis {n * 400'000}, crash(n, {7})));
+        static_cast<void>(evidence.add(400_s * n, crash(n, {7})));
     EXPECT_TRUE(evidence.findCause(801_s, neverExplained));
     EXPECT_FALSE(evidence.findCause(801_s + CrashEvidence::lifetime, neverExplained));
 }
@@ -132,11 +132,12 @@
     PartId part = 0;
     for (int n = 0; n < 300; ++n) {
         std::vector<PartId> madeUp;
+        madeUp.reserve(2000);
         for (int i = 0; i < 2000; ++i)
             madeUp.push_back(++part);
-        const std::vector<PartId> added = evidence.add(Millis {n * 1000}, crash(n, madeUp));
+        const std::vector<PartId> added = evidence.add(1_s * n, crash(n, madeUp));
         EXPECT_EQ(added.size(), CrashEvidence::maxPartsPerCrash);
-        static_cast<void>(evidence.recordStart(Millis {n * 1000}, madeUp));
+        static_cast<void>(evidence.recordStart(1_s * n, madeUp));
     }
     EXPECT_FALSE(evidence.startedSince(0_s, 1));
     EXPECT_TRUE(evidence.startedSince(0_s, part));
--- a/tests/serving/promptquarantine_test.cpp
+++ b/tests/serving/promptquarantine_test.cpp
@@ -12,6 +12,7 @@
 {
     static PartId last = 1'000'000;
     std::vector<PromptPart> list;
+    list.reserve(parts.size() + 1);
     for (const PartId part : parts)
         list.push_back({part, 100});
     list.push_back({++last, 100});
