--- a/tests/serving/quarantinestore_test.cpp
+++ b/tests/serving/quarantinestore_test.cpp
@@ -1,7 +1,6 @@
 #include "fescue/node/memberjson.h"
 #include "fescue/serving/storesession.h"
-#include "tests/serving/onworker.h"
-#include "tests/serving/scriptedstore.h"
+#include "tests/serving/storesessionfixture.h"
 
 #include <gtest/gtest.h>
 
@@ -11,7 +10,6 @@
 using namespace fescue::serving;
 using test::ScriptedStore;
 
-constexpr Millis longestWait = 10_s;
 constexpr const char *key = "quarantine/7";
 
 QuarantineEntry entryOf(PartId part)
@@ -25,40 +23,9 @@
 }
 
 // Session of one process with a scripted store that holds quarantine entries.
-class QuarantineStore : public testing::Test
+class QuarantineStore : public test::StoreSessionFixture
 {
 protected:
-    QuarantineStore() : pool(1), state(NodeSettings {}, pool, metrics)
-    {
-        ScriptedStore::current = &store;
-        store.put("config", "5");
-        self.name = MemberName("entry-0");
-        self.incarnation = {1};
-        session = std::make_unique<StoreSession<test::StoreProtocol>>(
-            state, self,
-            StoreSessionHooks {[] {}, [](const EndpointName &) {},
-                               [](std::span<const MemberView *const>, std::string_view) {}});
-    }
-
-    ~QuarantineStore() override
-    {
-        pool.stop();
-        pool.join();
-    }
-
-    void onWorker(const std::function<void()> &task) { test::runOnWorker(pool, task); }
-
-    bool eventually(const std::function<bool()> &condition)
-    {
-        bool holds = false;
-        onWorker([&] {
-            const Millis until = ServingState::now() + longestWait;
-            while (!(holds = condition()) && ServingState::now() < until)
-                net::sleepFor(5_ms);
-        });
-        return holds;
-    }
-
     void start()
     {
         onWorker([this] {
@@ -80,13 +47,6 @@
     }
 
     [[nodiscard]] bool isActive() const { return state.quarantine.activeCount() == 1; }
-
-    ScriptedStore store;
-    observe::Metrics metrics;
-    net::WorkerPool pool;
-    ServingState state;
-    MemberInfo self;
-    std::unique_ptr<StoreSession<test::StoreProtocol>> session;
 };
 
 TEST_F(QuarantineStore, EntryIsWrittenOnce)
--- a/tests/serving/storesession_test.cpp
+++ b/tests/serving/storesession_test.cpp
@@ -1,8 +1,7 @@
 #include "fescue/net/httpserver.h"
 #include "fescue/node/memberjson.h"
 #include "fescue/serving/storesession.h"
-#include "tests/serving/onworker.h"
-#include "tests/serving/scriptedstore.h"
+#include "tests/serving/storesessionfixture.h"
 
 #include <chrono>
 #include <future>
@@ -14,53 +13,11 @@
 using namespace fescue::serving;
 using test::ScriptedStore;
 
-// Maximum wait for the background work of a session.
-constexpr Millis longestWait = 10_s;
+using test::longestWait;
 
-// Session of one process with a scripted store.
-class StoreSessionTest : public testing::Test
+class StoreSessionTest : public test::StoreSessionFixture
 {
 protected:
-    StoreSessionTest() : pool(1), state(makeSettings(), pool, metrics)
-    {
-        ScriptedStore::current = &store;
-        store.put("config", "5");
-        self.name = MemberName("entry-0");
-        self.incarnation = {1};
-        session = std::make_unique<StoreSession<test::StoreProtocol>>(
-            state, self,
-            StoreSessionHooks {[] {}, [](const EndpointName &) {},
-                               [](std::span<const MemberView *const>, std::string_view) {}});
-    }
-
-    ~StoreSessionTest() override
-    {
-        pool.stop();
-        pool.join();
-    }
-
-    static NodeSettings makeSettings()
-    {
-        NodeSettings settings;
-        settings.name = MemberName("entry-0");
-        return settings;
-    }
-
-    void onWorker(const std::function<void()> &task) { test::runOnWorker(pool, task); }
-
-    // Waits on the worker until a condition holds. Returns false if it does not hold within
-    // longestWait.
-    bool eventually(const std::function<bool()> &condition)
-    {
-        bool holds = false;
-        onWorker([&] {
-            const Millis until = ServingState::now() + longestWait;
-            while (!(holds = condition()) && ServingState::now() < until)
-                net::sleepFor(5_ms);
-        });
-        return holds;
-    }
-
     [[nodiscard]] std::uint64_t version() const
     {
         return state.routes ? state.routes->version().value : 0;
@@ -100,13 +57,6 @@
         ASSERT_TRUE(
             eventually([this, era] { return session->copy({}, CopyScope::All).at.era == era; }));
     }
-
-    ScriptedStore store;
-    observe::Metrics metrics;
-    net::WorkerPool pool;
-    ServingState state;
-    MemberInfo self;
-    std::unique_ptr<StoreSession<test::StoreProtocol>> session;
 };
 
 // Guards against a configuration being ignored: the store is restored from an older copy, and the
