Wording and layout of the quarantine after a newcomer's reading

Crashing in place of deadly in tests and soak, named members in place of empty braces, functions of an entry beside the entry. No behaviour changes.

--- a/include/fescue/serving/edgedaemon.inl
+++ b/include/fescue/serving/edgedaemon.inl
@@ -434,7 +434,7 @@
         QuarantineAnswer answer = answerQuarantine(m_state.quarantine, request, ServingState::now(),
                                                    Millis {observe::wallMillisNow()});
         if (!answer.released.empty())
-            sendQuarantineNotice({{}, {}, {}, std::move(answer.released)}, true);
+            sendQuarantineNotice({.entries = std::move(answer.released)}, true);
         static_cast<void>(writer.send(answer.response));
         return;
     }
--- a/include/fescue/serving/promptguard.inl
+++ b/include/fescue/serving/promptguard.inl
@@ -122,7 +122,7 @@
     observe::logChange(
         "crash-evidence",
         {{"id", requestId}, {"endpoint", engine.name.text()}, {"parts", partsText(added.parts)}});
-    m_state->sendQuarantineNotice({{}, {added}, {}, {}});
+    m_state->sendQuarantineNotice({.crashes = {added}});
     evaluateLater();
 }
 
@@ -144,7 +144,7 @@
                                 {"version", entry.version},
                                 {"trials", entry.trials}});
         }
-        m_state->sendQuarantineNotice({{}, {}, {}, std::move(added)});
+        m_state->sendQuarantineNotice({.entries = std::move(added)});
     });
 }
 
@@ -159,7 +159,7 @@
                             {"crashes", entry.crashes},
                             {"reason", "an engine answered a request with the part"}});
     }
-    m_state->sendQuarantineNotice({{}, {}, {}, entries});
+    m_state->sendQuarantineNotice({.entries = entries});
 }
 
 template <PlatformProtocol P>
--- a/include/fescue/serving/quarantineentry.h
+++ b/include/fescue/serving/quarantineentry.h
@@ -1,8 +1,12 @@
 #pragma once
 
 #include "fescue/core/clock.h"
+#include "fescue/core/result.h"
 
 #include <cstdint>
+#include <span>
+#include <string>
+#include <string_view>
 #include <vector>
 
 namespace fescue::serving {
@@ -33,4 +37,18 @@
     bool operator==(const QuarantineEntry &) const = default;
 };
 
+// Returns the key of an entry in the store.
+[[nodiscard]] std::string quarantineKey(const QuarantineEntry &entry);
+// Encodes an entry as JSON for the store and for operators. `wallNow` is the wall-clock time that
+// corresponds to `now`.
+[[nodiscard]] std::string quarantineJson(const QuarantineEntry &entry, Millis now, Millis wallNow);
+// Fails with StoreProtocol.
+[[nodiscard]] Result<QuarantineEntry> parseQuarantineJson(std::string_view json, Millis now,
+                                                          Millis wallNow);
+// Returns the ids of the parts in hexadecimal, with commas between them.
+[[nodiscard]] std::string partsText(std::span<const PartId> parts);
+
+// Prefix of the keys of quarantine entries in the store.
+inline constexpr std::string_view quarantineKeyPrefix = "quarantine/";
+
 } // namespace fescue::serving
--- a/tests/serving/crashingengine.h
+++ b/tests/serving/crashingengine.h
@@ -15,13 +15,13 @@
 namespace fescue::test {
 
 // An engine that streams three events to each request, one request at a time. It terminates when it
-// begins to answer a request whose head contains `deadlyText`: its port refuses connections from
+// begins to answer a request whose head contains `crashingText`: its port refuses connections from
 // then on, and the connection ends without an answer.
 class CrashingEngine
 {
 public:
-    explicit CrashingEngine(std::string deadlyText)
-        : m_deadlyText(std::move(deadlyText)),
+    explicit CrashingEngine(std::string crashingText)
+        : m_crashingText(std::move(crashingText)),
           m_acceptor(m_context, {boost::asio::ip::make_address("127.0.0.1"), 0}),
           m_port(m_acceptor.local_endpoint().port()), m_thread([this] { serve(); })
     { }
@@ -61,7 +61,7 @@
         std::array<char, 4096> buf {};
         while (!ec && head.find("\r\n\r\n") == std::string::npos)
             head.append(buf.data(), socket.read_some(boost::asio::buffer(buf), ec));
-        if (head.find(m_deadlyText) != std::string::npos) {
+        if (head.find(m_crashingText) != std::string::npos) {
             m_crashed = true;
             m_acceptor.close(ec);
             return;
@@ -72,7 +72,7 @@
         boost::asio::write(socket, boost::asio::buffer(response), ec);
     }
 
-    std::string m_deadlyText;
+    std::string m_crashingText;
     boost::asio::io_context m_context;
     boost::asio::ip::tcp::acceptor m_acceptor;
     std::uint16_t m_port;
--- a/tests/serving/quarantinefleet_test.cpp
+++ b/tests/serving/quarantinefleet_test.cpp
@@ -11,9 +11,9 @@
 using namespace fescue;
 using namespace fescue::serving;
 
-constexpr PartId deadlyPart = 0xdead;
-constexpr PartId otherDeadlyPart = 0xdeae;
-// Parts that a deadly request shares with sound ones.
+constexpr PartId crashingPart = 0xdead;
+constexpr PartId otherCrashingPart = 0xdeae;
+// Parts that a crashing request shares with sound ones.
 constexpr PartId sharedFirst = 1;
 constexpr PartId sharedSecond = 100;
 constexpr PartId otherSecond = 101;
@@ -41,9 +41,9 @@
     int zones = 5;
     int engines = 68;
     double requestsPerSecond = 30;
-    double deadlyShare = 0.05;
+    double crashingShare = 0.05;
     // Number of parts that crash engines.
-    int deadlyParts = 1;
+    int crashingParts = 1;
     double datagramLoss = 0.02;
     // Engines that crash for other reasons, a second.
     double otherCrashesPerSecond = 0;
@@ -81,11 +81,11 @@
         }
     }
 
-    // Deadly requests that reached engines after the fifth crash and the reaction time.
+    // Crashing requests that reached engines after the fifth crash and the reaction time.
     int sentTooLate = 0;
     int crashesByPart = 0;
-    // Sound requests with parts of the deadly ones, after twice the reaction time, and those among
-    // them that were refused.
+    // Sound requests with parts of the crashing ones, after twice the reaction time, and those
+    // among them that were refused.
     int soundRequests = 0;
     int soundRefused = 0;
     int trials = 0;
@@ -103,7 +103,7 @@
         int engine = 0;
         std::vector<PromptPart> prompt;
         Millis startsAt {0};
-        PartId deadly = 0;
+        PartId crashing = 0;
     };
 
     struct Message
@@ -211,14 +211,15 @@
         request.process = pick(m_scenario.processes);
         std::vector<PartId> parts {static_cast<PartId>(1 + pick(firstParts)),
                                    static_cast<PartId>(100 + pick(secondParts))};
-        const bool isDeadly =
-            std::uniform_real_distribution<double>(0, 1)(m_random) < m_scenario.deadlyShare;
-        if (isDeadly) {
-            const bool isOther = m_scenario.deadlyParts > 1 && pick(2) == 0;
-            request.deadly = isOther ? otherDeadlyPart : deadlyPart;
-            // The requests with a deadly part have the same other parts, as those of one caller do.
+        const bool isCrashing =
+            std::uniform_real_distribution<double>(0, 1)(m_random) < m_scenario.crashingShare;
+        if (isCrashing) {
+            const bool isOther = m_scenario.crashingParts > 1 && pick(2) == 0;
+            request.crashing = isOther ? otherCrashingPart : crashingPart;
+            // The requests with a crashing part have the same other parts, as those of one caller
+            // do.
             parts = {sharedFirst, isOther ? otherSecond : sharedSecond};
-            parts.insert(parts.begin() + pick(3), request.deadly);
+            parts.insert(parts.begin() + pick(3), request.crashing);
         }
         for (const PartId part : parts)
             request.prompt.push_back({part, 100});
@@ -244,7 +245,7 @@
         }
         const bool sharesParts = request.prompt[0].id == sharedFirst
             || request.prompt[1].id == sharedSecond || request.prompt[1].id == otherSecond;
-        if (request.deadly == 0 && settled && sharesParts) {
+        if (request.crashing == 0 && settled && sharesParts) {
             ++soundRequests;
             soundRefused += admitted ? 0 : 1;
         }
@@ -255,7 +256,7 @@
             if (downUntil(request.engine) > m_now)
                 continue;
             request.startsAt = m_now + startTime;
-            if (request.deadly != 0 && isDecided(request.deadly))
+            if (request.crashing != 0 && isDecided(request.crashing))
                 ++sentTooLate;
             m_requests.push_back(std::move(request));
             return;
@@ -277,11 +278,11 @@
             const Request request = m_requests[n];
             if (request.startsAt > m_now)
                 continue;
-            if (request.deadly != 0) {
+            if (request.crashing != 0) {
                 ++crashesByPart;
-                const int crashes = ++m_crashes[request.deadly];
+                const int crashes = ++m_crashes[request.crashing];
                 if (crashes == decisiveCrashes)
-                    m_fifthCrashAt[request.deadly] = m_now;
+                    m_fifthCrashAt[request.crashing] = m_now;
                 if (crashes <= decisiveCrashes)
                     m_settledAt = m_now + reactionTime;
                 crashEngine(request.engine);
@@ -385,14 +386,14 @@
 TEST(QuarantineFleet, OneRequestInSix)
 {
     Scenario scenario;
-    scenario.deadlyShare = 1.0 / 6;
+    scenario.crashingShare = 1.0 / 6;
     expectBounds(scenario);
 }
 
 TEST(QuarantineFleet, OneRequestInAHundred)
 {
     Scenario scenario;
-    scenario.deadlyShare = 0.01;
+    scenario.crashingShare = 0.01;
     scenario.length = 200_s;
     expectBounds(scenario);
 }
@@ -400,8 +401,8 @@
 TEST(QuarantineFleet, TwoPartsAtOnce)
 {
     Scenario scenario;
-    scenario.deadlyParts = 2;
-    scenario.deadlyShare = 0.1;
+    scenario.crashingParts = 2;
+    scenario.crashingShare = 0.1;
     expectBounds(scenario);
 }
 
@@ -439,10 +440,10 @@
 }
 
 // Guards against condemning sound parts if engines crash all the time for other reasons.
-TEST(QuarantineFleet, CrashesWithoutADeadlyPart)
+TEST(QuarantineFleet, CrashesWithoutACrashingPart)
 {
     Scenario scenario;
-    scenario.deadlyShare = 0;
+    scenario.crashingShare = 0;
     scenario.otherCrashesPerSecond = 3;
     for (unsigned seed = 1; seed <= 3; ++seed) {
         Fleet fleet(scenario, seed);
--- a/tests/soak/callers.cpp
+++ b/tests/soak/callers.cpp
@@ -82,9 +82,9 @@
         order.leavesAfter = Millis {static_cast<std::int64_t>(uniform() * most)};
     }
     order.forges = uniform() < forgingPart;
-    const double deadlyShare = m_world->options.deadlyShare;
-    order.deadly = kind == CallKind::Draft && deadlyShare > 0 && uniform() < deadlyShare;
-    if (order.deadly)
+    const double crashingShare = m_world->options.crashingShare;
+    order.crashing = kind == CallKind::Draft && crashingShare > 0 && uniform() < crashingShare;
+    if (order.crashing)
         order.leavesAfter.reset();
     return order;
 }
@@ -144,7 +144,7 @@
     call.patience = order.kind == CallKind::Draft ? draftPatience : plainPatience;
     call.events =
         fewestEvents + static_cast<std::uint32_t>(m_random() % (mostEvents - fewestEvents));
-    call.deadly = order.deadly;
+    call.crashing = order.crashing;
     call.sentAt = World::now();
     perform(session, m_world->ledger.callerSends(call), order);
 }
@@ -164,9 +164,9 @@
         const std::string output = std::to_string(call.events * 4);
         request.headers.push_back({"X-Model-Id", "m"});
         request.headers.push_back({std::string(names::tokens), "3000,2000"});
-        const std::string deadly = call.deadly ? "dead:40," : "";
+        const std::string crashing = call.crashing ? "dead:40," : "";
         request.headers.push_back(
-            {std::string(names::promptParts), "a1:79," + deadly + "b" + call.id + ":2921"});
+            {std::string(names::promptParts), "a1:79," + crashing + "b" + call.id + ":2921"});
         request.headers.push_back({std::string(names::lengthHint), output});
     }
     if (order.forges) {
--- a/tests/soak/callers.h
+++ b/tests/soak/callers.h
@@ -37,7 +37,7 @@
         std::string key;
         // When the caller leaves, if before the end.
         std::optional<Millis> leavesAfter;
-        bool deadly = false;
+        bool crashing = false;
         bool forges = false;
         bool isRetry = false;
     };
--- a/tests/soak/endpointfarm.cpp
+++ b/tests/soak/endpointfarm.cpp
@@ -373,7 +373,7 @@
         return;
     }
     const std::size_t run = m_ledger->begins(call, endpoint.index, resumed, steadyNow());
-    if (call.deadly) {
+    if (call.crashing) {
         crashOn(endpoint, call);
         m_ledger->ends(call, run, steadyNow());
         writer.abort();
--- a/tests/soak/endpointfarm.h
+++ b/tests/soak/endpointfarm.h
@@ -93,7 +93,7 @@
     void setRegistered(Endpoint &endpoint, bool registered);
 
 private:
-    // Ends an engine that begins to answer a deadly prompt; another one starts in its place.
+    // Ends an engine that begins to answer a crashing prompt; another one starts in its place.
     void crashOn(Endpoint &endpoint, const Call &call);
     // Ends the process of an endpoint; its entry in the store stays.
     void end(Endpoint &endpoint);
--- a/tests/soak/ledger.cpp
+++ b/tests/soak/ledger.cpp
@@ -81,8 +81,8 @@
         violation("UNASKED", describe(call) + " reached an endpoint for " + std::string(account));
     checkLeaving(call, facts, now);
     checkPause(call.entry, endpoint, now);
-    if (call.deadly && inTouch)
-        checkDeadly(call, now);
+    if (call.crashing && inTouch)
+        checkCrashing(call, now);
     checkCold(facts, now);
     if (++call.arrivals > 1) {
         m_repeats[facts.service].push_back(now);
@@ -191,15 +191,15 @@
 
 void Ledger::crashedBy(const Call &call, Millis now)
 {
-    if (call.deadly)
+    if (call.crashing)
         m_crashes.push_back(now);
 }
 
-void Ledger::checkDeadly(const Call &call, Millis now)
+void Ledger::checkCrashing(const Call &call, Millis now)
 {
     const bool decided =
         m_crashes.size() >= decisiveCrashes && now > m_crashes[decisiveCrashes - 1] + crashReaction;
-    if (decided && ++m_deadlySent == deadlyAllowance + 1)
+    if (decided && ++m_crashingSent == crashingAllowance + 1)
         violation("BUDGET",
                   describe(call) + " reached an engine after " + std::to_string(m_crashes.size())
                       + " crashes by such prompts");
@@ -337,7 +337,7 @@
     for (const std::pair<const std::string, Call> &entry : m_calls) {
         const Call &call = entry.second;
         const SoakConfig &config = configs.newest();
-        const bool owed = !call.deadly && call.sentAt >= from && call.sentAt <= to
+        const bool owed = !call.crashing && call.sentAt >= from && call.sentAt <= to
             && call.end != CallEnd::Left && config.routes.contains(call.prefix)
             && config.keys.contains(call.key);
         if (!owed)
--- a/tests/soak/ledger.h
+++ b/tests/soak/ledger.h
@@ -53,7 +53,7 @@
     Millis patience {0};
     std::uint32_t events = 0;
     // The prompt has a part that crashes each engine that begins to answer it.
-    bool deadly = false;
+    bool crashing = false;
 
     CallEnd end = CallEnd::None;
     int status = 0;
@@ -117,7 +117,7 @@
     // Prompts that crash engines: requests that may reach engines after some crashes and a time.
     static constexpr std::size_t decisiveCrashes = 5;
     static constexpr Millis crashReaction = 3_s;
-    static constexpr std::uint32_t deadlyAllowance = 3;
+    static constexpr std::uint32_t crashingAllowance = 3;
 
     explicit Ledger(Disturbances &disturbances) : m_disturbances(&disturbances) { }
 
@@ -172,7 +172,7 @@
 
     void checkLeaving(const Call &call, const EndpointFacts &facts, Millis now);
     void checkPause(std::size_t entry, std::size_t endpoint, Millis now);
-    void checkDeadly(const Call &call, Millis now);
+    void checkCrashing(const Call &call, Millis now);
     // An entry never goes back to an earlier configuration in one life.
     void checkVersion(const Call &call, std::string_view version, Millis now);
     void checkCold(EndpointFacts &facts, Millis now);
@@ -196,8 +196,8 @@
     Tally m_left;
     Tally m_held;
     std::vector<Millis> m_crashes;
-    // Requests with a deadly prompt that were sent too late.
-    std::uint32_t m_deadlySent = 0;
+    // Requests with a crashing prompt that were sent too late.
+    std::uint32_t m_crashingSent = 0;
     std::vector<std::string> m_violations;
 };
 
--- a/tests/soak/main.cpp
+++ b/tests/soak/main.cpp
@@ -116,7 +116,7 @@
     app.add_option("--engines", options.engines, "model engines")->check(CLI::Range(1, 200));
     app.add_option("--density", options.density, "multiple of the usual number of faults")
         ->check(CLI::Range(0.1, 100.0));
-    app.add_option("--deadly", options.deadlyShare, "share of the prompts that crash engines")
+    app.add_option("--crashing", options.crashingShare, "share of the prompts that crash engines")
         ->check(CLI::Range(0.0, 1.0));
     app.add_option("--out", options.folder, "folder for settings, logs and the report; emptied");
     CLI11_PARSE(app, argc, argv);
--- a/tests/soak/world.h
+++ b/tests/soak/world.h
@@ -26,7 +26,7 @@
     // Faults in a time, as a multiple of the usual number.
     double density = 1;
     // Share of the generations whose prompt crashes engines.
-    double deadlyShare = 0;
+    double crashingShare = 0;
     std::string program;
     std::string folder;
 };
--- a/tests/soakledger/ledger_test.cpp
+++ b/tests/soakledger/ledger_test.cpp
@@ -279,20 +279,20 @@
 }
 
 // Guards against a soak that does not see prompts which keep crashing engines.
-TEST_F(LedgerTest, FindsDeadlyPromptsAfterTheFifthCrash)
+TEST_F(LedgerTest, FindsCrashingPromptsAfterTheFifthCrash)
 {
-    const auto sendDeadly = [this](Millis at) {
+    const auto sendCrashing = [this](Millis at) {
         Call &call = send(CallKind::Draft, at);
-        call.deadly = true;
+        call.crashing = true;
         arrive(call, engine, at);
         m_ledger.crashedBy(call, at);
     };
     for (int n = 0; n < 8; ++n)
-        sendDeadly(start);
-    for (std::uint32_t n = 0; n < Ledger::deadlyAllowance; ++n)
-        sendDeadly(start + Ledger::crashReaction + 1_ms);
+        sendCrashing(start);
+    for (std::uint32_t n = 0; n < Ledger::crashingAllowance; ++n)
+        sendCrashing(start + Ledger::crashReaction + 1_ms);
     EXPECT_EQ(broken(), Names {});
-    sendDeadly(start + Ledger::crashReaction + 1_ms);
+    sendCrashing(start + Ledger::crashReaction + 1_ms);
     EXPECT_EQ(broken(), Names {"BUDGET"});
 }
 
