Bound the prompt parts in log lines of lost requests

One function now gives the first eight for all three. QuarantineNotice.SummaryOfPartsIsBounded is new.

--- a/include/fescue/serving/promptguard.inl
+++ b/include/fescue/serving/promptguard.inl
@@ -78,7 +78,7 @@
                                 {"endpoint", engine.name.text()},
                                 {"incarnation", engine.incarnation.value},
                                 {"crashed", crashed ? "yes" : "no"},
-                                {"parts", partsText(parts)},
+                                {"parts", partsSummary(parts)},
                                 {"checked_ms", (ServingState::now() - lostAt).count}});
             if (crashed)
                 reportCrash(engine, id, parts, lostAt);
@@ -119,9 +119,10 @@
     m_state->metrics.counter("fescue_engine_crashes_seen_total").Increment();
     if (added.parts.empty())
         return;
-    observe::logChange(
-        "crash-evidence",
-        {{"id", requestId}, {"endpoint", engine.name.text()}, {"parts", partsText(added.parts)}});
+    observe::logChange("crash-evidence",
+                       {{"id", requestId},
+                        {"endpoint", engine.name.text()},
+                        {"parts", partsSummary(added.parts)}});
     m_state->sendQuarantineNotice({.crashes = {added}});
     evaluateLater();
 }
--- a/include/fescue/serving/quarantineentry.h
+++ b/include/fescue/serving/quarantineentry.h
@@ -47,6 +47,9 @@
                                                           Millis wallNow);
 // Returns the ids of the parts in hexadecimal, with commas between them.
 [[nodiscard]] std::string partsText(std::span<const PartId> parts);
+// Returns the first eight of them, and "..." if there are more: for log lines, since callers decide
+// how many parts a prompt has.
+[[nodiscard]] std::string partsSummary(std::span<const PartId> parts);
 
 // Prefix of the keys of quarantine entries in the store.
 inline constexpr std::string_view quarantineKeyPrefix = "quarantine/";
--- a/src/serving/quarantineentry.cpp
+++ b/src/serving/quarantineentry.cpp
@@ -14,6 +14,7 @@
 
 // Maximum number of parts in a key; keys are at most 200 bytes long.
 constexpr std::size_t maxPartsInKey = 8;
+constexpr std::size_t maxPartsInSummary = 8;
 
 std::string hex(PartId part)
 {
@@ -107,4 +108,10 @@
     return join(parts, ',');
 }
 
+std::string partsSummary(std::span<const PartId> parts)
+{
+    const bool isShort = parts.size() <= maxPartsInSummary;
+    return isShort ? partsText(parts) : partsText(parts.first(maxPartsInSummary)) + ",...";
+}
+
 } // namespace fescue::serving
--- a/src/serving/requestcontext.cpp
+++ b/src/serving/requestcontext.cpp
@@ -4,10 +4,8 @@
 #include "fescue/serving/enginesend.h"
 #include "fescue/serving/refusal.h"
 
-#include <algorithm>
-#include <array>
-#include <charconv>
 #include <span>
+#include <vector>
 
 namespace fescue::serving {
 
@@ -30,20 +28,14 @@
     return "unknown";
 }
 
-// Maximum number of prompt parts in a log line.
-constexpr std::size_t maxLoggedParts = 8;
-
-// Returns the ids of the parts in hexadecimal, with commas between them; "..." if there are more.
-std::string describeParts(std::span<const PromptPart> parts)
+// Returns the ids of the first parts of a prompt.
+std::string describePrompt(std::span<const PromptPart> prompt)
 {
-    std::string text;
-    for (const PromptPart &part : parts.first(std::min(parts.size(), maxLoggedParts))) {
-        std::array<char, 2 * sizeof(part.id)> buf {};
-        const std::to_chars_result end =
-            std::to_chars(buf.data(), buf.data() + buf.size(), part.id, 16);
-        text += (text.empty() ? "" : ",") + std::string(buf.data(), end.ptr);
-    }
-    return parts.size() > maxLoggedParts ? text + ",..." : text;
+    std::vector<PartId> parts;
+    parts.reserve(prompt.size());
+    for (const PromptPart &part : prompt)
+        parts.push_back(part.id);
+    return partsSummary(parts);
 }
 
 } // namespace
@@ -129,7 +121,7 @@
          {"attempts", context.attempts},
          {"moves", context.moves},
          {"events", context.events},
-         {"parts", describeParts(context.caller.promptParts)},
+         {"parts", describePrompt(context.caller.promptParts)},
          {"first_ms", first.count},
          {"total_ms", total.count},
          {"left_ms", context.timeLeft().count},
--- a/tests/serving/quarantinenotice_test.cpp
+++ b/tests/serving/quarantinenotice_test.cpp
@@ -72,6 +72,16 @@
     EXPECT_FALSE(parseQuarantineJson(R"({"parts":["x"],"version":1})", 1_s, 1_s));
 }
 
+// Guards against log lines as long as the prompts that callers send.
+TEST(QuarantineNotice, SummaryOfPartsIsBounded)
+{
+    std::vector<PartId> parts {1, 2, 3, 4, 5, 6, 7, 0xa};
+    EXPECT_EQ(partsSummary(parts), "1,2,3,4,5,6,7,a");
+    parts.push_back(9);
+    EXPECT_EQ(partsSummary(parts), "1,2,3,4,5,6,7,a,...");
+    EXPECT_EQ(partsSummary({}), "");
+}
+
 TEST(QuarantineNotice, StoredEntryIsReadByAnotherProcess)
 {
     const QuarantineEntry entry = entryOf(0x4a0e7372ab33);
