Bound the depth of documents from outside the process

What callers saw: another writer's entry below the endpoints' prefix held a deeply nested list.

Cause: copying a parsed JSON value recurses once for each level, and decodeEndpoint() returned the parsed value by copy, on a fiber's stack of 128 KB. Writing a value as text and parsing CBOR recurse as well, so the answer to a move with a nested handle, and datagrams and store copies of peers, had the same fault. Ruled out: the parser of JSON text, which keeps no call frames (the configuration with the same nesting was refused), and a later use of the entry (the test only decodes it).

Change: parseJson() and parseCbor() build the document from the library's events and stop at 64 levels. All readers in the product use them, also those of our own interface and the tools; the guard of the links between daemons is replaced by them. It works because every document passes one of two functions, and neither they nor what follows can recurse deeper than 64.

--- a/include/fescue/core.h
+++ b/include/fescue/core.h
@@ -18,6 +18,7 @@
 #include "fescue/core/generation.h"
 #include "fescue/core/generationid.h"
 #include "fescue/core/ids.h"
+#include "fescue/core/jsondocument.h"
 #include "fescue/core/linkmonitor.h"
 #include "fescue/core/memberinfo.h"
 #include "fescue/core/membertable.h"
--- a/src/admission/endpointkeeper.cpp
+++ b/src/admission/endpointkeeper.cpp
@@ -3,6 +3,7 @@
 #include "loadreport.h"
 
 #include "fescue/core/eligibility.h"
+#include "fescue/core/jsondocument.h"
 #include "fescue/observe/log.h"
 
 #include <mutex>
@@ -44,7 +45,7 @@
     OwnerKey key;
     key.revision = StoreRevision {item.revision.value};
     try {
-        key.holder = holderFrom(nlohmann::json::parse(item.value));
+        key.holder = holderFrom(parseJson(item.value).value_or(nlohmann::json()));
     } catch (const nlohmann::json::exception &) {
         key.holder = {};
     }
--- a/src/admission/loadreport.cpp
+++ b/src/admission/loadreport.cpp
@@ -1,5 +1,7 @@
 #include "loadreport.h"
 
+#include "fescue/core/jsondocument.h"
+
 #include <cmath>
 #include <nlohmann/json.hpp>
 #include <string>
@@ -8,8 +10,12 @@
 
 Result<LoadReport> parseLoadReport(std::string_view body, Millis elapsed)
 {
+    const Result<nlohmann::json> parsed = parseJson(body);
+    if (!parsed)
+        return fail(ResultCode::BackEndProtocol,
+                    "the endpoint's load report is not readable: " + parsed.error().message);
+    const nlohmann::json &in = *parsed;
     try {
-        const nlohmann::json in = nlohmann::json::parse(body);
         LoadReport report;
         report.incarnation = Incarnation {in.at("incarnation").get<std::uint64_t>()};
         report.running = in.at("running").get<std::uint32_t>();
--- a/src/config/snapshotjson.cpp
+++ b/src/config/snapshotjson.cpp
@@ -3,6 +3,7 @@
 #include "config/jsonobject.h"
 #include "fescue/config/snapshotcheck.h"
 #include "fescue/config/words.h"
+#include "fescue/core/jsondocument.h"
 
 #include <algorithm>
 #include <nlohmann/json.hpp>
@@ -269,11 +270,11 @@
 {
     if (text.size() > maxSnapshotBytes)
         return tl::unexpected<Error>(tooLarge(text.size()));
-    const json value = json::parse(text, nullptr, false);
-    if (value.is_discarded())
-        return fail(ResultCode::ConfigSyntax, "the snapshot is not JSON");
+    const Result<json> value = parseJson(text);
+    if (!value)
+        return fail(ResultCode::ConfigSyntax, "the snapshot is not JSON: " + value.error().message);
     ErrorList errors;
-    StoredSnapshot stored = readStored(value, errors);
+    StoredSnapshot stored = readStored(*value, errors);
     if (!errors.empty())
         return tl::unexpected<Error>(std::move(errors.front()));
     const std::vector<Fault> faults = checkSnapshot(stored.snapshot);
--- a/src/core/claimrecord.cpp
+++ b/src/core/claimrecord.cpp
@@ -1,5 +1,7 @@
 #include "fescue/core/claimrecord.h"
 
+#include "fescue/core/jsondocument.h"
+
 #include <array>
 #include <nlohmann/json.hpp>
 #include <optional>
@@ -144,11 +146,11 @@
 
 Result<ClaimRecord> ClaimRecord::parse(std::string_view text)
 {
-    const Json json = Json::parse(text, nullptr, false);
-    if (!json.is_object())
+    const Result<Json> json = parseJson(text);
+    if (!json || !json->is_object())
         return malformed("is not a JSON object");
     try {
-        return fromJson(json);
+        return fromJson(*json);
     } catch (const Json::exception &e) {
         return malformed(std::string {"is incomplete: "} + e.what());
     }
--- a/src/gateway/completionrequest.cpp
+++ b/src/gateway/completionrequest.cpp
@@ -1,6 +1,7 @@
 #include "fescue/gateway/completionrequest.h"
 
-#include <nlohmann/json.hpp>
+#include "fescue/core/jsondocument.h"
+
 #include <xxhash.h>
 
 namespace fescue::gateway {
@@ -14,9 +15,10 @@
 
 Result<CompletionRequest> parseCompletionRequest(std::string_view body)
 {
-    const nlohmann::json json = nlohmann::json::parse(body, nullptr, false);
-    if (!json.is_object())
+    const Result<nlohmann::json> parsed = parseJson(body);
+    if (!parsed || !parsed->is_object())
         return fail(ResultCode::BadRequest, "the body must be a JSON object");
+    const nlohmann::json &json = *parsed;
     const auto model = json.find("model");
     if (model == json.end() || !model->is_string())
         return fail(ResultCode::BadRequest, "field \"model\" must be a string");
--- a/src/gateway/generationrelay.cpp
+++ b/src/gateway/generationrelay.cpp
@@ -1,6 +1,7 @@
 #include "fescue/gateway/generationrelay.h"
 
 #include "fescue/config/accountkeys.h"
+#include "fescue/core/jsondocument.h"
 #include "fescue/gateway/problem.h"
 
 #include <algorithm>
@@ -46,9 +47,11 @@
 
 std::string textOf(std::string_view data)
 {
-    const nlohmann::json json = nlohmann::json::parse(data, nullptr, false);
-    if (!json.is_object() || !json.contains("choices") || !json["choices"].is_array()
-        || json["choices"].empty())
+    const Result<nlohmann::json> parsed = parseJson(data);
+    if (!parsed || !parsed->is_object())
+        return {};
+    const nlohmann::json &json = *parsed;
+    if (!json.contains("choices") || !json["choices"].is_array() || json["choices"].empty())
         return {};
     return json["choices"][0].value("text", std::string {});
 }
--- a/src/net/storeclient.cpp
+++ b/src/net/storeclient.cpp
@@ -1,6 +1,6 @@
 #include "fescue/net/storeclient.h"
 
-#include <nlohmann/json.hpp>
+#include "fescue/core/jsondocument.h"
 
 namespace fescue::net {
 
@@ -29,8 +29,11 @@
 {
     if (!body)
         return tl::unexpected(body.error());
+    const Result<Json> json = parseJson(*body);
+    if (!json)
+        return malformed(json.error().message);
     try {
-        return reader(Json::parse(*body));
+        return reader(*json);
     } catch (const Json::exception &e) {
         return malformed(e.what());
     }
@@ -80,12 +83,12 @@
     case 404:
         return storeFail(ResultCode::StoreNotFound, what + " found nothing");
     case 412: {
-        const Json json = Json::parse(response.body, nullptr, false);
-        if (!json.is_object() || !json.contains("revision")
-            || !json["revision"].is_number_unsigned())
+        const Result<Json> json = parseJson(response.body);
+        if (!json || !json->is_object() || !json->contains("revision")
+            || !(*json)["revision"].is_number_unsigned())
             return malformed("412 without a revision");
         return storeFail(ResultCode::StoreConflict, what + " met another revision",
-                         readRevision(json));
+                         readRevision(*json));
     }
     case 429:
     case 503:
--- a/src/net/vmlistclient.cpp
+++ b/src/net/vmlistclient.cpp
@@ -1,6 +1,6 @@
 #include "fescue/net/vmlistclient.h"
 
-#include <nlohmann/json.hpp>
+#include "fescue/core/jsondocument.h"
 
 namespace fescue::net {
 
@@ -47,8 +47,11 @@
         return tl::unexpected(response.error());
     if (response->status != 200)
         return malformed(m_address, "status " + std::to_string(response->status));
+    const Result<Json> json = parseJson(response->body);
+    if (!json)
+        return malformed(m_address, json.error().message);
     try {
-        return readList(Json::parse(response->body));
+        return readList(*json);
     } catch (const Json::exception &e) {
         return malformed(m_address, e.what());
     }
--- a/src/node/memberjson.cpp
+++ b/src/node/memberjson.cpp
@@ -1,6 +1,6 @@
 #include "fescue/node/memberjson.h"
 
-#include <nlohmann/json.hpp>
+#include "fescue/core/jsondocument.h"
 
 namespace fescue::node {
 
@@ -23,8 +23,12 @@
 
 Result<MemberInfo> parseMember(std::string_view json)
 {
+    const Result<nlohmann::json> parsed = parseJson(json);
+    if (!parsed)
+        return fail(ResultCode::StoreProtocol,
+                    "a member's key is not readable: " + parsed.error().message);
+    const nlohmann::json &in = *parsed;
     try {
-        const nlohmann::json in = nlohmann::json::parse(json);
         MemberInfo member;
         member.name = MemberName(in.at("member").get<std::string>());
         member.zone = ZoneName(in.at("zone").get<std::string>());
--- a/src/peer/codec.cpp
+++ b/src/peer/codec.cpp
@@ -1,5 +1,7 @@
 #include "fescue/peer/codec.h"
 
+#include "fescue/core/jsondocument.h"
+
 #include <limits>
 #include <nlohmann/json.hpp>
 #include <optional>
@@ -89,45 +91,8 @@
     return static_cast<E>(raw);
 }
 
-// Reader of events that stops at a depth which no message has. It runs before the value is built,
-// because the parser of the library recurses without a bound.
-class DepthGuard
-{
-public:
-    using number_integer_t = Json::number_integer_t;
-    using number_unsigned_t = Json::number_unsigned_t;
-    using number_float_t = Json::number_float_t;
-    using string_t = Json::string_t;
-    using binary_t = Json::binary_t;
-
-    // The library calls these by name.
-    // NOLINTBEGIN(readability-identifier-naming)
-    bool null() { return true; }
-    bool boolean(bool) { return true; }
-    bool number_integer(number_integer_t) { return true; }
-    bool number_unsigned(number_unsigned_t) { return true; }
-    bool number_float(number_float_t, const string_t &) { return true; }
-    bool string(string_t &) { return true; }
-    bool binary(binary_t &) { return true; }
-    bool start_object(std::size_t) { return ++m_depth <= maxDepth; }
-    bool key(string_t &) { return true; }
-    bool end_object() { return leave(); }
-    bool start_array(std::size_t) { return ++m_depth <= maxDepth; }
-    bool end_array() { return leave(); }
-    bool parse_error(std::size_t, const std::string &, const Json::exception &) { return false; }
-    // NOLINTEND(readability-identifier-naming)
-
-private:
-    static constexpr int maxDepth = 8;
-
-    bool leave()
-    {
-        --m_depth;
-        return true;
-    }
-
-    int m_depth = 0;
-};
+// Maximum depth of a message.
+constexpr std::size_t maxMessageDepth = 8;
 
 template <typename E>
 std::uint64_t enumNumber(E value) noexcept
@@ -434,14 +399,12 @@
 {
     if (bytes.size() > maxMessageBytes)
         return fail(ResultCode::MessageMalformed, "message from a peer is too large");
+    const Result<Json> in = parseCbor(bytes, maxMessageDepth);
+    if (!in)
+        return fail(ResultCode::MessageMalformed,
+                    "message from a peer is not CBOR: " + in.error().message);
     try {
-        DepthGuard guard;
-        if (!Json::sax_parse(bytes, &guard, Json::input_format_t::cbor))
-            return fail(ResultCode::MessageMalformed, "message from a peer is not CBOR");
-        const Json in = Json::from_cbor(bytes, true, false);
-        if (in.is_discarded())
-            return fail(ResultCode::MessageMalformed, "message from a peer is not CBOR");
-        return readMessage(in);
+        return readMessage(*in);
     } catch (const FieldError &error) {
         return fail(ResultCode::MessageMalformed,
                     std::string("message from a peer: ") + error.what());
--- a/src/serving/cbor.h
+++ b/src/serving/cbor.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "fescue/core/jsondocument.h"
 #include "fescue/core/result.h"
 
 #include <cstdint>
@@ -26,12 +27,14 @@
 template <typename T, typename F>
 Result<T> readCbor(std::string_view bytes, int layoutVersion, std::string_view what, F reader)
 {
+    const Result<Json> json = parseCbor(bytes);
+    if (!json)
+        return fail(ResultCode::MessageMalformed, std::string(what) + ": " + json.error().message);
     try {
-        const Json json = Json::from_cbor(bytes.begin(), bytes.end());
-        if (json.at(0).get<int>() != layoutVersion)
+        if (json->at(0).get<int>() != layoutVersion)
             return fail(ResultCode::MessageVersionUnknown,
                         std::string(what) + " has an unknown layout version");
-        return reader(json);
+        return reader(*json);
     } catch (const Json::exception &e) {
         return fail(ResultCode::MessageMalformed, std::string(what) + ": " + e.what());
     }
--- a/src/serving/quarantineentry.cpp
+++ b/src/serving/quarantineentry.cpp
@@ -82,8 +82,11 @@
     const auto point = [now, wallNow](const Json &value) {
         return std::min(now, Millis {value.get<std::int64_t>()} - wallNow + now);
     };
+    const Result<Json> parsed = parseJson(json);
+    if (!parsed)
+        return fail(ResultCode::StoreProtocol, "quarantine entry: " + parsed.error().message);
+    const Json &value = *parsed;
     try {
-        const Json value = Json::parse(json);
         QuarantineEntry entry;
         entry.parts = readParts(value.at("parts"));
         entry.version = value.at("version").get<std::uint32_t>();
--- a/src/tools/blockingstore.cpp
+++ b/src/tools/blockingstore.cpp
@@ -1,5 +1,6 @@
 #include "fescue/tools/blockingstore.h"
 
+#include "fescue/core/jsondocument.h"
 #include "fescue/tools/blockinghttp.h"
 
 #include <nlohmann/json.hpp>
@@ -54,7 +55,7 @@
 
 std::optional<std::uint64_t> readRevision(const std::string &body)
 {
-    const json value = json::parse(body, nullptr, false);
+    const json value = parseJson(body).value_or(json());
     if (!value.is_object() || !value.contains("revision")
         || !value["revision"].is_number_unsigned())
         return std::nullopt;
@@ -78,7 +79,7 @@
         return StoreValue {std::string(key), {}, 0};
     if (reply->status != statusOk)
         return statusError(reply->status);
-    std::optional<StoreValue> item = readItem(json::parse(reply->body, nullptr, false));
+    std::optional<StoreValue> item = readItem(parseJson(reply->body).value_or(json()));
     if (!item)
         return shapeError();
     return std::move(*item);
@@ -93,7 +94,7 @@
         return tl::unexpected<Error>(storeError(reply.error()));
     if (reply->status != statusOk)
         return statusError(reply->status);
-    const json body = json::parse(reply->body, nullptr, false);
+    const json body = parseJson(reply->body).value_or(json());
     if (!body.is_object() || !body.contains("items") || !body["items"].is_array())
         return shapeError();
     std::vector<StoreValue> items;
--- a/src/tools/rollout.cpp
+++ b/src/tools/rollout.cpp
@@ -1,5 +1,6 @@
 #include "fescue/tools/rollout.h"
 
+#include "fescue/core/jsondocument.h"
 #include "fescue/tools/blockinghttp.h"
 
 #include <algorithm>
@@ -45,7 +46,7 @@
 
 Result<MemberAddress> parseMemberAddress(std::string_view name, std::string_view text)
 {
-    const json value = json::parse(text, nullptr, false);
+    const json value = parseJson(text).value_or(json());
     if (!value.is_object() || !value.contains("http") || !value["http"].is_string())
         return fail(ResultCode::StoreProtocol,
                     "member " + std::string(name) + " has no address \"http\" in the store");
@@ -58,7 +59,7 @@
 MemberStatus parseMemberStatus(const MemberAddress &member, std::string_view text)
 {
     MemberStatus status {member.name, member.http, {}, {}, {}};
-    const json value = json::parse(text, nullptr, false);
+    const json value = parseJson(text).value_or(json());
     if (!value.is_object() || !value.contains("config_version")
         || !value["config_version"].is_number_unsigned()) {
         status.problem = "the answer of /status has no config_version";
--- a/src/tools/timelinemerge.cpp
+++ b/src/tools/timelinemerge.cpp
@@ -1,5 +1,7 @@
 #include "fescue/tools/timelinemerge.h"
 
+#include "fescue/core/jsondocument.h"
+
 #include <algorithm>
 #include <ctime>
 #include <map>
@@ -64,7 +66,7 @@
 
 Result<std::vector<Event>> parseTimeline(std::string_view text)
 {
-    const json value = json::parse(text, nullptr, false);
+    const json value = parseJson(text).value_or(json());
     if (!value.is_object() || !hasText(value, "process"))
         return malformed("no object with a process");
     if (!value.contains("events") || !value["events"].is_array())
