Resume streams without a length that the system itself has stopped

Cause: an engine that stops a generation for a move closes its stream. For an answer that has neither length nor chunks, the end of the connection is the end of the answer, and StreamForwarder::forward() took it for complete unless it lay inside an event. It did not ask whether this process had told the engine to stop.

Ruled out: a resume that fails (no "resume" line in the log of the case), and the order of the two answers by itself (the stream ends about a millisecond before the answer to the stop, and resume() waits for that answer where the stream has chunks).

Change: where the body ends with its connection and a stop has been asked for, the answer to that call decides: a copy means that the generation resumes, "no such generation" that the stream had ended by itself, and no answer that the stream is never passed on as complete. It works because every end by which the system cuts a stream passes judgeEnd(), and only an engine that denies running the generation lets it end.

--- a/include/fescue/net/httpclient.h
+++ b/include/fescue/net/httpclient.h
@@ -44,6 +44,9 @@
     // Errors: LinkSilent when nothing arrives for the whole timeout (the stream can still be read
     // from), BackEndLost when the connection ended early, BackEndProtocol.
     [[nodiscard]] Result<std::size_t> read(std::span<char> buf, Millis timeout);
+    // True if the body has neither a length nor chunks: the end of the connection ends it, and
+    // whether it is complete shows only in its contents.
+    [[nodiscard]] bool bodyEndsWithConnection() const noexcept;
     // Reads the rest of the body, at most maxBytes. Where `mayTake` is given, it is asked for the
     // memory of each piece; once it returns false, the read ends with BackEndProtocol.
     [[nodiscard]] Result<std::string> readAll(std::size_t maxBytes, Millis timeout,
--- a/include/fescue/serving/streamforwarder.h
+++ b/include/fescue/serving/streamforwarder.h
@@ -67,6 +67,10 @@
 
     void forward(ForwardedStream &forwarded);
     [[nodiscard]] StreamEnd forwardUntilBreak(ForwardedStream &forwarded);
+    // Returns how a stream has ended whose engine sent all that the framing announced.
+    [[nodiscard]] StreamEnd judgeEnd(ForwardedStream &forwarded);
+    // Waits until the engine has answered a call to stop the generation, if there is one.
+    void waitForStopAnswer(const GenerationRun &run);
     [[nodiscard]] bool forwardReady(ForwardedStream &forwarded);
     // Fails over to the backup while the engine still runs the generation; keeps the stream of the
     // engine if that fails.
--- a/include/fescue/serving/streamforwarder.inl
+++ b/include/fescue/serving/streamforwarder.inl
@@ -197,12 +197,8 @@
     const RequestContext &context = forwarded.context;
     while (true) {
         StreamEnd end = forwardUntilBreak(forwarded);
-        // A stream without a length ends with its connection; whether it is complete shows only in
-        // its events.
-        const bool brokenOff = end == StreamEnd::Complete
-            && (forwarded.events.midEvent() || forwarded.events.events() == 0);
-        if (brokenOff)
-            end = StreamEnd::EngineLost;
+        if (end == StreamEnd::Complete)
+            end = judgeEnd(forwarded);
         const bool mayBeCrash =
             end == StreamEnd::EngineLost && forwarded.run->phase == MovePhase::Running;
         if (mayBeCrash && !context.promptStarted)
@@ -245,6 +241,37 @@
     }
 }
 
+template <PlatformProtocol P>
+typename StreamForwarder<P>::StreamEnd StreamForwarder<P>::judgeEnd(ForwardedStream &forwarded)
+{
+    const GenerationRun &run = *forwarded.run;
+    if (forwarded.events.midEvent() || forwarded.events.events() == 0)
+        return StreamEnd::EngineLost;
+    if (!forwarded.upstream.bodyEndsWithConnection())
+        return StreamEnd::Complete;
+    // An engine that stops a generation for a move closes its connection as well. It answers that
+    // it runs no such generation if the stream had ended by itself before.
+    waitForStopAnswer(run);
+    const bool mayBeStopped = run.phase == MovePhase::Stopping || run.phase == MovePhase::Stopped
+        || run.phase == MovePhase::Broken;
+    if (!mayBeStopped)
+        return StreamEnd::Complete;
+    observe::logChange("stream-stopped",
+                       {{"id", run.requestId},
+                        {"endpoint", run.engine.name.text()},
+                        {"resumable", run.phase == MovePhase::Stopped ? "yes" : "no"},
+                        {"events", forwarded.events.events()}});
+    return StreamEnd::EngineLost;
+}
+
+template <PlatformProtocol P>
+void StreamForwarder<P>::waitForStopAnswer(const GenerationRun &run)
+{
+    const Millis until = ServingState::now() + maxResumeWait;
+    while (run.phase == MovePhase::Stopping && ServingState::now() < until)
+        net::sleepFor(resumePollInterval);
+}
+
 template <PlatformProtocol P>
 void StreamForwarder<P>::failOver(ForwardedStream &forwarded)
 {
@@ -310,9 +337,7 @@
 {
     GenerationRun &run = *forwarded.run;
     forwarded.upstream = {};
-    const Millis until = ServingState::now() + maxResumeWait;
-    while (run.phase == MovePhase::Stopping && ServingState::now() < until)
-        net::sleepFor(resumePollInterval);
+    waitForStopAnswer(run);
     if (run.phase == MovePhase::Stopped) {
         run.resume->lastEventId = forwarded.events.lastId();
         const EndpointRecord source = run.engine;
--- a/src/net/clientconnection.h
+++ b/src/net/clientconnection.h
@@ -33,6 +33,8 @@
                                         std::optional<std::uint64_t> maxBodyBytes, Millis deadline);
     // Returns 0 at the end of the body.
     [[nodiscard]] Result<std::size_t> readBody(std::span<char> buf, Millis deadline);
+    // True if the answer has neither a length nor chunks. Valid until markIdle().
+    [[nodiscard]] bool bodyEndsWithConnection() const { return m_parser && m_parser->need_eof(); }
     void close() noexcept { m_socket.close(); }
     // Sets the question that waits for an answer ask from time to time; they end with Cancelled
     // once it returns true.
--- a/src/net/httpclient.cpp
+++ b/src/net/httpclient.cpp
@@ -196,6 +196,11 @@
     return findHeader(headers(), name);
 }
 
+bool ClientStream::bodyEndsWithConnection() const noexcept
+{
+    return m_connection && m_connection->bodyEndsWithConnection();
+}
+
 Result<std::size_t> ClientStream::read(std::span<char> buf, Millis timeout)
 {
     if (!m_connection)
--- a/tests/platform/requestcodec_test.cpp
+++ b/tests/platform/requestcodec_test.cpp
@@ -189,6 +189,19 @@
     EXPECT_EQ(platform::decodeMoveAnswer(404, "").outcome, MoveOutcome::NoSuchRun);
     EXPECT_EQ(platform::decodeMoveAnswer(409, "{").outcome, MoveOutcome::Busy);
     EXPECT_EQ(platform::decodeMoveAnswer(500, "").outcome, MoveOutcome::Unclear);
+    EXPECT_EQ(platform::decodeMoveAnswer(503, "").outcome, MoveOutcome::NoRoom);
+}
+
+// Guards against taking a generation for running, or for copied, if the engine's answer names the
+// copy in a form that cannot be used.
+TEST(MoveCodec, CopyWithoutAUsableNameIsUnclear)
+{
+    for (const int status : {200, 503}) {
+        for (const char *body : {R"({"Handle":[7]})", R"({"Handle":null})", R"({"Handle":-1})"})
+            EXPECT_EQ(platform::decodeMoveAnswer(status, body).outcome, MoveOutcome::Unclear);
+    }
+    for (const char *body : {"", "{}", "[", R"({"Created":3})"})
+        EXPECT_EQ(platform::decodeMoveAnswer(200, body).outcome, MoveOutcome::Unclear);
 }
 
 TEST(MoveCodec, CallNamesGenerationAndDestination)
--- a/tests/serving/exchange_test.cpp
+++ b/tests/serving/exchange_test.cpp
@@ -3,11 +3,13 @@
 #include "tests/net/rawserver.h"
 #include "tests/serving/onworker.h"
 #include "tests/serving/testprotocol.h"
+#include "tests/serving/unframedengine.h"
 
 #include <atomic>
 #include <future>
 #include <gtest/gtest.h>
 #include <list>
+#include <thread>
 
 namespace {
 
@@ -663,4 +665,126 @@
     EXPECT_EQ(moves, 0);
 }
 
+// A generation on an engine whose streams have no length and that is replaced while it runs. What
+// the engine does when it is asked to stop the generation differs from test to test.
+class ReplacedEngine : public Exchange
+{
+protected:
+    using Write = test::UnframedEngine::Write;
+
+    static constexpr int eventCount = 6;
+
+    ReplacedEngine() { config.services.front().engine->canBackUp = false; }
+
+    static std::string events(int first, int last)
+    {
+        std::string text;
+        for (int n = first; n <= last; ++n)
+            text += eventText(n);
+        return text;
+    }
+
+    // Script of the engine that leaves: writes two events, announces that it leaves, and ends the
+    // stream between two events once it has been asked to stop, or once `endsByItself` is set.
+    void leave(std::string_view head, const Write &write)
+    {
+        if (head.find("/move") == std::string_view::npos) {
+            write("HTTP/1.1 200 OK\r\nRequest: id-1\r\nConnection: close\r\n\r\n" + events(1, 2));
+            onWorker([this] {
+                state.endpoints.removed(ServingState::now(), EndpointName("leaving"));
+                mover.evacuate(EndpointName("leaving"), 3_s);
+            });
+            stopped.get_future().wait();
+            return;
+        }
+        if (head.find("Stop: 1") == std::string_view::npos) {
+            write("HTTP/1.1 200 OK\r\nContent-Length: 6\r\n\r\ncopy-1");
+            return;
+        }
+        answerStop(write);
+    }
+
+    // Calls a stream at the engine that leaves, beside another one that resumes generations.
+    Result<net::HttpResponse> callStream()
+    {
+        test::UnframedEngine leaving(
+            [this](std::string_view head, const Write &write) { leave(head, write); });
+        test::UnframedEngine other([this](std::string_view head, const Write &write) {
+            ++resumes;
+            EXPECT_NE(head.find("Resume-From: copy-2"), std::string_view::npos) << head;
+            EXPECT_NE(head.find("Resume-After: 2"), std::string_view::npos) << head;
+            write("HTTP/1.1 200 OK\r\nRequest: id-1\r\nConnection: close\r\n\r\n"
+                  + events(3, eventCount));
+        });
+        addEndpointAt("leaving", leaving.address());
+        std::promise<Result<net::HttpResponse>> done;
+        std::thread caller([&] { done.set_value(call("/stream/x", {{"Tokens", "1"}})); });
+        // The other engine joins once the generation runs.
+        onWorker([&] {
+            while (state.runs.size() == 0)
+                net::sleepFor(1_ms);
+        });
+        addEndpointAt("other", other.address());
+        caller.join();
+        return done.get_future().get();
+    }
+
+    // Ends the stream of the engine that leaves.
+    void endStream() { stopped.set_value(); }
+
+    std::function<void(const Write &)> answerStop;
+    std::promise<void> stopped;
+    std::atomic<int> resumes {0};
+};
+
+// Guards against passing on a third of a generation as a whole one: a stream without a length ends
+// with its connection also when the system has asked the engine to stop the generation.
+TEST_F(ReplacedEngine, StreamThatTheSystemStoppedResumes)
+{
+    answerStop = [this](const Write &write) {
+        endStream();
+        write("HTTP/1.1 200 OK\r\nContent-Length: 6\r\n\r\ncopy-2");
+    };
+    const Result<net::HttpResponse> response = callStream();
+    ASSERT_TRUE(response) << response.error().message;
+    EXPECT_EQ(response->body, events(1, eventCount));
+    EXPECT_EQ(resumes, 1);
+}
+
+// Guards against the same if the copy takes so long that the stream ends well before the answer.
+TEST_F(ReplacedEngine, StreamThatTheSystemStoppedResumesOnceTheCopyIsThere)
+{
+    answerStop = [this](const Write &write) {
+        endStream();
+        std::this_thread::sleep_for(std::chrono::milliseconds(300));
+        write("HTTP/1.1 200 OK\r\nContent-Length: 6\r\n\r\ncopy-2");
+    };
+    const Result<net::HttpResponse> response = callStream();
+    ASSERT_TRUE(response) << response.error().message;
+    EXPECT_EQ(response->body, events(1, eventCount));
+    EXPECT_EQ(resumes, 1);
+}
+
+// Guards against running a generation on that has ended by itself just before it was to be stopped.
+TEST_F(ReplacedEngine, StreamThatEndedBeforeItWasStoppedIsComplete)
+{
+    answerStop = [this](const Write &write) {
+        endStream();
+        write("HTTP/1.1 404 Not Found\r\nContent-Length: 0\r\n\r\n");
+    };
+    const Result<net::HttpResponse> response = callStream();
+    ASSERT_TRUE(response) << response.error().message;
+    EXPECT_EQ(response->body, events(1, 2));
+    EXPECT_EQ(resumes, 0);
+}
+
+// Guards against passing on a stream as whole if it is not known whether the engine has stopped it.
+TEST_F(ReplacedEngine, StreamThatTheSystemMayHaveStoppedIsNeverComplete)
+{
+    answerStop = [this](const Write &) { endStream(); };
+    const Result<net::HttpResponse> response = callStream();
+    EXPECT_FALSE(response);
+    EXPECT_EQ(resumes, 0);
+}
+
 } // namespace
--- a/tests/serving/testprotocol.h
+++ b/tests/serving/testprotocol.h
@@ -88,14 +88,18 @@
     {
         return {{"Signature", std::string(net::findHeader(headers, "Signature"))}};
     }
-    static net::HttpRequest encodeMove(const serving::MoveCall &)
+    static net::HttpRequest encodeMove(const serving::MoveCall &call)
     {
         net::HttpRequest request;
         request.target = "/move";
+        if (call.stop)
+            request.headers.push_back({"Stop", "1"});
         return request;
     }
     static serving::MoveAnswer decodeMoveAnswer(int status, std::string_view body)
     {
+        if (status == 404)
+            return {serving::MoveOutcome::NoSuchRun, {}, 0};
         if (status != 200)
             return {};
         return {serving::MoveOutcome::Copied, std::string(body), 0};
