Reset the connections of streams to HTTP/1.0 callers that are cut off

What callers saw: an HTTP/1.0 caller gets a stream without chunks, whose end is the end of the connection. A stream that was cut off closed the connection in order and looked whole.

Cause: ServerConnection closed connections of whole and of cut answers in the same way, which only chunks tell apart.

Change: such a stream sets the option to reset on close when it begins and clears it when it is whole. It works because the kernel then resets in every way in which the connection can end before, also when the process dies. Callers of HTTP/1.1 are not affected.

--- a/src/net/serverconnection.cpp
+++ b/src/net/serverconnection.cpp
@@ -237,8 +237,11 @@
     message.result(static_cast<unsigned>(status));
     addHeaders(message, headers);
     message.chunked(m_chunked);
-    if (!m_chunked)
+    if (!m_chunked) {
         m_keepAlive = false;
+        // The end of the connection ends this answer. Until it is whole, that must not be in order.
+        m_socket.setResetOnClose(true);
+    }
     message.keep_alive(m_keepAlive);
     m_phase = Phase::Streaming;
     http::response_serializer<http::empty_body> serializer(message);
@@ -268,8 +271,10 @@
     if (m_phase != Phase::Streaming)
         return fail(ResultCode::LinkClosed, "the answer is not being streamed");
     m_phase = Phase::Finished;
-    if (!m_chunked)
+    if (!m_chunked) {
+        m_socket.setResetOnClose(false);
         return {};
+    }
     return checkWritten(m_socket.writeAll(http::make_chunk_last(), writeDeadline()));
 }
 
--- a/src/net/tcpsocket.cpp
+++ b/src/net/tcpsocket.cpp
@@ -92,6 +92,12 @@
                  sizeof(milliseconds));
 }
 
+void TcpSocket::setResetOnClose(bool resets) noexcept
+{
+    boost::system::error_code ignored;
+    m_socket.set_option(asio::socket_base::linger(resets, 0), ignored);
+}
+
 void TcpSocket::shutdownSend() noexcept
 {
     boost::system::error_code ignored;
--- a/src/net/tcpsocket.h
+++ b/src/net/tcpsocket.h
@@ -66,6 +66,9 @@
     [[nodiscard]] bool readable();
     // Makes the kernel fail the connection when sent bytes stay unacknowledged for the span.
     void setSendTimeout(Millis span);
+    // Makes the end of the connection a reset instead of an orderly close, also if the process
+    // dies.
+    void setResetOnClose(bool resets) noexcept;
     void shutdownSend() noexcept;
     void close() noexcept;
     [[nodiscard]] bool isOpen() const noexcept { return m_socket.is_open(); }
--- a/tests/net/http_test.cpp
+++ b/tests/net/http_test.cpp
@@ -60,8 +60,10 @@
         return request;
     }
 
-    // Sends raw bytes and returns all that comes back until the server closes.
-    std::string exchange(const std::string &bytes, bool closeSend = true)
+    // Sends raw bytes and returns all that comes back until the server closes. `ended` becomes how
+    // the connection ended: eof if the server closed it in order.
+    std::string exchange(const std::string &bytes, bool closeSend = true,
+                         boost::system::error_code *ended = nullptr)
     {
         asio::io_context context;
         tcp::socket socket(context);
@@ -73,6 +75,8 @@
             socket.shutdown(tcp::socket::shutdown_send, ec);
         std::string answer;
         asio::read(socket, asio::dynamic_buffer(answer), ec);
+        if (ended != nullptr)
+            *ended = ec;
         return answer;
     }
 
@@ -217,6 +221,17 @@
     EXPECT_EQ(old.find("chunked"), std::string::npos);
 }
 
+// Guards against a cut stream that looks whole to an HTTP/1.0 caller: its answer has no chunks, so
+// the end of the connection is the end of the answer.
+TEST_F(HttpTest, CutStreamOfAnOldCallerEndsWithAReset)
+{
+    boost::system::error_code ended;
+    static_cast<void>(exchange("GET /cut HTTP/1.0\r\n\r\n", false, &ended));
+    EXPECT_EQ(ended, asio::error::connection_reset) << ended.message();
+    static_cast<void>(exchange("GET /stream HTTP/1.0\r\n\r\n", false, &ended));
+    EXPECT_EQ(ended, asio::error::eof) << ended.message();
+}
+
 TEST_F(HttpTest, RandomBytesDoNotHarm)
 {
     constexpr unsigned seed = 20261204;
