Refuse numbers that do not fit in everything that comes from outside

What callers would have seen (a report of other operators, nobody has met it here): an entry of another writer with a number too large, or a port out of range, is used as an endpoint, looks emptier than all others, and takes requests that nobody serves.

Cause: the conversions of the JSON library wrap numbers that do not fit, take true for 1 and have no defined result for large fractions; nothing checked ranges where bytes come in. Names with line ends were accepted, and the header that carries such a name is left out on sending: a request without the expected endpoint, or a resume without its copy.

Change: fescue/core/jsonnumber.h reads whole numbers and times and refuses what does not fit. The readers of entries, configuration, reports, store answers, settings, members, datagrams, claims, load reports and VM lists use it. Times are at most a thousand years; in the configuration a longer one is valid and is capped. Durations in INI files are bounded in the same way. Reasons are cut to 200 bytes; a refused entry is logged (endpoint-malformed) and counted, also if it names an endpoint that was not known. It works because no number passes a reader unchecked.

--- a/include/fescue/core.h
+++ b/include/fescue/core.h
@@ -19,6 +19,7 @@
 #include "fescue/core/generationid.h"
 #include "fescue/core/ids.h"
 #include "fescue/core/jsondocument.h"
+#include "fescue/core/jsonnumber.h"
 #include "fescue/core/linkmonitor.h"
 #include "fescue/core/memberinfo.h"
 #include "fescue/core/membertable.h"
--- a/include/fescue/core/clock.h
+++ b/include/fescue/core/clock.h
@@ -44,6 +44,10 @@
     }
 };
 
+// Longest span of time that is read from outside the process, a thousand years: sums of a few of
+// them and a point in time cannot overflow.
+inline constexpr Millis maxInputSpan {std::int64_t {365'250} * 24 * 60 * 60 * 1000};
+
 inline namespace literals {
 
 [[nodiscard]] constexpr Millis operator""_ms(unsigned long long n) noexcept
--- a/include/fescue/net/httptypes.h
+++ b/include/fescue/net/httptypes.h
@@ -24,6 +24,10 @@
 [[nodiscard]] std::string_view findHeader(const std::vector<Header> &headers,
                                           std::string_view name) noexcept;
 
+// True if a text is not empty and has only visible ASCII characters: it can be sent as it is as the
+// value of a field, or as a part of one.
+[[nodiscard]] bool isVisibleText(std::string_view text) noexcept;
+
 struct HttpRequest
 {
     std::string method = "GET";
--- a/include/fescue/serving/storesession.inl
+++ b/include/fescue/serving/storesession.inl
@@ -612,6 +612,14 @@
     } else {
         m_state->endpoints.removed(now, name);
     }
+    if (!record && !change.removed) {
+        m_state->metrics.counter("fescue_malformed_entries_total").Increment();
+        observe::logChange(observe::LogLevel::Warning, "endpoint-malformed",
+                           {{"endpoint", name.text()},
+                            {"revision", change.revision.value},
+                            {"bytes", change.value.size()},
+                            {"reason", record.error().message}});
+    }
     const EndpointView *after = m_state->endpoints.find(name);
     if (after == nullptr)
         return;
--- a/src/admission/endpointkeeper.cpp
+++ b/src/admission/endpointkeeper.cpp
@@ -4,6 +4,7 @@
 
 #include "fescue/core/eligibility.h"
 #include "fescue/core/jsondocument.h"
+#include "fescue/core/jsonnumber.h"
 #include "fescue/observe/log.h"
 
 #include <mutex>
@@ -29,7 +30,7 @@
 ClaimHolder holderFrom(const nlohmann::json &in)
 {
     return {MemberName(in.at("member").get<std::string>()),
-            Incarnation {in.at("incarnation").get<std::uint64_t>()}};
+            Incarnation {readWholeNumber<std::uint64_t>(in.at("incarnation"), "incarnation")}};
 }
 
 std::string ownerJson(const ClaimHolder &holder)
--- a/src/admission/loadreport.cpp
+++ b/src/admission/loadreport.cpp
@@ -1,13 +1,32 @@
 #include "loadreport.h"
 
 #include "fescue/core/jsondocument.h"
+#include "fescue/core/jsonnumber.h"
 
-#include <cmath>
+#include <algorithm>
+#include <concepts>
 #include <nlohmann/json.hpp>
 #include <string>
 
 namespace fescue::admission {
 
+namespace {
+
+// Whole number of a member, or 0 if it is absent.
+template <std::integral T>
+T optionalNumber(const nlohmann::json &json, const char *key)
+{
+    return json.contains(key) ? readWholeNumber<T>(json[key], key) : T {0};
+}
+
+// Milliseconds of a member, or 0 if it is absent.
+Millis optionalSpan(const nlohmann::json &json, const char *key)
+{
+    return json.contains(key) ? readSpan(json[key], key) : Millis {0};
+}
+
+} // namespace
+
 Result<LoadReport> parseLoadReport(std::string_view body, Millis elapsed)
 {
     const Result<nlohmann::json> parsed = parseJson(body);
@@ -17,17 +36,16 @@
     const nlohmann::json &in = *parsed;
     try {
         LoadReport report;
-        report.incarnation = Incarnation {in.at("incarnation").get<std::uint64_t>()};
-        report.running = in.at("running").get<std::uint32_t>();
+        report.incarnation = {readWholeNumber<std::uint64_t>(in.at("incarnation"), "incarnation")};
+        report.running = readWholeNumber<std::uint32_t>(in.at("running"), "running");
         report.cold = in.at("cold").get<bool>();
-        report.waiting = in.value("waiting", std::uint32_t {0});
-        report.memoryUsed = in.value("memory_used", std::uint64_t {0});
-        report.memoryTotal = in.value("memory_total", std::uint64_t {0});
-        report.preemptions = in.value("preemptions", std::uint64_t {0});
-        report.tokensTotal = in.value("tokens_total", std::uint64_t {0});
-        const double firstToken = in.value("first_token_ms", 0.0);
-        report.firstToken = Millis {std::llround(std::max(0.0, firstToken))};
-        report.age = Millis {in.value("age_ms", std::int64_t {0})} + elapsed;
+        report.waiting = optionalNumber<std::uint32_t>(in, "waiting");
+        report.memoryUsed = optionalNumber<std::uint64_t>(in, "memory_used");
+        report.memoryTotal = optionalNumber<std::uint64_t>(in, "memory_total");
+        report.preemptions = optionalNumber<std::uint64_t>(in, "preemptions");
+        report.tokensTotal = optionalNumber<std::uint64_t>(in, "tokens_total");
+        report.firstToken = std::max(optionalSpan(in, "first_token_ms"), Millis {0});
+        report.age = optionalSpan(in, "age_ms") + elapsed;
         return report;
     } catch (const nlohmann::json::exception &error) {
         return fail(ResultCode::BackEndProtocol,
--- a/src/config/jsonobject.cpp
+++ b/src/config/jsonobject.cpp
@@ -1,5 +1,7 @@
 #include "config/jsonobject.h"
 
+#include "fescue/core/jsonnumber.h"
+
 #include <utility>
 
 namespace fescue {
@@ -84,7 +86,7 @@
 void JsonObject::read(const char *key, Millis &target)
 {
     std::uint64_t count = 0;
-    if (readUnsigned(key, count, std::numeric_limits<std::int64_t>::max()))
+    if (readUnsigned(key, count, static_cast<std::uint64_t>(maxInputSpan.count)))
         target = Millis {static_cast<std::int64_t>(count)};
 }
 
--- a/src/config/sectionreader.cpp
+++ b/src/config/sectionreader.cpp
@@ -117,6 +117,8 @@
                     quoted(text)
                         + " is not a duration; write a whole number with ms, s, m or h, "
                           "as in 250ms");
+    if (value > static_cast<std::uint64_t>(maxInputSpan.count))
+        return fail(ResultCode::ConfigBadValue, quoted(text) + " is longer than any duration");
     return Millis {static_cast<std::int64_t>(value)};
 }
 
--- a/src/core/claimrecord.cpp
+++ b/src/core/claimrecord.cpp
@@ -1,6 +1,7 @@
 #include "fescue/core/claimrecord.h"
 
 #include "fescue/core/jsondocument.h"
+#include "fescue/core/jsonnumber.h"
 
 #include <array>
 #include <nlohmann/json.hpp>
@@ -106,17 +107,18 @@
     const std::optional<std::string> body = utf8ToBytes(textField(json, "body"));
     if (!body)
         return malformed("has a body that does not encode bytes");
-    const std::int64_t deadlineLeft = json.at("deadline_ms").get<std::int64_t>();
-    if (deadlineLeft < 0)
+    const Millis deadlineLeft = readSpan(json.at("deadline_ms"), "deadline_ms");
+    if (deadlineLeft < Millis {0})
         return malformed("has a negative deadline");
     ClaimRecord record;
     record.nonce = textField(json, "nonce");
     record.requestDigest = textField(json, "digest");
     record.state = *state;
     record.holder.member = MemberName {textField(json, "holder")};
-    record.holder.incarnation = {json.at("incarnation").get<std::uint64_t>()};
-    record.deadlineLeft = {deadlineLeft};
-    record.answer.status = json.at("status").get<std::uint16_t>();
+    record.holder.incarnation = {
+        readWholeNumber<std::uint64_t>(json.at("incarnation"), "incarnation")};
+    record.deadlineLeft = deadlineLeft;
+    record.answer.status = readWholeNumber<std::uint16_t>(json.at("status"), "status");
     record.answer.contentType = textField(json, "content_type");
     record.answer.body = *body;
     record.bodyDropped = json.at("body_dropped").get<bool>();
--- a/src/core/jsondocument.cpp
+++ b/src/core/jsondocument.cpp
@@ -11,6 +11,9 @@
 
 using Json = nlohmann::json;
 
+// Maximum length of the reason of an error, which may quote the document.
+constexpr std::size_t maxReasonBytes = 200;
+
 // Builds a document from the events of the library's parsers and stops them at a maximum depth,
 // before the CBOR parser, which recurses, has used up the stack.
 class DocumentBuilder
@@ -88,6 +91,8 @@
     bool stop(std::string reason)
     {
         m_error = std::move(reason);
+        if (m_error.size() > maxReasonBytes)
+            m_error.resize(maxReasonBytes);
         return false;
     }
 
--- a/src/gateway/generationrelay.cpp
+++ b/src/gateway/generationrelay.cpp
@@ -53,7 +53,10 @@
     const nlohmann::json &json = *parsed;
     if (!json.contains("choices") || !json["choices"].is_array() || json["choices"].empty())
         return {};
-    return json["choices"][0].value("text", std::string {});
+    const nlohmann::json &choice = json["choices"][0];
+    const bool hasText =
+        choice.is_object() && choice.contains("text") && choice["text"].is_string();
+    return hasText ? choice["text"].get<std::string>() : std::string();
 }
 
 } // namespace
--- a/src/net/endpointaddress.cpp
+++ b/src/net/endpointaddress.cpp
@@ -9,10 +9,14 @@
 
 namespace {
 
+// Maximum length of an address, an IPv6 one with its port, that an error quotes.
+constexpr std::size_t maxQuotedBytes = 64;
+
 tl::unexpected<Error> badAddress(std::string_view text)
 {
     return fail(ResultCode::SettingsInvalid,
-                "\"" + std::string(text) + "\" is not an IP number and a port, like 127.0.0.1:80");
+                "\"" + std::string(text.substr(0, maxQuotedBytes))
+                    + "\" is not an IP number and a port, like 127.0.0.1:80");
 }
 
 } // namespace
--- a/src/net/httptypes.cpp
+++ b/src/net/httptypes.cpp
@@ -55,6 +55,12 @@
     return it == headers.end() ? std::string_view() : std::string_view(it->value);
 }
 
+bool isVisibleText(std::string_view text) noexcept
+{
+    return !text.empty()
+        && std::all_of(text.begin(), text.end(), [](char c) { return c > ' ' && c < 0x7f; });
+}
+
 std::string_view HttpRequest::header(std::string_view name) const noexcept
 {
     return findHeader(headers, name);
--- a/src/net/storeclient.cpp
+++ b/src/net/storeclient.cpp
@@ -1,6 +1,7 @@
 #include "fescue/net/storeclient.h"
 
 #include "fescue/core/jsondocument.h"
+#include "fescue/core/jsonnumber.h"
 
 namespace fescue::net {
 
@@ -41,7 +42,7 @@
 
 StoreRevision readRevision(const Json &json)
 {
-    return {json.at("revision").get<std::uint64_t>()};
+    return {readWholeNumber<std::uint64_t>(json.at("revision"), "revision")};
 }
 
 StoreItem readItem(const Json &json)
@@ -200,7 +201,7 @@
     HttpRequest request = makeRequest("POST", "/v1/leases");
     request.body = Json {{"ttl_ms", ttl.count}}.dump();
     return readJson<LeaseId>(call(std::move(request), m_timeout), [](const Json &json) {
-        return LeaseId {json.at("lease").get<std::uint64_t>()};
+        return LeaseId {readWholeNumber<std::uint64_t>(json.at("lease"), "lease")};
     });
 }
 
--- a/src/net/vmlistclient.cpp
+++ b/src/net/vmlistclient.cpp
@@ -1,6 +1,7 @@
 #include "fescue/net/vmlistclient.h"
 
 #include "fescue/core/jsondocument.h"
+#include "fescue/core/jsonnumber.h"
 
 namespace fescue::net {
 
@@ -29,7 +30,7 @@
 VmList readList(const Json &json)
 {
     VmList list;
-    list.revision = json.at("revision").get<std::uint64_t>();
+    list.revision = readWholeNumber<std::uint64_t>(json.at("revision"), "revision");
     for (const Json &vm : json.at("vms"))
         list.vms.push_back(readVm(vm));
     return list;
--- a/src/node/memberjson.cpp
+++ b/src/node/memberjson.cpp
@@ -1,6 +1,7 @@
 #include "fescue/node/memberjson.h"
 
 #include "fescue/core/jsondocument.h"
+#include "fescue/core/jsonnumber.h"
 
 namespace fescue::node {
 
@@ -36,9 +37,11 @@
         if (in.at("role") == peer::toString(peer::Role::Entry))
             member.callerAddress = in.at("http").get<std::string>();
         member.peerAddress = in.at("peer").get<std::string>();
-        member.incarnation = Incarnation {in.at("incarnation").get<std::uint64_t>()};
+        member.incarnation =
+            Incarnation {readWholeNumber<std::uint64_t>(in.at("incarnation"), "incarnation")};
         member.leaving = in.at("leaving").get<bool>();
-        member.linkMegabits = in.value("link", 0U);
+        member.linkMegabits =
+            in.contains("link") ? readWholeNumber<std::uint32_t>(in["link"], "link") : 0;
         if (member.name.empty())
             return fail(ResultCode::StoreProtocol, "a member's key has no name");
         return member;
--- a/src/serving/cbor.h
+++ b/src/serving/cbor.h
@@ -1,10 +1,12 @@
 #pragma once
 
 #include "fescue/core/jsondocument.h"
+#include "fescue/core/jsonnumber.h"
 #include "fescue/core/result.h"
 
 #include <cstdint>
 #include <nlohmann/json.hpp>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -21,6 +23,24 @@
     return {bytes.begin(), bytes.end()};
 }
 
+// Returns the whole number at a position of a list. Throws Json::exception if there is none that
+// fits into T.
+template <std::integral T>
+[[nodiscard]] T numberAt(const Json &list, std::size_t position)
+{
+    const std::optional<T> number = findWholeNumber<T>(list.at(position));
+    return number ? *number
+                  : readWholeNumber<T>(list.at(position), "item " + std::to_string(position));
+}
+
+// Returns the milliseconds at a position of a list. Throws Json::exception if there are none, or
+// more than maxInputSpan.
+[[nodiscard]] inline Millis spanAt(const Json &list, std::size_t position)
+{
+    const std::optional<Millis> span = findSpan(list.at(position), 1_ms);
+    return span ? *span : readSpan(list.at(position), "item " + std::to_string(position));
+}
+
 // Decodes a message with `reader`; `what` names the message in errors. Fails with
 // MessageVersionUnknown for another layout version, and with MessageMalformed if the message does
 // not match the layout.
@@ -31,7 +51,7 @@
     if (!json)
         return fail(ResultCode::MessageMalformed, std::string(what) + ": " + json.error().message);
     try {
-        if (json->at(0).get<int>() != layoutVersion)
+        if (numberAt<int>(*json, 0) != layoutVersion)
             return fail(ResultCode::MessageVersionUnknown,
                         std::string(what) + " has an unknown layout version");
         return reader(*json);
--- a/src/serving/gossip.cpp
+++ b/src/serving/gossip.cpp
@@ -22,12 +22,12 @@
 {
     MemberInfo member;
     member.name = MemberName(json.at(0).get<std::string>());
-    member.incarnation = {json.at(1).get<std::uint64_t>()};
+    member.incarnation = {numberAt<std::uint64_t>(json, 1)};
     member.zone = ZoneName(json.at(2).get<std::string>());
     member.callerAddress = json.at(3).get<std::string>();
     member.peerAddress = json.at(4).get<std::string>();
     member.leaving = json.at(5).get<bool>();
-    member.linkMegabits = json.at(6).get<std::uint32_t>();
+    member.linkMegabits = numberAt<std::uint32_t>(json, 6);
     return member;
 }
 
@@ -50,8 +50,8 @@
     std::vector<EndpointLoadEntry> loads;
     for (const Json &entry : list) {
         loads.push_back({EndpointName(entry.at(0).get<std::string>()),
-                         {entry.at(1).get<std::uint32_t>(), entry.at(2).get<std::uint64_t>(),
-                          entry.at(3).get<std::uint64_t>()}});
+                         {numberAt<std::uint32_t>(entry, 1), numberAt<std::uint64_t>(entry, 2),
+                          numberAt<std::uint64_t>(entry, 3)}});
     }
     return loads;
 }
@@ -71,7 +71,7 @@
     std::vector<EndpointIncarnation> incarnations;
     for (const Json &entry : list)
         incarnations.push_back(
-            {EndpointName(entry.at(0).get<std::string>()), {entry.at(1).get<std::uint64_t>()}});
+            {EndpointName(entry.at(0).get<std::string>()), {numberAt<std::uint64_t>(entry, 1)}});
     return incarnations;
 }
 
@@ -98,11 +98,11 @@
     return readCbor<Gossip>(bytes, layoutVersion, "gossip", [](const Json &json) {
         Gossip gossip;
         gossip.member = decodeMember(json.at(1));
-        gossip.configVersion = {json.at(2).get<std::uint64_t>()};
+        gossip.configVersion = {numberAt<std::uint64_t>(json, 2)};
         gossip.loads = decodeLoads(json.at(3));
         for (const Json &entry : json.at(4)) {
             gossip.retries.push_back(
-                {ServiceName(entry.at(0).get<std::string>()), entry.at(1).get<std::uint32_t>()});
+                {ServiceName(entry.at(0).get<std::string>()), numberAt<std::uint32_t>(entry, 1)});
         }
         // Processes of the previous release do not send these fields.
         constexpr std::size_t leavingField = 5;
@@ -127,9 +127,9 @@
     return readCbor<LeavingNotice>(bytes, layoutVersion, "leaving endpoints", [](const Json &json) {
         LeavingNotice notice {
             ZoneName(json.at(1).get<std::string>()), decodeIncarnations(json.at(2)), {}};
-        const std::int64_t leaves = json.at(3).get<std::int64_t>();
-        if (leaves != unknownTime)
-            notice.leavesIn = Millis {leaves};
+        const Millis leaves = spanAt(json, 3);
+        if (leaves != Millis {unknownTime})
+            notice.leavesIn = leaves;
         return notice;
     });
 }
@@ -154,8 +154,8 @@
 Result<ZoneLoads> decodeZoneLoads(std::string_view bytes)
 {
     return readCbor<ZoneLoads>(bytes, layoutVersion, "zone loads", [](const Json &json) {
-        return ZoneLoads {ZoneName(json.at(1).get<std::string>()),
-                          Millis {json.at(2).get<std::int64_t>()}, decodeLoads(json.at(3))};
+        return ZoneLoads {ZoneName(json.at(1).get<std::string>()), spanAt(json, 2),
+                          decodeLoads(json.at(3))};
     });
 }
 
--- a/src/serving/quarantineentry.cpp
+++ b/src/serving/quarantineentry.cpp
@@ -80,7 +80,7 @@
 {
     // Wall clocks of two machines may differ, so no time may lie in the future.
     const auto point = [now, wallNow](const Json &value) {
-        return std::min(now, Millis {value.get<std::int64_t>()} - wallNow + now);
+        return std::min(now, readSpan(value, "a point in time") - wallNow + now);
     };
     const Result<Json> parsed = parseJson(json);
     if (!parsed)
@@ -89,10 +89,10 @@
     try {
         QuarantineEntry entry;
         entry.parts = readParts(value.at("parts"));
-        entry.version = value.at("version").get<std::uint32_t>();
+        entry.version = readWholeNumber<std::uint32_t>(value.at("version"), "version");
         entry.active = value.at("active").get<bool>();
-        entry.crashes = value.at("crashes").get<std::uint32_t>();
-        entry.trials = value.at("trials").get<std::uint32_t>();
+        entry.crashes = readWholeNumber<std::uint32_t>(value.at("crashes"), "crashes");
+        entry.trials = readWholeNumber<std::uint32_t>(value.at("trials"), "trials");
         entry.rivals = readParts(value.at("rivals"));
         entry.since = point(value.at("since_unix_ms"));
         entry.lastCrashAt = point(value.at("last_crash_unix_ms"));
--- a/src/serving/quarantinenotice.cpp
+++ b/src/serving/quarantinenotice.cpp
@@ -24,18 +24,27 @@
             (now - entry.lastTrialAt).count};
 }
 
+std::vector<PartId> readIds(const Json &list)
+{
+    std::vector<PartId> ids;
+    ids.reserve(list.size());
+    for (const Json &id : list)
+        ids.push_back(readWholeNumber<PartId>(id, "a part id"));
+    return ids;
+}
+
 QuarantineEntry decodeEntry(const Json &json, Millis now)
 {
     QuarantineEntry entry;
-    entry.parts = json.at(0).get<std::vector<PartId>>();
-    entry.version = json.at(1).get<std::uint32_t>();
+    entry.parts = readIds(json.at(0));
+    entry.version = numberAt<std::uint32_t>(json, 1);
     entry.active = json.at(2).get<bool>();
-    entry.crashes = json.at(3).get<std::uint32_t>();
-    entry.trials = json.at(4).get<std::uint32_t>();
-    entry.rivals = json.at(5).get<std::vector<PartId>>();
-    entry.since = now - Millis {json.at(6).get<std::int64_t>()};
-    entry.lastCrashAt = now - Millis {json.at(7).get<std::int64_t>()};
-    entry.lastTrialAt = now - Millis {json.at(8).get<std::int64_t>()};
+    entry.crashes = numberAt<std::uint32_t>(json, 3);
+    entry.trials = numberAt<std::uint32_t>(json, 4);
+    entry.rivals = readIds(json.at(5));
+    entry.since = now - spanAt(json, 6);
+    entry.lastCrashAt = now - spanAt(json, 7);
+    entry.lastTrialAt = now - spanAt(json, 8);
     return entry;
 }
 
@@ -95,11 +104,11 @@
             notice.fromZone = ZoneName(json.at(1).get<std::string>());
             for (const Json &crash : json.at(2)) {
                 notice.crashes.push_back({{EndpointName(crash.at(0).get<std::string>()),
-                                           {crash.at(1).get<std::uint64_t>()}},
-                                          Millis {crash.at(2).get<std::int64_t>()},
-                                          crash.at(3).get<std::vector<PartId>>()});
+                                           {numberAt<std::uint64_t>(crash, 1)}},
+                                          spanAt(crash, 2),
+                                          readIds(crash.at(3))});
             }
-            notice.startedParts = json.at(3).get<std::vector<PartId>>();
+            notice.startedParts = readIds(json.at(3));
             for (const Json &entry : json.at(4))
                 notice.entries.push_back(decodeEntry(entry, now));
             return notice;
--- a/src/serving/storefeed.cpp
+++ b/src/serving/storefeed.cpp
@@ -58,7 +58,7 @@
 {
     net::StoreItem item;
     item.key = json.at(0).get<std::string>();
-    item.revision = {json.at(1).get<std::uint64_t>(), era};
+    item.revision = {numberAt<std::uint64_t>(json, 1), era};
     item.deleted = json.at(2).get<bool>();
     const Json::binary_t &value = json.at(3).get_binary();
     item.value.assign(value.begin(), value.end());
@@ -89,7 +89,7 @@
 
 std::uint64_t readEra(const Json &json, std::size_t field)
 {
-    return json.size() > field ? json.at(field).get<std::uint64_t>() : 0;
+    return json.size() > field ? numberAt<std::uint64_t>(json, field) : 0;
 }
 
 Json encodeMessage(const StoreUpdate &update)
@@ -121,12 +121,12 @@
         StoreUpdate update;
         update.from = MemberName(json.at(1).get<std::string>());
         const std::uint64_t era = readEra(json, updateEraField);
-        update.after = {json.at(2).get<std::uint64_t>(), era};
-        update.at = {json.at(3).get<std::uint64_t>(), era};
+        update.after = {numberAt<std::uint64_t>(json, 2), era};
+        update.at = {numberAt<std::uint64_t>(json, 3), era};
         update.reachable = json.at(4).get<bool>();
         update.items = decodeItems(json.at(5), era);
         if (json.size() > updateAgeField)
-            update.storeAge = Millis {json.at(updateAgeField).get<std::int64_t>()};
+            update.storeAge = spanAt(json, updateAgeField);
         return update;
     });
 }
@@ -141,7 +141,7 @@
 {
     return readCbor<StoreCopy>(bytes, layoutVersion, messageName, [](const Json &json) {
         const std::uint64_t era = readEra(json, copyEraField);
-        StoreCopy copy {{json.at(1).get<std::uint64_t>(), era},
+        StoreCopy copy {{numberAt<std::uint64_t>(json, 1), era},
                         json.at(2).get<bool>(),
                         decodeItems(json.at(3), era),
                         {}};
