Keep periodic tasks and the listing going after an unexpected error

What callers would have seen (the same report of other operators: machines "stopped following" the list): a process whose task has ended serves on with the configuration and the endpoints of that moment, or stops telling its peers that it lives, until somebody restarts it. An error in the handler of a datagram ended the process.

Cause: an exception that left a fiber ended its task for good; nobody tried again. One exception is known: EndpointTable::tick() looked up an endpoint that had been removed and had announced its departure in an outage of over 30 s, and had been forgotten since. GossipSocket called its receiver from the loop of the worker without any handling.

A change of the store that cannot be applied is logged and left out; the others of the same listing or watch are applied. A datagram that fails concerns no other. Not changed: the loops of the daemons of our own interface (src/node, src/admission).

--- a/include/fescue/serving/edgedaemon.inl
+++ b/include/fescue/serving/edgedaemon.inl
@@ -4,6 +4,7 @@
 #include "fescue/observe/log.h"
 #include "fescue/observe/timeline.h"
 #include "fescue/serving/entrydirectory.h"
+#include "fescue/serving/periodictask.h"
 
 namespace fescue::serving {
 
@@ -173,7 +174,7 @@
 template <PlatformProtocol P>
 void EdgeDaemon<P>::tick()
 {
-    while (!net::stopRequested()) {
+    repeatUntilStopped(m_state.metrics, "tick", [this] {
         const Millis now = ServingState::now();
         m_state.members.heartbeat(now, m_self);
         for (const EndpointName &endpoint : m_state.endpoints.tick(now)) {
@@ -202,7 +203,7 @@
         m_state.quarantine.purge(now);
         repeatQuarantineNotices();
         net::sleepFor(m_state.isLarge() ? largeTickInterval : tickInterval);
-    }
+    });
 }
 
 template <PlatformProtocol P>
--- a/include/fescue/serving/generationmover.inl
+++ b/include/fescue/serving/generationmover.inl
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "fescue/observe/log.h"
+#include "fescue/serving/periodictask.h"
 
 namespace fescue::serving {
 
@@ -72,10 +73,10 @@
 template <PlatformProtocol P>
 void GenerationMover<P>::pollEngines()
 {
-    while (!net::stopRequested()) {
+    repeatUntilStopped(m_state->metrics, "poll-engines", [this] {
         net::sleepFor(enginePollInterval);
         if (!m_state->isStoreSilent())
-            continue;
+            return;
         const Millis now = ServingState::now();
         for (const EndpointRecord &engine : m_state->runs.engines()) {
             const EndpointView *view = m_state->endpoints.find(engine.name);
@@ -88,7 +89,7 @@
                 continue;
             m_state->pool.spawn(net::currentWorker(), [this, engine] { pollEngine(engine); });
         }
-    }
+    });
 }
 
 template <PlatformProtocol P>
--- a/include/fescue/serving/gossipsocket.h
+++ b/include/fescue/serving/gossipsocket.h
@@ -28,6 +28,8 @@
 
 private:
     void receive();
+    // Hands a datagram to the receiver; one that fails concerns no other.
+    void handle(std::string_view bytes);
 
     // Maximum length of a received datagram.
     static constexpr std::size_t maxBytes = 16384;
--- a/include/fescue/serving/storesession.inl
+++ b/include/fescue/serving/storesession.inl
@@ -3,6 +3,7 @@
 #include "fescue/node/memberjson.h"
 #include "fescue/observe/log.h"
 #include "fescue/observe/timeline.h"
+#include "fescue/serving/periodictask.h"
 
 #include <algorithm>
 
@@ -73,7 +74,7 @@
 {
     Backoff watcherBackoff(watcherBackoffLimits);
     Backoff otherBackoff(nonWatcherBackoffLimits);
-    while (!net::stopRequested()) {
+    repeatUntilStopped(m_state->metrics, "follow-store", [&] {
         const Millis now = ServingState::now();
         const std::vector<MemberView> members = m_state->members.members(now);
         const bool own = m_feed.mustWatch(now, m_self.name, members);
@@ -81,11 +82,11 @@
         if (own ? followStore() || catchUp(members) : followPeers(members)) {
             watcherBackoff.reset();
             otherBackoff.reset();
-            continue;
+            return;
         }
         const bool watches = FeedPolicy::isWatcher(m_self.name, members);
         waitForStore(watches ? watcherBackoff : otherBackoff, watches);
-    }
+    });
 }
 
 template <PlatformProtocol P>
@@ -130,7 +131,7 @@
 template <PlatformProtocol P>
 void StoreSession<P>::logCalls()
 {
-    while (!net::stopRequested()) {
+    repeatUntilStopped(m_state->metrics, "log-store-calls", [&] {
         net::sleepFor(callLogInterval);
         observe::logChange("store-calls",
                            {{storeCallNames[0], m_calls[0]},
@@ -141,7 +142,7 @@
                             {"failed", m_failedCalls}});
         m_calls = {};
         m_failedCalls = 0;
-    }
+    });
 }
 
 template <PlatformProtocol P>
@@ -401,10 +402,10 @@
 template <PlatformProtocol P>
 void StoreSession<P>::sendHeartbeats()
 {
-    while (!net::stopRequested()) {
+    repeatUntilStopped(m_state->metrics, "send-heartbeats", [&] {
         sendUpdate(m_revision, {});
         net::sleepFor(FeedPolicy::heartbeatInterval);
-    }
+    });
 }
 
 template <PlatformProtocol P>
@@ -522,8 +523,18 @@
 template <PlatformProtocol P>
 void StoreSession<P>::applyChanges(const std::vector<StoreChange> &changes)
 {
-    for (const StoreChange &change : changes)
-        applyChange(change);
+    for (const StoreChange &change : changes) {
+        // The revision has moved on: a change that is left out does not come again.
+        try {
+            applyChange(change);
+        } catch (const net::WorkerStopped &) {
+            throw;
+        } catch (const std::exception &e) {
+            observe::logChange(observe::LogLevel::Error, "change-not-applied",
+                               {{"key", change.key}, {"revision", change.revision.value}});
+            noteTaskFailure(m_state->metrics, "apply-change", e);
+        }
+    }
 }
 
 template <PlatformProtocol P>
@@ -741,10 +752,10 @@
 template <PlatformProtocol P>
 void StoreSession<P>::storeQuarantine()
 {
-    while (!net::stopRequested()) {
+    repeatUntilStopped(m_state->metrics, "store-quarantine", [&] {
         net::sleepFor(quarantineCheckInterval);
         if (!m_listed || m_state->isStoreSilent())
-            continue;
+            return;
         for (const QuarantineEntry &entry : m_state->quarantine.entries()) {
             const std::string key = quarantineKey(entry);
             if (isStored(entry)) {
@@ -772,7 +783,7 @@
                                    {{"key", key}, {"reason", written.error().message}});
             }
         }
-    }
+    });
 }
 
 template <PlatformProtocol P>
@@ -810,7 +821,7 @@
 void StoreSession<P>::keepRegistered()
 {
     Backoff backoff(nonWatcherBackoffLimits);
-    while (!net::stopRequested()) {
+    repeatUntilStopped(m_state->metrics, "keep-registered", [&] {
         const bool registered = m_lease.has_value();
         const net::StoreResult<void> done =
             registered ? m_store.renewLease(*m_lease) : registerSelf();
@@ -822,19 +833,19 @@
             m_lease.reset();
             const double spread = static_cast<double>(reregisterSpread.count) * m_state->uniform();
             net::sleepFor(Millis {static_cast<std::int64_t>(spread)});
-            continue;
+            return;
         }
         if (done) {
             backoff.reset();
             net::sleepFor(renewInterval);
-            continue;
+            return;
         }
         if (done.error().code == ResultCode::StoreNotFound) {
             observe::logChange("registration-lapsed", {{"reason", done.error().message}});
             m_lease.reset();
         }
         waitForStore(backoff, isWatcher());
-    }
+    });
 }
 
 template <PlatformProtocol P>
--- a/src/serving/endpointtable.cpp
+++ b/src/serving/endpointtable.cpp
@@ -171,9 +171,14 @@
     confirmListed(now);
     std::vector<EndpointName> leaving;
     if (!removalsMayBeFalse(now)) {
-        leaving.assign(m_unconfirmedRemovals.begin(), m_unconfirmedRemovals.end());
-        for (const EndpointName &name : leaving)
-            markLeaving(now, m_endpoints.at(name));
+        for (const EndpointName &name : m_unconfirmedRemovals) {
+            // An endpoint that had also announced its departure may have been forgotten since.
+            const auto it = m_endpoints.find(name);
+            if (it == m_endpoints.end())
+                continue;
+            markLeaving(now, it->second);
+            leaving.push_back(name);
+        }
         m_unconfirmedRemovals.clear();
     }
     std::erase_if(m_endpoints, [this, now](const std::pair<const EndpointName, EndpointView> &e) {
--- a/src/serving/gossipsocket.cpp
+++ b/src/serving/gossipsocket.cpp
@@ -1,5 +1,7 @@
 #include "fescue/serving/gossipsocket.h"
 
+#include "fescue/observe/log.h"
+
 #include <boost/asio/buffer.hpp>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/address.hpp>
@@ -40,11 +42,21 @@
                                     // Other errors concern a single datagram, such as one to a
                                     // peer's closed port.
                                     if (!ec)
-                                        m_receiver(std::string_view(m_buffer.data(), n));
+                                        handle(std::string_view(m_buffer.data(), n));
                                     receive();
                                 });
 }
 
+void GossipSocket::handle(std::string_view bytes)
+{
+    try {
+        m_receiver(bytes);
+    } catch (const std::exception &e) {
+        observe::logChange(observe::LogLevel::Error, "datagram-failed",
+                           {{"bytes", bytes.size()}, {"reason", std::string_view(e.what())}});
+    }
+}
+
 bool GossipSocket::send(const net::Address &peer, std::string_view bytes)
 {
     boost::system::error_code ec;
--- a/tests/serving/endpointtable_test.cpp
+++ b/tests/serving/endpointtable_test.cpp
@@ -189,4 +189,20 @@
     EXPECT_EQ(usableCount(table), 1U);
 }
 
+// Guards against an error in the periodic work of a process: the endpoint has been forgotten before
+// its removal is confirmed.
+TEST(EndpointTable, RemovalOfAForgottenEndpointIsConfirmed)
+{
+    EndpointTable table;
+    table.storeReachable(1_s, true);
+    table.listed(1_s, makeRecord("e1"));
+    table.storeReachable(2_s, false);
+    table.removed(3_s, EndpointName("e1"));
+    EXPECT_TRUE(table.announcedLeaving(4_s, {EndpointName("e1"), {1}}));
+    EXPECT_TRUE(table.tick(36_s).empty());
+    EXPECT_EQ(table.find(EndpointName("e1")), nullptr);
+    table.storeReachable(37_s, true);
+    EXPECT_NO_THROW(EXPECT_TRUE(table.tick(40_s).empty()));
+}
+
 } // namespace
--- a/tests/serving/scriptedstore.h
+++ b/tests/serving/scriptedstore.h
@@ -11,6 +11,7 @@
 #include <map>
 #include <optional>
 #include <set>
+#include <stdexcept>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -57,6 +58,8 @@
     std::uint64_t historyFrom = 0;
     std::uint64_t era = 1;
     bool rejectsCalls = false;
+    // Number of next calls that end with an exception.
+    int callsThatThrow = 0;
     // Maximum number of items in one page.
     std::size_t pageItems = 100;
     // Called once, after the next page has been read.
@@ -65,6 +68,15 @@
 
     // The store that ScriptedStoreClient calls.
     static inline ScriptedStore *current = nullptr;
+
+    // Called at the begin of each call.
+    void throwIfScripted()
+    {
+        if (callsThatThrow > 0) {
+            --callsThatThrow;
+            throw std::runtime_error("scripted");
+        }
+    }
 };
 
 // Client of the current ScriptedStore.
@@ -85,6 +97,7 @@
     [[nodiscard]] net::StoreResult<Page> listPage(std::string_view, std::string_view after) const
     {
         ScriptedStore &store = *ScriptedStore::current;
+        store.throwIfScripted();
         if (store.rejectsCalls)
             return refuse();
         Page page;
@@ -107,6 +120,7 @@
                                                          Millis) const
     {
         ScriptedStore &store = *ScriptedStore::current;
+        store.throwIfScripted();
         net::sleepFor(5_ms);
         if (store.rejectsCalls)
             return refuse();
@@ -125,6 +139,7 @@
     put(std::string_view key, std::string_view value, net::LeaseId lease) const
     {
         ScriptedStore &store = *ScriptedStore::current;
+        store.throwIfScripted();
         if (store.rejectsCalls)
             return refuse();
         trackEra();
@@ -138,6 +153,7 @@
     putIfMatch(std::string_view key, std::string_view value, net::StoreRevision expected) const
     {
         ScriptedStore &store = *ScriptedStore::current;
+        store.throwIfScripted();
         if (store.rejectsCalls)
             return refuse();
         trackEra();
@@ -153,6 +169,7 @@
     [[nodiscard]] net::StoreResult<net::LeaseId> createLease(Millis) const
     {
         ScriptedStore &store = *ScriptedStore::current;
+        store.throwIfScripted();
         if (store.rejectsCalls)
             return refuse();
         trackEra();
@@ -163,6 +180,7 @@
     [[nodiscard]] net::StoreResult<void> renewLease(net::LeaseId lease) const
     {
         ScriptedStore &store = *ScriptedStore::current;
+        store.throwIfScripted();
         if (store.rejectsCalls)
             return refuse();
         trackEra();
@@ -212,6 +230,8 @@
     static Result<serving::EndpointRecord> decodeEndpoint(const EndpointName &name,
                                                           std::string_view value)
     {
+        if (value == "throws")
+            throw std::runtime_error("scripted");
         serving::EndpointRecord record;
         record.name = name;
         record.service = ServiceName("service");
--- a/tests/serving/storesession_test.cpp
+++ b/tests/serving/storesession_test.cpp
@@ -304,4 +304,37 @@
     }));
 }
 
+// Guards against a process that stops following the store for good after an unexpected error.
+TEST_F(StoreSessionTest, SessionGoesOnAfterErrorsInItsTasks)
+{
+    start();
+    onWorker([this] {
+        store.callsThatThrow = 6;
+        store.put("config", "6");
+    });
+    EXPECT_TRUE(eventually([this] { return store.callsThatThrow == 0 && version() == 6; }));
+    // The lease is renewed after the errors as well.
+    const std::size_t renewals = store.renewed.size();
+    EXPECT_TRUE(eventually([this, renewals] { return store.renewed.size() > renewals; }));
+    onWorker([this] { store.put("config", "7"); });
+    EXPECT_TRUE(eventually([this] { return version() == 7; }));
+}
+
+// Guards against one entry that cannot be applied keeping the later ones of the same listing or
+// watch from being applied.
+TEST_F(StoreSessionTest, OtherEntriesHoldBesideOneThatFails)
+{
+    store.put("endpoints/a", "throws");
+    store.put("endpoints/b", "ready");
+    start();
+    EXPECT_TRUE(eventually([this] { return state.endpoints.find(EndpointName("b")) != nullptr; }));
+    onWorker([this] {
+        store.put("endpoints/c", "throws");
+        store.put("endpoints/d", "ready");
+        store.put("config", "6");
+    });
+    EXPECT_TRUE(eventually([this] { return version() == 6; }));
+    onWorker([this] { EXPECT_NE(state.endpoints.find(EndpointName("d")), nullptr); });
+}
+
 } // namespace
