Soak: entries of another writer that cannot be read

A fourth draw beside the others, so that the faults of earlier seeds stay as they were: six entries that are nested, or have numbers or a port out of range.

--- a/tests/soak/faultplan.cpp
+++ b/tests/soak/faultplan.cpp
@@ -52,6 +52,7 @@
     "endpoint-asks-pause",
     "endpoint-endless",
     "store-comes-back-older",
+    "odd-entries",
 };
 
 // Faults begin once the system has served for a moment.
@@ -61,11 +62,13 @@
 // Mean time between faults, of the calmest and of the roughest run.
 constexpr Millis calmGap = 4_s;
 constexpr Millis roughGap = 350_ms;
-// The same for the kinds of the second and third draw.
+// The same for the kinds of the later draws.
 constexpr Millis secondDrawGap = 5_s;
 constexpr std::uint64_t secondDrawSeed = 0x9e3779b97f4a7c15;
 constexpr Millis thirdDrawGap = 8_s;
 constexpr std::uint64_t thirdDrawSeed = 0xd1b54a32d192ed03;
+constexpr Millis fourthDrawGap = 6_s;
+constexpr std::uint64_t fourthDrawSeed = 0x8cb92ba72f3d8dd7;
 
 // Draws faults of the kinds from `first` on, `kinds` of them.
 std::vector<Fault> draw(std::mt19937_64 &random, double meanGap, std::size_t first,
@@ -114,7 +117,8 @@
         faults.insert(faults.end(), more.begin(), more.end());
     };
     drawMore(secondDrawSeed, secondDrawGap, firstDrawKinds, secondDrawKinds);
-    drawMore(thirdDrawSeed, thirdDrawGap, secondDrawKinds, faultKinds);
+    drawMore(thirdDrawSeed, thirdDrawGap, secondDrawKinds, thirdDrawKinds);
+    drawMore(fourthDrawSeed, fourthDrawGap, thirdDrawKinds, faultKinds);
     std::stable_sort(faults.begin(), faults.end(),
                      [](const Fault &a, const Fault &b) { return a.at < b.at; });
     return faults;
--- a/tests/soak/faultplan.h
+++ b/tests/soak/faultplan.h
@@ -53,14 +53,16 @@
     EndpointAsksPause,
     EndpointEndless,
     StoreComesBackOlder,
+    OddEntries,
 };
-inline constexpr std::size_t faultKinds =
-    static_cast<std::size_t>(FaultKind::StoreComesBackOlder) + 1;
-// Kinds of the first draw and of the first two. Later ones are drawn beside them, so that the
-// faults of a seed that once failed stay the same.
+inline constexpr std::size_t faultKinds = static_cast<std::size_t>(FaultKind::OddEntries) + 1;
+// Kinds of the first draw, of the first two and of the first three. Later ones are drawn beside
+// them, so that the faults of a seed that once failed stay the same.
 inline constexpr std::size_t firstDrawKinds = static_cast<std::size_t>(FaultKind::ZoneOut) + 1;
 inline constexpr std::size_t secondDrawKinds =
     static_cast<std::size_t>(FaultKind::EndpointEndless) + 1;
+inline constexpr std::size_t thirdDrawKinds =
+    static_cast<std::size_t>(FaultKind::StoreComesBackOlder) + 1;
 
 [[nodiscard]] std::string_view toString(FaultKind kind) noexcept;
 
--- a/tests/soak/injector.cpp
+++ b/tests/soak/injector.cpp
@@ -58,6 +58,8 @@
 {
     if (fault.kind == FaultKind::StoreComesBackOlder)
         rewindStore(fault);
+    else if (fault.kind == FaultKind::OddEntries)
+        writeOddEntries(fault);
     else if (fault.kind <= FaultKind::AllEntriesKilled)
         hitEntry(fault);
     else if (fault.kind <= FaultKind::StoreTurnsEntryAway)
@@ -77,6 +79,28 @@
         changeConfig(fault);
 }
 
+void Injector::writeOddEntries(const Fault &fault)
+{
+    constexpr std::size_t nestedLists = 20'000;
+    const std::string nested = std::string(nestedLists, '[') + std::string(nestedLists, ']');
+    // The members of an entry that differ from those of a usable one.
+    const std::array<std::string, 6> oddMembers {
+        R"("Service":)" + nested, R"("Models":)" + nested, R"("Slots":1e400)",
+        R"("Slots":-1)",          R"("born":1e300)",       R"("Address":"127.0.0.1:70000")"};
+    const std::string prefix = "servers/odd-" + std::to_string(fault.at.count) + '-';
+    for (std::size_t n = 0; n < oddMembers.size(); ++n) {
+        // The last of two members with one name counts.
+        const std::string usable = R"({"Service":")" + std::string(firstPlainService)
+            + R"(","Address":"127.0.0.1:9","Zone":"z0","Version":"v1","Slots":6,"State":"ready",)"
+            + R"("ColdRemainingMs":0,"Sequence":1,)";
+        m_world->store.put(prefix + std::to_string(n), usable + oddMembers[n] + '}');
+    }
+    after(fault.lasts, [this, prefix, n = oddMembers.size()] {
+        for (std::size_t i = 0; i < n; ++i)
+            m_world->store.remove(prefix + std::to_string(i));
+    });
+}
+
 void Injector::hitEntry(const Fault &fault)
 {
     const std::size_t n = m_world->entries.size();
--- a/tests/soak/injector.h
+++ b/tests/soak/injector.h
@@ -34,6 +34,8 @@
     void takeZoneOut(const Fault &fault);
     void lapseEntries(const Fault &fault);
     void rewindStore(const Fault &fault);
+    // Another writer leaves entries among those of the endpoints that cannot be read.
+    void writeOddEntries(const Fault &fault);
     // Endpoints that live write their entries again where the store lacks them.
     void registerLiveEndpoints();
     // Runs `over` when the fault is over.
