Match answers to plain calls by their id on kept connections

Cause: gateway::exchange() kept its connections and took any answer that does not name another request, by its place on the connection. One that names another request was an error, and a repeatable call was sent again.

Change: an answer without an id is taken only on a new connection, which is then closed; on a kept one, answers to other calls are skipped and one without an id promises nothing. Generations, resumes and orders always use a new connection, because cancellations left kept ones to the same engines; no test shows that last case. It works because an answer is accepted only if its id or an unused connection proves whose it is.

--- a/include/fescue/net/httpclient.h
+++ b/include/fescue/net/httpclient.h
@@ -44,6 +44,9 @@
     // Errors: LinkSilent when nothing arrives for the whole timeout (the stream can still be read
     // from), BackEndLost when the connection ended early, BackEndProtocol.
     [[nodiscard]] Result<std::size_t> read(std::span<char> buf, Millis timeout);
+    // True if the connection has carried an earlier request, so that bytes left over from it may
+    // come first.
+    [[nodiscard]] bool isReused() const noexcept;
     // True if the body has neither a length nor chunks: the end of the connection ends it, and
     // whether it is complete shows only in its contents.
     [[nodiscard]] bool bodyEndsWithConnection() const noexcept;
--- a/src/admission/endpointkeeper.cpp
+++ b/src/admission/endpointkeeper.cpp
@@ -369,6 +369,8 @@
     net::HttpRequest request;
     request.method = "POST";
     request.target = "/v1/orders";
+    // The answer to an earlier order could be read again on a kept connection.
+    request.freshConnection = true;
     request.body = body.dump();
     // The clock is looked at once more directly before the order leaves.
     if (!m_ownership.mayOrder(SteadyClock {}.now()))
--- a/src/gateway/generationrelay.cpp
+++ b/src/gateway/generationrelay.cpp
@@ -179,6 +179,8 @@
     net::HttpRequest request;
     request.method = "POST";
     request.target = "/v1/completions";
+    // Refusals do not name their request: on a kept connection an earlier one could be read again.
+    request.freshConnection = true;
     request.headers.push_back({"Content-Type", "application/json"});
     request.body = body.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
     return request;
@@ -199,7 +201,7 @@
     net::HttpRequest request;
     request.target = "/v1/streams/" + resume.generation.stream;
     request.query = "from=" + std::to_string(resume.from);
-    request.mayResend = true;
+    request.freshConnection = true;
     Result<net::ClientStream> stream =
         m_parts.client.openStream(*address, request, m_parts.limits.engineHeadTimeout);
     if (stream)
--- a/src/net/clientconnection.h
+++ b/src/net/clientconnection.h
@@ -40,6 +40,8 @@
     // once it returns true.
     void setAbandoned(std::function<bool()> abandoned) { m_abandoned = std::move(abandoned); }
 
+    // True if the connection has carried an earlier request.
+    [[nodiscard]] bool isReused() const noexcept { return m_idleSince > Millis {0}; }
     // True where an idle connection can be used again.
     [[nodiscard]] bool isReusable(Millis maxIdleTime);
     // True where the answer is complete and the server keeps the connection open.
--- a/src/net/httpclient.cpp
+++ b/src/net/httpclient.cpp
@@ -196,6 +196,11 @@
     return findHeader(headers(), name);
 }
 
+bool ClientStream::isReused() const noexcept
+{
+    return m_connection && m_connection->isReused();
+}
+
 bool ClientStream::bodyEndsWithConnection() const noexcept
 {
     return m_connection && m_connection->bodyEndsWithConnection();
--- a/tests/serving/unframedengine.h
+++ b/tests/net/rawengine.h
@@ -17,23 +17,24 @@
 namespace fescue::test {
 
 // An engine on a loopback port that writes its answers as they are scripted, without any framing of
-// its own. Each connection carries one request and ends with its script.
-class UnframedEngine
+// its own, on as many connections as are opened.
+class RawEngine
 {
 public:
     using Socket = boost::asio::ip::tcp::socket;
     using Write = std::function<void(std::string_view)>;
-    // Gets the head of the request. Runs on a thread of its own.
-    using Script = std::function<void(std::string_view head, const Write &write)>;
+    // Gets the head of the next request of a connection. Returns true if the connection is kept for
+    // a further request. Runs on a thread of its own for each connection.
+    using Script = std::function<bool(std::string_view head, const Write &write)>;
 
-    explicit UnframedEngine(Script script)
+    explicit RawEngine(Script script)
         : m_script(std::move(script)),
           m_acceptor(m_context, {boost::asio::ip::make_address("127.0.0.1"), 0}),
           m_thread([this] { accept(); })
     { }
 
-    // All scripts have to end before the engine does.
-    ~UnframedEngine()
+    // All scripts have to end, and the peers to close their connections, before the engine does.
+    ~RawEngine()
     {
         m_ending = true;
         // Wakes the thread that waits for connections.
@@ -44,13 +45,15 @@
         for (std::thread &connection : m_connections)
             connection.join();
     }
-    UnframedEngine(const UnframedEngine &) = delete;
-    UnframedEngine &operator=(const UnframedEngine &) = delete;
+    RawEngine(const RawEngine &) = delete;
+    RawEngine &operator=(const RawEngine &) = delete;
 
     [[nodiscard]] net::Address address() const
     {
         return {"127.0.0.1", m_acceptor.local_endpoint().port()};
     }
+    // Number of connections that were opened.
+    [[nodiscard]] std::size_t connections() const noexcept { return m_opened; }
 
 private:
     void accept()
@@ -61,21 +64,24 @@
             m_acceptor.accept(socket, ec);
             if (ec || m_ending)
                 return;
+            ++m_opened;
             m_connections.emplace_back(
                 [this, peer = std::move(socket)]() mutable { serve(std::move(peer)); });
         }
     }
 
-    void serve(Socket socket) const
+    void serve(Socket socket)
     {
         boost::system::error_code ec;
+        const Write write = [&socket](std::string_view bytes) {
+            boost::system::error_code ignored;
+            boost::asio::write(socket, boost::asio::buffer(bytes), ignored);
+        };
         std::array<char, 4096> buf {};
-        const std::size_t n = socket.read_some(boost::asio::buffer(buf), ec);
-        if (n > 0) {
-            m_script(std::string_view(buf.data(), n), [&socket](std::string_view bytes) {
-                boost::system::error_code ignored;
-                boost::asio::write(socket, boost::asio::buffer(bytes), ignored);
-            });
+        bool isKept = true;
+        while (isKept && !m_ending) {
+            const std::size_t n = socket.read_some(boost::asio::buffer(buf), ec);
+            isKept = n > 0 && m_script(std::string_view(buf.data(), n), write);
         }
         // A reader gets all bytes and then the end of the connection.
         socket.shutdown(Socket::shutdown_send, ec);
@@ -86,6 +92,7 @@
     boost::asio::io_context m_context;
     boost::asio::ip::tcp::acceptor m_acceptor;
     std::atomic<bool> m_ending {false};
+    std::atomic<std::size_t> m_opened {0};
     std::list<std::thread> m_connections;
     std::thread m_thread;
 };
--- a/tests/serving/exchange_test.cpp
+++ b/tests/serving/exchange_test.cpp
@@ -1,9 +1,9 @@
 #include "fescue/serving/requesthandler.h"
 #include "tests/gateway/scriptedengine.h"
+#include "tests/net/rawengine.h"
 #include "tests/net/rawserver.h"
 #include "tests/serving/onworker.h"
 #include "tests/serving/testprotocol.h"
-#include "tests/serving/unframedengine.h"
 
 #include <atomic>
 #include <future>
@@ -670,7 +670,7 @@
 class ReplacedEngine : public Exchange
 {
 protected:
-    using Write = test::UnframedEngine::Write;
+    using Write = test::RawEngine::Write;
 
     static constexpr int eventCount = 6;
 
@@ -707,14 +707,17 @@
     // Calls a stream at the engine that leaves, beside another one that resumes generations.
     Result<net::HttpResponse> callStream()
     {
-        test::UnframedEngine leaving(
-            [this](std::string_view head, const Write &write) { leave(head, write); });
-        test::UnframedEngine other([this](std::string_view head, const Write &write) {
+        test::RawEngine leaving([this](std::string_view head, const Write &write) {
+            leave(head, write);
+            return false;
+        });
+        test::RawEngine other([this](std::string_view head, const Write &write) {
             ++resumes;
             EXPECT_NE(head.find("Resume-From: copy-2"), std::string_view::npos) << head;
             EXPECT_NE(head.find("Resume-After: 2"), std::string_view::npos) << head;
             write("HTTP/1.1 200 OK\r\nRequest: id-1\r\nConnection: close\r\n\r\n"
                   + events(3, eventCount));
+            return false;
         });
         addEndpointAt("leaving", leaving.address());
         std::promise<Result<net::HttpResponse>> done;
@@ -787,4 +790,39 @@
     EXPECT_EQ(resumes, 0);
 }
 
+// Guards against telling a caller that its request has not run, or running it again, because a
+// faulty endpoint writes an earlier refusal once more: the refusal must not become the answer of
+// the next request or of a call that moves a generation.
+TEST_F(Exchange, EarlierRefusalIsNeverTheAnswerToALaterRequest)
+{
+    std::atomic<int> refused {0};
+    std::atomic<int> run {0};
+    test::RawEngine faulty([&](std::string_view, const test::RawEngine::Write &write) {
+        // Whatever comes first on a connection is answered truly; its bytes are sent again.
+        const bool refuses = refused + run < 3;
+        ++(refuses ? refused : run);
+        const std::string bytes = refuses
+            ? "HTTP/1.1 503 Full\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n"
+            : "HTTP/1.1 200 OK\r\nRequest: id-1\r\nSignature: s\r\nContent-Length: 4\r\n\r\nbody";
+        write(bytes + bytes);
+        return true;
+    });
+    addEndpointAt("e1", faulty.address());
+    for (int n = 0; n < 3; ++n)
+        EXPECT_EQ(call("/once/x")->status, 503);
+    for (int n = 0; n < 3; ++n)
+        EXPECT_EQ(call("/once/x")->status, 200);
+    onWorker([&] {
+        const EndpointRecord record = state.endpoints.find(EndpointName("e1"))->record;
+        const Result<net::HttpResponse> control =
+            callEndpoint<test::TestProtocol>(state, record, {}, 1_s);
+        ASSERT_TRUE(control);
+        EXPECT_EQ(control->status, 200);
+    });
+    EXPECT_EQ(refused, 3);
+    EXPECT_EQ(run, 4);
+    // Answers that were left over died with their connections.
+    EXPECT_EQ(faulty.connections(), 7U);
+}
+
 } // namespace
