Show that an answer cut in its head is never a success

It cannot happen here: the client takes the end of a connection for the end of an answer only once the head is there, and every other end is an error.

All pass on the code as it is; nothing was changed.

--- a/tests/serving/exchange_test.cpp
+++ b/tests/serving/exchange_test.cpp
@@ -825,4 +825,33 @@
     EXPECT_EQ(faulty.connections(), 7U);
 }
 
+// Guards against a success with an empty or short body, framed as whole, for a caller whose engine
+// has stopped in the middle of its answer's head.
+TEST_F(Exchange, AnswerCutInItsHeadIsNeverASuccess)
+{
+    const std::string head = "HTTP/1.1 200 OK\r\nRequest: id-1\r\nSignature: s\r\n"
+                             "Connection: close\r\n\r\n";
+    std::atomic<std::size_t> cut {0};
+    test::RawEngine faulty([&](std::string_view, const test::RawEngine::Write &write) {
+        // The head arrives in two pieces, as from an engine that flushes each line.
+        const std::string sent = head.substr(0, cut);
+        write(sent.substr(0, sent.size() / 2));
+        std::this_thread::sleep_for(std::chrono::milliseconds(1));
+        write(sent.substr(sent.size() / 2));
+        return false;
+    });
+    addEndpointAt("e1", faulty.address());
+    for (const char *target : {"/once/x", "/many/x", "/stream/x"}) {
+        for (cut = 0; cut < head.size(); ++cut) {
+            const Result<net::HttpResponse> response = call(target);
+            ASSERT_TRUE(response) << target << ' ' << cut;
+            EXPECT_GE(response->status, 502) << target << ' ' << cut;
+            EXPECT_EQ(response->header("Signature"), "") << target << ' ' << cut;
+            // What is remembered of failures must not keep the next request from the engine.
+            onWorker([&] { state.health = {}; });
+        }
+    }
+    EXPECT_EQ(faulty.connections(), 3 * head.size());
+}
+
 } // namespace
--- a/tests/tools/blockinghttp_test.cpp
+++ b/tests/tools/blockinghttp_test.cpp
@@ -166,4 +166,15 @@
                              return std::string(info.param.label);
                          });
 
+// Guards against an empty or short answer of the store or of a daemon that counts as whole, because
+// the peer has stopped in the middle of its head.
+TEST(BlockingHttp, AnswerCutInItsHeadIsAnError)
+{
+    const std::string whole = "HTTP/1.1 200 OK\r\nX-Id: 7\r\nContent-Length: 2\r\n\r\n{}";
+    for (std::size_t n = 1; n < whole.size(); ++n) {
+        OneShotServer server(whole.substr(0, n));
+        EXPECT_FALSE(callHttp(server.address(), {}, 5_s)) << n;
+    }
+}
+
 } // namespace
