Refuse requests whose length cannot be told from their head

Cause: Boost.Beast reads a request whose transfer coding does not end in "chunked" as one without a body; nothing in src/net checked the coding. Answers with such a coding were read up to the end of the connection and passed on as if the bytes were the body.

Ruled out: a wrong framing on the way to the engine (RequestFraming has no engine and shows the same).

Change: the head is checked before the body is read. A coding other than one "chunked", a coding in HTTP/1.0, a length beside it, and a length or host that stands twice are answered with 400, and the connection closes; an answer with such a coding is no answer. An answer to HEAD has no body. It works because nothing behind such a head is read as a message any more.

--- a/src/net/clientconnection.cpp
+++ b/src/net/clientconnection.cpp
@@ -52,6 +52,7 @@
 Result<void> ClientConnection::sendRequest(const HttpRequest &request, Millis deadline)
 {
     m_answered = false;
+    m_isHead = request.method == "HEAD";
     m_headers.clear();
     http::request<http::string_body> message;
     message.method_string(request.method);
@@ -122,6 +123,9 @@
             continue;
         if (m_status < 200)
             return failure(ResultCode::BackEndProtocol, "the protocol was changed unasked");
+        const std::string_view fault = findCodingFault(m_parser->get(), m_parser->get().version());
+        if (!fault.empty())
+            return failure(ResultCode::BackEndProtocol, fault);
         m_headers = takeHeaders(m_parser->get());
         m_needsInput = false;
         return {};
@@ -134,6 +138,8 @@
                                            Millis deadline)
 {
     m_parser.emplace();
+    // An answer to HEAD has no body, whatever its fields say.
+    m_parser->skip(m_isHead);
     m_parser->header_limit(maxHeadBytes);
     if (maxBodyBytes)
         m_parser->body_limit(*maxBodyBytes);
--- a/src/net/clientconnection.h
+++ b/src/net/clientconnection.h
@@ -82,6 +82,7 @@
     std::vector<Header> m_headers;
     int m_status = 0;
     bool m_answered = false;
+    bool m_isHead = false;
     // Set where the last call of the parser took nothing and needs more input.
     bool m_needsInput = false;
     Millis m_idleSince {0};
--- a/src/net/httpmessage.cpp
+++ b/src/net/httpmessage.cpp
@@ -1,5 +1,7 @@
 #include "net/httpmessage.h"
 
+#include <boost/beast/core/string.hpp>
+
 namespace fescue::net {
 
 namespace http = boost::beast::http;
@@ -36,4 +38,30 @@
     }
 }
 
+std::string_view findCodingFault(const http::fields &fields, unsigned version)
+{
+    constexpr unsigned http11 = 11;
+    const std::size_t codings = fields.count(http::field::transfer_encoding);
+    if (codings == 0)
+        return {};
+    if (version < http11)
+        return "HTTP/1.0 has no transfer coding";
+    const bool isChunked =
+        codings == 1 && boost::beast::iequals(fields[http::field::transfer_encoding], "chunked");
+    if (!isChunked)
+        return "the transfer coding is not chunked";
+    return fields.count(http::field::content_length) > 0 ? "a length stands beside chunks"
+                                                         : std::string_view();
+}
+
+std::string_view findRequestFault(const http::fields &fields, unsigned version)
+{
+    if (const std::string_view fault = findCodingFault(fields, version); !fault.empty())
+        return fault;
+    if (fields.count(http::field::content_length) > 1)
+        return "the length stands more than once";
+    return fields.count(http::field::host) > 1 ? "the host stands more than once"
+                                               : std::string_view();
+}
+
 } // namespace fescue::net
--- a/src/net/serverconnection.cpp
+++ b/src/net/serverconnection.cpp
@@ -89,15 +89,25 @@
     parser.header_limit(m_limits.maxHeadBytes);
     parser.body_limit(m_limits.maxBodyBytes);
     const Millis deadline = deadlineAfter(m_limits.headTimeout);
+    bool isChecked = false;
     bool continued = false;
     while (true) {
         boost::system::error_code ec;
         const std::size_t used = parser.put(m_buffer.data(), ec);
         m_buffer.consume(used);
         if (ec && ec != http::error::need_more) {
-            refuse(ec);
+            refuse(problemFor(ec, m_limits));
             return false;
         }
+        if (parser.is_header_done() && !isChecked) {
+            isChecked = true;
+            const std::string_view fault = findRequestFault(parser.get(), parser.get().version());
+            if (!fault.empty()) {
+                refuse({400, ResultCode::BadRequest, RunState::NotRun,
+                        "the request is not valid HTTP: " + std::string(fault), std::nullopt});
+                return false;
+            }
+        }
         if (parser.is_done())
             return true;
         if (parser.is_header_done() && !continued) {
@@ -108,13 +118,14 @@
             continue;
         // A chunk's line or a trailer that does not end is kept whole until it does.
         if (m_buffer.size() > m_limits.maxHeadBytes + bodyReadBytes) {
-            refuse(http::error::header_limit);
+            refuse(problemFor(http::error::header_limit, m_limits));
             return false;
         }
         if (readMore(deadline))
             continue;
         if (steadyNow() >= deadline)
-            refuseTimeout();
+            refuse({408, ResultCode::BadRequest, RunState::NotRun,
+                    "the request did not arrive in time", std::nullopt});
         return false;
     }
 }
@@ -137,18 +148,9 @@
         m_socket.writeAll(asio::const_buffer(text.data(), text.size()), writeDeadline()));
 }
 
-void ServerConnection::refuse(const boost::system::error_code &ec)
-{
-    m_keepAlive = false;
-    static_cast<void>(send(problemResponse(problemFor(ec, m_limits))));
-    closeGracefully();
-}
-
-void ServerConnection::refuseTimeout()
+void ServerConnection::refuse(const Problem &problem)
 {
     m_keepAlive = false;
-    const Problem problem {408, ResultCode::BadRequest, RunState::NotRun,
-                           "the request did not arrive in time", std::nullopt};
     static_cast<void>(send(problemResponse(problem)));
     closeGracefully();
 }
--- a/src/net/serverconnection.h
+++ b/src/net/serverconnection.h
@@ -53,8 +53,7 @@
     [[nodiscard]] bool parseRequest(Parser &parser);
     [[nodiscard]] bool readMore(Millis deadline);
     void confirmContinue(const Parser &parser);
-    void refuse(const boost::system::error_code &ec);
-    void refuseTimeout();
+    void refuse(const Problem &problem);
     [[nodiscard]] Result<void> checkWritten(const IoOutcome &outcome);
     [[nodiscard]] Millis writeDeadline() const noexcept;
 
