Send nothing to a zone that is out of service, and replace copies there

Cause: the paths that resume from a backup or a standby copy took the engine of the copy as it was chosen at the start of the run. Zones that are out were looked at for new requests and for moves only; nothing replaced the copies that lie in such a zone.

Change: exchange() withholds what would go to such a zone, whatever the path; a request tries another endpoint. The paths of copies ask before they take a retry. A zone that goes out has the copies in it replaced at once. It works because every send to an engine on a caller's behalf passes exchange().

--- a/include/fescue/serving/attemptpolicy.h
+++ b/include/fescue/serving/attemptpolicy.h
@@ -32,6 +32,8 @@
     CallerGone,
     // Nothing was sent: a part of the prompt is in quarantine.
     Quarantined,
+    // Nothing was sent: the endpoint's availability zone is out of service.
+    ZoneOut,
 };
 
 [[nodiscard]] std::string_view toString(SendOutcome outcome) noexcept;
@@ -66,7 +68,8 @@
                                               TakeRetry takeRetry)
     {
         const AttemptVerdict fallback = verdictWithoutRetry(outcome);
-        const bool unconnected = outcome == SendOutcome::NotSent || outcome == SendOutcome::Refused;
+        const bool unconnected = outcome == SendOutcome::NotSent || outcome == SendOutcome::Refused
+            || outcome == SendOutcome::ZoneOut;
         if (unconnected && mayConnectAgain(timeLeft))
             return AttemptVerdict::TryAnother;
         const RetryPurpose purpose =
--- a/include/fescue/serving/edgedaemon.inl
+++ b/include/fescue/serving/edgedaemon.inl
@@ -97,6 +97,7 @@
                                               std::optional<Millis> leavesIn) {
         endpointAnnouncedLeaving(leavingEndpoint, leavesIn);
     };
+    m_state.zoneWentOut = [this](const ZoneName &zone) { m_mover.replaceCopiesIn(zone); };
     m_state.sendQuarantineNotice = [this](const QuarantineNotice &notice) {
         sendQuarantineNotice(notice, true);
     };
--- a/include/fescue/serving/endpointtable.h
+++ b/include/fescue/serving/endpointtable.h
@@ -101,6 +101,8 @@
     bool zoneOrderMissing(Millis now, const ZoneName &zone);
     // Takes a zone out of service by an order that the store has lost and a peer has reported.
     void zoneOrderRetained(Millis now, const ZoneName &zone);
+    // Returns true if nothing may be sent to the endpoints of a zone.
+    [[nodiscard]] bool isZoneOut(const ZoneName &zone) const { return m_zonesOut.contains(zone); }
     [[nodiscard]] const std::set<ZoneName> &zonesOut() const noexcept { return m_zonesOut; }
     // Puts zones back into service whose lost order the operator has not written again in time.
     // Returns these zones.
--- a/include/fescue/serving/engineexchange.h
+++ b/include/fescue/serving/engineexchange.h
@@ -25,9 +25,10 @@
 [[nodiscard]] SendOutcome outcomeOf(const Error &error) noexcept;
 
 // Sends a caller's request to an endpoint on a separate connection and reads the head of the
-// answer. Sends nothing if a part of its prompt is in quarantine; all attempts, retries and resumes
-// pass here. Skips answers to other requests that arrive first. Records what the answer reports
-// about the endpoint in the state. `abandoned` returns true once the caller no longer waits.
+// answer. Sends nothing if a part of its prompt is in quarantine or the endpoint's zone is out of
+// service; all attempts, retries and resumes pass here. Skips answers to other requests that arrive
+// first. Records what the answer reports about the endpoint in the state. `abandoned` returns true
+// once the caller no longer waits.
 template <PlatformProtocol P>
 [[nodiscard]] ExchangeResult exchange(ServingState &state, RequestContext &context,
                                       const EndpointRecord &endpoint, const EngineSend &send,
--- a/include/fescue/serving/engineexchange.inl
+++ b/include/fescue/serving/engineexchange.inl
@@ -17,6 +17,11 @@
     const Millis deadline = SteadyClock {}.now() + timeout;
     const std::string &requestId = context.caller.requestId;
     ExchangeResult result;
+    if (state.endpoints.isZoneOut(endpoint.zone)) {
+        result.outcome = SendOutcome::ZoneOut;
+        result.detail = "availability zone " + endpoint.zone.text() + " is out of service";
+        return result;
+    }
     // A trial may be sent once.
     const bool isTrial = std::exchange(context.isTrial, false);
     const PromptDecision decision =
--- a/include/fescue/serving/generationmover.h
+++ b/include/fescue/serving/generationmover.h
@@ -20,6 +20,9 @@
     // Starts to move all generations of this process from an engine that has announced leaving. The
     // engine terminates after `leavesIn` if that is known.
     void evacuate(const EndpointName &engine, std::optional<Millis> leavesIn = std::nullopt);
+    // Stops using the backups and standby copies at the engines of a zone that has gone out of
+    // service, and starts standby copies elsewhere in their place.
+    void replaceCopiesIn(const ZoneName &zone);
     // Polls the engines of this process's generations for whether they are leaving, but only while
     // the store, which otherwise reports this, is silent. Returns when the process stops.
     void pollEngines();
--- a/include/fescue/serving/generationmover.inl
+++ b/include/fescue/serving/generationmover.inl
@@ -156,7 +156,7 @@
 {
     const EndpointView *view = engine ? m_state->endpoints.find(engine->name) : nullptr;
     return view != nullptr && !view->leaving() && m_state->mayCall(view->record)
-        && !m_state->endpoints.zonesOut().contains(view->record.zone);
+        && !m_state->endpoints.isZoneOut(view->record.zone);
 }
 
 template <PlatformProtocol P>
@@ -169,6 +169,13 @@
     }
 }
 
+template <PlatformProtocol P>
+void GenerationMover<P>::replaceCopiesIn(const ZoneName &zone)
+{
+    for (const EndpointName &engine : m_state->runs.enginesWithCopiesIn(zone))
+        replaceCopies(engine);
+}
+
 template <PlatformProtocol P>
 void GenerationMover<P>::startStandbyCopy(const GenerationRunPtr &run)
 {
--- a/include/fescue/serving/generationrun.h
+++ b/include/fescue/serving/generationrun.h
@@ -8,6 +8,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -92,6 +93,8 @@
     [[nodiscard]] std::vector<EndpointRecord> engines() const;
     // Returns the generations whose backup or standby copy an engine stores.
     [[nodiscard]] std::vector<GenerationRunPtr> runsWithCopyAt(const EndpointName &engine) const;
+    // Returns the engines of an availability zone that store a backup or a standby copy.
+    [[nodiscard]] std::set<EndpointName> enginesWithCopiesIn(const ZoneName &zone) const;
     [[nodiscard]] std::size_t size() const noexcept { return m_runs.size(); }
 
 private:
--- a/include/fescue/serving/servingstate.h
+++ b/include/fescue/serving/servingstate.h
@@ -127,6 +127,8 @@
     // Called once for each endpoint that announces leaving in an answer.
     std::function<void(const EndpointIncarnation &, std::optional<Millis> leavesIn)>
         endpointAnnouncedLeaving = [](const EndpointIncarnation &, std::optional<Millis>) {};
+    // Called when a zone goes out of service.
+    std::function<void(const ZoneName &)> zoneWentOut = [](const ZoneName &) {};
     // Prompt parts that crash engines.
     PromptQuarantine quarantine;
     // Sends news about crashes and quarantined parts to the other processes.
--- a/include/fescue/serving/storesession.inl
+++ b/include/fescue/serving/storesession.inl
@@ -303,6 +303,7 @@
         } else if (subject.kind == StoreSubjectKind::ZoneOut
                    && !m_state->endpoints.zonesOut().contains(ZoneName(subject.name))) {
             m_state->endpoints.zoneOrderRetained(now, ZoneName(subject.name));
+            m_state->zoneWentOut(ZoneName(subject.name));
             observe::logChange("zone-out",
                                {{"zone", subject.name}, {"reason", "reported by a peer"}});
             isNew = true;
@@ -573,6 +574,8 @@
         else
             endpoints.zoneOut(zone);
     }
+    if (!change.removed)
+        m_state->zoneWentOut(zone);
     observe::logChange(retained             ? "zone-held"
                            : change.removed ? "zone-in"
                                             : "zone-out",
--- a/include/fescue/serving/streamforwarder.inl
+++ b/include/fescue/serving/streamforwarder.inl
@@ -295,7 +295,7 @@
     const EndpointRecord backup = *run.backup;
     run.backup.reset();
     forwarded.backupLoad.reset();
-    if (!m_state->tryTakeRetryForResume(run))
+    if (m_state->endpoints.isZoneOut(backup.zone) || !m_state->tryTakeRetryForResume(run))
         return false;
     run.resume = ResumePoint {backup.address, run.requestId, forwarded.events.lastId()};
     return resumeAt(forwarded, backup);
@@ -359,7 +359,7 @@
     const EndpointRecord standby = *run.standbyEngine;
     const std::string handle = run.standbyHandle;
     run.clearStandbyCopy();
-    if (!m_state->tryTakeRetryForResume(run))
+    if (m_state->endpoints.isZoneOut(standby.zone) || !m_state->tryTakeRetryForResume(run))
         return false;
     run.resume = ResumePoint {run.engine.address, handle, forwarded.events.lastId()};
     return resumeAt(forwarded, standby);
--- a/src/serving/attemptpolicy.cpp
+++ b/src/serving/attemptpolicy.cpp
@@ -38,6 +38,8 @@
         return "caller-gone";
     case SendOutcome::Quarantined:
         return "quarantined";
+    case SendOutcome::ZoneOut:
+        return "zone-out";
     }
     return "unknown";
 }
@@ -53,6 +55,7 @@
         return AttemptVerdict::ForwardAnswer;
     case SendOutcome::NotSent:
     case SendOutcome::Refused:
+    case SendOutcome::ZoneOut:
         ++m_failedConnects;
         break;
     case SendOutcome::OtherEndpoint:
--- a/src/serving/generationrun.cpp
+++ b/src/serving/generationrun.cpp
@@ -82,4 +82,17 @@
     return runs;
 }
 
+std::set<EndpointName> RunRegistry::enginesWithCopiesIn(const ZoneName &zone) const
+{
+    std::set<EndpointName> engines;
+    for (const std::pair<const std::string, GenerationRunPtr> &entry : m_runs) {
+        for (const std::optional<EndpointRecord> *copy :
+             {&entry.second->backup, &entry.second->standbyEngine}) {
+            if (*copy && (*copy)->zone == zone)
+                engines.insert((*copy)->name);
+        }
+    }
+    return engines;
+}
+
 } // namespace fescue::serving
--- a/src/serving/requestcontext.cpp
+++ b/src/serving/requestcontext.cpp
@@ -70,7 +70,9 @@
 void noteAttempt(ServingState &state, RequestContext &context, const EndpointRecord &endpoint,
                  SendOutcome outcome, std::string_view detail)
 {
-    if (outcome == SendOutcome::CallerGone || outcome == SendOutcome::Quarantined)
+    // Neither says anything about the endpoint.
+    const bool withheld = outcome == SendOutcome::Quarantined || outcome == SendOutcome::ZoneOut;
+    if (outcome == SendOutcome::CallerGone || withheld)
         return;
     const Millis now = ServingState::now();
     const bool unreachable = outcome == SendOutcome::NotSent || outcome == SendOutcome::Refused
--- a/tests/serving/exchange_test.cpp
+++ b/tests/serving/exchange_test.cpp
@@ -854,4 +854,118 @@
     EXPECT_EQ(faulty.connections(), 3 * head.size());
 }
 
+// A generation whose engine crashes after two events, while its copy lies in a zone that has gone
+// out of service since.
+class ZoneGoesOut : public Exchange
+{
+protected:
+    static EndpointRecord recordInZone(const char *name, const char *zone,
+                                       const std::string &address)
+    {
+        EndpointRecord record = recordAt(name, address);
+        record.zone = ZoneName(zone);
+        return record;
+    }
+
+    void list(const EndpointRecord &record) { state.endpoints.listed(ServingState::now(), record); }
+
+    // Takes a zone out as the store's session does.
+    void takeZoneOut(const char *zone)
+    {
+        state.endpoints.zoneOut(ZoneName(zone));
+        mover.replaceCopiesIn(ZoneName(zone));
+    }
+
+    static void writeTwoEvents(net::ResponseWriter &writer)
+    {
+        const std::vector<net::Header> headers {{"Request", "id-1"}};
+        static_cast<void>(writer.startStream(200, headers));
+        static_cast<void>(writer.write(eventText(1) + eventText(2)));
+    }
+};
+
+// Guards against sending the rest of a generation to its backup in a zone that is being emptied.
+TEST_F(ZoneGoesOut, GenerationDoesNotResumeAtABackupThere)
+{
+    config.services.front().engine->canMove = false;
+    std::atomic<int> resumes {0};
+    const auto addEngine = [&](const char *name, const char *ownZone, const char *otherZone) {
+        engines.emplace_back(
+            pool, [&, otherZone](const net::HttpRequest &request, net::ResponseWriter &writer) {
+                if (!request.header("Resume-After").empty()) {
+                    ++resumes;
+                    static_cast<void>(writer.send(answer(200, "id-1", eventText(3))));
+                    return;
+                }
+                EXPECT_NE(request.header("Backup"), "");
+                writeTwoEvents(writer);
+                takeZoneOut(otherZone);
+                net::sleepFor(20_ms);
+                writer.abort();
+            });
+        const EndpointRecord record = recordInZone(name, ownZone, engines.back().address());
+        onWorker([&] { list(record); });
+    };
+    addEngine("e1", "north", "south");
+    addEngine("e2", "south", "north");
+    EXPECT_FALSE(call("/stream/x", {{"Tokens", "1"}}));
+    EXPECT_EQ(resumes, 0);
+}
+
+// Guards against losing a generation because the only copy lies in a zone that is being emptied:
+// it is replaced by one elsewhere.
+TEST_F(ZoneGoesOut, CopiesThereAreReplaced)
+{
+    std::atomic<bool> copied {false};
+    engines.emplace_back(pool, [](const net::HttpRequest &, net::ResponseWriter &writer) {
+        static_cast<void>(writer.send(answer(200, "id-1", eventText(3))));
+    });
+    const ScriptedEngine &there = engines.back();
+    const EndpointRecord outRecord = recordInZone("e2", "south", there.address());
+    engines.emplace_back(pool, [](const net::HttpRequest &request, net::ResponseWriter &writer) {
+        EXPECT_EQ(request.header("Resume-From"), "handle-7");
+        const std::vector<net::Header> headers {{"Request", "id-1"}};
+        static_cast<void>(writer.startStream(200, headers));
+        static_cast<void>(writer.write(eventText(3) + eventText(4)));
+        static_cast<void>(writer.finish());
+    });
+    const EndpointRecord elsewhere = recordAt("e3", engines.back().address());
+    addEndpoint("e1", [&](const net::HttpRequest &request, net::ResponseWriter &writer) {
+        if (request.target == "/move") {
+            copied = true;
+            static_cast<void>(writer.send({200, {}, "handle-7"}));
+            return;
+        }
+        writeTwoEvents(writer);
+        // The engine with the first copy is listed once the generation runs, and goes out later.
+        list(outRecord);
+        while (!copied)
+            net::sleepFor(5_ms);
+        copied = false;
+        list(elsewhere);
+        takeZoneOut("south");
+        // Well before the next renewal of the copy.
+        for (int n = 0; n < 200 && !copied; ++n)
+            net::sleepFor(5_ms);
+        net::sleepFor(20_ms);
+        writer.abort();
+    });
+    const Result<net::HttpResponse> response = call("/stream/x", {{"Tokens", "1"}});
+    ASSERT_TRUE(response) << response.error().message;
+    EXPECT_EQ(response->body, eventText(1) + eventText(2) + eventText(3) + eventText(4));
+    EXPECT_TRUE(there.requests().empty());
+}
+
+// Guards against sending a request to a zone that went out after the endpoint was chosen.
+TEST_F(ZoneGoesOut, NothingIsSentThereAfterTheChoice)
+{
+    addEndpoint("e1", [](const net::HttpRequest &, net::ResponseWriter &writer) {
+        static_cast<void>(writer.send(answer(200, "id-1")));
+    });
+    EXPECT_EQ(call("/once/x")->status, 200);
+    onWorker([this] { state.endpoints.zoneOut(ZoneName("north")); });
+    EXPECT_EQ(call("/once/x")->status, 503);
+    EXPECT_EQ(engines.front().requests().size(), 1U);
+}
+
 } // namespace
