Do not pass a success on without the engine's signature or with an encoding

Cause: the status alone decided; nothing read the signature, and a body in an encoding that nobody asked for was passed on.

It counts as a failure of the engine and not as evidence of a crash. It works because every answer passes exchange() before a byte goes to the caller.

--- a/include/fescue/serving/attemptpolicy.h
+++ b/include/fescue/serving/attemptpolicy.h
@@ -26,6 +26,8 @@
     OtherEndpoint,
     // No complete answer arrived: the connection was lost, or the answer was malformed.
     Lost,
+    // A success that is not the endpoint's answer arrived; the request may have run.
+    Foreign,
     // No complete answer arrived before the timeout.
     TimedOut,
     // The caller closed its connection.
--- a/include/fescue/serving/engineexchange.inl
+++ b/include/fescue/serving/engineexchange.inl
@@ -56,12 +56,16 @@
             return result;
         }
     }
-    if (result.head.otherEndpoint)
+    if (result.head.otherEndpoint) {
         result.outcome = SendOutcome::OtherEndpoint;
-    else if (result.head.notRun)
+    } else if (result.head.notRun) {
         result.outcome = SendOutcome::NotRun;
-    else
+    } else if (result.head.isForeignSuccess) {
+        result.outcome = SendOutcome::Foreign;
+        result.detail = "the success is not the endpoint's own answer";
+    } else {
         result.outcome = result.head.isSuccess() ? SendOutcome::Succeeded : SendOutcome::Failed;
+    }
     return result;
 }
 
--- a/include/fescue/serving/enginesend.h
+++ b/include/fescue/serving/enginesend.h
@@ -48,6 +48,9 @@
     std::string requestId;
     // The endpoint reported that it did not run the request.
     bool notRun = false;
+    // A success that is not the endpoint's whole answer: its mark is missing, or the body has an
+    // encoding that was not asked for.
+    bool isForeignSuccess = false;
     // A different endpoint uses the address.
     bool otherEndpoint = false;
     // The endpoint announced that it is leaving.
--- a/src/serving/attemptpolicy.cpp
+++ b/src/serving/attemptpolicy.cpp
@@ -32,6 +32,8 @@
         return "other-endpoint";
     case SendOutcome::Lost:
         return "lost";
+    case SendOutcome::Foreign:
+        return "foreign";
     case SendOutcome::TimedOut:
         return "timed-out";
     case SendOutcome::CallerGone:
@@ -65,6 +67,7 @@
         ++m_rejections;
         break;
     case SendOutcome::Lost:
+    case SendOutcome::Foreign:
     case SendOutcome::TimedOut:
         ++m_sent;
         m_mayHaveRun = true;
@@ -88,6 +91,7 @@
         return m_rejections < maxRejections;
     case SendOutcome::Failed:
     case SendOutcome::Lost:
+    case SendOutcome::Foreign:
     case SendOutcome::TimedOut:
         return m_kind == RouteKind::Idempotent;
     default:
--- a/tests/platform/requestcodec_test.cpp
+++ b/tests/platform/requestcodec_test.cpp
@@ -165,6 +165,26 @@
         EXPECT_FALSE(pause(text)) << text;
 }
 
+// Guards against passing a success on that is not the engine's: without its signature, or with a
+// body in an encoding that nobody asked for.
+TEST(RequestCodec, SuccessWithoutASignatureOrInAnEncodingIsNotTheEndpoints)
+{
+    const auto isForeign = [](int status, std::vector<net::Header> headers) {
+        return platform::decodeAnswerHead(status, headers).isForeignSuccess;
+    };
+    const net::Header signature {"X-Server-Signature", "3e1b.07"};
+    EXPECT_FALSE(isForeign(200, {signature}));
+    EXPECT_FALSE(isForeign(206, {{"x-server-signature", "s"}}));
+    EXPECT_FALSE(isForeign(200, {signature, {"Content-Encoding", "identity"}}));
+    EXPECT_TRUE(isForeign(200, {}));
+    EXPECT_TRUE(isForeign(204, {{"X-Server-Signature", ""}}));
+    EXPECT_TRUE(isForeign(200, {{"X-Server-Signatur", "s"}}));
+    EXPECT_TRUE(isForeign(200, {signature, {"Content-Encoding", "gzip"}}));
+    // A failure promises nothing that a signature would vouch for.
+    EXPECT_FALSE(isForeign(500, {}));
+    EXPECT_FALSE(isForeign(503, {{"X-Not-Executed", "1"}}));
+}
+
 TEST(RequestCodec, AnswersKeepTheirSignatureAndLoseConnectionHeaders)
 {
     const std::vector<net::Header> headers = platform::answerHeaders(
--- a/tests/serving/exchange_test.cpp
+++ b/tests/serving/exchange_test.cpp
@@ -854,6 +854,29 @@
     EXPECT_EQ(faulty.connections(), 3 * head.size());
 }
 
+// Guards against passing spoilt bytes on as a success, for plain requests and before the first
+// event of a stream. The engine may have run the request.
+TEST_F(Exchange, SuccessThatIsNotTheEndpointsIsUnknown)
+{
+    addEndpoint("e1", [](const net::HttpRequest &request, net::ResponseWriter &writer) {
+        net::HttpResponse spoilt = answer(200, "id-1", eventText(1));
+        if (request.header("Spoilt") == "1")
+            spoilt.headers.push_back({"Foreign", "1"});
+        static_cast<void>(writer.send(spoilt));
+    });
+    for (const char *target : {"/once/x", "/many/x", "/stream/x"}) {
+        const std::size_t before = engines.front().requests().size();
+        const Result<net::HttpResponse> response = call(target, {{"Spoilt", "1"}});
+        ASSERT_TRUE(response) << target;
+        EXPECT_EQ(response->status, 502) << target;
+        EXPECT_EQ(response->header("Signature"), "") << target;
+        EXPECT_EQ(engines.front().requests().size(), before + 1) << target;
+        EXPECT_EQ(call(target)->status, 200) << target;
+    }
+    onWorker(
+        [&] { EXPECT_GT(state.health.failureRate(ServingState::now(), EndpointName("e1")), 0); });
+}
+
 // A generation whose engine crashes after two events, while its copy lies in a zone that has gone
 // out of service since.
 class ZoneGoesOut : public Exchange
--- a/tests/serving/testprotocol.h
+++ b/tests/serving/testprotocol.h
@@ -77,6 +77,7 @@
         head.status = status;
         head.requestId = net::findHeader(headers, "Request");
         head.notRun = !net::findHeader(headers, "Not-Run").empty();
+        head.isForeignSuccess = !net::findHeader(headers, "Foreign").empty();
         head.leaving = !net::findHeader(headers, "Leaving").empty();
         const std::string pause(net::findHeader(headers, "Pause"));
         head.asksPause = !pause.empty();
