--- a/tests/net/brokenhead_test.cpp
+++ b/tests/net/brokenhead_test.cpp
@@ -1,5 +1,4 @@
-#include "tests/net/nettest.h"
-#include "tests/net/rawengine.h"
+#include "tests/net/rawanswer.h"
 
 #include <string>
 #include <vector>
@@ -17,24 +16,6 @@
     "HTTP/1.1 103 Early\r\nX-Id: 7\r\n\r\nHTTP/1.1 200 OK\r\nX-Id: 7\r\nContent-Length: 4\r\n\r\n"
     "body"};
 
-// Sends a request to a server that writes these bytes and closes the connection in order.
-Result<HttpResponse> readAnswer(const std::string &bytes)
-{
-    test::RawEngine server([&bytes](std::string_view, const test::RawEngine::Write &write) {
-        write(bytes);
-        return false;
-    });
-    WorkerPool pool(1);
-    Result<HttpResponse> response = fail(ResultCode::Internal, "not run");
-    {
-        HttpClient client;
-        runOn(pool, 0, [&] { response = client.request(server.address(), {}, 5_s); });
-    }
-    pool.stop();
-    pool.join();
-    return response;
-}
-
 class BrokenHead : public testing::TestWithParam<std::string>
 { };
 
@@ -43,7 +24,7 @@
 TEST_P(BrokenHead, IsNeverAWholeAnswer)
 {
     const std::string &whole = GetParam();
-    const Result<HttpResponse> complete = readAnswer(whole);
+    const Result<HttpResponse> complete = readRawAnswer(whole);
     ASSERT_TRUE(complete) << complete.error().message;
     EXPECT_EQ(complete->body, "body");
     // The end of the final head; a body that ends with its connection may be cut behind it.
@@ -52,7 +33,7 @@
         || whole.find("chunked") != std::string::npos;
     const std::size_t cuts = hasFraming ? whole.size() : headEnd;
     for (std::size_t n = 0; n < cuts; ++n) {
-        const Result<HttpResponse> response = readAnswer(whole.substr(0, n));
+        const Result<HttpResponse> response = readRawAnswer(whole.substr(0, n));
         EXPECT_FALSE(response) << "cut after " << n << " bytes: status " << response->status;
     }
 }
@@ -66,7 +47,7 @@
                                "Content-Length: 2\r\nTransfer-Encoding: chunked\r\n",
                                "Content-Length: -1\r\n", "Content-Length: 99999999999999999999\r\n",
                                "Content-Length: 4x\r\n", "X-Id 7\r\n", " folded\r\n"})
-        EXPECT_FALSE(readAnswer(std::string("HTTP/1.1 200 OK\r\n") + fields + "\r\nbody"))
+        EXPECT_FALSE(readRawAnswer(std::string("HTTP/1.1 200 OK\r\n") + fields + "\r\nbody"))
             << fields;
 }
 
--- a/tests/net/framing_test.cpp
+++ b/tests/net/framing_test.cpp
@@ -1,5 +1,4 @@
-#include "tests/net/nettest.h"
-#include "tests/net/rawengine.h"
+#include "tests/net/rawanswer.h"
 
 #include <mutex>
 #include <string>
@@ -104,32 +103,12 @@
     EXPECT_EQ(handled(), (std::vector<std::string> {"/a abc", "/b de", "/c "}));
 }
 
-// Reads the answer of a server that writes these bytes.
-Result<HttpResponse> readAnswer(const std::string &method, const std::string &bytes)
-{
-    test::RawEngine server([&bytes](std::string_view, const test::RawEngine::Write &write) {
-        write(bytes);
-        return false;
-    });
-    WorkerPool pool(1);
-    Result<HttpResponse> response = fail(ResultCode::Internal, "not run");
-    {
-        HttpClient client;
-        HttpRequest request;
-        request.method = method;
-        runOn(pool, 0, [&] { response = client.request(server.address(), request, 1_s); });
-    }
-    pool.stop();
-    pool.join();
-    return response;
-}
-
 // Guards against passing on a body in a transfer coding that the header no longer names.
 TEST(AnswerFraming, UnknownTransferCodingIsNoAnswer)
 {
     for (const char *coding : {"identity", "gzip", "gzip, chunked", "chunked, gzip", ""}) {
-        const Result<HttpResponse> response = readAnswer(
-            "GET", std::string("HTTP/1.1 200 OK\r\nTransfer-Encoding: ") + coding + "\r\n\r\nbody");
+        const Result<HttpResponse> response = readRawAnswer(
+            std::string("HTTP/1.1 200 OK\r\nTransfer-Encoding: ") + coding + "\r\n\r\nbody");
         ASSERT_FALSE(response) << coding;
         EXPECT_EQ(response.error().code, ResultCode::BackEndProtocol) << coding;
     }
@@ -139,7 +118,7 @@
 TEST(AnswerFraming, AnswerToHeadHasNoBody)
 {
     const Result<HttpResponse> response =
-        readAnswer("HEAD", "HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\n");
+        readRawAnswer("HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\n", "HEAD");
     ASSERT_TRUE(response) << response.error().message;
     EXPECT_EQ(response->body, "");
 }
--- a/tests/platform/settings_test.cpp
+++ b/tests/platform/settings_test.cpp
@@ -37,6 +37,12 @@
     EXPECT_EQ(settings.error().position.file, "node.json");
     EXPECT_NE(settings.error().message.find("Address"), std::string::npos);
     EXPECT_FALSE(platform::parseSettings("{", "node.json"));
+    text = settingsText;
+    text.replace(text.find("[7200,7215]"), 11, "[70000,7215]");
+    EXPECT_FALSE(platform::parseSettings(text, "node.json"));
+    text = settingsText;
+    text.replace(text.find("\"Bounds\""), 8, R"("Limits":{"MemoryMb":-1},"Bounds")");
+    EXPECT_FALSE(platform::parseSettings(text, "node.json"));
     EXPECT_FALSE(platform::loadSettings("/nowhere/node.json"));
 }
 
