--- a/tests/net/brokenhead_test.cpp
+++ b/tests/net/brokenhead_test.cpp
@@ -13,8 +13,8 @@
     "HTTP/1.1 200 OK\r\nX-Id: 7\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\n\r\n",
     "HTTP/1.1 200 OK\r\nX-Id: 7\r\nConnection: close\r\n\r\nbody",
     "HTTP/1.0 200 OK\r\nX-Id: 7\r\n\r\nbody",
-    "HTTP/1.1 103 Early\r\nX-Id: 7\r\n\r\nHTTP/1.1 200 OK\r\nX-Id: 7\r\nContent-Length: 4\r\n\r\n"
-    "body"};
+    std::string("HTTP/1.1 103 Early\r\nX-Id: 7\r\n\r\n")
+        + "HTTP/1.1 200 OK\r\nX-Id: 7\r\nContent-Length: 4\r\n\r\nbody"};
 
 class BrokenHead : public testing::TestWithParam<std::string>
 { };
--- a/tests/platform/nesteddocuments_test.cpp
+++ b/tests/platform/nesteddocuments_test.cpp
@@ -10,6 +10,7 @@
 
 #include <functional>
 #include <gtest/gtest.h>
+#include <ostream>
 #include <string>
 
 namespace {
@@ -31,9 +32,9 @@
     std::function<bool(std::string_view)> read;
 };
 
-void PrintTo(const NestedDocument &document, std::ostream *out)
+std::ostream &operator<<(std::ostream &out, const NestedDocument &document)
 {
-    *out << document.reader;
+    return out << document.reader;
 }
 
 std::string nestText(const NestedDocument &document)
--- a/tests/platform/oddvalues_test.cpp
+++ b/tests/platform/oddvalues_test.cpp
@@ -2,6 +2,7 @@
 #include "platform/settings.h"
 
 #include <gtest/gtest.h>
+#include <ostream>
 #include <string>
 
 namespace {
@@ -35,9 +36,9 @@
     const char *value;
 };
 
-void PrintTo(const OddValue &odd, std::ostream *out)
+std::ostream &operator<<(std::ostream &out, const OddValue &odd)
 {
-    *out << odd.member << ' ' << odd.value;
+    return out << odd.member << ' ' << odd.value;
 }
 
 class OddEntry : public testing::TestWithParam<OddValue>
--- a/tests/platform/requestcodec_test.cpp
+++ b/tests/platform/requestcodec_test.cpp
@@ -169,7 +169,7 @@
 // body in an encoding that nobody asked for.
 TEST(RequestCodec, SuccessWithoutASignatureOrInAnEncodingIsNotTheEndpoints)
 {
-    const auto isForeign = [](int status, std::vector<net::Header> headers) {
+    const auto isForeign = [](int status, const std::vector<net::Header> &headers) {
         return platform::decodeAnswerHead(status, headers).isForeignSuccess;
     };
     const net::Header signature {"X-Server-Signature", "3e1b.07"};
