Reword two comments that a newcomer would stop at

Comments only: what readSpan() returns, and why an unfinished HTTP/1.0 stream must not close in order.

--- a/include/fescue/core/jsonnumber.h
+++ b/include/fescue/core/jsonnumber.h
@@ -69,8 +69,8 @@
     return Millis {static_cast<std::int64_t>(std::llround(millis))};
 }
 
-// Returns a span of time in whole or broken milliseconds. Throws nlohmann::json::out_of_range,
-// which names `what`.
+// The same as findSpan(), in milliseconds by default. Throws nlohmann::json::out_of_range, which
+// names `what`, where findSpan() returns nullopt.
 [[nodiscard]] inline Millis readSpan(const nlohmann::json &value, std::string_view what,
                                      Millis unit = 1_ms)
 {
--- a/src/net/serverconnection.cpp
+++ b/src/net/serverconnection.cpp
@@ -241,7 +241,8 @@
     message.chunked(m_chunked);
     if (!m_chunked) {
         m_keepAlive = false;
-        // The end of the connection ends this answer. Until it is whole, that must not be in order.
+        // The end of the connection ends this answer: until the answer is whole, the connection
+        // must not close in order.
         m_socket.setResetOnClose(true);
     }
     message.keep_alive(m_keepAlive);
