--- a/tests/soak/entryprocess.cpp
+++ b/tests/soak/entryprocess.cpp
@@ -39,7 +39,7 @@
     waitpid(m_pid, nullptr, 0);
 }
 
-void EntryProcess::writeSettings(unsigned generation) const
+std::string EntryProcess::settingsText(unsigned generation) const
 {
     const std::string &ip = m_options.ip;
     const Json bounds = {{"GraceS", 8},          {"ttl_max_s", 5},          {"ColdOverrun", 1.5},
@@ -58,8 +58,18 @@
                        {"Platform", {{"Address", m_options.store.toString()}}},
                        {"Generation", generation},
                        {"Bounds", bounds}};
+    return json.dump(2) + '\n';
+}
+
+void EntryProcess::writeSettings(unsigned generation) const
+{
+    writeSettingsText(settingsText(generation));
+}
+
+void EntryProcess::writeSettingsText(std::string_view text) const
+{
     const std::string partial = settingsPath() + ".partial";
-    std::ofstream(partial) << json.dump(2) << '\n';
+    std::ofstream(partial) << text;
     std::filesystem::rename(partial, settingsPath());
 }
 
@@ -100,9 +110,11 @@
 
 bool EntryProcess::hasEnded()
 {
-    if (!isRunning() || waitpid(m_pid, nullptr, WNOHANG) != m_pid)
+    int status = 0;
+    if (!isRunning() || waitpid(m_pid, &status, WNOHANG) != m_pid)
         return false;
     m_pid = 0;
+    m_lastStatus = WIFSIGNALED(status) ? -WTERMSIG(status) : WEXITSTATUS(status);
     return true;
 }
 
--- a/tests/soak/entryprocess.h
+++ b/tests/soak/entryprocess.h
@@ -5,6 +5,7 @@
 
 #include <cstdint>
 #include <string>
+#include <string_view>
 #include <sys/types.h>
 
 namespace fescue::soak {
@@ -34,12 +35,19 @@
 
     // Writes the settings file. `generation` makes its text differ from the last one.
     void writeSettings(unsigned generation) const;
+    // Writes any text in place of the settings.
+    void writeSettingsText(std::string_view text) const;
+    // Returns the settings as writeSettings() writes them.
+    [[nodiscard]] std::string settingsText(unsigned generation) const;
     // Starts the program. Throws std::system_error.
     void start();
     void signal(int number) const;
     // Looks whether the process has ended since the last call.
     [[nodiscard]] bool hasEnded();
     [[nodiscard]] bool isRunning() const noexcept { return m_pid > 0; }
+    // How the process ended that ended last: its exit status, or the negative number of the signal
+    // that ended it.
+    [[nodiscard]] int lastStatus() const noexcept { return m_lastStatus; }
     // Memory that it uses, in bytes; 0 where it does not run.
     [[nodiscard]] std::uint64_t residentBytes() const;
 
@@ -63,6 +71,7 @@
 
     EntryOptions m_options;
     pid_t m_pid = 0;
+    int m_lastStatus = 0;
 };
 
 } // namespace fescue::soak
