Take a call in a planned stop only if it can be answered before the end

Callers saw: in a planned stop in calm, 16 calls that may not be repeated, taken up to 7.2 s after the signal, told 502 (run, outcome unknown) when the process ended after 7.7 s; with bodies in two halves 11.

Cause: the stop took calls until its last moment, whatever time they needed, and then cut what was open. Its times counted from when the signal was noticed. Between "nothing is open" and the exit, a request could still be read and passed on. Requests that had arrived in part were closed.

Change: StopPlan, without network and clock, decides until when calls are taken (their deadline and the time for the answer lie before the end), when the front closes and when the process ends; all times count from the signal. The rule is one for all kinds of routes: a generation whose deadline fits is served as well, where all were refused before. At the close, the kernel's queue of connections is read and refused, and requests that have arrived in part are told "not run" with a time to come back.

--- a/include/fescue/net/httpserver.h
+++ b/include/fescue/net/httpserver.h
@@ -86,11 +86,15 @@
     void setLimits(const ServerLimits &limits);
     // Goes on accepting, but makes each connection end after its next answer.
     void closeAfterAnswers();
+    // Answers requests that have arrived in part with the refusal instead of waiting for the rest.
+    void refusePartialRequests(const Problem &refusal);
     // Closes every connection at once.
     void closeConnections();
     [[nodiscard]] std::size_t openConnections() const noexcept;
     // Requests whose handler has not returned.
     [[nodiscard]] std::size_t activeRequests() const noexcept;
+    // Requests that have arrived in part.
+    [[nodiscard]] std::size_t partialRequests() const noexcept;
 
 private:
     struct Shared;
--- a/include/fescue/serving/edgedaemon.h
+++ b/include/fescue/serving/edgedaemon.h
@@ -22,8 +22,8 @@
     // Fails if an address cannot be bound.
     [[nodiscard]] Result<void> start();
     // Announces that this process leaves, waits for open requests and returns when the process may
-    // exit. Must be called on the worker.
-    void drain();
+    // exit. `signalledAt` is the time of the stop request. Must be called on the worker.
+    void drain(Millis signalledAt);
     // Applies changed settings. Logs whether some of them take effect only after a restart.
     // `reason` names the trigger of the reload in the log.
     void reload(const NodeSettings &settings, std::string_view reason);
@@ -35,6 +35,8 @@
     void answerReady(const net::HttpRequest &request, net::ResponseWriter &writer);
     void answerMetrics(const net::HttpRequest &request, net::ResponseWriter &writer);
     [[nodiscard]] bool ready() const noexcept;
+    // Ends the taking of calls: refuses what arrives from now on.
+    void closeFront();
     void applyLimits();
     void tick();
     void answerPeer(const net::HttpRequest &request, net::ResponseWriter &writer);
--- a/include/fescue/serving/edgedaemon.inl
+++ b/include/fescue/serving/edgedaemon.inl
@@ -25,12 +25,11 @@
 inline constexpr int quarantineRepeats = 2;
 // Number of ticks between two messages with all quarantine entries.
 inline constexpr std::uint64_t ticksPerQuarantineSync = 4;
-// Minimum time for which the process keeps serving after a stop request, for callers that still use
-// a cached answer of the directory.
-inline constexpr Millis minDrainDuration = 3500_ms;
-// The process exits this long before the end of the grace period, at which it would be killed.
-inline constexpr Millis drainMargin = 300_ms;
 inline constexpr Millis drainPollInterval = 50_ms;
+// Time for reading what has arrived when a stop closes the front.
+inline constexpr Millis settleTime = 100_ms;
+// Retry-After of requests that have arrived in part when the process ends.
+inline constexpr Millis minRetryDelayAtStop = 100_ms;
 
 template <PlatformProtocol P>
 EdgeDaemon<P>::EdgeDaemon(NodeSettings settings, net::WorkerPool &pool, Incarnation incarnation)
@@ -117,7 +116,7 @@
 template <PlatformProtocol P>
 bool EdgeDaemon<P>::ready() const noexcept
 {
-    return m_state.routes != nullptr && !m_state.draining;
+    return m_state.routes != nullptr && !m_state.stop.hasBegun();
 }
 
 template <PlatformProtocol P>
@@ -479,25 +478,42 @@
 }
 
 template <PlatformProtocol P>
-void EdgeDaemon<P>::drain()
+void EdgeDaemon<P>::drain(Millis signalledAt)
 {
-    const Millis startedAt = ServingState::now();
-    m_state.draining = true;
+    StopPlan &plan = m_state.stop;
+    plan.begin(signalledAt, m_state.settings.deploymentLimits.stopGrace);
     m_self.leaving = true;
-    m_state.members.heartbeat(startedAt, m_self);
-    observe::logChange("stopping", {{"open", m_state.open}, {"runs", m_state.runs.size()}});
+    m_state.members.heartbeat(ServingState::now(), m_self);
+    observe::logChange("stopping",
+                       {{"open", m_state.open},
+                        {"runs", m_state.runs.size()},
+                        {"delay_ms", (ServingState::now() - signalledAt).count},
+                        {"ends_in_ms", (plan.endAt() - ServingState::now()).count}});
     m_front->closeAfterAnswers();
     sendGossip();
     m_store.announceLeaving();
-    const Millis last = startedAt + m_state.settings.deploymentLimits.stopGrace - drainMargin;
-    while (ServingState::now() < last) {
-        const bool minDrainPassed = ServingState::now() - startedAt >= minDrainDuration;
-        if (minDrainPassed && m_state.open == 0)
-            break;
+    while (!plan.mayClose(ServingState::now(), m_state.open + m_front->partialRequests()))
+        net::sleepFor(drainPollInterval);
+    closeFront();
+    observe::logChange("stopped",
+                       {{"open", m_state.open},
+                        {"partial", m_front->partialRequests()},
+                        {"took_ms", (ServingState::now() - signalledAt).count}});
+}
+
+template <PlatformProtocol P>
+void EdgeDaemon<P>::closeFront()
+{
+    m_state.stop.close();
+    m_front->stopAccepting();
+    m_front->refusePartialRequests({503, ResultCode::ShuttingDown, RunState::NotRun,
+                                    "this entry is shutting down", minRetryDelayAtStop});
+    // Requests that were in the kernel's buffers are answered as well.
+    net::sleepFor(settleTime);
+    const Millis until = m_state.stop.endAt();
+    while (ServingState::now() < until
+           && m_front->activeRequests() + m_front->partialRequests() > 0)
         net::sleepFor(drainPollInterval);
-    }
-    observe::logChange(
-        "stopped", {{"open", m_state.open}, {"took_ms", (ServingState::now() - startedAt).count}});
 }
 
 template <PlatformProtocol P>
--- a/include/fescue/serving/requesthandler.inl
+++ b/include/fescue/serving/requesthandler.inl
@@ -77,8 +77,7 @@
         return notRunProblem(*m_state, context, ResultCode::DeadlineUnreachable,
                              "the deadline has passed");
     }
-    // A generation started now would be cut off when the process stops.
-    if (m_state->draining && route.kind == RouteKind::Streaming) {
+    if (!m_state->stop.mayTake(context.deadline)) {
         return notRunProblem(*m_state, context, ResultCode::ShuttingDown,
                              "this entry is shutting down");
     }
--- a/include/fescue/serving/servingstate.h
+++ b/include/fescue/serving/servingstate.h
@@ -20,6 +20,7 @@
 #include "fescue/serving/promptquarantine.h"
 #include "fescue/serving/routetable.h"
 #include "fescue/serving/sharedretrybudget.h"
+#include "fescue/serving/stopplan.h"
 
 #include <functional>
 #include <map>
@@ -141,8 +142,7 @@
     };
     // Time of the store's last answer to this process or to a peer that reported it.
     Millis storeAnsweredAt {0};
-    // True after a stop request.
-    bool draining = false;
+    StopPlan stop;
     // Requests that have no final answer yet.
     std::size_t open = 0;
 
--- a/src/net/httpserver.cpp
+++ b/src/net/httpserver.cpp
@@ -5,6 +5,7 @@
 #include <atomic>
 #include <cstdio>
 #include <mutex>
+#include <optional>
 #include <unordered_set>
 #include <vector>
 
@@ -43,19 +44,23 @@
     void runHandler(const HttpRequest &request, ServerConnection &connection);
     static void refuseConnection(ServerConnection &connection);
     [[nodiscard]] ServerLimits currentLimits() const;
+    // Nothing while requests may take their time to arrive.
+    [[nodiscard]] std::optional<Problem> partialRefusal() const;
     [[nodiscard]] bool keepsConnections() const noexcept { return accepting && !lastAnswers; }
 
     WorkerPool &pool;
     Address listen;
-    // Guards limits.
+    // Guards limits and refusalOfPartial.
     mutable std::mutex limitsMutex;
     ServerLimits limits;
+    std::optional<Problem> refusalOfPartial;
     Handler handler;
     tcp::acceptor acceptor;
     std::atomic<bool> accepting {false};
     std::atomic<bool> lastAnswers {false};
     std::atomic<std::size_t> open {0};
     std::atomic<std::size_t> active {0};
+    std::atomic<std::size_t> receiving {0};
     // By worker; each set is used by its worker only.
     std::vector<std::unordered_set<ServerConnection *>> connections;
 };
@@ -131,7 +136,9 @@
 void HttpServer::Shared::serve(tcp::socket socket)
 {
     const ServerLimits now = currentLimits();
-    ServerConnection connection(TcpSocket(std::move(socket)), now);
+    ServerConnection connection(TcpSocket(std::move(socket)), now, receiving);
+    if (const std::optional<Problem> refusal = partialRefusal())
+        connection.refusePartialRequests(*refusal);
     if (open > now.maxConnections) {
         refuseConnection(connection);
         return;
@@ -186,6 +193,12 @@
     return limits;
 }
 
+std::optional<Problem> HttpServer::Shared::partialRefusal() const
+{
+    const std::lock_guard<std::mutex> lock(limitsMutex);
+    return refusalOfPartial;
+}
+
 void HttpServer::Shared::refuseConnection(ServerConnection &connection)
 {
     const Problem problem {503, ResultCode::NoCapacity, RunState::NotRun,
@@ -241,6 +254,23 @@
     m_shared->lastAnswers = true;
 }
 
+void HttpServer::refusePartialRequests(const Problem &refusal)
+{
+    {
+        const std::lock_guard<std::mutex> lock(m_shared->limitsMutex);
+        m_shared->refusalOfPartial = refusal;
+    }
+    for (std::size_t i = 0; i < m_shared->pool.size(); ++i) {
+        asio::post(m_shared->pool.context(i), [weak = std::weak_ptr<Shared>(m_shared), i, refusal] {
+            const std::shared_ptr<Shared> shared = weak.lock();
+            if (!shared)
+                return;
+            for (ServerConnection *connection : shared->connections[i])
+                connection->refusePartialRequests(refusal);
+        });
+    }
+}
+
 void HttpServer::closeConnections()
 {
     for (std::size_t i = 0; i < m_shared->pool.size(); ++i) {
@@ -264,6 +294,11 @@
     return m_shared->active;
 }
 
+std::size_t HttpServer::partialRequests() const noexcept
+{
+    return m_shared->receiving;
+}
+
 Result<void> ResponseWriter::send(const HttpResponse &response)
 {
     return m_connection->send(response);
--- a/src/net/serverconnection.cpp
+++ b/src/net/serverconnection.cpp
@@ -52,8 +52,9 @@
 
 } // namespace
 
-ServerConnection::ServerConnection(TcpSocket socket, const ServerLimits &limits)
-    : m_socket(std::move(socket)), m_limits(limits)
+ServerConnection::ServerConnection(TcpSocket socket, const ServerLimits &limits,
+                                   std::atomic<std::size_t> &receiving)
+    : m_socket(std::move(socket)), m_limits(limits), m_receiving(&receiving)
 {
     m_socket.setSendTimeout(limits.writeTimeout);
 }
@@ -68,7 +69,12 @@
     if (m_buffer.size() == 0 && !readMore(deadlineAfter(m_limits.idleTimeout)))
         return false;
     Parser parser;
-    if (!parseRequest(parser))
+    m_isReceiving = true;
+    m_receiving->fetch_add(1);
+    const bool isWhole = parseRequest(parser);
+    m_receiving->fetch_sub(1);
+    m_isReceiving = false;
+    if (!isWhole)
         return false;
     Parser::value_type &message = parser.get();
     m_keepAlive = parser.keep_alive();
@@ -121,15 +127,24 @@
             refuse(problemFor(http::error::header_limit, m_limits));
             return false;
         }
-        if (readMore(deadline))
+        if (!m_partialRefusal && readMore(deadline))
             continue;
-        if (steadyNow() >= deadline)
+        if (m_partialRefusal)
+            refuse(*m_partialRefusal);
+        else if (steadyNow() >= deadline)
             refuse({408, ResultCode::BadRequest, RunState::NotRun,
                     "the request did not arrive in time", std::nullopt});
         return false;
     }
 }
 
+void ServerConnection::refusePartialRequests(const Problem &refusal)
+{
+    m_partialRefusal = refusal;
+    if (m_isReceiving)
+        m_socket.interruptRead();
+}
+
 bool ServerConnection::readMore(Millis deadline)
 {
     const std::size_t n = m_buffer.size() > readBytes ? bodyReadBytes : readBytes;
--- a/src/net/serverconnection.h
+++ b/src/net/serverconnection.h
@@ -3,6 +3,9 @@
 #include "fescue/net/httpserver.h"
 #include "net/tcpsocket.h"
 
+#include <atomic>
+#include <optional>
+
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http/parser.hpp>
 #include <boost/beast/http/string_body.hpp>
@@ -13,7 +16,9 @@
 class ServerConnection
 {
 public:
-    ServerConnection(TcpSocket socket, const ServerLimits &limits);
+    // `receiving` counts the connections that have received a part of a request.
+    ServerConnection(TcpSocket socket, const ServerLimits &limits,
+                     std::atomic<std::size_t> &receiving);
 
     // Reads the next request. Answers a malformed one itself. Returns false where the connection
     // is at its end.
@@ -22,6 +27,9 @@
     // follow.
     [[nodiscard]] bool endRequest();
     void setLimits(const ServerLimits &limits) noexcept { m_limits = limits; }
+    // Answers a request that has arrived in part with the refusal, now and later, instead of
+    // waiting for its rest.
+    void refusePartialRequests(const Problem &refusal);
     // Makes the current answer the last one.
     void closeAfterAnswer() noexcept { m_keepAlive = false; }
     // Closes the connection so that the peer can still read what was sent.
@@ -59,6 +67,9 @@
 
     TcpSocket m_socket;
     ServerLimits m_limits;
+    std::atomic<std::size_t> *m_receiving;
+    bool m_isReceiving = false;
+    std::optional<Problem> m_partialRefusal;
     boost::beast::flat_buffer m_buffer;
     Millis m_connectedAt = steadyNow();
     Phase m_phase = Phase::Waiting;
--- a/src/net/tcpsocket.cpp
+++ b/src/net/tcpsocket.cpp
@@ -51,10 +51,11 @@
 IoOutcome TcpSocket::readSome(asio::mutable_buffer buf, Millis deadline)
 {
     IoOutcome outcome;
+    m_readInterrupted = false;
     do {
         outcome = awaitIo(m_socket, deadline,
                           [this, buf](auto handler) { m_socket.async_read_some(buf, handler); });
-    } while (wasForOther(outcome));
+    } while (wasForOther(outcome) && !m_readInterrupted);
     return outcome;
 }
 
@@ -98,6 +99,13 @@
     m_socket.set_option(asio::socket_base::linger(resets, 0), ignored);
 }
 
+void TcpSocket::interruptRead() noexcept
+{
+    m_readInterrupted = true;
+    boost::system::error_code ignored;
+    m_socket.cancel(ignored);
+}
+
 void TcpSocket::shutdownSend() noexcept
 {
     boost::system::error_code ignored;
--- a/src/net/tcpsocket.h
+++ b/src/net/tcpsocket.h
@@ -69,6 +69,8 @@
     // Makes the end of the connection a reset instead of an orderly close, also if the process
     // dies.
     void setResetOnClose(bool resets) noexcept;
+    // Makes a read that waits end at once. Later reads wait as usual.
+    void interruptRead() noexcept;
     void shutdownSend() noexcept;
     void close() noexcept;
     [[nodiscard]] bool isOpen() const noexcept { return m_socket.is_open(); }
@@ -81,6 +83,7 @@
     [[nodiscard]] IoOutcome waitWritable(Millis deadline);
 
     boost::asio::ip::tcp::socket m_socket;
+    bool m_readInterrupted = false;
 };
 
 template <typename Buffers>
--- a/src/programs/edge/main.cpp
+++ b/src/programs/edge/main.cpp
@@ -64,7 +64,7 @@
         } else if (!m_stopping) {
             m_stopping = true;
             m_pool->spawn(0, [this] {
-                m_daemon->drain();
+                m_daemon->drain(serving::ServingState::now());
                 m_pool->stop();
             });
         }
--- a/tests/lifecycle/edgesystem.cpp
+++ b/tests/lifecycle/edgesystem.cpp
@@ -96,6 +96,15 @@
     m_reads.setWork(shortest, longest);
 }
 
+void EdgeSystem::setRouteTimeout(Millis timeout)
+{
+    soak::SoakConfig config = soak::firstConfig();
+    config.version = 2;
+    for (std::pair<const std::string, soak::SoakRoute> &route : config.routes)
+        route.second.timeout = timeout;
+    runOnWorker(m_pool, [&] { m_store.put(std::string(names::configKey), config.encode()); });
+}
+
 void EdgeSystem::startAll()
 {
     for (const std::unique_ptr<EntryProcess> &process : m_entries) {
--- a/tests/lifecycle/edgesystem.h
+++ b/tests/lifecycle/edgesystem.h
@@ -29,6 +29,8 @@
 
     [[nodiscard]] soak::EntryProcess &entry(std::size_t index) { return *m_entries[index]; }
     void setWork(Millis shortest, Millis longest);
+    // Publishes a configuration whose routes have another timeout.
+    void setRouteTimeout(Millis timeout);
     // Writes the settings of all entries and starts them; waits until they are ready.
     void startAll();
     // Waits until an entry answers its readiness check with 200. Returns false after the timeout.
