Decide with the head of an answer whether its connection goes on

Cause: whether a connection ends was decided twice, when the handler began and after the answer. A stop that began between the two closed a connection whose answer had just promised to keep it; the next request was read by the draining of the close and thrown away.

Change: the decision is made once, with the head. An answer whose head was sent before the stop is not the last one; the connection ends after the next.

--- a/include/fescue/net/httpserver.h
+++ b/include/fescue/net/httpserver.h
@@ -84,7 +84,8 @@
     // Replaces the limits. Connections take them over with their next request; the limit of open
     // connections stays.
     void setLimits(const ServerLimits &limits);
-    // Goes on accepting, but makes each connection end after its next answer.
+    // Goes on accepting, but makes each connection end after its next answer. An answer whose head
+    // has been sent is not the last one.
     void closeAfterAnswers();
     // Answers requests that have arrived in part with the refusal instead of waiting for the rest.
     void refusePartialRequests(const Problem &refusal);
--- a/src/net/httpserver.cpp
+++ b/src/net/httpserver.cpp
@@ -46,7 +46,6 @@
     [[nodiscard]] ServerLimits currentLimits() const;
     // Nothing while requests may take their time to arrive.
     [[nodiscard]] std::optional<Problem> partialRefusal() const;
-    [[nodiscard]] bool keepsConnections() const noexcept { return accepting && !lastAnswers; }
 
     WorkerPool &pool;
     Address listen;
@@ -57,10 +56,9 @@
     Handler handler;
     tcp::acceptor acceptor;
     std::atomic<bool> accepting {false};
-    std::atomic<bool> lastAnswers {false};
     std::atomic<std::size_t> open {0};
     std::atomic<std::size_t> active {0};
-    std::atomic<std::size_t> receiving {0};
+    ServerConnection::ServerState connectionState;
     // By worker; each set is used by its worker only.
     std::vector<std::unordered_set<ServerConnection *>> connections;
 };
@@ -136,7 +134,7 @@
 void HttpServer::Shared::serve(tcp::socket socket)
 {
     const ServerLimits now = currentLimits();
-    ServerConnection connection(TcpSocket(std::move(socket)), now, receiving);
+    ServerConnection connection(TcpSocket(std::move(socket)), now, connectionState);
     if (const std::optional<Problem> refusal = partialRefusal())
         connection.refusePartialRequests(*refusal);
     if (open > now.maxConnections) {
@@ -159,8 +157,6 @@
     bool goOn = true;
     while (goOn && connection.readRequest(request)) {
         runHandler(request, connection);
-        if (!keepsConnections())
-            connection.closeAfterAnswer();
         goOn = connection.endRequest();
         request = {};
         connection.setLimits(currentLimits());
@@ -171,8 +167,6 @@
 {
     active.fetch_add(1);
     try {
-        if (!keepsConnections())
-            connection.closeAfterAnswer();
         ResponseWriter writer(connection);
         handler(request, writer);
     } catch (const WorkerStopped &) {
@@ -236,6 +230,7 @@
 {
     if (!m_shared->accepting.exchange(false))
         return;
+    closeAfterAnswers();
     asio::post(m_shared->pool.context(0), [weak = std::weak_ptr<Shared>(m_shared)] {
         const std::shared_ptr<Shared> shared = weak.lock();
         if (shared)
@@ -251,7 +246,7 @@
 
 void HttpServer::closeAfterAnswers()
 {
-    m_shared->lastAnswers = true;
+    m_shared->connectionState.lastAnswers = true;
 }
 
 void HttpServer::refusePartialRequests(const Problem &refusal)
@@ -296,7 +291,7 @@
 
 std::size_t HttpServer::partialRequests() const noexcept
 {
-    return m_shared->receiving;
+    return m_shared->connectionState.receiving;
 }
 
 Result<void> ResponseWriter::send(const HttpResponse &response)
--- a/src/net/serverconnection.cpp
+++ b/src/net/serverconnection.cpp
@@ -52,9 +52,8 @@
 
 } // namespace
 
-ServerConnection::ServerConnection(TcpSocket socket, const ServerLimits &limits,
-                                   std::atomic<std::size_t> &receiving)
-    : m_socket(std::move(socket)), m_limits(limits), m_receiving(&receiving)
+ServerConnection::ServerConnection(TcpSocket socket, const ServerLimits &limits, ServerState &state)
+    : m_socket(std::move(socket)), m_limits(limits), m_state(&state)
 {
     m_socket.setSendTimeout(limits.writeTimeout);
 }
@@ -70,9 +69,9 @@
         return false;
     Parser parser;
     m_isReceiving = true;
-    m_receiving->fetch_add(1);
+    m_state->receiving.fetch_add(1);
     const bool isWhole = parseRequest(parser);
-    m_receiving->fetch_sub(1);
+    m_state->receiving.fetch_sub(1);
     m_isReceiving = false;
     if (!isWhole)
         return false;
@@ -201,6 +200,12 @@
     return false;
 }
 
+bool ServerConnection::decideKeepAlive() noexcept
+{
+    m_keepAlive = m_keepAlive && !m_state->lastAnswers;
+    return m_keepAlive;
+}
+
 Millis ServerConnection::writeDeadline() const noexcept
 {
     return deadlineAfter(m_limits.writeTimeout);
@@ -225,7 +230,7 @@
     message.version(m_version);
     message.result(static_cast<unsigned>(response.status));
     addHeaders(message, response.headers);
-    message.keep_alive(m_keepAlive);
+    message.keep_alive(decideKeepAlive());
     message.body() = response.body;
     message.prepare_payload();
     if (m_headOnly)
@@ -260,7 +265,7 @@
         // must not close in order.
         m_socket.setResetOnClose(true);
     }
-    message.keep_alive(m_keepAlive);
+    message.keep_alive(decideKeepAlive());
     m_phase = Phase::Streaming;
     http::response_serializer<http::empty_body> serializer(message);
     serializer.split(true);
--- a/src/net/serverconnection.h
+++ b/src/net/serverconnection.h
@@ -16,9 +16,16 @@
 class ServerConnection
 {
 public:
-    // `receiving` counts the connections that have received a part of a request.
-    ServerConnection(TcpSocket socket, const ServerLimits &limits,
-                     std::atomic<std::size_t> &receiving);
+    // What the connections of a server share.
+    struct ServerState
+    {
+        // Every answer whose head is sent from now on is the last of its connection.
+        std::atomic<bool> lastAnswers {false};
+        // Connections that have received a part of a request.
+        std::atomic<std::size_t> receiving {0};
+    };
+
+    ServerConnection(TcpSocket socket, const ServerLimits &limits, ServerState &state);
 
     // Reads the next request. Answers a malformed one itself. Returns false where the connection
     // is at its end.
@@ -60,6 +67,9 @@
 
     [[nodiscard]] bool parseRequest(Parser &parser);
     [[nodiscard]] bool readMore(Millis deadline);
+    // Decides with the head of an answer whether the connection goes on, so that a peer that was
+    // told so is never cut off with its next request.
+    [[nodiscard]] bool decideKeepAlive() noexcept;
     void confirmContinue(const Parser &parser);
     void refuse(const Problem &problem);
     [[nodiscard]] Result<void> checkWritten(const IoOutcome &outcome);
@@ -67,7 +77,7 @@
 
     TcpSocket m_socket;
     ServerLimits m_limits;
-    std::atomic<std::size_t> *m_receiving;
+    ServerState *m_state;
     bool m_isReceiving = false;
     std::optional<Problem> m_partialRefusal;
     boost::beast::flat_buffer m_buffer;
