Soak: faults around stops and starts, callers that stay through a stop

The ledger has a new promise: a call that was sent in a planned stop, in calm, gets the endpoint's answer or a refusal; one that has run is not told an unknown outcome before seven tenths of its time-out. The time of a loss counts from the last byte of the request. Each end of an entry is reported with its status or signal, phase and last line of its log, and a stop that ends with another status than 0 breaks a promise.

--- a/tests/soak/endpointfarm.h
+++ b/tests/soak/endpointfarm.h
@@ -86,6 +86,8 @@
     // Lets the address of an endpoint that is gone lead to another one.
     static void reuseAddress(const Endpoint &gone, const Endpoint &next);
 
+    // Makes the work of plain services long at times.
+    void setLongWork(bool isLong) noexcept { m_hasLongWork = isLong; }
     // Endpoints that run and have given no notice.
     [[nodiscard]] std::vector<Endpoint *> live(std::string_view service);
     [[nodiscard]] std::vector<std::unique_ptr<Endpoint>> &all() noexcept { return m_endpoints; }
@@ -119,6 +121,7 @@
     [[nodiscard]] std::vector<net::Header> headersFor(const Endpoint &endpoint, Call &call);
     void checkSystemHeaders(const Call &call, const net::HttpRequest &request);
     [[nodiscard]] Endpoint *at(std::string_view address);
+    [[nodiscard]] Millis drawWork();
     [[nodiscard]] bool chance(double part);
     void registerEndpoint(const Endpoint &endpoint);
 
@@ -129,6 +132,7 @@
     std::mt19937_64 m_random;
     std::vector<std::unique_ptr<Endpoint>> m_endpoints;
     std::uint64_t m_lastHandle = 0;
+    bool m_hasLongWork = false;
 };
 
 } // namespace fescue::soak
--- a/tests/soak/entryprocess.cpp
+++ b/tests/soak/entryprocess.cpp
@@ -73,12 +73,18 @@
     std::filesystem::rename(partial, settingsPath());
 }
 
+void EntryProcess::removeSettings() const
+{
+    std::filesystem::remove(settingsPath());
+}
+
 void EntryProcess::start()
 {
     const std::string variable = "FESCUEWORKS_NODE_FILE=" + settingsPath();
     const int log = open(logPath().c_str(), O_WRONLY | O_CREAT | O_APPEND | O_CLOEXEC, logMode);
     if (log < 0)
         throw std::system_error(errno, std::generic_category(), logPath());
+    m_logFrom = static_cast<std::uint64_t>(lseek(log, 0, SEEK_END));
     const std::array<char *, 2> arguments {m_options.program.data(), nullptr};
     std::string environment = variable;
     const std::array<char *, 2> variables {environment.data(), nullptr};
@@ -91,6 +97,8 @@
         sigset_t none;
         sigemptyset(&none);
         sigprocmask(SIG_SETMASK, &none, nullptr);
+        // A soak without a terminal may ignore it, which the program would take over.
+        std::signal(SIGHUP, SIG_DFL);
         dup2(log, STDOUT_FILENO);
         dup2(log, STDERR_FILENO);
         // Connections of the soak must not stay open here after it has closed them.
@@ -108,6 +116,21 @@
         kill(m_pid, number);
 }
 
+bool EntryProcess::runsProgram() const
+{
+    std::error_code ec;
+    const std::filesystem::path running =
+        std::filesystem::read_symlink("/proc/" + std::to_string(m_pid) + "/exe", ec);
+    return isRunning() && !ec && std::filesystem::equivalent(running, m_options.program, ec);
+}
+
+std::string EntryProcess::logOfLife() const
+{
+    std::ifstream file(logPath());
+    file.seekg(static_cast<std::streamoff>(m_logFrom));
+    return {std::istreambuf_iterator<char>(file), {}};
+}
+
 bool EntryProcess::hasEnded()
 {
     int status = 0;
--- a/tests/soak/entryprocess.h
+++ b/tests/soak/entryprocess.h
@@ -37,6 +37,7 @@
     void writeSettings(unsigned generation) const;
     // Writes any text in place of the settings.
     void writeSettingsText(std::string_view text) const;
+    void removeSettings() const;
     // Returns the settings as writeSettings() writes them.
     [[nodiscard]] std::string settingsText(unsigned generation) const;
     // Starts the program. Throws std::system_error.
@@ -45,6 +46,8 @@
     // Looks whether the process has ended since the last call.
     [[nodiscard]] bool hasEnded();
     [[nodiscard]] bool isRunning() const noexcept { return m_pid > 0; }
+    // The program has taken the place of the copy of this process that starts it.
+    [[nodiscard]] bool runsProgram() const;
     // How the process ended that ended last: its exit status, or the negative number of the signal
     // that ended it.
     [[nodiscard]] int lastStatus() const noexcept { return m_lastStatus; }
@@ -52,6 +55,8 @@
     [[nodiscard]] std::uint64_t residentBytes() const;
 
     [[nodiscard]] const EntryOptions &options() const noexcept { return m_options; }
+    // What the process has logged since its last start.
+    [[nodiscard]] std::string logOfLife() const;
     [[nodiscard]] net::Address front() const { return {m_options.ip, frontPort}; }
     [[nodiscard]] net::Address ready() const { return {m_options.ip, readyPort}; }
     [[nodiscard]] net::Address directory() const { return {m_options.ip, directoryPort}; }
@@ -72,6 +77,7 @@
     EntryOptions m_options;
     pid_t m_pid = 0;
     int m_lastStatus = 0;
+    std::uint64_t m_logFrom = 0;
 };
 
 } // namespace fescue::soak
--- a/tests/soak/ledger.h
+++ b/tests/soak/ledger.h
@@ -50,6 +50,8 @@
     std::string key;
     std::size_t entry = 0;
     Millis sentAt {0};
+    // When the last byte of the request was sent; endOfTime where that never was.
+    Millis writtenAt {0};
     Millis patience {0};
     std::uint32_t events = 0;
     // The prompt has a part that crashes each engine that begins to answer it.
@@ -76,6 +78,13 @@
     std::uint32_t arrivals = 0;
 };
 
+// A planned stop of an entry.
+struct Stop
+{
+    Millis signalledAt {0};
+    Millis endedAt = endOfTime;
+};
+
 // An endpoint as the operator and the store know it.
 struct EndpointFacts
 {
@@ -141,6 +150,9 @@
     // A request that its endpoint begins to work on. Returns the index of the run.
     std::size_t begins(Call &call, std::size_t endpoint, bool resumed, Millis now);
     void ends(Call &call, std::size_t run, Millis now);
+    // The entry got the signal for its planned stop, and ended.
+    void stopBegins(std::size_t entry, Millis now);
+    void stopEnds(std::size_t entry, Millis now);
     // An engine has crashed on a call's prompt.
     void crashedBy(const Call &call, Millis now);
 
@@ -180,7 +192,15 @@
     void checkRuns(const Call &call);
     void checkAnswer(const Call &call);
     void checkLost(const Call &call);
+    // Calls sent in a planned stop get the answer of the endpoint or are refused truthfully.
+    void checkStop(const Call &call);
     void checkConfig(const Call &call);
+    // Nothing happened that excuses the loss of the call but planned work.
+    [[nodiscard]] bool isCalm(const Call &call) const;
+    // The planned stop in which the call was sent, or null.
+    [[nodiscard]] const Stop *stopAround(const Call &call) const;
+    // Says how long after the signal for the stop the call was sent; empty for other calls.
+    [[nodiscard]] std::string describeStop(const Call &call) const;
     void checkOverlap(const Call &call);
     void tallyLeft(const Call &call);
     void tallyHeld(const Call &call);
@@ -193,6 +213,7 @@
     std::map<std::string, std::deque<Millis>> m_requests;
     std::map<std::string, std::deque<Millis>> m_repeats;
     std::map<std::size_t, ShownVersion> m_shown;
+    std::map<std::size_t, std::vector<Stop>> m_stops;
     Tally m_left;
     Tally m_held;
     std::vector<Millis> m_crashes;
--- a/tests/soak/main.cpp
+++ b/tests/soak/main.cpp
@@ -52,6 +52,8 @@
     file << outcome.text << "began at " << world.beganAt.count << '\n';
     for (const std::string &line : injector.applied())
         file << line << '\n';
+    for (const std::string &line : world.ends)
+        file << line << '\n';
     for (const std::pair<const std::string, Call> &entry : world.ledger.calls()) {
         const Call &call = entry.second;
         file << call.id << " entry " << call.entry << ' ' << call.prefix << " sent "
--- a/tests/soakledger/ledger_test.cpp
+++ b/tests/soakledger/ledger_test.cpp
@@ -221,6 +221,62 @@
     EXPECT_EQ(broken(), Names {});
 }
 
+TEST_F(LedgerTest, FindsACallOfAStopThatHasRunAndIsToldAnUnknownOutcome)
+{
+    m_ledger.stopBegins(0, start - 4_s);
+    m_disturbances.stops[0].add(start - 4_s, start + 5_s);
+    Call &call = send(CallKind::Post);
+    m_ledger.begins(call, postEndpoint, false, start + 5_ms);
+    m_ledger.callerEnds(call, CallEnd::Answered, 502, start + 300_ms);
+    EXPECT_EQ(broken(), Names {"LOST"});
+}
+
+TEST_F(LedgerTest, AcceptsTheEndpointsOwnWordAndRefusalsInAStop)
+{
+    m_ledger.stopBegins(0, start - 4_s);
+    Call &failed = send(CallKind::Post);
+    m_ledger.begins(failed, postEndpoint, false, start + 5_ms);
+    failed.endpointStatus = 500;
+    m_ledger.callerEnds(failed, CallEnd::Answered, 500, start + 300_ms);
+    m_ledger.callerEnds(send(CallKind::Post), CallEnd::Answered, 503, start + 300_ms);
+    EXPECT_EQ(broken(), Names {});
+}
+
+TEST_F(LedgerTest, ExcusesAnUnknownOutcomeOutsideOfStopsBesideKillsAndAfterTheTimeout)
+{
+    Call &early = send(CallKind::Post, start - 1_s);
+    m_ledger.begins(early, postEndpoint, false, start);
+    m_ledger.callerEnds(early, CallEnd::Answered, 502, start + 300_ms);
+    m_ledger.stopBegins(0, start);
+    Call &held = send(CallKind::Post, start + 1_ms);
+    m_ledger.begins(held, postEndpoint, false, start + 5_ms);
+    m_ledger.callerEnds(held, CallEnd::Answered, 504, start + 1500_ms);
+    m_disturbances.entries[0].add(start + 3_s, start + 4_s);
+    Call &killed = send(CallKind::Post, start + 3_s);
+    m_ledger.begins(killed, postEndpoint, false, start + 3_s);
+    m_ledger.callerEnds(killed, CallEnd::Answered, 502, start + 3100_ms);
+    m_ledger.stopEnds(0, start + 5_s);
+    Call &after = send(CallKind::Post, start + 10_s);
+    m_ledger.begins(after, postEndpoint, false, start + 10_s);
+    m_ledger.callerEnds(after, CallEnd::Answered, 502, start + 10100_ms);
+    EXPECT_EQ(broken(), Names {});
+}
+
+TEST_F(LedgerTest, CountsTheTimeOfALossFromTheLastByteOfARequest)
+{
+    Call &whole = send(CallKind::Post);
+    whole.writtenAt = start + 600_ms;
+    m_ledger.callerEnds(whole, CallEnd::Broken, 0, start + 600_ms + Ledger::lossSlack);
+    Call &partial = send(CallKind::Post);
+    partial.writtenAt = endOfTime;
+    m_ledger.callerEnds(partial, CallEnd::Broken, 0, start + 2_s);
+    EXPECT_EQ(broken(), Names {});
+    Call &lost = send(CallKind::Post);
+    lost.writtenAt = start + 600_ms;
+    m_ledger.callerEnds(lost, CallEnd::Broken, 0, start + 601_ms + Ledger::lossSlack);
+    EXPECT_EQ(broken(), Names {"LOST"});
+}
+
 TEST_F(LedgerTest, ExcusesARequestThatCrossesTheCloseOfItsConnection)
 {
     Call &call = send(CallKind::Post);
@@ -339,10 +395,23 @@
 {
     std::vector<bool> seen(faultKinds);
     for (std::uint64_t seed = 1; seed <= 50; ++seed) {
-        for (const Fault &fault : drawFaults(seed, 20_s))
+        for (const Fault &fault : drawFaults(firstSeedOfStops + seed, 20_s))
             seen[static_cast<std::size_t>(fault.kind)] = true;
     }
     EXPECT_EQ(std::count(seen.begin(), seen.end(), true), static_cast<int>(faultKinds));
 }
 
+// Guards against a later draw that changes the faults of seeds that failed before it.
+TEST(FaultPlan, KeepsTheKindsOfEarlySeeds)
+{
+    std::vector<bool> seen(faultKinds);
+    for (std::uint64_t seed = 1; seed <= 50; ++seed) {
+        for (const Fault &fault : drawFaults(seed, 20_s))
+            seen[static_cast<std::size_t>(fault.kind)] = true;
+    }
+    EXPECT_EQ(std::count(seen.begin(), seen.begin() + fourthDrawKinds, true),
+              static_cast<int>(fourthDrawKinds));
+    EXPECT_EQ(std::count(seen.begin() + fourthDrawKinds, seen.end(), true), 0);
+}
+
 } // namespace fescue::soak
