Look at what has arrived before a limit counts as passed

The worker expired its waits before it polled its sockets. A process that had not run for a while (stopped, or without a core) so took bytes that lay in its sockets for silence: idle connections were closed with a request in them, complete requests refused with 408, answers of endpoints given up.

The worker now polls once when a deadline has passed and expires only the waits that are not complete after it. This is the one place through which reads, writes and connects wait. The three OwnPause tests failed 3 of 3 before and pass 20 of 20 now; all 88 tests of fescue-test-net pass.

--- a/src/net/worker.cpp
+++ b/src/net/worker.cpp
@@ -101,6 +101,9 @@
 void Worker::step(WorkerScheduler &scheduler)
 {
     const Millis now = steadyNow();
+    // Where this process did not run for a while, what has arrived since then is not late.
+    if (!m_waits.empty() && m_waits.begin()->first <= now)
+        m_context.poll();
     expireWaits(now);
     if (scheduler.hasReadyTask()) {
         m_context.poll();
@@ -119,6 +122,8 @@
         Wait &wait = *m_waits.begin()->second;
         m_waits.erase(m_waits.begin());
         wait.listed = false;
+        if (wait.done)
+            continue;
         wait.timedOut = true;
         wait.cancel(wait.operation);
     }
