Count an outcome that is still to be kept as open without a gap

An entry that stopped could end between the answer to a call that may not be repeated and the start of the fiber that keeps its outcome: the request had been counted out, and the fiber counted itself in only when it ran. The outcome was dropped, and the next caller with the same key was told an unknown outcome.

GatewayStop.OutcomeToBeKeptStaysOpenAfterTheRequest asks for open() when the request has returned while the store fails the write of the outcome: 0 before, 1 now. The count is taken before the fiber is spawned and goes over to it. The tests of the gateway get the stand-in of the store.

--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -341,10 +341,9 @@
     const std::shared_ptr<ClaimedCall> call =
         std::make_shared<ClaimedCall>(m_parts, std::move(*plain));
     if (call->run(writer)) {
-        m_parts.pool.spawn(net::currentWorker(), [this, call] {
-            const OpenScope scope(m_open);
-            call->finish();
-        });
+        // Counted from here on: the fiber may start after this request has ended.
+        const std::shared_ptr<OpenScope> scope = std::make_shared<OpenScope>(m_open);
+        m_parts.pool.spawn(net::currentWorker(), [call, scope] { call->finish(); });
     }
 }
 
--- a/tests/gateway/gatewayfixture.h
+++ b/tests/gateway/gatewayfixture.h
@@ -5,6 +5,7 @@
 #include "fescue/net/httpserver.h"
 #include "scriptedengine.h"
 
+#include <functional>
 #include <future>
 #include <gtest/gtest.h>
 #include <memory>
@@ -23,8 +24,9 @@
     static constexpr std::string_view accountKey = "key-1";
     static constexpr std::string_view otherKey = "key-2";
 
-    GatewayFixture()
-        : pool(2), claims(client, {"127.0.0.1", 1}, calls),
+    // Without a store, calls that may not be repeated are refused.
+    explicit GatewayFixture(const net::Address &store = {"127.0.0.1", 1})
+        : pool(2), claims(client, store, calls),
           admission(member), parts {member,    Incarnation {1}, {},      {},   views,
                                     admission, budgets,         streams, pool, client,
                                     claims,    metrics,         timeline},
@@ -80,12 +82,16 @@
         publish(freshness);
         admission.applyServices(snapshot->services, snapshot->accounts);
         admission.setEligible(views.current()->eligible);
-        for (const Endpoint &endpoint : snapshot->endpoints)
-            grant(endpoint.name);
+        for (const Endpoint &endpoint : snapshot->endpoints) {
+            if (grants)
+                grant(endpoint.name);
+        }
         server = std::make_unique<net::HttpServer>(
             pool, net::Address {"127.0.0.1", 0}, net::ServerLimits {},
             [this](const net::HttpRequest &request, net::ResponseWriter &writer) {
                 gateway.handle(request, writer);
+                if (afterRequest)
+                    afterRequest();
             });
         ASSERT_TRUE(server->start().has_value());
         pool.spawn(1, [this] {
@@ -159,6 +165,10 @@
     gateway::Intake intake;
     gateway::Gateway gateway;
     std::unique_ptr<net::HttpServer> server;
+    // Without credits, requests wait.
+    bool grants = true;
+    // Runs on the fiber of each request once the gateway has returned.
+    std::function<void()> afterRequest;
 };
 
 // Indexes of the tokens in a stream of events, in the order in which they came.
--- /dev/null
+++ b/tests/gateway/stop_test.cpp
@@ -0,0 +1,107 @@
+#include "gatewayfixture.h"
+#include "tests/net/rawengine.h"
+#include "tests/standins/store/storestandin.h"
+
+#include <atomic>
+#include <chrono>
+#include <thread>
+
+namespace {
+
+using namespace fescue;
+using namespace fescue::test;
+using Write = RawEngine::Write;
+
+// Ends a test that would hang.
+constexpr std::chrono::seconds hangGuard {20};
+
+// A store that closes the connection of every write after the first one while it fails writes.
+class FailingStore
+{
+protected:
+    FailingStore()
+        : storeServer(storePool, net::Address {"127.0.0.1", 0}, {},
+                      [this](const net::HttpRequest &request, net::ResponseWriter &writer) {
+                          const bool fails = request.method == "PUT" && ++writes > 1 && failsWrites;
+                          if (fails)
+                              writer.abort();
+                          else
+                              standIn.handle(request, writer);
+                      })
+    {
+        EXPECT_TRUE(storeServer.start().has_value());
+    }
+
+    ~FailingStore()
+    {
+        storePool.stop();
+        storePool.join();
+    }
+
+    standins::StoreStandIn standIn;
+    std::atomic<int> writes {0};
+    std::atomic<bool> failsWrites {true};
+    net::WorkerPool storePool {1};
+    net::HttpServer storeServer;
+};
+
+// A gateway that stops while calls are open at it.
+class GatewayStop : protected FailingStore, public GatewayFixture
+{
+protected:
+    GatewayStop() : GatewayFixture(storeServer.address()) { }
+
+    ~GatewayStop() override
+    {
+        server.reset();
+        if (backEnd)
+            client.dropIdle(backEnd->address());
+        pool.stop();
+        pool.join();
+    }
+
+    void useLedger()
+    {
+        addService("ledger", ServiceKind::Plain,
+                   {{"/balance", true, 2_s}, {"/adjust", false, 2_s}});
+        backEnd = std::make_unique<RawEngine>([](std::string_view, const Write &write) {
+            write("HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\ndone");
+            return false;
+        });
+        addEndpoint("ledger-1", "ledger", "z1", backEnd->address().toString());
+        serve();
+    }
+
+    static net::HttpRequest adjust()
+    {
+        net::HttpRequest request;
+        request.method = "POST";
+        request.target = "/v1/services/ledger/adjust";
+        request.headers.push_back({"Idempotency-Key", "k1"});
+        return request;
+    }
+
+    std::unique_ptr<RawEngine> backEnd;
+};
+
+// Guards against a process that ends while the outcome of an answered call is still to be kept:
+// nothing was open between the return of the request and the start of the fiber that keeps it.
+TEST_F(GatewayStop, OutcomeToBeKeptStaysOpenAfterTheRequest)
+{
+    std::atomic<std::size_t> openAfter {0};
+    afterRequest = [&] { openAfter = gateway.open(); };
+    useLedger();
+    const net::HttpResponse answer = ask(adjust());
+    EXPECT_EQ(answer.status, 200) << answer.body;
+    const std::chrono::steady_clock::time_point limit =
+        std::chrono::steady_clock::now() + hangGuard;
+    while (writes < 3 && std::chrono::steady_clock::now() < limit)
+        std::this_thread::sleep_for(std::chrono::milliseconds(1));
+    EXPECT_EQ(openAfter, 1U);
+    failsWrites = false;
+    while (gateway.open() > 0 && std::chrono::steady_clock::now() < limit)
+        std::this_thread::sleep_for(std::chrono::milliseconds(1));
+    EXPECT_EQ(gateway.open(), 0U);
+}
+
+} // namespace
