Let a server end with an answer to every request that it has begun to read

A process that stopped closed its connections at once: calls on connections that the kernel held, and calls that were half read, saw the end of the connection and no answer. closeConnections() came before the fibers of the connections that closeAcceptor() had just taken, and an accepted connection counted as open only once its fiber ran, so nothing said that there was something to wait for.

endInOrder() stops listening, takes the connections that the kernel has set up, ends each connection with the answer to the request that is read or served, and closes idle ones after 500 ms; ended() says when all are gone. A connection counts as open from its acceptance on.

An answer that lets the caller go on is kept to now: the next request is read and its answer ends the connection.

--- a/include/fescue/net/httpserver.h
+++ b/include/fescue/net/httpserver.h
@@ -86,6 +86,12 @@
     void setLimits(const ServerLimits &limits);
     // Goes on accepting, but makes each connection end after its next answer.
     void closeAfterAnswers();
+    // Stops listening and ends every connection with the answer to the request that is being read
+    // or served. The connections that the kernel has set up already are taken; one on which no
+    // request comes is closed soon.
+    void endInOrder();
+    // True once the server has stopped listening and all of its connections have ended.
+    [[nodiscard]] bool ended() const noexcept;
     // Closes every connection at once.
     void closeConnections();
     [[nodiscard]] std::size_t openConnections() const noexcept;
@@ -94,6 +100,7 @@
 
 private:
     struct Shared;
+    class Accepted;
     std::shared_ptr<Shared> m_shared;
 };
 
--- a/src/net/httpserver.cpp
+++ b/src/net/httpserver.cpp
@@ -2,6 +2,7 @@
 
 #include "net/serverconnection.h"
 
+#include <algorithm>
 #include <atomic>
 #include <cstdio>
 #include <mutex>
@@ -20,6 +21,10 @@
 
 // Pause after accepting failed, for example because the process has no free descriptors.
 constexpr Millis acceptPause = 20_ms;
+// Time for a request to come on an open connection while the server ends.
+constexpr Millis lastRequestTime = 500_ms;
+// The fiber that accepts, and the end of the listener.
+constexpr int listenerParts = 2;
 
 } // namespace
 
@@ -38,11 +43,14 @@
     // Hands over the connections that the kernel has set up already, and closes the listener.
     void closeAcceptor();
     void dispatch(tcp::socket socket, std::size_t worker);
+    // Closes the connections of the current worker on which no request has begun.
+    void closeIdle();
     void serve(tcp::socket socket);
     void serveRequests(ServerConnection &connection);
     void runHandler(const HttpRequest &request, ServerConnection &connection);
     static void refuseConnection(ServerConnection &connection);
-    [[nodiscard]] ServerLimits currentLimits() const;
+    // The limits of the next request.
+    [[nodiscard]] ServerLimits limitsNow() const;
     [[nodiscard]] bool keepsConnections() const noexcept { return accepting && !lastAnswers; }
 
     WorkerPool &pool;
@@ -54,12 +62,35 @@
     tcp::acceptor acceptor;
     std::atomic<bool> accepting {false};
     std::atomic<bool> lastAnswers {false};
+    std::atomic<bool> ending {false};
+    // Parts of the listener that may still hand over a connection.
+    std::atomic<int> listening {0};
     std::atomic<std::size_t> open {0};
     std::atomic<std::size_t> active {0};
     // By worker; each set is used by its worker only.
     std::vector<std::unordered_set<ServerConnection *>> connections;
 };
 
+// An accepted connection, counted as open from its acceptance on.
+class HttpServer::Accepted
+{
+public:
+    Accepted(std::shared_ptr<Shared> shared, tcp::socket socket) noexcept
+        : m_shared(std::move(shared)), m_socket(std::move(socket))
+    {
+        m_shared->open.fetch_add(1);
+    }
+    ~Accepted() { m_shared->open.fetch_sub(1); }
+    Accepted(const Accepted &) = delete;
+    Accepted &operator=(const Accepted &) = delete;
+
+    void serve() { m_shared->serve(std::move(m_socket)); }
+
+private:
+    std::shared_ptr<Shared> m_shared;
+    tcp::socket m_socket;
+};
+
 Result<void> HttpServer::Shared::bind()
 {
     boost::system::error_code ec;
@@ -85,6 +116,7 @@
     }
     listen.port = acceptor.local_endpoint(ec).port();
     accepting = true;
+    listening = listenerParts;
     return {};
 }
 
@@ -102,6 +134,7 @@
         else if (accepting)
             sleepFor(acceptPause);
     }
+    listening.fetch_sub(1);
 }
 
 void HttpServer::Shared::closeAcceptor()
@@ -116,21 +149,27 @@
             dispatch(std::move(socket), worker);
     }
     acceptor.close(ec);
+    listening.fetch_sub(1);
 }
 
 void HttpServer::Shared::dispatch(tcp::socket socket, std::size_t worker)
 {
-    const std::shared_ptr<tcp::socket> accepted = std::make_shared<tcp::socket>(std::move(socket));
-    pool.spawn(worker, [self = shared_from_this(), accepted] {
-        self->open.fetch_add(1);
-        self->serve(std::move(*accepted));
-        self->open.fetch_sub(1);
-    });
+    const std::shared_ptr<Accepted> accepted =
+        std::make_shared<Accepted>(shared_from_this(), std::move(socket));
+    pool.spawn(worker, [accepted] { accepted->serve(); });
+}
+
+void HttpServer::Shared::closeIdle()
+{
+    for (ServerConnection *connection : connections[currentWorker()]) {
+        if (connection->isIdle())
+            connection->close();
+    }
 }
 
 void HttpServer::Shared::serve(tcp::socket socket)
 {
-    const ServerLimits now = currentLimits();
+    const ServerLimits now = limitsNow();
     ServerConnection connection(TcpSocket(std::move(socket)), now);
     if (open > now.maxConnections) {
         refuseConnection(connection);
@@ -152,11 +191,12 @@
     bool goOn = true;
     while (goOn && connection.readRequest(request)) {
         runHandler(request, connection);
-        if (!keepsConnections())
+        // An answer that has let the caller go on is kept to: the next request may be under way.
+        if (!accepting && !ending)
             connection.closeAfterAnswer();
         goOn = connection.endRequest();
         request = {};
-        connection.setLimits(currentLimits());
+        connection.setLimits(limitsNow());
     }
 }
 
@@ -180,10 +220,13 @@
     active.fetch_sub(1);
 }
 
-ServerLimits HttpServer::Shared::currentLimits() const
+ServerLimits HttpServer::Shared::limitsNow() const
 {
     const std::lock_guard<std::mutex> lock(limitsMutex);
-    return limits;
+    ServerLimits now = limits;
+    if (ending)
+        now.idleTimeout = std::min(now.idleTimeout, lastRequestTime);
+    return now;
 }
 
 void HttpServer::Shared::refuseConnection(ServerConnection &connection)
@@ -241,6 +284,25 @@
     m_shared->lastAnswers = true;
 }
 
+void HttpServer::endInOrder()
+{
+    if (m_shared->ending.exchange(true))
+        return;
+    closeAfterAnswers();
+    stopAccepting();
+    for (std::size_t i = 0; i < m_shared->pool.size(); ++i) {
+        m_shared->pool.spawn(i, [shared = m_shared] {
+            sleepFor(lastRequestTime);
+            shared->closeIdle();
+        });
+    }
+}
+
+bool HttpServer::ended() const noexcept
+{
+    return m_shared->ending && m_shared->listening == 0 && m_shared->open == 0;
+}
+
 void HttpServer::closeConnections()
 {
     for (std::size_t i = 0; i < m_shared->pool.size(); ++i) {
--- a/src/net/serverconnection.cpp
+++ b/src/net/serverconnection.cpp
@@ -65,7 +65,10 @@
     m_chunked = true;
     m_headOnly = false;
     m_version = 11;
-    if (m_buffer.size() == 0 && !readMore(deadlineAfter(m_limits.idleTimeout)))
+    m_idle = m_buffer.size() == 0;
+    const bool begun = !m_idle || readMore(deadlineAfter(m_limits.idleTimeout));
+    m_idle = false;
+    if (!begun)
         return false;
     Parser parser;
     if (!parseRequest(parser))
--- a/src/net/serverconnection.h
+++ b/src/net/serverconnection.h
@@ -27,6 +27,8 @@
     // Closes the connection so that the peer can still read what was sent.
     void closeGracefully();
     void close() noexcept { m_socket.close(); }
+    // True while no byte of a request has come since the last answer.
+    [[nodiscard]] bool isIdle() { return m_idle && !m_socket.readable(); }
 
     Result<void> send(const HttpResponse &response);
     Result<void> startStream(int status, std::span<const Header> headers);
@@ -63,6 +65,7 @@
     Millis m_connectedAt = steadyNow();
     Phase m_phase = Phase::Waiting;
     bool m_keepAlive = true;
+    bool m_idle = false;
     bool m_chunked = true;
     // The request is a HEAD, whose answer has no body.
     bool m_headOnly = false;
