Refuse the calls that wait when the gate of an entry closes

A stop had no bound: a fiber that waits for a decision of the admission is woken by nobody once its pump has stopped, and the pool joins all fibers.

AdmissionGate::close() refuses what waits, and each later request, as not run; the entry calls it before it stops its workers. A worker that ends drops the tasks that never started while what they refer to lives.

--- a/include/fescue/gateway/admissiongate.h
+++ b/include/fescue/gateway/admissiongate.h
@@ -9,6 +9,7 @@
 #include <map>
 #include <memory>
 #include <mutex>
+#include <optional>
 #include <span>
 #include <variant>
 #include <vector>
@@ -40,6 +41,9 @@
     void observeIncarnation(const EndpointName &endpoint, Incarnation incarnation);
     // To be called every few ten milliseconds.
     void tick();
+    // Refuses every request that waits, and each later one, since this process ends. None of them
+    // has been sent to an endpoint.
+    void close();
 
     [[nodiscard]] std::vector<EntryDemand> demands() const;
     [[nodiscard]] std::size_t queued() const;
@@ -53,7 +57,8 @@
         Decision decision;
     };
 
-    [[nodiscard]] boost::fibers::future<Decision> expect(RequestId id);
+    // The decision to come; nothing where the gate has been closed.
+    [[nodiscard]] std::optional<boost::fibers::future<Decision>> expect(RequestId id);
     // Runs decide(admission, now) under the lock, then wakes the fibers that it decided about.
     template <typename F>
     void decide(F decide);
@@ -63,6 +68,7 @@
     mutable std::mutex m_mutex;
     EntryAdmission m_admission;
     std::map<RequestId, std::shared_ptr<Promise>> m_waiting;
+    bool m_closed = false;
     std::atomic<std::uint64_t> m_lastId {0};
 };
 
--- a/src/gateway/admissiongate.cpp
+++ b/src/gateway/admissiongate.cpp
@@ -6,11 +6,19 @@
 
 namespace {
 
+// Told to callers that should use another entry at once.
+constexpr Millis otherEntryDelay = 100_ms;
+
 RequestId idOf(const Decision &decision) noexcept
 {
     return std::visit([](const auto &each) { return each.id; }, decision);
 }
 
+Decision refuseAsEnding(RequestId id) noexcept
+{
+    return Refuse {id, ResultCode::ShuttingDown, otherEntryDelay};
+}
+
 } // namespace
 
 AdmissionGate::AdmissionGate(MemberName member) : m_admission(std::move(member)) { }
@@ -45,29 +53,36 @@
     return wakeups;
 }
 
-boost::fibers::future<Decision> AdmissionGate::expect(RequestId id)
+std::optional<boost::fibers::future<Decision>> AdmissionGate::expect(RequestId id)
 {
     const std::shared_ptr<Promise> promise = std::make_shared<Promise>();
     boost::fibers::future<Decision> future = promise->get_future();
     const std::lock_guard lock(m_mutex);
+    if (m_closed)
+        return std::nullopt;
     m_waiting.emplace(id, promise);
     return future;
 }
 
 Decision AdmissionGate::enter(Request request)
 {
-    boost::fibers::future<Decision> future = expect(request.id);
+    const RequestId id = request.id;
+    std::optional<boost::fibers::future<Decision>> future = expect(id);
+    if (!future)
+        return refuseAsEnding(id);
     decide([&request](EntryAdmission &admission, Millis now) {
         return admission.arrival(std::move(request), now);
     });
-    return future.get();
+    return future->get();
 }
 
 Decision AdmissionGate::returned(RequestId id)
 {
-    boost::fibers::future<Decision> future = expect(id);
+    std::optional<boost::fibers::future<Decision>> future = expect(id);
+    if (!future)
+        return refuseAsEnding(id);
     decide([id](EntryAdmission &admission, Millis now) { return admission.returned(id, now); });
-    return future.get();
+    return future->get();
 }
 
 void AdmissionGate::tokensProduced(RequestId id, std::uint32_t n)
@@ -122,6 +137,18 @@
     decide([](EntryAdmission &admission, Millis now) { return admission.tick(now); });
 }
 
+void AdmissionGate::close()
+{
+    std::map<RequestId, std::shared_ptr<Promise>> waiting;
+    {
+        const std::lock_guard lock(m_mutex);
+        m_closed = true;
+        waiting.swap(m_waiting);
+    }
+    for (const std::pair<const RequestId, std::shared_ptr<Promise>> &entry : waiting)
+        entry.second->set_value(refuseAsEnding(entry.first));
+}
+
 std::vector<EntryDemand> AdmissionGate::demands() const
 {
     const std::lock_guard lock(m_mutex);
--- a/src/net/worker.cpp
+++ b/src/net/worker.cpp
@@ -95,6 +95,8 @@
             cancelWaits();
         step(*scheduler);
     }
+    // Tasks that never started are dropped while what they refer to lives.
+    m_context.poll();
     threadWorker = nullptr;
 }
 
--- a/src/programs/entry/entrydaemon.cpp
+++ b/src/programs/entry/entrydaemon.cpp
@@ -29,6 +29,8 @@
     if (m_node)
         m_node->stop();
     m_server.reset();
+    // A fiber that waits for a decision ends only with one.
+    m_admission.close();
     m_pool.stop();
     m_pool.join();
 }
--- a/tests/gateway/stop_test.cpp
+++ b/tests/gateway/stop_test.cpp
@@ -81,6 +81,16 @@
         return request;
     }
 
+    // Expects a refusal which says that the entry ends and that nothing ran.
+    static void expectRefused(const net::HttpResponse &answer)
+    {
+        const std::string code = std::to_string(static_cast<int>(ResultCode::ShuttingDown));
+        EXPECT_EQ(answer.status, 503);
+        EXPECT_NE(answer.body.find("\"code\":" + code + ","), std::string::npos) << answer.body;
+        EXPECT_NE(answer.body.find("\"run\":\"not-run\""), std::string::npos) << answer.body;
+        EXPECT_FALSE(answer.header("Retry-After").empty());
+    }
+
     std::unique_ptr<RawEngine> backEnd;
 };
 
@@ -104,4 +114,24 @@
     EXPECT_EQ(gateway.open(), 0U);
 }
 
+// Guards against a stop that never ends: a call that waits for capacity was woken by nobody once
+// the pump of the admission had stopped. It has not run, and its caller is told so.
+TEST_F(GatewayStop, CallThatWaitsIsRefusedWhenTheGateCloses)
+{
+    grants = false;
+    useLedger();
+    std::future<net::HttpResponse> waiting =
+        std::async(std::launch::async, [this] { return ask(adjust()); });
+    const std::chrono::steady_clock::time_point limit =
+        std::chrono::steady_clock::now() + hangGuard;
+    while (admission.queued() == 0 && std::chrono::steady_clock::now() < limit)
+        std::this_thread::sleep_for(std::chrono::milliseconds(1));
+    EXPECT_EQ(admission.queued(), 1U);
+    admission.close();
+    expectRefused(waiting.get());
+    expectRefused(ask(adjust()));
+    EXPECT_EQ(writes, 0);
+    EXPECT_EQ(gateway.open(), 0U);
+}
+
 } // namespace
