Keep a daemon running at SIGHUP, and take signals before the settings are read

SIGHUP ended fescue-entry and fescue-admission at once, with all of their calls: nothing handled it. process.hang_up_does_not_end_a_daemon failed before ("entry-1 runs on") and passes now. The signal is blocked with the others and written to the log. They are blocked first of all, so that SIGTERM while the settings are read leads to a shutdown in order; no test covers that moment.

--- a/include/fescue/node/daemonprogram.h
+++ b/include/fescue/node/daemonprogram.h
@@ -19,14 +19,14 @@
     std::string_view description;
 };
 
-// The signals that ask a daemon to stop.
+// The signals that ask a daemon to stop. SIGHUP does not: it is logged and has no effect.
 class StopSignals
 {
 public:
     // Blocks the signals for this thread and all that it starts.
     StopSignals() noexcept;
-    // Waits for a signal, for at most 50 ms. Returns true where one came.
-    [[nodiscard]] bool wait() const noexcept;
+    // Waits for a signal, for at most 50 ms. Returns true where one that asks to stop came.
+    [[nodiscard]] bool wait() const;
 
 private:
     sigset_t m_signals;
@@ -58,10 +58,11 @@
 template <typename Daemon, typename Serve>
 [[nodiscard]] int runDaemon(const ProgramInfo &info, int argc, char **argv, Serve serve)
 {
+    // Blocked first, so that a signal that comes while settings are read is not lost.
+    const StopSignals signals;
     const tl::expected<ProgramStart, int> start = readCommandLine(info, argc, argv);
     if (!start)
         return start.error();
-    const StopSignals signals;
     Daemon daemon(start->settings);
     const Result<void> started = daemon.start();
     if (!started) {
--- a/src/node/daemonprogram.cpp
+++ b/src/node/daemonprogram.cpp
@@ -21,14 +21,18 @@
     sigemptyset(&m_signals);
     sigaddset(&m_signals, SIGTERM);
     sigaddset(&m_signals, SIGINT);
+    sigaddset(&m_signals, SIGHUP);
     pthread_sigmask(SIG_BLOCK, &m_signals, nullptr);
     std::signal(SIGPIPE, SIG_IGN);
 }
 
-bool StopSignals::wait() const noexcept
+bool StopSignals::wait() const
 {
     const timespec limit {0, signalWaitNanoseconds};
-    return sigtimedwait(&m_signals, nullptr, &limit) > 0;
+    const int signal = sigtimedwait(&m_signals, nullptr, &limit);
+    if (signal == SIGHUP)
+        observe::logChange("hang-up-ignored", {{"reason", "settings are read once"}});
+    return signal == SIGTERM || signal == SIGINT;
 }
 
 tl::expected<ProgramStart, int> readCommandLine(const ProgramInfo &info, int argc, char **argv)
--- a/tests/process/faults.sh
+++ b/tests/process/faults.sh
@@ -284,6 +284,15 @@
     wait_serving 1
 }
 
+# A hang-up signal does not ask for a stop.
+case_hang_up_does_not_end_a_daemon() {
+    kill -HUP "${pids[entry-1]}" "${pids[admission-1]}"
+    sleep 0.3
+    expect "entry-1 runs on" kill -0 "${pids[entry-1]}"
+    expect "admission-1 runs on" kill -0 "${pids[admission-1]}"
+    wait_serving 1
+}
+
 case_malformed_input() {
     local port=${addresses[entry-1]##*:}
     printf 'GET / HTTP/9.9\r\n\r\n' | timeout 5 curl -s --max-time 3 "telnet://127.0.0.1:$port" \
