Let an entry stop without taking calls that it would cut

Three ways to lose a call at the planned stop of fescue-entry, each with a test of a real process that failed before: - A call that may not be repeated was taken although it could not end before drain-grace did. With drain-grace = 3s and a service that takes 4 s the caller got no answer (status 000) and the call had been sent (call_longer_than_the_rest_of_the_grace). Now it is refused at once as not run, by the pure rule endsBefore() on its deadline, and another entry runs it once. - A call that waited for capacity kept the process alive past its grace: it was there 20 s after SIGTERM with drain-grace = 4s (queued_call_at_the_end_of_the_grace). Now it is refused as not run one second before the end of the grace, and the process ends. - "Nothing is open" was followed by the end of the process 50 ms later, whatever was being read: a half-read call got no answer (half_read_call_at_the_end). Now the machine has a phase Closing, in which the server ends in order; the process exits when all connections have ended and nothing is open, after at most 12 s.

Generations are not refused by their deadline, whose default is longer than that of the grace: they can be resumed at another entry.

--- a/include/fescue/gateway/gateway.h
+++ b/include/fescue/gateway/gateway.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "fescue/core/deadline.h"
+#include "fescue/core/drain.h"
 #include "fescue/core/eventid.h"
 #include "fescue/gateway/gatewayparts.h"
 #include "fescue/gateway/plaincall.h"
@@ -18,9 +19,17 @@
 public:
     [[nodiscard]] bool open() const noexcept { return m_open.load(std::memory_order_acquire); }
     void close() noexcept { m_open.store(false, std::memory_order_release); }
+    // Sets the time by which every call must have ended, since the process does.
+    void endAt(Deadline end) noexcept { m_end.store(end, std::memory_order_release); }
+    // True where a call with this deadline ends before the process does.
+    [[nodiscard]] bool allows(Deadline call) const noexcept
+    {
+        return endsBefore(call, m_end.load(std::memory_order_acquire));
+    }
 
 private:
     std::atomic<bool> m_open {true};
+    std::atomic<Deadline> m_end {Deadline {}};
 };
 
 // The interface towards callers and operators: finds the route of a request, checks who asks and
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -330,6 +330,12 @@
     tl::expected<PlainRequest, net::Problem> plain = parsePlain(request, *caller);
     if (!plain)
         return refuse(writer, plain.error());
+    // A call that was cut at the end of the process could not be told apart from one that ran.
+    if (!m_intake.allows(plain->deadline))
+        return refuse(writer,
+                      makeProblem(ResultCode::ShuttingDown, RunState::NotRun,
+                                  "this entry ends before the call can; use another address",
+                                  otherAddressDelay));
     const tl::expected<StreamTicket, net::Problem> ticket = takeTicket(*caller);
     if (!ticket)
         return refuse(writer, ticket.error());
--- a/src/programs/entry/entrydaemon.cpp
+++ b/src/programs/entry/entrydaemon.cpp
@@ -101,8 +101,9 @@
     }
 }
 
-void EntryDaemon::leaveDirectory()
+void EntryDaemon::leaveDirectory(Deadline lastCallEnd)
 {
+    m_intake.endAt(lastCallEnd);
     m_node->setLeaving();
 }
 
@@ -111,6 +112,16 @@
     m_intake.close();
 }
 
+void EntryDaemon::refuseWaiting()
+{
+    m_admission.close();
+}
+
+void EntryDaemon::closeConnections()
+{
+    m_server->endInOrder();
+}
+
 std::size_t EntryDaemon::open() const noexcept
 {
     return m_gateway.open();
--- a/src/programs/entry/entrydaemon.h
+++ b/src/programs/entry/entrydaemon.h
@@ -29,12 +29,18 @@
     // Listens and starts. Errors: AddressInUse, SettingsInvalid.
     [[nodiscard]] Result<void> start();
 
-    // Leaves the directory; requests are still served.
-    void leaveDirectory();
+    // Leaves the directory. Requests are still served, but calls that could not end by then.
+    void leaveDirectory(Deadline lastCallEnd);
     // True once the store has confirmed that this entry is leaving.
     [[nodiscard]] bool leftDirectory() const noexcept { return m_node->leavingConfirmed(); }
     // Refuses new requests from now on; open ones go on.
     void refuseNew();
+    // Refuses the requests that wait for capacity.
+    void refuseWaiting();
+    // Stops listening, and ends each connection with its next answer.
+    void closeConnections();
+    // True once every connection has ended after closeConnections().
+    [[nodiscard]] bool connectionsClosed() const noexcept { return m_server->ended(); }
     // Requests and outcomes that are not finished.
     [[nodiscard]] std::size_t open() const noexcept;
     [[nodiscard]] Millis directoryTtl() const;
--- a/src/programs/entry/main.cpp
+++ b/src/programs/entry/main.cpp
@@ -1,25 +1,25 @@
 #include "entrydaemon.h"
 
-#include "fescue/core/deadline.h"
 #include "fescue/core/drain.h"
 #include "fescue/node/daemonprogram.h"
 #include "fescue/observe/log.h"
 
 #include <cstdlib>
+#include <optional>
 
 namespace {
 
 using namespace fescue;
 
-// Carries out one step of the shutdown. Returns true where it is the last.
-bool perform(DrainStep step, entry::EntryDaemon &daemon)
+// Carries out one step of the shutdown. Returns the exit code where it is the last.
+std::optional<int> perform(DrainStep step, const DrainMachine &drain, entry::EntryDaemon &daemon)
 {
     switch (step) {
     case DrainStep::None:
         break;
     case DrainStep::LeaveDirectory:
         observe::logChange("leaving");
-        daemon.leaveDirectory();
+        daemon.leaveDirectory(drain.lastCallEnd());
         break;
     case DrainStep::RefuseNew:
         observe::logChange("refusing-new", {{"open", daemon.open()}});
@@ -28,11 +28,23 @@
     case DrainStep::ReportOpen:
         observe::logChange("still-open", {{"open", daemon.open()}});
         break;
+    case DrainStep::CloseConnections:
+        daemon.closeConnections();
+        break;
+    case DrainStep::RefuseAll:
+        observe::logChange(observe::LogLevel::Warning, "refusing-all", {{"open", daemon.open()}});
+        daemon.refuseNew();
+        daemon.refuseWaiting();
+        daemon.closeConnections();
+        break;
     case DrainStep::Exit:
         observe::logChange("stopped");
-        return true;
+        return EXIT_SUCCESS;
+    case DrainStep::GiveUp:
+        observe::logChange(observe::LogLevel::Error, "drain-grace-over", {{"open", daemon.open()}});
+        return EXIT_FAILURE;
     }
-    return false;
+    return std::nullopt;
 }
 
 // Runs until the shutdown that a signal starts has finished. Returns the exit code.
@@ -40,23 +52,22 @@
           const node::StopSignals &signals)
 {
     const SteadyClock clock;
-    DrainMachine drain(daemon.directoryTtl());
-    Deadline grace;
+    DrainLimits limits;
+    limits.grace = settings.drainGrace;
+    DrainMachine drain(daemon.directoryTtl(), limits);
     for (;;) {
         const bool signalled = signals.wait();
         const Millis now = clock.now();
         drain.raiseDirectoryTtl(daemon.directoryTtl());
         if (daemon.leftDirectory())
             drain.withdrawalConfirmed(now);
-        if (signalled && !grace.isSet())
-            grace = Deadline::after(now, settings.drainGrace);
-        if (perform(signalled ? drain.stop(now) : drain.tick(now, daemon.open()), daemon))
-            return EXIT_SUCCESS;
-        if (grace.hasPassed(now)) {
-            observe::logChange(observe::LogLevel::Error, "drain-grace-over",
-                               {{"open", daemon.open()}});
-            return EXIT_FAILURE;
-        }
+        // Asked for before open(): a request that ends its connection in between is still counted.
+        if (daemon.connectionsClosed())
+            drain.connectionsClosed();
+        const DrainStep step = signalled ? drain.stop(now) : drain.tick(now, daemon.open());
+        const std::optional<int> exitCode = perform(step, drain, daemon);
+        if (exitCode)
+            return *exitCode;
     }
 }
 
--- a/tests/gateway/stop_test.cpp
+++ b/tests/gateway/stop_test.cpp
@@ -134,4 +134,21 @@
     EXPECT_EQ(gateway.open(), 0U);
 }
 
+// Guards against taking a call that cannot end before the process does: it was cut, and nobody
+// could tell whether it had run.
+TEST_F(GatewayStop, CallThatOutlastsTheProcessIsRefused)
+{
+    useLedger();
+    failsWrites = false;
+    const Millis now = parts.clock.now();
+    // The call takes 30 s in the queue and 2 s at the service at most.
+    intake.endAt(Deadline::after(now, 20_s));
+    expectRefused(ask(adjust()));
+    EXPECT_EQ(writes, 0);
+    net::HttpRequest shorter = adjust();
+    shorter.headers.push_back({"X-Deadline-Ms", "5000"});
+    EXPECT_EQ(ask(shorter).status, 200);
+    EXPECT_EQ(backEnd->connections(), 1U);
+}
+
 } // namespace
--- a/tests/process/faults.sh
+++ b/tests/process/faults.sh
@@ -284,6 +284,82 @@
     wait_serving 1
 }
 
+# A call that may not be repeated and cannot end before the process does must not be taken: it would
+# be cut, and nobody could tell whether it has run.
+case_call_longer_than_the_rest_of_the_grace() {
+    start_daemon entry-9 fescue-entry north vm-1 "drain-grace = 3s"
+    wait_serving 9
+    control ledger-1 '{"delay_ms":4000}'
+    kill -TERM "${pids[entry-9]}"
+    wait_for 10 "the start of the shutdown" grep -q event=leaving "$run/entry-9.log"
+    call entry-9 late-1 /adjust
+    control ledger-1 '{"delay_ms":0}'
+    expect "a refusal, not $status" [ "$status" = 503 ]
+    expect "not-run" [ "$(run_state)" = not-run ]
+    expect "when to come back" grep -qi '^retry-after' "$run/call.head"
+    expect "no run" [ "$(runs_of late-1)" = 0 ]
+    call entry-1 late-1 /adjust
+    expect "the call at another entry, not $status" [ "$status" = 200 ]
+    expect "one run" [ "$(runs_of late-1)" = 1 ]
+    wait "${pids[entry-9]}" || fail "entry-9 ends with 0"
+    unset "pids[entry-9]"
+}
+
+# A call that waits for capacity must not keep the process alive past its grace, and is told that it
+# has not run.
+case_queued_call_at_the_end_of_the_grace() {
+    local n
+    # An entry that starts without them gets no credits.
+    for n in 1 2 3; do
+        stop "admission-$n" KILL
+    done
+    start_daemon entry-9 fescue-entry north vm-1 "drain-grace = 4s"
+    wait_for 30 "entry-9 to be ready" is_ready entry-9
+    (
+        call entry-9 queued-1 /adjust
+        printf '%s %s' "$status" "$(run_state)" >"$run/queued"
+    ) &
+    local waiting=$!
+    sleep 1
+    expect "a call that waits" [ ! -e "$run/queued" ]
+    kill -TERM "${pids[entry-9]}"
+    ended() { ! kill -0 "${pids[entry-9]}"; }
+    wait_for 20 "the end of entry-9" ended
+    wait "${pids[entry-9]}" || true
+    unset "pids[entry-9]"
+    wait "$waiting" || true
+    expect "a refusal that says not-run, not $(cat "$run/queued")" \
+        [ "$(cat "$run/queued")" = "503 not-run" ]
+}
+
+# A request that is half read when nothing else is open any more gets an answer.
+case_half_read_call_at_the_end() {
+    start_daemon entry-9 fescue-entry north vm-1
+    wait_serving 9
+    local n half port=${addresses[entry-9]##*:}
+    kill -TERM "${pids[entry-9]}"
+    # A head may take 10 s only, and it is not known when new requests are refused.
+    refuses() { grep -q event=refusing-new "$run/entry-9.log"; }
+    until refuses; do
+        exec {half}<>"/dev/tcp/127.0.0.1/$port"
+        printf 'POST /v1/services/ledger/adjust HTTP/1.1\r\nHost: e\r\n%s\r\n' "$key" >&"$half"
+        for n in $(seq 20); do
+            refuses || sleep 0.1
+        done
+    done
+    # Longer than one step of the shutdown.
+    sleep 0.3
+    (
+        trap '' PIPE
+        printf 'Idempotency-Key: half-1\r\nContent-Length: 10\r\n\r\n{"unit":7}' >&"$half" || true
+    )
+    timeout 10 cat <&"$half" >"$run/half" || true
+    expect "a refusal" grep -q '^HTTP/1.1 503' "$run/half"
+    expect "not-run" grep -q '"run":"not-run"' "$run/half"
+    wait "${pids[entry-9]}" || fail "entry-9 ends with 0"
+    unset "pids[entry-9]"
+}
+
 # A hang-up signal does not ask for a stop.
 case_hang_up_does_not_end_a_daemon() {
     kill -HUP "${pids[entry-1]}" "${pids[admission-1]}"
