--- a/include/fescue/net/httpserver.h
+++ b/include/fescue/net/httpserver.h
@@ -89,6 +89,12 @@
     void closeAfterAnswers();
     // Answers requests that have arrived in part with the refusal instead of waiting for the rest.
     void refusePartialRequests(const Problem &refusal);
+    // Stops listening and ends every connection with the answer to the request that is being read
+    // or served. The connections that the kernel has set up already are taken; one on which no
+    // request comes is closed soon.
+    void endInOrder();
+    // True once the server has stopped listening and all of its connections have ended.
+    [[nodiscard]] bool ended() const noexcept;
     // Closes every connection at once.
     void closeConnections();
     [[nodiscard]] std::size_t openConnections() const noexcept;
@@ -99,6 +105,7 @@
 
 private:
     struct Shared;
+    class Accepted;
     std::shared_ptr<Shared> m_shared;
 };
 
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -330,6 +330,12 @@
     tl::expected<PlainRequest, net::Problem> plain = parsePlain(request, *caller);
     if (!plain)
         return refuse(writer, plain.error());
+    // A call that was cut at the end of the process could not be told apart from one that ran.
+    if (!m_intake.allows(plain->deadline))
+        return refuse(writer,
+                      makeProblem(ResultCode::ShuttingDown, RunState::NotRun,
+                                  "this entry ends before the call can; use another address",
+                                  otherAddressDelay));
     const tl::expected<StreamTicket, net::Problem> ticket = takeTicket(*caller);
     if (!ticket)
         return refuse(writer, ticket.error());
@@ -341,10 +347,9 @@
     const std::shared_ptr<ClaimedCall> call =
         std::make_shared<ClaimedCall>(m_parts, std::move(*plain));
     if (call->run(writer)) {
-        m_parts.pool.spawn(net::currentWorker(), [this, call] {
-            const OpenScope scope(m_open);
-            call->finish();
-        });
+        // Counted from here on: the fiber may start after this request has ended.
+        const std::shared_ptr<OpenScope> scope = std::make_shared<OpenScope>(m_open);
+        m_parts.pool.spawn(net::currentWorker(), [call, scope] { call->finish(); });
     }
 }
 
--- a/src/programs/entry/entrydaemon.cpp
+++ b/src/programs/entry/entrydaemon.cpp
@@ -29,6 +29,8 @@
     if (m_node)
         m_node->stop();
     m_server.reset();
+    // A fiber that waits for a decision ends only with one.
+    m_admission.close();
     m_pool.stop();
     m_pool.join();
 }
@@ -99,8 +101,9 @@
     }
 }
 
-void EntryDaemon::leaveDirectory()
+void EntryDaemon::leaveDirectory(Deadline lastCallEnd)
 {
+    m_intake.endAt(lastCallEnd);
     m_node->setLeaving();
 }
 
@@ -109,6 +112,16 @@
     m_intake.close();
 }
 
+void EntryDaemon::refuseWaiting()
+{
+    m_admission.close();
+}
+
+void EntryDaemon::closeConnections()
+{
+    m_server->endInOrder();
+}
+
 std::size_t EntryDaemon::open() const noexcept
 {
     return m_gateway.open();
