Soak: bodies that go past the memory of a process, and what its new kinds found

A process over its memory in a stop is killed once, as the system does it, instead of being reported every 20 ms.

--- a/tests/soak/latecallers.cpp
+++ b/tests/soak/latecallers.cpp
@@ -66,7 +66,7 @@
     const std::size_t large =
         smallestLargeBody + caller.random() % (largestBody - smallestLargeBody);
     if (caller.bodies == Bodies::Large)
-        return {large, slowPieces, slowPause};
+        return {largestBody / 2 + large / 2, slowPieces, slowPause};
     if (kind == 0)
         return {shortBody, 1, 0_ms};
     if (kind == 1)
--- a/tests/soak/stopfaults.cpp
+++ b/tests/soak/stopfaults.cpp
@@ -10,7 +10,7 @@
 
 // Callers of a stopping entry, and those of one that gets large bodies beside its stop.
 constexpr std::size_t fewCallers = 4;
-constexpr std::size_t manyCallers = 16;
+constexpr std::size_t manyCallers = 32;
 // Callers are there for this long before the signal.
 constexpr Millis callersAhead = 500_ms;
 constexpr Millis latestSecondSignal = 1_s;
--- a/tests/soak/world.cpp
+++ b/tests/soak/world.cpp
@@ -200,6 +200,17 @@
     return true;
 }
 
+void World::kill(std::size_t index)
+{
+    Entry &entry = entries[index];
+    if (!end(index, SIGKILL)) {
+        // It is in a stop, whose calls end now as well.
+        disturbances.entries[index].add(now(), now() + startTime);
+        entry.killed = true;
+        entry.process->signal(SIGKILL);
+    }
+}
+
 void World::noteEnd(std::size_t index)
 {
     const Entry &entry = entries[index];
@@ -235,15 +246,16 @@
         return;
     }
     if (entry.process->isRunning()) {
-        if (entry.process->residentBytes() > memoryLimit) {
-            ledger.violation("FAULT", entry.process->name() + " uses too much memory");
-            end(index, SIGKILL);
+        const std::uint64_t used = entry.process->residentBytes();
+        if (used > memoryLimit && !entry.killed) {
+            ledger.violation("FAULT",
+                             entry.process->name() + " uses too much memory, "
+                                 + std::to_string(used) + " bytes");
+            kill(index);
         }
-        if (entry.endExpected && now() > entry.endingSince + grace) {
+        if (entry.endExpected && !entry.killed && now() > entry.endingSince + grace) {
             ledger.violation("FAULT", entry.process->name() + " did not stop in time");
-            disturbances.entries[index].add(now(), now() + startTime);
-            entry.killed = true;
-            entry.process->signal(SIGKILL);
+            kill(index);
         }
         return;
     }
--- a/tests/soak/world.h
+++ b/tests/soak/world.h
@@ -116,6 +116,8 @@
     void createEntry(std::size_t index);
     void startEntry(std::size_t index);
     void holdAddress(const net::Address &address, Millis lasts);
+    // Ends an entry at once, also one that is in a stop.
+    void kill(std::size_t index);
     void noteEnd(std::size_t index);
     void superviseEntry(std::size_t index);
 
