--- a/include/fescue/observe/log.h
+++ b/include/fescue/observe/log.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "fescue/core/clock.h"
 #include "fescue/core/result.h"
 
 #include <concepts>
@@ -44,9 +45,19 @@
 // output. Lines that find the queue full are dropped and counted.
 void initLog(std::string_view process, LogLevel level);
 
+// Changes the name of this process in the lines to come. Called while no other thread logs.
+void renameLog(std::string_view process);
+
+// Longest time that the end of a process waits for the reader of its log.
+inline constexpr Millis logFlushLimit = 200_ms;
+
 // Waits until the lines that are queued have been written. For the end of the process.
 void flushLog();
 
+// The same for at most the given time, since the reader of standard output may have stalled.
+// Returns false if lines may be missing. The process has to end after it.
+bool flushLog(Millis atMost);
+
 // Lines dropped so far because the queue was full.
 [[nodiscard]] std::uint64_t droppedLogLines() noexcept;
 
--- a/src/observe/log.cpp
+++ b/src/observe/log.cpp
@@ -12,7 +12,11 @@
 #include <chrono>
 #include <cstdio>
 #include <ctime>
+#include <future>
 #include <iostream>
+#include <memory>
+#include <system_error>
+#include <thread>
 
 namespace fescue::observe {
 
@@ -144,11 +148,33 @@
     boost::log::core::get()->add_sink(boost::make_shared<Sink>(backend));
 }
 
+void renameLog(std::string_view process)
+{
+    state().process = process;
+}
+
 void flushLog()
 {
     boost::log::core::get()->flush();
 }
 
+bool flushLog(Millis atMost)
+{
+    // The thread may outlive this call, so it shares what it refers to.
+    const std::shared_ptr<std::promise<void>> flushed = std::make_shared<std::promise<void>>();
+    std::future<void> done = flushed->get_future();
+    try {
+        std::thread([flushed] {
+            flushLog();
+            flushed->set_value();
+        }).detach();
+    } catch (const std::system_error &e) {
+        std::fprintf(stderr, "the log is not flushed: %s\n", e.what());
+        return false;
+    }
+    return done.wait_for(std::chrono::milliseconds(atMost.count)) == std::future_status::ready;
+}
+
 std::uint64_t droppedLogLines() noexcept
 {
     return state().dropped.load(std::memory_order_relaxed);
