Tell what a start may wait for from what only a person corrects

Errors of a start did not say whether they pass: a settings file cut by its writer had the code of a wrong field, and an address that was not on the VM yet that of wrong settings.

Equal listen addresses and an Ip that is none are found in the settings, with their file, instead of by the bind. A socket that could not be bound is closed, so that it can be tried again.

--- a/include/fescue/core/resultcode.h
+++ b/include/fescue/core/resultcode.h
@@ -76,6 +76,8 @@
     SettingsInvalid = 7000,
     AddressInUse = 7001,
     FileUnreadable = 7002,
+    SettingsIncomplete = 7003,
+    AddressUnavailable = 7004,
     Internal = 7999,
 };
 
--- a/include/fescue/net/httpserver.h
+++ b/include/fescue/net/httpserver.h
@@ -75,7 +75,8 @@
     HttpServer(const HttpServer &) = delete;
     HttpServer &operator=(const HttpServer &) = delete;
 
-    // Listens. Errors: AddressInUse, SettingsInvalid.
+    // Listens. May be called again after a failure. Errors: AddressInUse, AddressUnavailable,
+    // SettingsInvalid.
     [[nodiscard]] Result<void> start();
     // The address with the port that the kernel chose.
     [[nodiscard]] Address address() const;
--- a/include/fescue/serving/gossipsocket.h
+++ b/include/fescue/serving/gossipsocket.h
@@ -20,8 +20,11 @@
 
     GossipSocket(boost::asio::io_context &context, Receiver receiver);
 
-    // Errors: AddressInUse, SettingsInvalid.
+    // May be called again after a failure. Errors: AddressInUse, AddressUnavailable,
+    // SettingsInvalid.
     [[nodiscard]] Result<void> open(const net::Address &address);
+    // Stops receiving.
+    void close() noexcept;
     // Sends without blocking. Returns false if the kernel did not accept the datagram; the caller
     // need not retry, since the next datagram contains the current state.
     bool send(const net::Address &peer, std::string_view bytes);
--- a/include/fescue/serving/nodesettings.h
+++ b/include/fescue/serving/nodesettings.h
@@ -26,6 +26,8 @@
     double retryShare = 0.2;
     double retryAllowance = 50;
     Millis retryWindow = 10_s;
+
+    bool operator==(const DeploymentLimits &) const = default;
 };
 
 // Settings of an entry process, read when it starts.
@@ -46,6 +48,8 @@
     // entry VM.
     std::size_t memoryMegabytes = 88;
     DeploymentLimits deploymentLimits;
+
+    bool operator==(const NodeSettings &) const = default;
 };
 
 } // namespace fescue::serving
--- a/src/core/resultcode.cpp
+++ b/src/core/resultcode.cpp
@@ -67,6 +67,8 @@
     CodeName {ResultCode::SettingsInvalid, "settings-invalid"},
     CodeName {ResultCode::AddressInUse, "address-in-use"},
     CodeName {ResultCode::FileUnreadable, "file-unreadable"},
+    CodeName {ResultCode::SettingsIncomplete, "settings-incomplete"},
+    CodeName {ResultCode::AddressUnavailable, "address-unavailable"},
     CodeName {ResultCode::Internal, "internal"},
 };
 
--- a/src/net/httpserver.cpp
+++ b/src/net/httpserver.cpp
@@ -1,5 +1,6 @@
 #include "fescue/net/httpserver.h"
 
+#include "fescue/net/listenerror.h"
 #include "net/serverconnection.h"
 
 #include <atomic>
@@ -74,14 +75,10 @@
         acceptor.bind(local, ec);
     if (!ec)
         acceptor.listen(asio::socket_base::max_listen_connections, ec);
-    if (ec == asio::error::address_in_use) {
-        return fail(ResultCode::AddressInUse,
-                    "another process listens on " + listen.toString()
-                        + "; stop it or choose another port");
-    }
     if (ec) {
-        return fail(ResultCode::SettingsInvalid,
-                    "cannot listen on " + listen.toString() + ": " + ec.message());
+        boost::system::error_code ignored;
+        acceptor.close(ignored);
+        return tl::unexpected<Error>(listenError(listen, ec));
     }
     listen.port = acceptor.local_endpoint(ec).port();
     accepting = true;
--- a/src/serving/gossipsocket.cpp
+++ b/src/serving/gossipsocket.cpp
@@ -1,5 +1,6 @@
 #include "fescue/serving/gossipsocket.h"
 
+#include "fescue/net/listenerror.h"
 #include "fescue/observe/log.h"
 
 #include <boost/asio/buffer.hpp>
@@ -20,19 +21,27 @@
     const boost::asio::ip::address ip = boost::asio::ip::make_address(address.ip, ec);
     if (ec)
         return fail(ResultCode::SettingsInvalid, "\"" + address.ip + "\" is not an IP address");
-    m_socket.open(udp::v4(), ec);
+    const udp::endpoint local(ip, address.port);
+    m_socket.open(local.protocol(), ec);
     if (!ec)
-        m_socket.bind(udp::endpoint(ip, address.port), ec);
+        m_socket.bind(local, ec);
     if (!ec)
         m_socket.non_blocking(true, ec);
     if (ec) {
-        return fail(ResultCode::AddressInUse,
-                    "cannot receive on " + address.toString() + ": " + ec.message());
+        boost::system::error_code ignored;
+        m_socket.close(ignored);
+        return tl::unexpected<Error>(net::listenError(address, ec));
     }
     receive();
     return {};
 }
 
+void GossipSocket::close() noexcept
+{
+    boost::system::error_code ignored;
+    m_socket.close(ignored);
+}
+
 void GossipSocket::receive()
 {
     m_socket.async_receive_from(boost::asio::buffer(m_buffer), m_sender,
--- a/tests/platform/settings_test.cpp
+++ b/tests/platform/settings_test.cpp
@@ -46,4 +46,55 @@
     EXPECT_FALSE(platform::loadSettings("/nowhere/node.json"));
 }
 
+std::string withReplaced(std::string_view part, std::string_view replacement)
+{
+    std::string text(settingsText);
+    text.replace(text.find(part), part.size(), replacement);
+    return text;
+}
+
+// Guards against a process that ends, or for ever waits, because the two are mixed up.
+TEST(PlatformSettings, IncompleteTextIsToldFromWrongFields)
+{
+    for (std::size_t n = 0; n < settingsText.size(); ++n) {
+        const Result<serving::NodeSettings> cut =
+            platform::parseSettings(settingsText.substr(0, n), "node.json");
+        ASSERT_FALSE(cut);
+        ASSERT_EQ(cut.error().code, ResultCode::SettingsIncomplete) << n;
+    }
+    for (const char *text : {"[]", "null", "7", "\"text\""})
+        EXPECT_EQ(platform::parseSettings(text, "node.json").error().code,
+                  ResultCode::SettingsIncomplete);
+    EXPECT_EQ(platform::parseSettings("{}", "node.json").error().code, ResultCode::SettingsInvalid);
+    EXPECT_EQ(platform::loadSettings("/nowhere/node.json").error().code,
+              ResultCode::FileUnreadable);
+}
+
+// Guards against a start that waits for ever for an address that it holds itself.
+TEST(PlatformSettings, EqualListenAddressesAreRefused)
+{
+    for (const std::string &text : {withReplaced("10.1.0.19:8749", "10.1.0.19:8740"),
+                                    withReplaced("10.1.0.19:8746", "10.1.0.19:7201"),
+                                    withReplaced("10.1.0.19:8740", "10.1.0.19:7200")}) {
+        const Result<serving::NodeSettings> settings = platform::parseSettings(text, "node.json");
+        ASSERT_FALSE(settings);
+        EXPECT_EQ(settings.error().code, ResultCode::SettingsInvalid);
+        EXPECT_NE(settings.error().message.find("are the same address"), std::string::npos);
+    }
+    EXPECT_TRUE(
+        platform::parseSettings(withReplaced("10.1.0.19:8749", "10.1.0.20:8740"), "node.json"));
+}
+
+// Guards against a start that fails later, without the place in the settings.
+TEST(PlatformSettings, AnIpThatIsNoneIsRefused)
+{
+    for (const char *ip : {"\"Ip\":\"node-1\"", "\"Ip\":\"\"", "\"Ip\":\"10.1.0.300\""}) {
+        const Result<serving::NodeSettings> settings =
+            platform::parseSettings(withReplaced("\"Ip\":\"10.1.0.19\"", ip), "node.json");
+        ASSERT_FALSE(settings);
+        EXPECT_EQ(settings.error().code, ResultCode::SettingsInvalid);
+        EXPECT_NE(settings.error().message.find("Ip"), std::string::npos);
+    }
+}
+
 } // namespace
