--- a/include/fescue/serving/edgedaemon.h
+++ b/include/fescue/serving/edgedaemon.h
@@ -19,16 +19,29 @@
     EdgeDaemon(NodeSettings settings, net::WorkerPool &pool, Incarnation incarnation);
 
     // Opens the listening sockets and starts the background fibers. Must be called on the worker.
-    // Fails if an address cannot be bound.
+    // Fails if an address cannot be bound; may then be called again, and goes on with what is
+    // missing. The readiness check is answered from the first call on, if its address can be bound.
     [[nodiscard]] Result<void> start();
+    // Closes the listening sockets of a daemon that has not started.
+    void stopListening();
     // Announces that this process leaves, waits for open requests and returns when the process may
-    // exit. Must be called on the worker.
-    void drain();
+    // exit. `signalledAt` is the time at which the stop was requested: the grace period counts from
+    // then. Must be called on the worker.
+    void drain(Millis signalledAt);
     // Applies changed settings. Logs whether some of them take effect only after a restart.
     // `reason` names the trigger of the reload in the log.
     void reload(const NodeSettings &settings, std::string_view reason);
 
+    // Returns the number of requests that are being served.
+    [[nodiscard]] std::size_t openRequests() const noexcept { return m_state.open; }
+    // Counts waits of this process' start, by what was missing.
+    void countStartWaits(std::string_view missing, std::uint64_t n);
+
 private:
+    void addServers();
+    // Binds the addresses that are not bound yet. The front is the last, so that callers reach only
+    // a process that has all others.
+    [[nodiscard]] Result<void> listen();
     [[nodiscard]] net::HttpServer &addServer(const net::Address &address,
                                              net::HttpServer::Handler handler);
     void answerDirectory(const net::HttpRequest &request, net::ResponseWriter &writer);
@@ -82,6 +95,9 @@
     GossipSocket m_gossip;
     std::vector<std::unique_ptr<net::HttpServer>> m_servers;
     net::HttpServer *m_front = nullptr;
+    // Servers whose addresses are not bound yet, the front last.
+    std::vector<net::HttpServer *> m_notListening;
+    bool m_gossipOpen = false;
     // A notice that is sent again.
     struct RepeatedNotice
     {
--- a/include/fescue/serving/edgedaemon.inl
+++ b/include/fescue/serving/edgedaemon.inl
@@ -58,22 +58,16 @@
 {
     m_servers.push_back(std::make_unique<net::HttpServer>(*m_pool, address, net::ServerLimits {},
                                                           std::move(handler)));
+    m_notListening.push_back(m_servers.back().get());
     return *m_servers.back();
 }
 
 template <PlatformProtocol P>
-Result<void> EdgeDaemon<P>::start()
+void EdgeDaemon<P>::addServers()
 {
     using Request = net::HttpRequest;
     using Writer = net::ResponseWriter;
     const NodeSettings &settings = m_state.settings;
-    m_front = &addServer(settings.frontAddress, [this](const Request &request, Writer &writer) {
-        m_handler.handle(request, writer);
-    });
-    static_cast<void>(
-        addServer(settings.directoryAddress, [this](const Request &request, Writer &writer) {
-            answerDirectory(request, writer);
-        }));
     static_cast<void>(
         addServer(settings.readyAddress, [this](const Request &request, Writer &writer) {
             answerReady(request, writer);
@@ -82,15 +76,65 @@
         addServer(settings.metricsAddress, [this](const Request &request, Writer &writer) {
             answerMetrics(request, writer);
         }));
+    static_cast<void>(
+        addServer(settings.directoryAddress, [this](const Request &request, Writer &writer) {
+            answerDirectory(request, writer);
+        }));
     static_cast<void>(
         addServer(settings.peerAddress,
                   [this](const Request &request, Writer &writer) { answerPeer(request, writer); }));
-    for (const std::unique_ptr<net::HttpServer> &server : m_servers) {
-        if (Result<void> started = server->start(); !started)
-            return started;
+    m_front = &addServer(settings.frontAddress, [this](const Request &request, Writer &writer) {
+        m_handler.handle(request, writer);
+    });
+}
+
+template <PlatformProtocol P>
+Result<void> EdgeDaemon<P>::listen()
+{
+    if (m_servers.empty())
+        addServers();
+    Result<void> outcome;
+    if (!m_gossipOpen) {
+        outcome = m_gossip.open(m_state.settings.peerAddress);
+        m_gossipOpen = outcome.has_value();
+    }
+    std::vector<net::HttpServer *> failed;
+    for (net::HttpServer *server : m_notListening) {
+        const bool mustWait = server == m_front && !outcome;
+        const Result<void> started = mustWait ? outcome : server->start();
+        if (started)
+            continue;
+        failed.push_back(server);
+        if (outcome)
+            outcome = started;
     }
-    if (Result<void> opened = m_gossip.open(settings.peerAddress); !opened)
-        return opened;
+    m_notListening = std::move(failed);
+    return outcome;
+}
+
+template <PlatformProtocol P>
+void EdgeDaemon<P>::stopListening()
+{
+    m_front = nullptr;
+    m_notListening.clear();
+    m_servers.clear();
+    m_gossip.close();
+    m_gossipOpen = false;
+}
+
+template <PlatformProtocol P>
+void EdgeDaemon<P>::countStartWaits(std::string_view missing, std::uint64_t n)
+{
+    m_metrics.counter("fescue_start_waits_total", {{"for", std::string(missing)}})
+        .Increment(static_cast<double>(n));
+}
+
+template <PlatformProtocol P>
+Result<void> EdgeDaemon<P>::start()
+{
+    const NodeSettings &settings = m_state.settings;
+    if (Result<void> listening = listen(); !listening)
+        return listening;
     m_state.members.heartbeat(ServingState::now(), m_self);
     m_state.notifyPeers = [this] { sendGossip(); };
     m_state.endpointAnnouncedLeaving = [this](const EndpointIncarnation &leavingEndpoint,
@@ -479,13 +523,16 @@
 }
 
 template <PlatformProtocol P>
-void EdgeDaemon<P>::drain()
+void EdgeDaemon<P>::drain(Millis signalledAt)
 {
-    const Millis startedAt = ServingState::now();
+    const Millis startedAt = signalledAt;
     m_state.draining = true;
     m_self.leaving = true;
-    m_state.members.heartbeat(startedAt, m_self);
-    observe::logChange("stopping", {{"open", m_state.open}, {"runs", m_state.runs.size()}});
+    m_state.members.heartbeat(ServingState::now(), m_self);
+    observe::logChange("stopping",
+                       {{"open", m_state.open},
+                        {"runs", m_state.runs.size()},
+                        {"delay_ms", (ServingState::now() - signalledAt).count}});
     m_front->closeAfterAnswers();
     sendGossip();
     m_store.announceLeaving();
--- a/tests/soak/entryprocess.cpp
+++ b/tests/soak/entryprocess.cpp
@@ -91,7 +91,7 @@
         sigset_t none;
         sigemptyset(&none);
         sigprocmask(SIG_SETMASK, &none, nullptr);
-        dup2(log, STDOUT_FILENO);
+        dup2(m_output >= 0 ? m_output : log, STDOUT_FILENO);
         dup2(log, STDERR_FILENO);
         // Connections of the soak must not stay open here after it has closed them.
         close_range(STDERR_FILENO + 1, std::numeric_limits<unsigned>::max(), 0);
--- a/tests/soak/entryprocess.h
+++ b/tests/soak/entryprocess.h
@@ -45,6 +45,10 @@
     // Looks whether the process has ended since the last call.
     [[nodiscard]] bool hasEnded();
     [[nodiscard]] bool isRunning() const noexcept { return m_pid > 0; }
+    // Id of the process; 0 where it does not run.
+    [[nodiscard]] pid_t pid() const noexcept { return m_pid; }
+    // Makes the next start write to this descriptor in place of the log.
+    void setOutput(int descriptor) noexcept { m_output = descriptor; }
     // How the process ended that ended last: its exit status, or the negative number of the signal
     // that ended it.
     [[nodiscard]] int lastStatus() const noexcept { return m_lastStatus; }
@@ -54,9 +58,18 @@
     [[nodiscard]] const EntryOptions &options() const noexcept { return m_options; }
     [[nodiscard]] net::Address front() const { return {m_options.ip, frontPort}; }
     [[nodiscard]] net::Address ready() const { return {m_options.ip, readyPort}; }
+    // The second of its internal ports, for datagrams and copies between processes.
+    [[nodiscard]] net::Address peer() const
+    {
+        return {m_options.ip, static_cast<std::uint16_t>(internalPort + 1)};
+    }
     [[nodiscard]] net::Address directory() const { return {m_options.ip, directoryPort}; }
     [[nodiscard]] std::string logPath() const { return m_options.folder + '/' + name() + ".log"; }
     [[nodiscard]] const std::string &name() const noexcept { return m_options.name; }
+    [[nodiscard]] std::string settingsPath() const
+    {
+        return m_options.folder + '/' + name() + ".json";
+    }
 
 private:
     static constexpr std::uint16_t frontPort = 8740;
@@ -64,14 +77,10 @@
     static constexpr std::uint16_t directoryPort = 8746;
     static constexpr std::uint16_t internalPort = 7200;
 
-    [[nodiscard]] std::string settingsPath() const
-    {
-        return m_options.folder + '/' + name() + ".json";
-    }
-
     EntryOptions m_options;
     pid_t m_pid = 0;
     int m_lastStatus = 0;
+    int m_output = -1;
 };
 
 } // namespace fescue::soak
