--- a/tests/soak/entryprocess.cpp
+++ b/tests/soak/entryprocess.cpp
@@ -99,7 +99,7 @@
         sigprocmask(SIG_SETMASK, &none, nullptr);
         // A soak without a terminal may ignore it, which the program would take over.
         std::signal(SIGHUP, SIG_DFL);
-        dup2(log, STDOUT_FILENO);
+        dup2(m_output >= 0 ? m_output : log, STDOUT_FILENO);
         dup2(log, STDERR_FILENO);
         // Connections of the soak must not stay open here after it has closed them.
         close_range(STDERR_FILENO + 1, std::numeric_limits<unsigned>::max(), 0);
