--- a/tests/lifecycle/backend.cpp
+++ b/tests/lifecycle/backend.cpp
@@ -8,12 +8,6 @@
 
 namespace names = platform::names;
 
-namespace {
-
-constexpr std::size_t answerBytes = 800;
-
-} // namespace
-
 BackEnd::BackEnd(net::WorkerPool &pool, std::string id)
     : m_id(std::move(id)),
       m_server(pool, {"127.0.0.1", 0}, net::ServerLimits {},
@@ -62,7 +56,7 @@
     static_cast<void>(writer.send(
         {200,
          {{std::string(names::requestId), callId}, {std::string(names::signature), "s." + callId}},
-         std::string(answerBytes, '.')}));
+         std::string(m_answerBytes, '.')}));
 }
 
 } // namespace fescue::test
--- a/tests/lifecycle/backend.h
+++ b/tests/lifecycle/backend.h
@@ -27,6 +27,7 @@
     BackEnd(net::WorkerPool &pool, std::string id);
 
     void setWork(Millis shortest, Millis longest);
+    void setAnswerBytes(std::size_t n) { m_answerBytes = n; }
     [[nodiscard]] net::Address address() const { return m_server.address(); }
     [[nodiscard]] const std::string &id() const noexcept { return m_id; }
     // Returns what was done for a call; nothing if it has not arrived.
@@ -39,6 +40,7 @@
     std::string m_id;
     std::atomic<std::int64_t> m_shortestWork {15};
     std::atomic<std::int64_t> m_longestWork {15};
+    std::atomic<std::size_t> m_answerBytes {800};
     std::mt19937_64 m_random {1};
     // Guards m_runs.
     mutable std::mutex m_mutex;
--- a/tests/lifecycle/edgesystem.cpp
+++ b/tests/lifecycle/edgesystem.cpp
@@ -39,7 +39,7 @@
     std::this_thread::sleep_for(std::chrono::milliseconds(span.count));
 }
 
-EdgeSystem::EdgeSystem(std::string_view name, std::size_t entries)
+EdgeSystem::EdgeSystem(std::string_view name, std::size_t entries, const ProcessLimits &limits)
     : m_store(entries),
       m_storeServer(m_pool, {"127.0.0.1", 0}, net::ServerLimits {},
                     [this](const net::HttpRequest &request, net::ResponseWriter &writer) {
@@ -65,6 +65,9 @@
         options.name = "entry-" + std::to_string(i);
         options.ip = loopbackIp(i);
         options.store = m_storeServer.address();
+        options.memoryMegabytes = limits.memoryMegabytes;
+        options.maxDescriptors = limits.maxDescriptors;
+        options.openFileLimit = limits.openFileLimit;
         m_entries.push_back(std::make_unique<EntryProcess>(options));
     }
 }
--- a/tests/lifecycle/edgesystem.h
+++ b/tests/lifecycle/edgesystem.h
@@ -16,19 +16,30 @@
 
 namespace fescue::test {
 
+// Limits of each process of an EdgeSystem; none where a number is 0.
+struct ProcessLimits
+{
+    std::size_t memoryMegabytes = 0;
+    // Descriptors by the settings, and those that the kernel allows.
+    std::size_t maxDescriptors = 0;
+    std::size_t openFileLimit = 0;
+};
+
 // Real processes of fescue-edge before stand-ins of the store and of two plain services, one for
 // calls that may not be repeated and one for those that may.
 class EdgeSystem
 {
 public:
     // `name` is the folder of its settings and logs below the folder of the tests.
-    EdgeSystem(std::string_view name, std::size_t entries);
+    EdgeSystem(std::string_view name, std::size_t entries, const ProcessLimits &limits = {});
     ~EdgeSystem();
     EdgeSystem(const EdgeSystem &) = delete;
     EdgeSystem &operator=(const EdgeSystem &) = delete;
 
     [[nodiscard]] soak::EntryProcess &entry(std::size_t index) { return *m_entries[index]; }
     void setWork(Millis shortest, Millis longest);
+    // Sets the size of the answers to calls that may be repeated.
+    void setReadAnswerBytes(std::size_t n) { m_reads.setAnswerBytes(n); }
     // Writes the settings of all entries and starts them; waits until they are ready.
     void startAll();
     // Waits until an entry answers its readiness check with 200. Returns false after the timeout.
--- a/tests/lifecycle/rawcaller.cpp
+++ b/tests/lifecycle/rawcaller.cpp
@@ -55,10 +55,11 @@
     return isOpen();
 }
 
-bool RawCaller::send(std::string_view bytes)
+bool RawCaller::send(std::string_view first, std::string_view second)
 {
+    const std::array<asio::const_buffer, 2> buffers {asio::buffer(first), asio::buffer(second)};
     boost::system::error_code ec;
-    asio::write(m_socket, asio::buffer(bytes), ec);
+    asio::write(m_socket, buffers, ec);
     return !ec;
 }
 
@@ -75,12 +76,16 @@
     const std::size_t half = options.pauseInBody > Millis {0} ? body.size() / 2 : body.size();
     const std::string_view toSend = std::string_view(body).substr(0, options.bodyBytesSent);
     // A server may answer before it has read everything, so the answer is read in any case.
-    bool isSent = send(headOf(id, options) + std::string(toSend.substr(0, half)));
+    bool isSent = send(headOf(id, options), toSend.substr(0, half));
     if (isSent && options.pauseInBody > Millis {0}) {
         std::this_thread::sleep_for(std::chrono::milliseconds(options.pauseInBody.count));
         isSent = send(toSend.substr(std::min(half, toSend.size())));
     }
     record.writtenAt = SteadyClock {}.now();
+    if (options.pauseBeforeReading > Millis {0}) {
+        const std::chrono::milliseconds pause(options.pauseBeforeReading.count);
+        std::this_thread::sleep_for(pause);
+    }
     readAnswer(record, options.patience + lateReading);
     record.endedAt = SteadyClock {}.now();
     if (record.end != CallEnd::Answered)
@@ -94,6 +99,8 @@
     setsockopt(m_socket.native_handle(), SOL_SOCKET, SO_RCVTIMEO, &wait, sizeof wait);
     http::response_parser<http::string_body> parser;
     parser.eager(true);
+    // Larger than any answer of the tests.
+    parser.body_limit(std::uint64_t {16} * 1024 * 1024);
     std::array<char, 4096> buf {};
     std::string unparsed;
     boost::system::error_code ec;
--- a/tests/lifecycle/rawcaller.h
+++ b/tests/lifecycle/rawcaller.h
@@ -52,6 +52,8 @@
     Millis pauseInBody {0};
     // Bytes of the body that are sent at most; the rest never comes.
     std::size_t bodyBytesSent = SIZE_MAX;
+    // Pause before the answer is read.
+    Millis pauseBeforeReading {0};
 };
 
 // A caller with one connection, which it keeps until the other end closes it. Blocks the calling
@@ -68,7 +70,7 @@
 
 private:
     [[nodiscard]] bool connect();
-    [[nodiscard]] bool send(std::string_view bytes);
+    [[nodiscard]] bool send(std::string_view first, std::string_view second = {});
     void readAnswer(CallRecord &record, Millis timeout);
 
     net::Address m_address;
--- a/tests/soak/entryprocess.cpp
+++ b/tests/soak/entryprocess.cpp
@@ -9,6 +9,7 @@
 #include <limits>
 #include <nlohmann/json.hpp>
 #include <sys/prctl.h>
+#include <sys/resource.h>
 #include <sys/wait.h>
 #include <system_error>
 #include <unistd.h>
@@ -45,6 +46,11 @@
     const Json bounds = {{"GraceS", 8},          {"ttl_max_s", 5},          {"ColdOverrun", 1.5},
                          {"ColdTolerance", 5},   {"RetryBudgetRatio", 0.2}, {"RetryAllowance", 58},
                          {"BudgetWindowS", 10.0}};
+    Json limits = {{"LinkMbps", 1000.0}};
+    if (m_options.memoryMegabytes > 0)
+        limits["MemoryMb"] = m_options.memoryMegabytes;
+    if (m_options.maxDescriptors > 0)
+        limits["MaxFds"] = m_options.maxDescriptors;
     const Json json = {{"NodeName", name()},
                        {"Ip", ip},
                        {"Zone", m_options.zone},
@@ -54,7 +60,7 @@
                          {"Ready", at(ip, readyPort)},
                          {"DirectoryService", at(ip, directoryPort)}}},
                        {"InternalPortRange", {internalPort, internalPort + 15}},
-                       {"Limits", {{"LinkMbps", 1000.0}}},
+                       {"Limits", limits},
                        {"Platform", {{"Address", m_options.store.toString()}}},
                        {"Generation", generation},
                        {"Bounds", bounds}};
@@ -95,6 +101,10 @@
         dup2(log, STDERR_FILENO);
         // Connections of the soak must not stay open here after it has closed them.
         close_range(STDERR_FILENO + 1, std::numeric_limits<unsigned>::max(), 0);
+        if (m_options.openFileLimit > 0) {
+            const rlimit openFiles {m_options.openFileLimit, m_options.openFileLimit};
+            setrlimit(RLIMIT_NOFILE, &openFiles);
+        }
         execve(arguments[0], arguments.data(), variables.data());
         _exit(exitNotStarted);
     }
@@ -129,4 +139,19 @@
     return resident * static_cast<std::uint64_t>(sysconf(_SC_PAGESIZE));
 }
 
+std::uint64_t EntryProcess::peakResidentBytes() const
+{
+    if (!isRunning())
+        return 0;
+    constexpr std::string_view field = "VmHWM:";
+    constexpr std::uint64_t bytesPerKilobyte = 1024;
+    std::ifstream file("/proc/" + std::to_string(m_pid) + "/status");
+    for (std::string name; file >> name;) {
+        std::uint64_t kilobytes = 0;
+        if (name == field && file >> kilobytes)
+            return kilobytes * bytesPerKilobyte;
+    }
+    return 0;
+}
+
 } // namespace fescue::soak
--- a/tests/soak/entryprocess.h
+++ b/tests/soak/entryprocess.h
@@ -21,6 +21,11 @@
     // An address of the loopback network of its own, so that processes have the same ports.
     std::string ip;
     net::Address store;
+    // Limits of the VM in the settings; left out if 0.
+    std::size_t memoryMegabytes = 0;
+    std::size_t maxDescriptors = 0;
+    // Descriptors that the kernel lets the process open; those of the test if 0.
+    std::size_t openFileLimit = 0;
 };
 
 // One real process of the system, driven by signals.
@@ -50,6 +55,8 @@
     [[nodiscard]] int lastStatus() const noexcept { return m_lastStatus; }
     // Memory that it uses, in bytes; 0 where it does not run.
     [[nodiscard]] std::uint64_t residentBytes() const;
+    // The most memory that it has used since its start, in bytes; 0 where it does not run.
+    [[nodiscard]] std::uint64_t peakResidentBytes() const;
 
     [[nodiscard]] const EntryOptions &options() const noexcept { return m_options; }
     [[nodiscard]] net::Address front() const { return {m_options.ip, frontPort}; }
