Hold bodies within one budget of the process' memory

Nothing limited the sum of the bodies that were being received, and each was held up to three times while an endpoint worked: in the caller's request, in the endpoint's and in the message of the HTTP library; answers twice.

net::ByteBudget (moved from serving) now takes half of MemoryMb for requests and whole answers together. A request reserves its announced length before its body is read, or what has arrived of a chunked one. A request without room is told 503 not run with Retry-After, the connection is closed after up to 2 s in which the rest of the body is read and dropped. An answer of known length waits for its memory as a whole, so that answers held in part no longer block one another.

--- a/include/fescue/net.h
+++ b/include/fescue/net.h
@@ -1,6 +1,7 @@
 #pragma once
 
 // The network library: workers, HTTP server and client, clients of the platform's services.
+#include "fescue/net/bytebudget.h"
 #include "fescue/net/endpointaddress.h"
 #include "fescue/net/httpclient.h"
 #include "fescue/net/httpserver.h"
--- a/include/fescue/net/httpserver.h
+++ b/include/fescue/net/httpserver.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "fescue/net/bytebudget.h"
 #include "fescue/net/endpointaddress.h"
 #include "fescue/net/httptypes.h"
 #include "fescue/net/workerpool.h"
@@ -25,6 +26,9 @@
     Millis headTimeout = 10_s;
     // Longest time that one write may wait for the peer to take the bytes.
     Millis writeTimeout = 10_s;
+    // Memory for the bodies of requests, from their arrival until they have been answered; shared
+    // with other uses. No limit if null.
+    std::shared_ptr<ByteBudget> bodyBudget;
 };
 
 // Writes the answer to one request. Used by fibers of the connection's worker only.
@@ -62,7 +66,8 @@
 // each connection has one fiber, which runs the handler for one request after the other.
 //
 // A malformed request is answered with 400, a head over its limit with 431, a body over its limit
-// with 413, each as problem details, and the connection is closed.
+// with 413, each as problem details, and the connection is closed. So is a request for whose body
+// no memory is left, with 503 before its body is read.
 class HttpServer
 {
 public:
@@ -81,8 +86,7 @@
     [[nodiscard]] Address address() const;
     // Closes the listening socket; open connections go on, and are closed after their next answer.
     void stopAccepting();
-    // Replaces the limits. Connections take them over with their next request; the limit of open
-    // connections stays.
+    // Replaces the limits. Connections take them over with their next request.
     void setLimits(const ServerLimits &limits);
     // Goes on accepting, but makes each connection end after its next answer.
     void closeAfterAnswers();
--- a/include/fescue/net/httptypes.h
+++ b/include/fescue/net/httptypes.h
@@ -43,7 +43,14 @@
     // Client only: use a new connection, so that a failure cannot come from one that the peer was
     // closing while it was idle. For requests that must not be repeated.
     bool freshConnection = false;
+    // Client only: sent in place of `body`, so that a body that is passed on is not copied. Its
+    // owner must keep it until the call ends.
+    std::optional<std::string_view> borrowedBody;
 
+    [[nodiscard]] std::string_view bodyToSend() const noexcept
+    {
+        return borrowedBody ? *borrowedBody : std::string_view(body);
+    }
     [[nodiscard]] std::string_view header(std::string_view name) const noexcept;
     // Returns the decoded value of a query parameter.
     [[nodiscard]] std::optional<std::string> queryValue(std::string_view name) const;
--- a/include/fescue/serving/edgedaemon.h
+++ b/include/fescue/serving/edgedaemon.h
@@ -37,6 +37,10 @@
     [[nodiscard]] bool ready() const noexcept;
     void applyLimits();
     void tick();
+    // Returns the limits of the server for callers.
+    [[nodiscard]] net::ServerLimits frontLimits(const CallerLimits &limits) const;
+    // Logs from time to time how many callers were refused for want of memory or descriptors.
+    void logRefusals(Millis now);
     void answerPeer(const net::HttpRequest &request, net::ResponseWriter &writer);
     void sendGossip();
     void sendStoreUpdate(std::span<const MemberView *const> to, std::string_view bytes);
@@ -91,6 +95,9 @@
     };
     std::vector<RepeatedNotice> m_repeatedNotices;
     std::uint64_t m_ticks = 0;
+    // Refusals for want of room that have been logged.
+    std::uint64_t m_bodiesRefused = 0;
+    Millis m_refusalsLoggedAt {0};
     observe::Counter &m_datagramsSent = m_metrics.counter("fescue_datagrams_sent_total");
     observe::Counter &m_datagramsNotSent = m_metrics.counter("fescue_datagrams_not_sent_total");
     observe::Counter &m_datagramsMalformed = m_metrics.counter("fescue_datagrams_malformed_total");
--- a/include/fescue/serving/edgedaemon.inl
+++ b/include/fescue/serving/edgedaemon.inl
@@ -30,6 +30,8 @@
 inline constexpr Millis minDrainDuration = 3500_ms;
 // The process exits this long before the end of the grace period, at which it would be killed.
 inline constexpr Millis drainMargin = 300_ms;
+// Shortest time between two log lines about callers that were refused for want of room.
+inline constexpr Millis refusalLogInterval = 1_s;
 inline constexpr Millis drainPollInterval = 50_ms;
 
 template <PlatformProtocol P>
@@ -70,6 +72,7 @@
     m_front = &addServer(settings.frontAddress, [this](const Request &request, Writer &writer) {
         m_handler.handle(request, writer);
     });
+    m_front->setLimits(frontLimits({}));
     static_cast<void>(
         addServer(settings.directoryAddress, [this](const Request &request, Writer &writer) {
             answerDirectory(request, writer);
@@ -154,6 +157,11 @@
     m_metrics.gauge("fescue_generations_open").Set(static_cast<double>(m_state.runs.size()));
     m_metrics.gauge("fescue_quarantined_entries")
         .Set(static_cast<double>(m_state.quarantine.activeCount()));
+    const net::ByteBudget &bodies = *m_state.bodyBudget;
+    m_metrics.gauge("fescue_body_bytes_held").Set(static_cast<double>(bodies.used()));
+    m_metrics.gauge("fescue_body_bytes_peak").Set(static_cast<double>(bodies.peak()));
+    m_metrics.gauge("fescue_body_bytes_limit").Set(static_cast<double>(bodies.limit()));
+    m_metrics.gauge("fescue_bodies_refused").Set(static_cast<double>(bodies.refusals()));
     m_metrics.gauge("fescue_log_lines_dropped")
         .Set(static_cast<double>(observe::droppedLogLines()));
     static_cast<void>(
@@ -163,13 +171,36 @@
 template <PlatformProtocol P>
 void EdgeDaemon<P>::applyLimits()
 {
-    const CallerLimits &limits = m_state.routes->config().limits;
+    m_front->setLimits(frontLimits(m_state.routes->config().limits));
+}
+
+template <PlatformProtocol P>
+net::ServerLimits EdgeDaemon<P>::frontLimits(const CallerLimits &limits) const
+{
     net::ServerLimits server;
+    server.bodyBudget = m_state.bodyBudget;
     server.maxHeadBytes = limits.maxHeadBytes;
     server.maxBodyBytes = limits.maxBodyBytes;
     server.idleTimeout = limits.idleTimeout;
     server.headTimeout = limits.headTimeout;
-    m_front->setLimits(server);
+    return server;
+}
+
+template <PlatformProtocol P>
+void EdgeDaemon<P>::logRefusals(Millis now)
+{
+    const net::ByteBudget &bodies = *m_state.bodyBudget;
+    const std::uint64_t bodiesRefused = bodies.refusals();
+    const bool isNew = bodiesRefused != m_bodiesRefused;
+    if (!isNew || now - m_refusalsLoggedAt < refusalLogInterval)
+        return;
+    m_refusalsLoggedAt = now;
+    observe::logChange("no-room",
+                       {{"bodies_refused", bodiesRefused - m_bodiesRefused},
+                        {"body_bytes", bodies.used()},
+                        {"body_bytes_peak", bodies.peak()},
+                        {"body_bytes_limit", bodies.limit()}});
+    m_bodiesRefused = bodiesRefused;
 }
 
 template <PlatformProtocol P>
@@ -177,6 +208,7 @@
 {
     repeatUntilStopped(m_state.metrics, "tick", [this] {
         const Millis now = ServingState::now();
+        logRefusals(now);
         m_state.members.heartbeat(now, m_self);
         for (const EndpointName &endpoint : m_state.endpoints.tick(now)) {
             observe::logChange("endpoint",
--- a/include/fescue/serving/plainforwarder.h
+++ b/include/fescue/serving/plainforwarder.h
@@ -29,7 +29,12 @@
     [[nodiscard]] const EndpointView *choose(const RequestContext &context,
                                              const PlacementDemand &demand);
     [[nodiscard]] Attempt attempt(RequestContext &context, const EndpointRecord &endpoint,
-                                  bool isLast, ByteReservation &memory);
+                                  bool isLast, net::ByteReservation &memory);
+    // Reads the rest of an answer. Where its length is known, waits first until there is memory for
+    // all of it, so that answers that are held in part do not block one another.
+    [[nodiscard]] static Result<std::string> readAnswer(net::ClientStream &stream,
+                                                        const RequestContext &context,
+                                                        net::ByteReservation &memory, Millis until);
     void finish(RequestContext &context, AttemptVerdict verdict, Attempt &attempt);
 
     ServingState *m_state;
--- a/include/fescue/serving/plainforwarder.inl
+++ b/include/fescue/serving/plainforwarder.inl
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "fescue/core/parsenumber.h"
+
 namespace fescue::serving {
 
 // Maximum size of a plain service's answer; equals the maximum size of a caller's request.
@@ -7,6 +9,8 @@
 // An attempt that another one can follow is abandoned after this multiple of the target latency.
 inline constexpr std::int64_t attemptTimeoutInTargets = 3;
 inline constexpr Millis minAttemptTimeout {250};
+// Interval at which an answer that has no memory tries again to get it.
+inline constexpr Millis answerMemoryPollInterval {20};
 
 template <PlatformProtocol P>
 const EndpointView *PlainForwarder<P>::choose(const RequestContext &context,
@@ -19,9 +23,9 @@
 }
 
 template <PlatformProtocol P>
-typename PlainForwarder<P>::Attempt PlainForwarder<P>::attempt(RequestContext &context,
-                                                               const EndpointRecord &endpoint,
-                                                               bool isLast, ByteReservation &memory)
+typename PlainForwarder<P>::Attempt
+PlainForwarder<P>::attempt(RequestContext &context, const EndpointRecord &endpoint, bool isLast,
+                           net::ByteReservation &memory)
 {
     const ScopedLoad load(m_state->ledger, endpoint.name, {1, 0, 0});
     Millis timeout = context.timeLeft();
@@ -38,9 +42,7 @@
     const bool hasAnswer =
         result.outcome == SendOutcome::Succeeded || result.outcome == SendOutcome::Failed;
     if (hasAnswer) {
-        Result<std::string> body =
-            result.stream.readAll(maxPlainAnswerBytes, until - ServingState::now(),
-                                  [&memory](std::size_t n) { return memory.reserve(n); });
+        Result<std::string> body = readAnswer(result.stream, context, memory, until);
         if (body) {
             done.answer = {result.head.status, P::answerHeaders(result.stream.headers()),
                            std::move(*body)};
@@ -57,6 +59,32 @@
     return done;
 }
 
+template <PlatformProtocol P>
+Result<std::string> PlainForwarder<P>::readAnswer(net::ClientStream &stream,
+                                                  const RequestContext &context,
+                                                  net::ByteReservation &memory, Millis until)
+{
+    const std::size_t announced =
+        parseNumber<std::size_t>(stream.header("Content-Length")).value_or(0);
+    if (announced > maxPlainAnswerBytes)
+        return fail(ResultCode::BackEndProtocol, "the answer is too long");
+    while (!memory.reserveUpTo(announced)) {
+        if (context.timeLeft() <= Millis {0})
+            return fail(ResultCode::BackEndTimeout, "no memory was left for the answer in time");
+        if (context.writer.callerGone())
+            return fail(ResultCode::Cancelled, "the caller no longer waits");
+        net::sleepFor(answerMemoryPollInterval);
+        // Another attempt would need the same memory.
+        until = std::min(until + answerMemoryPollInterval, context.deadline);
+    }
+    std::size_t received = 0;
+    return stream.readAll(maxPlainAnswerBytes, until - ServingState::now(),
+                          [&memory, &received](std::size_t n) {
+                              received += n;
+                              return memory.reserveUpTo(received);
+                          });
+}
+
 template <PlatformProtocol P>
 void PlainForwarder<P>::serve(RequestContext &context)
 {
@@ -64,7 +92,7 @@
     const bool mayRetry = route.kind == RouteKind::Idempotent;
     AttemptPolicy policy(route.kind, route.maxAttempts);
     PlacementDemand demand;
-    ByteReservation memory(m_state->answerMemory);
+    net::ByteReservation memory(*m_state->bodyBudget);
     Attempt last;
     AttemptVerdict verdict = AttemptVerdict::RefuseNotRun;
     while (true) {
@@ -75,6 +103,8 @@
         const EndpointRecord record = endpoint->record;
         demand.excluded.insert(record.name);
         const bool isLast = !mayRetry || policy.sent() + 1 >= route.maxAttempts;
+        last = {};
+        memory.release();
         last = attempt(context, record, isLast, memory);
         verdict = policy.verdictAfter(last.outcome, context.timeLeft(),
                                       [this, &context](RetryPurpose purpose) {
--- a/include/fescue/serving/servingstate.h
+++ b/include/fescue/serving/servingstate.h
@@ -1,11 +1,11 @@
 #pragma once
 
 #include "fescue/core/membertable.h"
+#include "fescue/net/bytebudget.h"
 #include "fescue/net/httpclient.h"
 #include "fescue/net/workerpool.h"
 #include "fescue/observe/metrics.h"
 #include "fescue/policy/lengthforecast.h"
-#include "fescue/serving/bytebudget.h"
 #include "fescue/serving/callerrequest.h"
 #include "fescue/serving/coldratelimiter.h"
 #include "fescue/serving/coldshares.h"
@@ -23,6 +23,7 @@
 
 #include <functional>
 #include <map>
+#include <memory>
 #include <optional>
 #include <random>
 #include <set>
@@ -115,8 +116,9 @@
     EndpointPauses refusingEndpoints;
     // Endpoints that refused a connection of this process; only these are reported to peers.
     EndpointPauses ownRefusals;
-    // Memory for answers that are buffered completely before they are forwarded.
-    ByteBudget answerMemory;
+    // Memory for the bodies of requests, and for answers that are buffered completely before they
+    // are forwarded.
+    std::shared_ptr<net::ByteBudget> bodyBudget;
     ColdRateLimiter coldRateLimiter;
     ColdShares coldShares;
     LinkQueue links;
--- a/include/fescue/serving/streamforwarder.inl
+++ b/include/fescue/serving/streamforwarder.inl
@@ -174,7 +174,7 @@
 template <PlatformProtocol P>
 void StreamForwarder<P>::forwardFailure(RequestContext &context, ExchangeResult &result)
 {
-    ByteReservation memory(m_state->answerMemory);
+    net::ByteReservation memory(*m_state->bodyBudget);
     Result<std::string> body =
         result.stream.readAll(maxFailureBytes, context.timeLeft(),
                               [&memory](std::size_t n) { return memory.reserve(n); });
--- a/src/net/clientconnection.cpp
+++ b/src/net/clientconnection.cpp
@@ -6,7 +6,7 @@
 
 #include <boost/beast/http/error.hpp>
 #include <boost/beast/http/serializer.hpp>
-#include <boost/beast/http/string_body.hpp>
+#include <boost/beast/http/span_body.hpp>
 
 namespace fescue::net {
 
@@ -54,16 +54,18 @@
     m_answered = false;
     m_isHead = request.method == "HEAD";
     m_headers.clear();
-    http::request<http::string_body> message;
+    using Body = http::span_body<const char>;
+    http::request<Body> message;
     message.method_string(request.method);
     message.target(request.query.empty() ? request.target : request.target + "?" + request.query);
     message.version(11);
     if (request.header("Host").empty())
         message.set(http::field::host, m_address.toString());
     addHeaders(message, request.headers);
-    message.body() = request.body;
+    const std::string_view body = request.bodyToSend();
+    message.body() = Body::value_type(body.data(), body.size());
     message.prepare_payload();
-    http::request_serializer<http::string_body> serializer(message);
+    http::request_serializer<Body> serializer(message);
     while (!serializer.is_done()) {
         boost::system::error_code ec;
         IoOutcome outcome;
--- a/src/net/httpclient.cpp
+++ b/src/net/httpclient.cpp
@@ -2,6 +2,8 @@
 
 #include "net/clientconnection.h"
 
+#include "fescue/core/parsenumber.h"
+
 #include <algorithm>
 
 namespace fescue::net {
@@ -22,6 +24,11 @@
                              const std::function<bool(std::size_t)> &mayTake = {})
 {
     std::string body;
+    // A string that grows is copied, and then held twice.
+    const std::optional<std::size_t> announced =
+        parseNumber<std::size_t>(findHeader(connection.headers(), "Content-Length"));
+    if (announced && *announced <= maxBytes)
+        body.reserve(*announced + bodyPieceBytes);
     while (true) {
         const std::size_t size = body.size();
         body.resize(size + bodyPieceBytes);
--- a/src/net/httpserver.cpp
+++ b/src/net/httpserver.cpp
@@ -26,9 +26,9 @@
 // What the fibers of a server use; lives as long as the last of them.
 struct HttpServer::Shared : std::enable_shared_from_this<HttpServer::Shared>
 {
-    Shared(WorkerPool &workerPool, Address listenAddress, const ServerLimits &serverLimits,
+    Shared(WorkerPool &workerPool, Address listenAddress, ServerLimits serverLimits,
            Handler requestHandler)
-        : pool(workerPool), listen(std::move(listenAddress)), limits(serverLimits),
+        : pool(workerPool), listen(std::move(listenAddress)), limits(std::move(serverLimits)),
           handler(std::move(requestHandler)), acceptor(workerPool.context(0)),
           connections(workerPool.size())
     { }
@@ -156,6 +156,7 @@
             connection.closeAfterAnswer();
         goOn = connection.endRequest();
         request = {};
+        connection.releaseBody();
         connection.setLimits(currentLimits());
     }
 }
@@ -197,7 +198,7 @@
 
 HttpServer::HttpServer(WorkerPool &pool, const Address &listen, ServerLimits limits,
                        Handler handler)
-    : m_shared(std::make_shared<Shared>(pool, listen, limits, std::move(handler)))
+    : m_shared(std::make_shared<Shared>(pool, listen, std::move(limits), std::move(handler)))
 { }
 
 HttpServer::~HttpServer()
--- a/src/net/serverconnection.cpp
+++ b/src/net/serverconnection.cpp
@@ -10,6 +10,7 @@
 #include <boost/beast/http/error.hpp>
 #include <boost/beast/http/rfc7230.hpp>
 #include <boost/beast/http/serializer.hpp>
+#include <boost/beast/http/span_body.hpp>
 
 namespace fescue::net {
 
@@ -20,9 +21,14 @@
 
 constexpr std::size_t readBytes = 4096;
 constexpr std::size_t bodyReadBytes = 64ULL * 1024;
-// How long a refused peer may go on sending before its connection is closed, and how much.
-constexpr Millis drainTime = 500_ms;
+constexpr std::size_t drainReadBytes = 16ULL * 1024;
+// How long a peer may go on sending before its connection is closed, and how much besides a body.
+constexpr Millis closingDrainTime = 500_ms;
 constexpr std::size_t drainBytes = 1024ULL * 1024;
+// The same for one whose request was refused while its body may still be arriving.
+constexpr Millis refusalDrainTime = 2_s;
+// Time after which a request that found no memory for its body may be sent again.
+constexpr Millis noMemoryRetryAfter = 1_s;
 
 Problem problemFor(const boost::system::error_code &ec, const ServerLimits &limits)
 {
@@ -65,6 +71,7 @@
     m_chunked = true;
     m_headOnly = false;
     m_version = 11;
+    m_body.reset();
     if (m_buffer.size() == 0 && !readMore(deadlineAfter(m_limits.idleTimeout)))
         return false;
     Parser parser;
@@ -108,6 +115,12 @@
                 return false;
             }
         }
+        if (parser.is_header_done() && !reserveBody(parser)) {
+            m_limits.bodyBudget->countRefusal();
+            refuse({503, ResultCode::NoCapacity, RunState::NotRun,
+                    "no memory is left for the request's body", noMemoryRetryAfter});
+            return false;
+        }
         if (parser.is_done())
             return true;
         if (parser.is_header_done() && !continued) {
@@ -130,6 +143,16 @@
     }
 }
 
+bool ServerConnection::reserveBody(const Parser &parser)
+{
+    if (!m_limits.bodyBudget)
+        return true;
+    if (!m_body)
+        m_body.emplace(*m_limits.bodyBudget, ByteUse::Request);
+    const std::size_t announced = parser.content_length().value_or(0);
+    return m_body->reserveUpTo(std::max(announced, parser.get().body().size()));
+}
+
 bool ServerConnection::readMore(Millis deadline)
 {
     const std::size_t n = m_buffer.size() > readBytes ? bodyReadBytes : readBytes;
@@ -152,17 +175,23 @@
 {
     m_keepAlive = false;
     static_cast<void>(send(problemResponse(problem)));
-    closeGracefully();
+    closeGracefully(refusalDrainTime);
 }
 
 void ServerConnection::closeGracefully()
+{
+    closeGracefully(closingDrainTime);
+}
+
+void ServerConnection::closeGracefully(Millis drainTime)
 {
     m_socket.shutdownSend();
     const Millis deadline = deadlineAfter(drainTime);
+    const std::size_t maxDrained = m_limits.maxBodyBytes + drainBytes;
     std::size_t drained = 0;
-    while (drained < drainBytes) {
+    while (drained < maxDrained) {
         m_buffer.clear();
-        const IoOutcome outcome = m_socket.readSome(m_buffer.prepare(readBytes), deadline);
+        const IoOutcome outcome = m_socket.readSome(m_buffer.prepare(drainReadBytes), deadline);
         if (!outcome.ok())
             break;
         drained += outcome.bytes;
@@ -206,17 +235,18 @@
 {
     if (m_phase != Phase::Waiting)
         return fail(ResultCode::Internal, "the request has an answer already");
-    http::response<http::string_body> message;
+    using Body = http::span_body<const char>;
+    http::response<Body> message;
     message.version(m_version);
     message.result(static_cast<unsigned>(response.status));
     addHeaders(message, response.headers);
     message.keep_alive(m_keepAlive);
-    message.body() = response.body;
+    message.body() = Body::value_type(response.body.data(), response.body.size());
     message.prepare_payload();
     if (m_headOnly)
-        message.body().clear();
+        message.body() = Body::value_type();
     m_phase = Phase::Finished;
-    http::response_serializer<http::string_body> serializer(message);
+    http::response_serializer<Body> serializer(message);
     IoOutcome outcome;
     while (outcome.ok() && !serializer.is_done()) {
         boost::system::error_code ec;
--- a/src/net/serverconnection.h
+++ b/src/net/serverconnection.h
@@ -3,6 +3,8 @@
 #include "fescue/net/httpserver.h"
 #include "net/tcpsocket.h"
 
+#include <optional>
+
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http/parser.hpp>
 #include <boost/beast/http/string_body.hpp>
@@ -24,8 +26,12 @@
     void setLimits(const ServerLimits &limits) noexcept { m_limits = limits; }
     // Makes the current answer the last one.
     void closeAfterAnswer() noexcept { m_keepAlive = false; }
-    // Closes the connection so that the peer can still read what was sent.
+    // Releases the memory of the last request's body, which must be gone.
+    void releaseBody() noexcept { m_body.reset(); }
+    // Closes the connection so that the peer can still read what was sent: reads on for a while,
+    // but keeps nothing.
     void closeGracefully();
+    void closeGracefully(Millis drainTime);
     void close() noexcept { m_socket.close(); }
 
     Result<void> send(const HttpResponse &response);
@@ -51,6 +57,8 @@
     };
 
     [[nodiscard]] bool parseRequest(Parser &parser);
+    // Reserves the memory of a body by its announced length, or else as it grows.
+    [[nodiscard]] bool reserveBody(const Parser &parser);
     [[nodiscard]] bool readMore(Millis deadline);
     void confirmContinue(const Parser &parser);
     void refuse(const Problem &problem);
@@ -60,6 +68,7 @@
     TcpSocket m_socket;
     ServerLimits m_limits;
     boost::beast::flat_buffer m_buffer;
+    std::optional<ByteReservation> m_body;
     Millis m_connectedAt = steadyNow();
     Phase m_phase = Phase::Waiting;
     bool m_keepAlive = true;
--- a/src/serving/servingstate.cpp
+++ b/src/serving/servingstate.cpp
@@ -25,9 +25,8 @@
 constexpr Millis longestStoreSilence = 1300_ms;
 // Longest answer to a control call of this process.
 constexpr std::uint64_t maxControlAnswerBytes = std::uint64_t {256} * 1024;
-// The process' memory divided by this is available for answers that are buffered completely before
-// they are forwarded.
-constexpr std::size_t answerMemoryDivisor = 4;
+// Percentage of the process' memory that bodies of requests and of answers may take together.
+constexpr std::size_t bodyMemoryPercent = 50;
 constexpr std::size_t bytesPerMegabyte = std::size_t {1024} * 1024;
 // Callers' length estimates are often far off, so they are clamped between these quantiles of the
 // route's output lengths.
@@ -43,9 +42,9 @@
     return limits;
 }
 
-std::size_t answerMemoryOf(const NodeSettings &settings) noexcept
+std::size_t bodyMemoryOf(const NodeSettings &settings) noexcept
 {
-    return settings.memoryMegabytes * bytesPerMegabyte / answerMemoryDivisor;
+    return settings.memoryMegabytes * bytesPerMegabyte / 100 * bodyMemoryPercent;
 }
 
 // Heartbeats arrive several times a second, so these limits are short.
@@ -63,7 +62,8 @@
 ServingState::ServingState(NodeSettings nodeSettings, net::WorkerPool &workerPool,
                            observe::Metrics &processMetrics)
     : settings(std::move(nodeSettings)), pool(workerPool), metrics(processMetrics),
-      engineClient(engineClientLimits()), answerMemory(answerMemoryOf(settings)),
+      engineClient(engineClientLimits()),
+      bodyBudget(std::make_shared<net::ByteBudget>(bodyMemoryOf(settings))),
       coldShares(settings.name), members(memberLimits()), m_random(std::random_device {}())
 { }
 
--- a/tests/net/http_test.cpp
+++ b/tests/net/http_test.cpp
@@ -203,6 +203,28 @@
     EXPECT_TRUE(exchange("GET / HT", false).starts_with("HTTP/1.1 408"));
 }
 
+// Guards against bodies of many callers that together take more memory than the process may use.
+TEST_F(HttpTest, BodiesWithoutMemoryAreRefused)
+{
+    ServerLimits limited = limits();
+    limited.bodyBudget = std::make_shared<ByteBudget>(150'000);
+    m_server.setLimits(limited);
+    const std::string head = "POST /echo HTTP/1.1\r\n";
+    const std::string body(90'000, 'x');
+    const std::string refused = exchange(head + "Content-Length: 90000\r\n\r\n" + body);
+    EXPECT_TRUE(refused.starts_with("HTTP/1.1 503")) << refused;
+    EXPECT_NE(refused.find("Retry-After: 1\r\n"), std::string::npos) << refused;
+    EXPECT_NE(refused.find("not-run"), std::string::npos) << refused;
+    const std::string chunked =
+        "Transfer-Encoding: chunked\r\n\r\n15f90\r\n" + body + "\r\n0\r\n\r\n";
+    EXPECT_TRUE(exchange(head + chunked).starts_with("HTTP/1.1 503"));
+    const std::string small = "Content-Length: 60000\r\n\r\n" + body.substr(0, 60'000);
+    EXPECT_TRUE(exchange(head + small).starts_with("HTTP/1.1 200"));
+    EXPECT_EQ(limited.bodyBudget->refusals(), 2U);
+    while (limited.bodyBudget->used() > 0)
+        runOn(m_pool, 0, [] { sleepFor(1_ms); });
+}
+
 TEST_F(HttpTest, HeadHasNoBody)
 {
     const std::string answer = exchange("HEAD /throw HTTP/1.1\r\n\r\n");
