Refuse new callers at three quarters of the descriptors

With 300 descriptors, 600 idle connections and one kept connection, none of 40 calls on the kept one was served: idle connections took all descriptors, so that no connection to an endpoint could be made. The limit of 20000 connections did not depend on the process' limit.

The limit is now three quarters of what is left of MaxFds (without the 200 for files) or of the kernel's limit. Connections beyond it are told 503 not run and end within 100 ms; at most an eighth more are accepted at a time for that, the others wait in the kernel's queue.

--- a/include/fescue/net/httpserver.h
+++ b/include/fescue/net/httpserver.h
@@ -93,6 +93,8 @@
     // Closes every connection at once.
     void closeConnections();
     [[nodiscard]] std::size_t openConnections() const noexcept;
+    // Connections that were refused because of the limit of open ones.
+    [[nodiscard]] std::uint64_t refusedConnections() const noexcept;
     // Requests whose handler has not returned.
     [[nodiscard]] std::size_t activeRequests() const noexcept;
 
--- a/include/fescue/serving/edgedaemon.h
+++ b/include/fescue/serving/edgedaemon.h
@@ -97,6 +97,7 @@
     std::uint64_t m_ticks = 0;
     // Refusals for want of room that have been logged.
     std::uint64_t m_bodiesRefused = 0;
+    std::uint64_t m_callersRefused = 0;
     Millis m_refusalsLoggedAt {0};
     observe::Counter &m_datagramsSent = m_metrics.counter("fescue_datagrams_sent_total");
     observe::Counter &m_datagramsNotSent = m_metrics.counter("fescue_datagrams_not_sent_total");
--- a/include/fescue/serving/edgedaemon.inl
+++ b/include/fescue/serving/edgedaemon.inl
@@ -3,6 +3,7 @@
 #include "fescue/core/parsenumber.h"
 #include "fescue/observe/log.h"
 #include "fescue/observe/timeline.h"
+#include "fescue/serving/descriptorshare.h"
 #include "fescue/serving/entrydirectory.h"
 #include "fescue/serving/periodictask.h"
 
@@ -162,6 +163,10 @@
     m_metrics.gauge("fescue_body_bytes_peak").Set(static_cast<double>(bodies.peak()));
     m_metrics.gauge("fescue_body_bytes_limit").Set(static_cast<double>(bodies.limit()));
     m_metrics.gauge("fescue_bodies_refused").Set(static_cast<double>(bodies.refusals()));
+    m_metrics.gauge("fescue_caller_connections")
+        .Set(static_cast<double>(m_front->openConnections()));
+    m_metrics.gauge("fescue_caller_connections_refused")
+        .Set(static_cast<double>(m_front->refusedConnections()));
     m_metrics.gauge("fescue_log_lines_dropped")
         .Set(static_cast<double>(observe::droppedLogLines()));
     static_cast<void>(
@@ -178,6 +183,7 @@
 net::ServerLimits EdgeDaemon<P>::frontLimits(const CallerLimits &limits) const
 {
     net::ServerLimits server;
+    server.maxConnections = callerConnections(m_state.settings.maxDescriptors, openFileLimit());
     server.bodyBudget = m_state.bodyBudget;
     server.maxHeadBytes = limits.maxHeadBytes;
     server.maxBodyBytes = limits.maxBodyBytes;
@@ -191,7 +197,8 @@
 {
     const net::ByteBudget &bodies = *m_state.bodyBudget;
     const std::uint64_t bodiesRefused = bodies.refusals();
-    const bool isNew = bodiesRefused != m_bodiesRefused;
+    const std::uint64_t callersRefused = m_front->refusedConnections();
+    const bool isNew = bodiesRefused != m_bodiesRefused || callersRefused != m_callersRefused;
     if (!isNew || now - m_refusalsLoggedAt < refusalLogInterval)
         return;
     m_refusalsLoggedAt = now;
@@ -199,8 +206,11 @@
                        {{"bodies_refused", bodiesRefused - m_bodiesRefused},
                         {"body_bytes", bodies.used()},
                         {"body_bytes_peak", bodies.peak()},
-                        {"body_bytes_limit", bodies.limit()}});
+                        {"body_bytes_limit", bodies.limit()},
+                        {"callers_refused", callersRefused - m_callersRefused},
+                        {"connections", m_front->openConnections()}});
     m_bodiesRefused = bodiesRefused;
+    m_callersRefused = callersRefused;
 }
 
 template <PlatformProtocol P>
--- a/include/fescue/serving/nodesettings.h
+++ b/include/fescue/serving/nodesettings.h
@@ -45,6 +45,8 @@
     // Memory above which the process is killed. The default is that of the platform's smallest
     // entry VM.
     std::size_t memoryMegabytes = 88;
+    // Descriptors that the process may hold; 0 if the settings do not tell.
+    std::size_t maxDescriptors = 0;
     DeploymentLimits deploymentLimits;
 };
 
--- a/src/net/httpserver.cpp
+++ b/src/net/httpserver.cpp
@@ -20,6 +20,11 @@
 
 // Pause after accepting failed, for example because the process has no free descriptors.
 constexpr Millis acceptPause = 20_ms;
+// How long a refused connection may take to end. Short, since it holds a descriptor.
+constexpr Millis refusedTime = 100_ms;
+// Beyond their limit, connections are accepted only to be refused: at most the limit divided by
+// this at a time. The others wait in the kernel's queue.
+constexpr std::size_t refusingDivisor = 8;
 
 } // namespace
 
@@ -41,7 +46,8 @@
     void serve(tcp::socket socket);
     void serveRequests(ServerConnection &connection);
     void runHandler(const HttpRequest &request, ServerConnection &connection);
-    static void refuseConnection(ServerConnection &connection);
+    void refuseConnection(ServerConnection &connection);
+    [[nodiscard]] bool mayAccept() const;
     [[nodiscard]] ServerLimits currentLimits() const;
     [[nodiscard]] bool keepsConnections() const noexcept { return accepting && !lastAnswers; }
 
@@ -56,6 +62,7 @@
     std::atomic<bool> lastAnswers {false};
     std::atomic<std::size_t> open {0};
     std::atomic<std::size_t> active {0};
+    std::atomic<std::uint64_t> refused {0};
     // By worker; each set is used by its worker only.
     std::vector<std::unordered_set<ServerConnection *>> connections;
 };
@@ -92,6 +99,10 @@
 {
     std::size_t worker = 0;
     while (accepting) {
+        if (!mayAccept()) {
+            sleepFor(acceptPause);
+            continue;
+        }
         worker = (worker + 1) % pool.size();
         tcp::socket socket(pool.context(worker));
         const IoOutcome outcome = awaitIo(acceptor, noDeadline, [this, &socket](auto done) {
@@ -121,8 +132,8 @@
 void HttpServer::Shared::dispatch(tcp::socket socket, std::size_t worker)
 {
     const std::shared_ptr<tcp::socket> accepted = std::make_shared<tcp::socket>(std::move(socket));
+    open.fetch_add(1);
     pool.spawn(worker, [self = shared_from_this(), accepted] {
-        self->open.fetch_add(1);
         self->serve(std::move(*accepted));
         self->open.fetch_sub(1);
     });
@@ -187,13 +198,20 @@
     return limits;
 }
 
+bool HttpServer::Shared::mayAccept() const
+{
+    const std::size_t most = currentLimits().maxConnections;
+    return open <= most + most / refusingDivisor;
+}
+
 void HttpServer::Shared::refuseConnection(ServerConnection &connection)
 {
+    refused.fetch_add(1);
     const Problem problem {503, ResultCode::NoCapacity, RunState::NotRun,
                            "too many connections are open", 1_s};
     connection.closeAfterAnswer();
     static_cast<void>(connection.send(problemResponse(problem)));
-    connection.closeGracefully();
+    connection.closeGracefully(refusedTime);
 }
 
 HttpServer::HttpServer(WorkerPool &pool, const Address &listen, ServerLimits limits,
@@ -260,6 +278,11 @@
     return m_shared->open;
 }
 
+std::uint64_t HttpServer::refusedConnections() const noexcept
+{
+    return m_shared->refused;
+}
+
 std::size_t HttpServer::activeRequests() const noexcept
 {
     return m_shared->active;
--- a/tests/platform/settings_test.cpp
+++ b/tests/platform/settings_test.cpp
@@ -28,6 +28,16 @@
     EXPECT_EQ(settings->deploymentLimits.retryAllowance, 58);
 }
 
+TEST(PlatformSettings, ReadsTheLimitsOfTheVm)
+{
+    std::string text(settingsText);
+    text.replace(text.find("\"Bounds\""), 8, R"("Limits":{"MemoryMb":110,"MaxFds":4100},"Bounds")");
+    const Result<serving::NodeSettings> settings = platform::parseSettings(text, "node.json");
+    ASSERT_TRUE(settings) << settings.error().toString();
+    EXPECT_EQ(settings->memoryMegabytes, 110U);
+    EXPECT_EQ(settings->maxDescriptors, 4100U);
+}
+
 TEST(PlatformSettings, ErrorsNameTheFileAndTheField)
 {
     std::string text(settingsText);
