--- a/include/fescue/serving/edgedaemon.inl
+++ b/include/fescue/serving/edgedaemon.inl
@@ -3,6 +3,7 @@
 #include "fescue/core/parsenumber.h"
 #include "fescue/observe/log.h"
 #include "fescue/observe/timeline.h"
+#include "fescue/serving/descriptorshare.h"
 #include "fescue/serving/entrydirectory.h"
 #include "fescue/serving/periodictask.h"
 
@@ -25,6 +26,8 @@
 inline constexpr int quarantineRepeats = 2;
 // Number of ticks between two messages with all quarantine entries.
 inline constexpr std::uint64_t ticksPerQuarantineSync = 4;
+// Shortest time between two log lines about callers that were refused for want of room.
+inline constexpr Millis refusalLogInterval = 1_s;
 inline constexpr Millis drainPollInterval = 50_ms;
 // Time for reading what has arrived when a stop closes the front.
 inline constexpr Millis settleTime = 100_ms;
@@ -85,6 +88,7 @@
     m_front = &addServer(settings.frontAddress, [this](const Request &request, Writer &writer) {
         m_handler.handle(request, writer);
     });
+    m_front->setLimits(frontLimits({}));
 }
 
 template <PlatformProtocol P>
@@ -197,6 +201,15 @@
     m_metrics.gauge("fescue_generations_open").Set(static_cast<double>(m_state.runs.size()));
     m_metrics.gauge("fescue_quarantined_entries")
         .Set(static_cast<double>(m_state.quarantine.activeCount()));
+    const net::ByteBudget &bodies = *m_state.bodyBudget;
+    m_metrics.gauge("fescue_body_bytes_held").Set(static_cast<double>(bodies.used()));
+    m_metrics.gauge("fescue_body_bytes_peak").Set(static_cast<double>(bodies.peak()));
+    m_metrics.gauge("fescue_body_bytes_limit").Set(static_cast<double>(bodies.limit()));
+    m_metrics.gauge("fescue_bodies_refused").Set(static_cast<double>(bodies.refusals()));
+    m_metrics.gauge("fescue_caller_connections")
+        .Set(static_cast<double>(m_front->openConnections()));
+    m_metrics.gauge("fescue_caller_connections_refused")
+        .Set(static_cast<double>(m_front->refusedConnections()));
     m_metrics.gauge("fescue_log_lines_dropped")
         .Set(static_cast<double>(observe::droppedLogLines()));
     static_cast<void>(
@@ -206,13 +219,41 @@
 template <PlatformProtocol P>
 void EdgeDaemon<P>::applyLimits()
 {
-    const CallerLimits &limits = m_state.routes->config().limits;
+    m_front->setLimits(frontLimits(m_state.routes->config().limits));
+}
+
+template <PlatformProtocol P>
+net::ServerLimits EdgeDaemon<P>::frontLimits(const CallerLimits &limits) const
+{
     net::ServerLimits server;
+    server.maxConnections = callerConnections(m_state.settings.maxDescriptors, openFileLimit());
+    server.bodyBudget = m_state.bodyBudget;
     server.maxHeadBytes = limits.maxHeadBytes;
     server.maxBodyBytes = limits.maxBodyBytes;
     server.idleTimeout = limits.idleTimeout;
     server.headTimeout = limits.headTimeout;
-    m_front->setLimits(server);
+    return server;
+}
+
+template <PlatformProtocol P>
+void EdgeDaemon<P>::logRefusals(Millis now)
+{
+    const net::ByteBudget &bodies = *m_state.bodyBudget;
+    const std::uint64_t bodiesRefused = bodies.refusals();
+    const std::uint64_t callersRefused = m_front->refusedConnections();
+    const bool isNew = bodiesRefused != m_bodiesRefused || callersRefused != m_callersRefused;
+    if (!isNew || now - m_refusalsLoggedAt < refusalLogInterval)
+        return;
+    m_refusalsLoggedAt = now;
+    observe::logChange("no-room",
+                       {{"bodies_refused", bodiesRefused - m_bodiesRefused},
+                        {"body_bytes", bodies.used()},
+                        {"body_bytes_peak", bodies.peak()},
+                        {"body_bytes_limit", bodies.limit()},
+                        {"callers_refused", callersRefused - m_callersRefused},
+                        {"connections", m_front->openConnections()}});
+    m_bodiesRefused = bodiesRefused;
+    m_callersRefused = callersRefused;
 }
 
 template <PlatformProtocol P>
@@ -220,6 +261,7 @@
 {
     repeatUntilStopped(m_state.metrics, "tick", [this] {
         const Millis now = ServingState::now();
+        logRefusals(now);
         m_state.members.heartbeat(now, m_self);
         for (const EndpointName &endpoint : m_state.endpoints.tick(now)) {
             observe::logChange("endpoint",
--- a/src/net/httpserver.cpp
+++ b/src/net/httpserver.cpp
@@ -27,15 +27,20 @@
 constexpr Millis lastRequestTime = 500_ms;
 // The fiber that accepts, and the end of the listener.
 constexpr int listenerParts = 2;
+// How long a refused connection may take to end. Short, since it holds a descriptor.
+constexpr Millis refusedTime = 100_ms;
+// Beyond their limit, connections are accepted only to be refused: at most the limit divided by
+// this at a time. The others wait in the kernel's queue.
+constexpr std::size_t refusingDivisor = 8;
 
 } // namespace
 
 // What the fibers of a server use; lives as long as the last of them.
 struct HttpServer::Shared : std::enable_shared_from_this<HttpServer::Shared>
 {
-    Shared(WorkerPool &workerPool, Address listenAddress, const ServerLimits &serverLimits,
+    Shared(WorkerPool &workerPool, Address listenAddress, ServerLimits serverLimits,
            Handler requestHandler)
-        : pool(workerPool), listen(std::move(listenAddress)), limits(serverLimits),
+        : pool(workerPool), listen(std::move(listenAddress)), limits(std::move(serverLimits)),
           handler(std::move(requestHandler)), acceptor(workerPool.context(0)),
           connections(workerPool.size())
     { }
@@ -50,7 +55,8 @@
     void serve(tcp::socket socket);
     void serveRequests(ServerConnection &connection);
     void runHandler(const HttpRequest &request, ServerConnection &connection);
-    static void refuseConnection(ServerConnection &connection);
+    void refuseConnection(ServerConnection &connection);
+    [[nodiscard]] bool mayAccept() const;
     // The limits of the next request.
     [[nodiscard]] ServerLimits limitsNow() const;
     // Nothing while requests may take their time to arrive.
@@ -71,6 +77,7 @@
     std::atomic<std::size_t> open {0};
     std::atomic<std::size_t> active {0};
     ServerConnection::ServerState connectionState;
+    std::atomic<std::uint64_t> refused {0};
     // By worker; each set is used by its worker only.
     std::vector<std::unordered_set<ServerConnection *>> connections;
 };
@@ -124,6 +131,10 @@
 {
     std::size_t worker = 0;
     while (accepting) {
+        if (!mayAccept()) {
+            sleepFor(acceptPause);
+            continue;
+        }
         worker = (worker + 1) % pool.size();
         tcp::socket socket(pool.context(worker));
         const IoOutcome outcome = awaitIo(acceptor, noDeadline, [this, &socket](auto done) {
@@ -195,6 +206,7 @@
         runHandler(request, connection);
         goOn = connection.endRequest();
         request = {};
+        connection.releaseBody();
         connection.setLimits(limitsNow());
     }
 }
@@ -232,18 +244,25 @@
     return refusalOfPartial;
 }
 
+bool HttpServer::Shared::mayAccept() const
+{
+    const std::size_t most = limitsNow().maxConnections;
+    return open <= most + most / refusingDivisor;
+}
+
 void HttpServer::Shared::refuseConnection(ServerConnection &connection)
 {
+    refused.fetch_add(1);
     const Problem problem {503, ResultCode::NoCapacity, RunState::NotRun,
                            "too many connections are open", 1_s};
     connection.closeAfterAnswer();
     static_cast<void>(connection.send(problemResponse(problem)));
-    connection.closeGracefully();
+    connection.closeGracefully(refusedTime);
 }
 
 HttpServer::HttpServer(WorkerPool &pool, const Address &listen, ServerLimits limits,
                        Handler handler)
-    : m_shared(std::make_shared<Shared>(pool, listen, limits, std::move(handler)))
+    : m_shared(std::make_shared<Shared>(pool, listen, std::move(limits), std::move(handler)))
 { }
 
 HttpServer::~HttpServer()
@@ -342,6 +361,11 @@
     return m_shared->open;
 }
 
+std::uint64_t HttpServer::refusedConnections() const noexcept
+{
+    return m_shared->refused;
+}
+
 std::size_t HttpServer::activeRequests() const noexcept
 {
     return m_shared->active;
--- a/src/net/serverconnection.h
+++ b/src/net/serverconnection.h
@@ -39,8 +39,12 @@
     void refusePartialRequests(const Problem &refusal);
     // Makes the current answer the last one.
     void closeAfterAnswer() noexcept { m_keepAlive = false; }
-    // Closes the connection so that the peer can still read what was sent.
+    // Releases the memory of the last request's body, which must be gone.
+    void releaseBody() noexcept { m_body.reset(); }
+    // Closes the connection so that the peer can still read what was sent: reads on for a while,
+    // but keeps nothing.
     void closeGracefully();
+    void closeGracefully(Millis drainTime);
     void close() noexcept { m_socket.close(); }
     // True while no byte of a request has come since the last answer.
     [[nodiscard]] bool isIdle() { return m_idle && !m_socket.readable(); }
@@ -68,6 +72,8 @@
     };
 
     [[nodiscard]] bool parseRequest(Parser &parser);
+    // Reserves the memory of a body by its announced length, or else as it grows.
+    [[nodiscard]] bool reserveBody(const Parser &parser);
     [[nodiscard]] bool readMore(Millis deadline);
     // Decides with the head of an answer whether the connection goes on, so that a peer that was
     // told so is never cut off with its next request.
@@ -83,6 +89,7 @@
     bool m_isReceiving = false;
     std::optional<Problem> m_partialRefusal;
     boost::beast::flat_buffer m_buffer;
+    std::optional<ByteReservation> m_body;
     Millis m_connectedAt = steadyNow();
     Phase m_phase = Phase::Waiting;
     bool m_keepAlive = true;
