Guard the counts and the registry of connections; keep what the next answer promised

An exception while a request was read left a connection in the registry and its count up. A refusal under way when a stop closed the front lost the rest of its draining, so that the caller's write could break before it read the refusal (413, 1,000 of 5,000 bytes taken). A request that came with the one before it was dropped by an answer that said close: it gets its answer first. A caller is not told to continue and refused then.

HttpServerTest.RequestsInProgressOutliveTheListener expected a refused connection although the first answer had let the connection go on; since that word is kept. It now asks for a fresh connection where it means one, and checks besides that the kept connection gets one more answer, which says close, and ends after it.

--- a/src/net/httpserver.cpp
+++ b/src/net/httpserver.cpp
@@ -194,6 +194,9 @@
         serveRequests(connection);
     } catch (const WorkerStopped &) {
         // The connection ends with its worker.
+    } catch (const std::exception &e) {
+        std::fprintf(stderr, "a connection to %s failed: %s\n", listen.toString().c_str(),
+                     e.what());
     }
     registry.erase(&connection);
 }
--- a/src/net/serverconnection.cpp
+++ b/src/net/serverconnection.cpp
@@ -46,6 +46,22 @@
             "the request is not valid HTTP: " + ec.message(), std::nullopt};
 }
 
+// Counts one while it exists, also where an exception leaves its scope.
+class CountedWhileInScope
+{
+public:
+    explicit CountedWhileInScope(std::atomic<std::size_t> &count) noexcept : m_count(&count)
+    {
+        m_count->fetch_add(1);
+    }
+    ~CountedWhileInScope() { m_count->fetch_sub(1); }
+    CountedWhileInScope(const CountedWhileInScope &) = delete;
+    CountedWhileInScope &operator=(const CountedWhileInScope &) = delete;
+
+private:
+    std::atomic<std::size_t> *m_count;
+};
+
 void splitTarget(std::string_view text, HttpRequest &request)
 {
     std::size_t mark = std::min(text.find('?'), text.size());
@@ -78,13 +94,14 @@
     if (!begun)
         return false;
     Parser parser;
-    m_isReceiving = true;
-    m_state->receiving.fetch_add(1);
-    const bool isWhole = parseRequest(parser);
-    m_state->receiving.fetch_sub(1);
-    m_isReceiving = false;
-    if (!isWhole)
-        return false;
+    {
+        const CountedWhileInScope counted(m_state->receiving);
+        m_isReceiving = true;
+        const bool isWhole = parseRequest(parser);
+        m_isReceiving = false;
+        if (!isWhole)
+            return false;
+    }
     Parser::value_type &message = parser.get();
     m_keepAlive = parser.keep_alive();
     m_version = message.version();
@@ -131,7 +148,7 @@
         }
         if (parser.is_done())
             return true;
-        if (parser.is_header_done() && !continued) {
+        if (parser.is_header_done() && !continued && !m_partialRefusal) {
             confirmContinue(parser);
             continued = true;
         }
@@ -190,6 +207,8 @@
 
 void ServerConnection::refuse(const Problem &problem)
 {
+    // The rest of the request is read for as long as usual, so that the refusal arrives.
+    m_isReceiving = false;
     m_keepAlive = false;
     static_cast<void>(send(problemResponse(problem)));
     closeGracefully(refusalDrainTime);
@@ -234,7 +253,8 @@
 
 bool ServerConnection::decideKeepAlive() noexcept
 {
-    m_keepAlive = m_keepAlive && !m_state->lastAnswers;
+    // A request that has come with this one gets its answer before the connection ends.
+    m_keepAlive = m_keepAlive && (!m_state->lastAnswers || m_buffer.size() > 0);
     return m_keepAlive;
 }
 
--- a/tests/net/http_test.cpp
+++ b/tests/net/http_test.cpp
@@ -359,8 +359,20 @@
     HttpClient client;
     runOn(pool, 0, [&] {
         EXPECT_EQ(client.request(server.address(), {}, 5_s)->body, "whole");
-        EXPECT_EQ(client.request(server.address(), {}, 5_s).error().code,
-                  ResultCode::ConnectFailed);
+        HttpRequest fresh;
+        fresh.freshConnection = true;
+        const Result<HttpResponse> refused = client.request(server.address(), fresh, 5_s);
+        ASSERT_FALSE(refused);
+        EXPECT_EQ(refused.error().code, ResultCode::ConnectFailed);
+        // The head of the first answer was sent before the end of the listener and let the
+        // connection go on; the next answer is its last.
+        const Result<HttpResponse> last = client.request(server.address(), {}, 5_s);
+        ASSERT_TRUE(last);
+        EXPECT_EQ(last->body, "whole");
+        EXPECT_EQ(last->header("Connection"), "close");
+        const Result<HttpResponse> closed = client.request(server.address(), {}, 5_s);
+        ASSERT_FALSE(closed);
+        EXPECT_EQ(closed.error().code, ResultCode::ConnectFailed);
     });
     EXPECT_EQ(server.activeRequests(), 0U);
 }
