Let a stop begin at the signal also where the process was paused, and send nothing at its end

Callers could see a process killed at the end of its grace with their calls: a signal that came while the process did not run was counted from when it ran again. The earliest time at which the signal may have come is the last moment at which the periodic task is known to have run.

From the review: at the end of a stop a worker that ends aborted its calls, and those that may be repeated went out to another endpoint at once, to be cut there; exchange() sends nothing any more. A repeated attempt must end before the process, as a first one does. A store that does not answer no longer delays the stop (the announcement has a fiber of its own).

--- a/include/fescue/serving/edgedaemon.h
+++ b/include/fescue/serving/edgedaemon.h
@@ -24,6 +24,9 @@
     [[nodiscard]] Result<void> start();
     // Closes the listening sockets of a daemon that has not started.
     void stopListening();
+    // Returns the earliest time at which a signal that is handled at `now` may have come: where the
+    // process was paused, it may have waited since the last moment at which the process ran.
+    [[nodiscard]] Millis earliestSignalTime(Millis now) const noexcept;
     // Announces that this process leaves, waits for open requests and returns when the process may
     // exit. `signalledAt` is the time at which the stop was requested: the grace period counts from
     // then. Must be called on the worker.
@@ -113,6 +116,8 @@
     };
     std::vector<RepeatedNotice> m_repeatedNotices;
     std::uint64_t m_ticks = 0;
+    Millis m_lastTickAt {0};
+    Millis m_nextTickAt {0};
     // Refusals for want of room that have been logged.
     std::uint64_t m_bodiesRefused = 0;
     std::uint64_t m_callersRefused = 0;
--- a/include/fescue/serving/edgedaemon.inl
+++ b/include/fescue/serving/edgedaemon.inl
@@ -29,6 +29,8 @@
 // Shortest time between two log lines about callers that were refused for want of room.
 inline constexpr Millis refusalLogInterval = 1_s;
 inline constexpr Millis drainPollInterval = 50_ms;
+// A periodic task that is later than this shows that the process did not run.
+inline constexpr Millis pauseTolerance = 100_ms;
 // Time for reading what has arrived when a stop closes the front.
 inline constexpr Millis settleTime = 100_ms;
 // Retry-After of requests that have arrived in part when the process ends.
@@ -288,7 +290,10 @@
         sendZoneLoads(members);
         m_state.quarantine.purge(now);
         repeatQuarantineNotices();
-        net::sleepFor(m_state.isLarge() ? largeTickInterval : tickInterval);
+        const Millis pause = m_state.isLarge() ? largeTickInterval : tickInterval;
+        m_lastTickAt = ServingState::now();
+        m_nextTickAt = m_lastTickAt + pause;
+        net::sleepFor(pause);
     });
 }
 
@@ -563,6 +568,13 @@
         applyLeavingNotices(gossip->leaving, std::nullopt, gossip->member.name.text()));
 }
 
+template <PlatformProtocol P>
+Millis EdgeDaemon<P>::earliestSignalTime(Millis now) const noexcept
+{
+    const bool wasPaused = m_nextTickAt > Millis {0} && now > m_nextTickAt + pauseTolerance;
+    return wasPaused ? m_lastTickAt : now;
+}
+
 template <PlatformProtocol P>
 void EdgeDaemon<P>::drain(Millis signalledAt)
 {
@@ -577,7 +589,8 @@
                         {"ends_in_ms", (plan.endAt() - ServingState::now()).count}});
     m_front->closeAfterAnswers();
     sendGossip();
-    m_store.announceLeaving();
+    // On a fiber of its own: a store that does not answer must not delay the stop.
+    m_pool->spawn(net::currentWorker(), [this] { m_store.announceLeaving(); });
     while (!plan.mayClose(ServingState::now(), m_state.open + m_front->partialRequests()))
         net::sleepFor(drainPollInterval);
     closeFront();
--- a/include/fescue/serving/engineexchange.inl
+++ b/include/fescue/serving/engineexchange.inl
@@ -22,6 +22,12 @@
         result.detail = "availability zone " + endpoint.zone.text() + " is out of service";
         return result;
     }
+    // A worker that stops waits for no answer.
+    if (net::stopRequested()) {
+        result.outcome = SendOutcome::NotSent;
+        result.detail = "this entry ends";
+        return result;
+    }
     // A trial may be sent once.
     const bool isTrial = std::exchange(context.isTrial, false);
     const PromptDecision decision =
--- a/include/fescue/serving/plainforwarder.inl
+++ b/include/fescue/serving/plainforwarder.inl
@@ -96,6 +96,9 @@
     Attempt last;
     AttemptVerdict verdict = AttemptVerdict::RefuseNotRun;
     while (true) {
+        // Another attempt must end before the process as well.
+        if (policy.sent() > 0 && !m_state->stop.mayTake(context.deadline))
+            break;
         const EndpointView *endpoint = choose(context, demand);
         if (endpoint == nullptr)
             break;
--- a/src/programs/edge/edgeprogram.cpp
+++ b/src/programs/edge/edgeprogram.cpp
@@ -5,6 +5,7 @@
 #include "fescue/observe/timeline.h"
 #include "signalinbox.h"
 
+#include <algorithm>
 #include <chrono>
 #include <cstdlib>
 #include <iostream>
@@ -192,13 +193,15 @@
         return;
     }
     m_stopCameAt = cameAt;
+    if (m_phase == Phase::Serving)
+        m_stopCameAt = std::min(cameAt, m_daemon->earliestSignalTime(ServingState::now()));
     if (m_phase == Phase::Start) {
         m_wake.notify_all();
         return;
     }
     m_phase = Phase::Stop;
-    m_pool.spawn(0, [this, cameAt] {
-        m_daemon->drain(cameAt);
+    m_pool.spawn(0, [this] {
+        m_daemon->drain(*m_stopCameAt);
         end(EXIT_SUCCESS, "signal");
     });
 }
