Soak: do not blame an entry that is paused at the last moment of its grace

Trace: the fault entry-paused stopped it from 10,070 ms to 12,268 ms of the run, its own end (7.7 s after the signal of 4,234 ms) was due at 11.9 s, its kill came at 12,235 ms. A process that does not run cannot end. Only a pause that touches the last 0.3 s of the grace counts; every other late end is a violation as before.

--- a/tests/soak/world.cpp
+++ b/tests/soak/world.cpp
@@ -22,6 +22,8 @@
 constexpr Millis restartPause = 400_ms;
 // From SIGTERM to SIGKILL; the users' GraceS.
 constexpr Millis grace = 8_s;
+// A process ends at the latest this long before the end of its grace.
+constexpr Millis ownEndMargin = 300_ms;
 // A process that has just started is given this long before it counts as undisturbed.
 constexpr Millis startTime = 1_s;
 // Of the users' machines: the smallest, and how engines come and go there.
@@ -254,7 +256,10 @@
             kill(index);
         }
         if (entry.endExpected && !entry.killed && now() > entry.endingSince + grace) {
-            ledger.violation("FAULT", entry.process->name() + " did not stop in time");
+            // A process that is paused when it would end cannot.
+            const Millis lastMoment = entry.endingSince + grace - ownEndMargin;
+            if (!disturbances.entries[index].touch(lastMoment, now()))
+                ledger.violation("FAULT", entry.process->name() + " did not stop in time");
             kill(index);
         }
         return;
