--- a/tests/lifecycle/plannedstop_test.cpp
+++ b/tests/lifecycle/plannedstop_test.cpp
@@ -154,8 +154,8 @@
     EXPECT_GT(tally.served, 0U);
 }
 
-// Guards against calls that are taken although they may last longer than the process, and against
-// callers who are left to find out by themselves.
+// Guards against calls that are taken although they may last longer than the process, instead of
+// being refused at once.
 TEST(PlannedStop, CallsThatMayLastTooLongAreRefusedAtOnce)
 {
     EdgeSystem system("stop-long-calls", 2);
@@ -170,7 +170,7 @@
     EXPECT_GT(tally.refused, 0U) << tally.text;
 }
 
-// Guards against requests that have arrived in part and are closed without a word at the end.
+// Guards against requests that have arrived in part and are closed without an answer at the end.
 TEST(PlannedStop, RequestsWhoseRestNeverComesAreRefused)
 {
     EdgeSystem system("stop-half-requests", 1);
--- a/tests/lifecycle/start_test.cpp
+++ b/tests/lifecycle/start_test.cpp
@@ -142,7 +142,7 @@
     std::vector<std::int64_t> windows;
     for (int n = 0; n < starts; ++n) {
         soak::EntryProcess &process = system.entry(0);
-        const auto begun = std::chrono::steady_clock::now();
+        const std::chrono::steady_clock::time_point begun = std::chrono::steady_clock::now();
         process.start();
         while (!handlesSignal(process.pid(), SIGHUP)) {
             ASSERT_LT(std::chrono::steady_clock::now() - begun, handledWithin) << "start " << n;
