--- a/include/fescue/serving/endpointrecord.h
+++ b/include/fescue/serving/endpointrecord.h
@@ -5,6 +5,7 @@
 #include "fescue/net/endpointaddress.h"
 
 #include <cstdint>
+#include <string>
 
 namespace fescue::serving {
 
@@ -15,6 +16,8 @@
     ServiceName service;
     net::Address address;
     ZoneName zone;
+    // Version of the endpoint's software; empty if its entry does not state one.
+    std::string softwareVersion;
     // Changes when the endpoint restarts, also under the same name.
     Incarnation incarnation;
     // Number of requests that the endpoint processes concurrently.
--- a/include/fescue/serving/nodesettings.h
+++ b/include/fescue/serving/nodesettings.h
@@ -6,10 +6,25 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <optional>
 #include <string>
 
 namespace fescue::serving {
 
+// Limits on the requests that a new software version of a service may get before it is known to be
+// good, for all processes together.
+struct RolloutLimits
+{
+    // Fraction of the requests that reach the service between the order and its deadline, and the
+    // number of requests in addition to it.
+    double exposureShare = 0.1;
+    std::uint32_t exposureAllowance = 0;
+    // Time from the evidence of a bad version to the last request to it.
+    Millis rollbackTime = 5_s;
+
+    bool operator==(const RolloutLimits &) const = default;
+};
+
 // Limits that the operator sets for the whole deployment.
 struct DeploymentLimits
 {
@@ -26,6 +41,9 @@
     double retryShare = 0.2;
     double retryAllowance = 50;
     Millis retryWindow = 10_s;
+    // Limits of a roll-out of a new software version of a service; nullopt if the deployment has no
+    // roll-outs.
+    std::optional<RolloutLimits> rollout;
 
     bool operator==(const DeploymentLimits &) const = default;
 };
--- a/include/fescue/serving/servingconfig.h
+++ b/include/fescue/serving/servingconfig.h
@@ -51,7 +51,16 @@
     std::uint32_t maxAttempts = 1;
     // Requests need no account key.
     bool anonymous = false;
+    // A stream may be resumed after its last event, by the caller or at another engine. Such a
+    // request may run more than once. Only for routes that stream.
+    bool isResumable = false;
     bool operator==(const Route &) const = default;
+
+    // Returns true if a request of this route may run more than once.
+    [[nodiscard]] bool mayRunAgain() const noexcept
+    {
+        return kind == RouteKind::Idempotent || isResumable;
+    }
 };
 
 // Properties that all model engines of a service have in common.
--- a/include/fescue/serving/storesession.inl
+++ b/include/fescue/serving/storesession.inl
@@ -552,6 +552,9 @@
     case StoreSubjectKind::Endpoint:
         applyEndpointChange(EndpointName(subject.name), change);
         break;
+    case StoreSubjectKind::Rollout:
+        // Nothing serves roll-outs yet.
+        break;
     case StoreSubjectKind::Other:
         if (change.key.starts_with(node::memberKeyPrefix))
             applyMemberChange(change);
--- a/include/fescue/serving/storesubject.h
+++ b/include/fescue/serving/storesubject.h
@@ -13,6 +13,8 @@
     ZoneOut,
     // An entry of the list of endpoints; `name` is the endpoint.
     Endpoint,
+    // An order to move a service to a new software version; `name` is the service.
+    Rollout,
     // Any other key, including this project's own ones.
     Other,
 };
--- a/tests/platform/configcodec_test.cpp
+++ b/tests/platform/configcodec_test.cpp
@@ -51,6 +51,21 @@
     EXPECT_EQ(config->routes[1].kind, RouteKind::NonIdempotent);
 }
 
+// Only streams can be resumed; on other routes the member says nothing.
+TEST(ConfigCodec, StreamsOfARouteMayBeResumed)
+{
+    std::string text(configText);
+    for (std::size_t at = text.find("\"MaxAttempts\""); at != std::string::npos;
+         at = text.find("\"MaxAttempts\"", at + 40))
+        text.insert(at, "\"StreamResumption\":true,");
+    const Result<ServingConfig> config = platform::decodeConfig(text);
+    ASSERT_TRUE(config) << config.error().message;
+    EXPECT_TRUE(config->routes[0].isResumable);
+    EXPECT_TRUE(config->routes[0].mayRunAgain());
+    EXPECT_FALSE(config->routes[1].isResumable);
+    EXPECT_FALSE(platform::decodeConfig(configText)->routes[0].mayRunAgain());
+}
+
 TEST(ConfigCodec, CutOrDamagedTextIsAnError)
 {
     for (std::size_t n = 0; n < configText.size(); n += 7)
@@ -65,6 +80,8 @@
               (StoreSubject {StoreSubjectKind::ZoneOut, "pnw-a"}));
     EXPECT_EQ(platform::classifyKey("servers/i-1"),
               (StoreSubject {StoreSubjectKind::Endpoint, "i-1"}));
+    EXPECT_EQ(platform::classifyKey("op/rollout/s1"),
+              (StoreSubject {StoreSubjectKind::Rollout, "s1"}));
     EXPECT_EQ(platform::classifyKey("members/x").kind, StoreSubjectKind::Other);
 }
 
@@ -78,6 +95,7 @@
     EXPECT_EQ(record->address.toString(), "10.1.2.3:80");
     EXPECT_EQ(record->incarnation.value, 1'790'000'000'000U);
     EXPECT_TRUE(record->draining);
+    EXPECT_EQ(record->softwareVersion, "v1");
     EXPECT_EQ(record->coldRemaining, Millis {251});
 }
 
--- a/tests/platform/settings_test.cpp
+++ b/tests/platform/settings_test.cpp
@@ -38,6 +38,19 @@
     EXPECT_EQ(settings->maxDescriptors, 4100U);
 }
 
+TEST(PlatformSettings, LimitsOfRollOutsAreOptional)
+{
+    EXPECT_FALSE(platform::parseSettings(settingsText, "node.json")->deploymentLimits.rollout);
+    std::string text(settingsText);
+    text.replace(text.find("\"GraceS\""), 8,
+                 R"("ExposureShare":0.1,"ExposureTolerance":50,"RollbackMs":5000,"GraceS")");
+    const Result<serving::NodeSettings> settings = platform::parseSettings(text, "node.json");
+    ASSERT_TRUE(settings) << settings.error().toString();
+    EXPECT_EQ(settings->deploymentLimits.rollout, (serving::RolloutLimits {0.1, 50, 5_s}));
+    text.replace(text.find("5000"), 4, "\"x\"");
+    EXPECT_FALSE(platform::parseSettings(text, "node.json"));
+}
+
 TEST(PlatformSettings, ErrorsNameTheFileAndTheField)
 {
     std::string text(settingsText);
