Keep following the store while it rejects the watchers

Only 28 of 70 processes learned versions 25, 29 and 33. The relays took the answers to their lease renewals for news, reported the store's last answer as recent, and nobody else watched. A watcher whose own call had failed also ignored the updates of peers until its next call failed, so it kept its zone behind.

Ruled out: lost datagrams (the relays' heartbeats arrived all the time), a long backoff.

Change: updates carry the time since the contents were confirmed by a listing or a watch, and whether the sender's own calls fail. Relays (all processes of a small system) that hear of rejected watchers take over their watch; those whose calls fail apply the updates of peers, and ask a peer where none come. FeedPolicy.ChangeReachesAllWhileTheStoreRejectsTheWatchers plays both kinds of rejection at 7 to 195 processes without a network. Without the request to a peer it failed where all relays are rejected too (20 s and more).

--- a/include/fescue/serving/storefeed.h
+++ b/include/fescue/serving/storefeed.h
@@ -24,12 +24,14 @@
     // Revision that the changes follow, and the revision after them.
     net::StoreRevision after;
     net::StoreRevision at;
-    // True if the sender currently reaches the store.
+    // True if the sender's contents were confirmed recently.
     bool reachable = false;
     // Empty if nothing has changed, or if the changes are too long for a datagram.
     std::vector<net::StoreItem> items;
-    // Time since the last answer of the store to any process, as far as the sender knows.
+    // Time since the store last confirmed to any process that nothing follows revision `at`.
     Millis storeAge {0};
+    // True if the sender's own calls to the store fail.
+    bool isRejected = false;
 };
 
 // Maximum length of a datagram; longer changes have to be fetched over a connection.
@@ -92,10 +94,13 @@
 
 // Decides which processes watch the store. All processes select the same few store watchers, which
 // send changes to the others, in a large system through relays, so that the number of store calls
-// does not depend on the number of processes. Updates carry the age of the store's last answer,
-// which only grows as they are forwarded: this shows processes that receive updates from each other
-// but from no watcher that the store is silent. A process without a recent report of an answer
-// watches the store itself.
+// does not depend on the number of processes.
+//
+// Updates carry the time since the store last confirmed the sender's contents by a listing or a
+// watch. It only grows as they are forwarded. Answers to other calls do not count: a process whose
+// leases are renewed may receive no changes. A process without recently confirmed contents watches
+// the store itself. Processes whose own calls fail report this, and others that receive the reports
+// take over their watch.
 class FeedPolicy
 {
 public:
@@ -107,15 +112,17 @@
     static constexpr Millis heartbeatInterval = 250_ms;
     // A watcher without a heartbeat for this time, several intervals, is considered lost.
     static constexpr Millis heartbeatLifetime = 1200_ms;
-    // A sender that reports an older last answer of the store than this is considered cut off from
-    // it. Longer than one watch waits when the store is slow.
-    static constexpr Millis maxStoreAge = 2500_ms;
+    // Contents that were confirmed longer ago may be outdated, and the process watches the store
+    // itself. Longer than one watch waits when the store is slow. Relays, and all processes of a
+    // small system, take over sooner than the others, so that those have their updates by then.
+    static constexpr Millis maxStoreAge = 2000_ms;
+    static constexpr Millis maxRelayStoreAge = 1500_ms;
 
     // Records an update of a watcher.
     void recordUpdate(Millis now, const StoreUpdate &update);
     // Returns true if this process has to watch the store itself.
     [[nodiscard]] bool mustWatch(Millis now, const MemberName &self,
-                                 std::span<const MemberView> members) const;
+                                 std::span<const MemberView> members, bool isLarge) const;
     // Returns true if a recent heartbeat of some watcher is recorded, whether or not the store
     // answers it.
     [[nodiscard]] bool hasRecentWatcher(Millis now) const;
@@ -128,15 +135,25 @@
                                                      std::span<const MemberView> members);
     // Returns the members to which a process sends updates. In a small system, watchers send to all
     // others. In a large one they send to the relays of each zone, which send to their zone: fewer
-    // bytes pass between zones, and no process sends to all.
+    // bytes pass between zones, and no process sends to all. `followsStore` is true if this process
+    // watches the store in place of a watcher; only relays do so for others in a large system.
     [[nodiscard]] static std::vector<const MemberView *>
-    recipients(const MemberName &self, std::span<const MemberView> members, bool isLarge);
+    recipients(const MemberName &self, std::span<const MemberView> members, bool isLarge,
+               bool followsStore = false);
     // Returns a process that has later changes than revision `at`, preferably one of the given
     // availability zone, or nullopt if none is known.
     [[nodiscard]] std::optional<MemberName>
     findPeerAhead(Millis now, net::StoreRevision at, const ZoneName &zone,
                   std::span<const MemberView> members) const;
 
+    // Returns the process that a watcher or relay asks for changes while its own calls to the store
+    // fail and no update confirms its contents: a live member, in its own availability zone if
+    // there is one, whose calls are not known to fail. Returns nullopt for other processes: they
+    // receive what relays learn. `uniform` in [0, 1) selects the member.
+    [[nodiscard]] std::optional<MemberName> choosePeerToAsk(Millis now, const MemberName &self,
+                                                            std::span<const MemberView> members,
+                                                            bool isLarge, double uniform) const;
+
 private:
     struct Heartbeat
     {
@@ -144,8 +161,14 @@
         net::StoreRevision revision;
         bool reachable = false;
         Millis storeAnsweredAt {0};
+        bool isRejected = false;
     };
 
+    [[nodiscard]] bool isReportedRejected(Millis now, const MemberName &name) const;
+    // Returns true if this process watches in place of a watcher whose calls fail.
+    [[nodiscard]] bool isSubstitute(Millis now, const MemberName &self,
+                                    std::span<const MemberView> members, bool isLarge) const;
+
     std::map<MemberName, Heartbeat> m_heartbeats;
 };
 
--- a/include/fescue/serving/storesession.h
+++ b/include/fescue/serving/storesession.h
@@ -78,6 +78,9 @@
     // Requests later changes from a peer that has them. Returns false if no peer has any, or if it
     // does not answer.
     [[nodiscard]] bool catchUp(const std::vector<MemberView> &members);
+    // Asks some peer for later changes if this process forwards updates and has received none for a
+    // while although its own calls to the store fail.
+    void askSomePeer(const std::vector<MemberView> &members);
     [[nodiscard]] bool fetchCopy(const MemberName &peer, const std::vector<MemberView> &members,
                                  CopyScope scope = CopyScope::All);
     void applyCopy(const StoreCopy &copy);
@@ -115,6 +118,14 @@
     static void collectMembers(std::span<const net::StoreItem> items,
                                std::vector<MemberInfo> &members);
     void setReachable(bool reachable, std::string_view reason);
+    // Records that an own call to list or watch failed. The contents may still be confirmed by
+    // updates of peers.
+    void recordRejection(std::string_view reason);
+    // Returns true if the store has confirmed the contents recently, to this process or to a peer.
+    [[nodiscard]] bool isConfirmed(Millis now) const noexcept
+    {
+        return hasListed() && now - m_confirmedAt <= FeedPolicy::maxStoreAge;
+    }
     // Counts a call to the store by its cause, and records the time if the store answered.
     void countCall(StoreCall cause, bool answered);
     // Waits before a failed call is retried. Only watchers keep retrying while the store is silent.
@@ -141,10 +152,20 @@
     FeedPolicy m_feed;
     RecentChanges m_recent;
     net::HttpClient m_peerClient;
+    // Time at which a peer was last asked by askSomePeer().
+    Millis m_peerAskedAt {0};
     // Time since which a peer is known to be ahead; 0 if none is.
     Millis m_behindSince {0};
     net::StoreRevision m_revision;
     bool m_listed = false;
+    // True while the pages of a listing are read: no other changes may be applied.
+    bool m_isListing = false;
+    // Time at which the store last confirmed to some process that nothing follows `m_revision`.
+    Millis m_confirmedAt {0};
+    // True if the last call of this process to list, watch or renew failed.
+    bool m_isRejected = false;
+    // True while this process watches the store itself.
+    bool m_followsStore = false;
     bool m_reachable = true;
     std::optional<net::LeaseId> m_lease;
     // Era in which the lease was granted.
--- a/include/fescue/serving/storesession.inl
+++ b/include/fescue/serving/storesession.inl
@@ -14,6 +14,8 @@
 inline constexpr Millis watchWait = 700_ms;
 // Interval at which a process that relies on peers checks whether it has missed changes.
 inline constexpr Millis peerPollInterval = 150_ms;
+// Shortest time between two requests for changes to peers that are not known to have any.
+inline constexpr Millis peerAskInterval = 300_ms;
 // Path at which peers request this process' copy of the store.
 inline constexpr const char *storeCopyPath = "/store-copy";
 // Timeout of calls to the store. Even a slow store answers within it.
@@ -77,13 +79,15 @@
     repeatUntilStopped(m_state->metrics, "follow-store", [&] {
         const Millis now = ServingState::now();
         const std::vector<MemberView> members = m_state->members.members(now);
-        const bool own = m_feed.mustWatch(now, m_self.name, members);
+        const bool own = m_feed.mustWatch(now, m_self.name, members, m_state->isLarge());
+        m_followsStore = own;
         // A watcher whose calls the store rejects gets the changes from a peer.
         if (own ? followStore() || catchUp(members) : followPeers(members)) {
             watcherBackoff.reset();
             otherBackoff.reset();
             return;
         }
+        askSomePeer(members);
         const bool watches = FeedPolicy::isWatcher(m_self.name, members);
         waitForStore(watches ? watcherBackoff : otherBackoff, watches);
     });
@@ -106,8 +110,10 @@
         net::sleepFor(backoff.next(m_state->uniform()));
         return;
     }
-    while (isStoreUnreachable() && ServingState::now() - startedAt < silentStorePause)
+    while (isStoreUnreachable() && ServingState::now() - startedAt < silentStorePause) {
+        askSomePeer(m_state->members.members(ServingState::now()));
         net::sleepFor(silentStorePoll);
+    }
     const double spread = static_cast<double>(returnSpread.count) * m_state->uniform();
     net::sleepFor(Millis {static_cast<std::int64_t>(spread)});
 }
@@ -121,6 +127,8 @@
         m_state->storeAnsweredAt = ServingState::now();
     else
         ++m_failedCalls;
+    if (cause == StoreCall::List || cause == StoreCall::Watch || cause == StoreCall::Renew)
+        m_isRejected = !answered;
     m_state->metrics
         .counter("fescue_store_calls_total",
                  {{"cause", std::string(storeCallNames[index])},
@@ -161,6 +169,21 @@
     return ahead && fetchCopy(*ahead, members);
 }
 
+template <PlatformProtocol P>
+void StoreSession<P>::askSomePeer(const std::vector<MemberView> &members)
+{
+    const Millis now = ServingState::now();
+    const bool isDue = hasListed() && now - m_confirmedAt > FeedPolicy::maxRelayStoreAge
+        && now - m_peerAskedAt >= peerAskInterval;
+    if (!isDue)
+        return;
+    m_peerAskedAt = now;
+    const std::optional<MemberName> peer =
+        m_feed.choosePeerToAsk(now, m_self.name, members, m_state->isLarge(), m_state->uniform());
+    if (peer)
+        static_cast<void>(fetchCopy(*peer, members));
+}
+
 template <PlatformProtocol P>
 bool StoreSession<P>::followPeers(const std::vector<MemberView> &members)
 {
@@ -368,10 +391,17 @@
     m_feed.recordUpdate(now, update);
     if (update.reachable)
         m_state->storeAnsweredAt = std::max(m_state->storeAnsweredAt, now - update.storeAge);
-    const bool follows = m_listed && update.after <= m_revision && update.at > m_revision;
-    if (!follows)
+    // A process whose own calls fail goes on with the updates of its peers.
+    const bool follows = hasListed() && !m_isListing && update.after <= m_revision
+        && update.at > m_revision && update.at.era == m_revision.era;
+    if (follows)
+        applyPeerChanges(update.at, update.items);
+    if (update.at > m_revision)
         return;
-    applyPeerChanges(update.at, update.items);
+    m_confirmedAt = std::max(m_confirmedAt, now - update.storeAge);
+    // Nothing has been missed, so no listing is needed.
+    if (update.at == m_revision && isConfirmed(now) && !m_isListing)
+        m_listed = true;
 }
 
 template <PlatformProtocol P>
@@ -390,13 +420,13 @@
 {
     const std::vector<MemberView> members = m_state->members.members(ServingState::now());
     const std::vector<const MemberView *> recipients =
-        FeedPolicy::recipients(m_self.name, members, m_state->isLarge());
+        FeedPolicy::recipients(m_self.name, members, m_state->isLarge(), m_followsStore);
     if (recipients.empty())
         return;
-    const bool reachable = m_reachable && m_listed;
-    const Millis age = ServingState::now() - m_state->storeAnsweredAt;
+    const Millis now = ServingState::now();
     for (const StoreUpdate &update :
-         splitStoreUpdate({m_self.name, after, m_revision, reachable, std::move(items), age}))
+         splitStoreUpdate({m_self.name, after, m_revision, isConfirmed(now), std::move(items),
+                           now - m_confirmedAt, m_isRejected}))
         m_hooks.send(recipients, encodeStoreUpdate(update));
 }
 
@@ -414,24 +444,31 @@
 {
     std::string after;
     std::optional<net::StoreRevision> first;
+    Millis firstAskedAt {0};
     std::vector<MemberInfo> members;
     while (true) {
+        const Millis askedAt = ServingState::now();
         const net::StoreResult<typename Store::Page> page = m_watchStore.listPage({}, after);
         countCall(StoreCall::List, page.has_value());
         if (!page) {
-            setReachable(false, page.error().message);
+            m_isListing = false;
+            recordRejection(page.error().message);
             return false;
         }
         // Keys that are written while the pages are read are reported again by the watch.
         if (!first) {
             first = page->at;
+            firstAskedAt = askedAt;
             beginEra(*first);
+            m_isListing = true;
             m_mirror.beginListing();
         }
         // The store was restored from an older copy between two pages: the earlier pages belong to
         // another era. The next step lists again.
-        if (page->at.era != first->era)
+        if (page->at.era != first->era) {
+            m_isListing = false;
             return true;
+        }
         applyChanges(m_mirror.addPage(page->items));
         collectMembers(page->items, members);
         if (!page->hasMore || page->items.empty())
@@ -441,6 +478,8 @@
     setReachable(true, "listed");
     const bool isFirst = !hasListed();
     applyChanges(m_mirror.endListing());
+    m_isListing = false;
+    m_confirmedAt = std::max(m_confirmedAt, firstAskedAt);
     m_state->members.storeListed(ServingState::now(), members);
     m_revision = std::max(m_revision, *first);
     m_recent.restart(m_revision);
@@ -456,13 +495,16 @@
 bool StoreSession<P>::watchOnce()
 {
     const net::StoreResult<net::StoreList> changes = m_watchStore.watch({}, m_revision, watchWait);
+    const Millis answeredAt = ServingState::now();
     countCall(StoreCall::Watch,
               changes.has_value() || changes.error().code == ResultCode::StoreNotFound);
     if (changes) {
         setReachable(true, "watch");
         // Changes of a later era do not follow the known ones; followStore() lists again.
-        if (changes->revision.era == m_revision.era)
+        if (changes->revision.era == m_revision.era) {
+            m_confirmedAt = std::max(m_confirmedAt, answeredAt);
             applyWatchedChanges(*changes);
+        }
         return true;
     }
     if (changes.error().code == ResultCode::StoreNotFound) {
@@ -470,11 +512,18 @@
         m_listed = false;
         return true;
     }
-    setReachable(false, changes.error().message);
+    recordRejection(changes.error().message);
     m_listed = false;
     return false;
 }
 
+template <PlatformProtocol P>
+void StoreSession<P>::recordRejection(std::string_view reason)
+{
+    if (!isConfirmed(ServingState::now()))
+        setReachable(false, reason);
+}
+
 template <PlatformProtocol P>
 void StoreSession<P>::applyWatchedChanges(const net::StoreList &changes)
 {
--- a/src/serving/storefeed.cpp
+++ b/src/serving/storefeed.cpp
@@ -84,6 +84,7 @@
 // Fields that processes of earlier releases do not send.
 constexpr std::size_t updateAgeField = 6;
 constexpr std::size_t updateEraField = 7;
+constexpr std::size_t updateRejectedField = 8;
 constexpr std::size_t copyEraField = 4;
 constexpr std::size_t copyRetainedField = 5;
 
@@ -96,8 +97,9 @@
 {
     // Changes never lead from one era to the next.
     const net::StoreRevision after = update.after.era == update.at.era ? update.after : update.at;
-    return {layoutVersion,    update.from.text(),        after.value,           update.at.value,
-            update.reachable, encodeItems(update.items), update.storeAge.count, update.at.era};
+    return {layoutVersion,         update.from.text(), after.value,
+            update.at.value,       update.reachable,   encodeItems(update.items),
+            update.storeAge.count, update.at.era,      update.isRejected};
 }
 
 } // namespace
@@ -127,6 +129,8 @@
         update.items = decodeItems(json.at(5), era);
         if (json.size() > updateAgeField)
             update.storeAge = spanAt(json, updateAgeField);
+        if (json.size() > updateRejectedField)
+            update.isRejected = json.at(updateRejectedField).get<bool>();
         return update;
     });
 }
@@ -232,7 +236,39 @@
     Heartbeat &heartbeat = m_heartbeats[update.from];
     // Datagrams may arrive out of order.
     heartbeat = {now, std::max(heartbeat.revision, update.at), update.reachable,
-                 now - update.storeAge};
+                 now - update.storeAge, update.isRejected};
+}
+
+bool FeedPolicy::isReportedRejected(Millis now, const MemberName &name) const
+{
+    const auto it = m_heartbeats.find(name);
+    return it != m_heartbeats.end() && it->second.isRejected
+        && now - it->second.at <= heartbeatLifetime;
+}
+
+bool FeedPolicy::isSubstitute(Millis now, const MemberName &self,
+                              std::span<const MemberView> members, bool isLarge) const
+{
+    const std::set<MemberName> watchers =
+        selectMembers("watchers", watcherCount, self, members, nullptr);
+    const std::size_t rejected = static_cast<std::size_t>(
+        std::count_if(watchers.begin(), watchers.end(), [this, now](const MemberName &name) {
+            return isReportedRejected(now, name);
+        }));
+    if (rejected == 0)
+        return false;
+    // Only relays receive the reports in a large system.
+    const std::set<MemberName> relayNames =
+        isLarge ? relays(self, members) : std::set<MemberName>();
+    std::vector<MemberView> others;
+    for (const MemberView &member : members) {
+        const MemberName &name = member.info.name;
+        const bool mayWatch = !watchers.contains(name) && !isReportedRejected(now, name)
+            && (!isLarge || relayNames.contains(name));
+        if (mayWatch)
+            others.push_back(member);
+    }
+    return selectMembers("watchers", rejected, self, others, nullptr).contains(self);
 }
 
 std::set<MemberName> FeedPolicy::relays(const MemberName &self, std::span<const MemberView> members)
@@ -251,13 +287,14 @@
     return selectMembers("watchers", watcherCount, self, members, nullptr).contains(self);
 }
 
-std::vector<const MemberView *>
-FeedPolicy::recipients(const MemberName &self, std::span<const MemberView> members, bool isLarge)
+std::vector<const MemberView *> FeedPolicy::recipients(const MemberName &self,
+                                                       std::span<const MemberView> members,
+                                                       bool isLarge, bool followsStore)
 {
-    const bool watches = isWatcher(self, members);
     const std::set<MemberName> relayNames =
         isLarge ? relays(self, members) : std::set<MemberName>();
     const bool isRelay = relayNames.contains(self);
+    const bool watches = isWatcher(self, members) || (followsStore && (isRelay || !isLarge));
     const auto own =
         std::find_if(members.begin(), members.end(),
                      [&self](const MemberView &member) { return member.info.name == self; });
@@ -272,16 +309,18 @@
     return included;
 }
 
-bool FeedPolicy::mustWatch(Millis now, const MemberName &self,
-                           std::span<const MemberView> members) const
+bool FeedPolicy::mustWatch(Millis now, const MemberName &self, std::span<const MemberView> members,
+                           bool isLarge) const
 {
-    if (isWatcher(self, members))
+    if (isWatcher(self, members) || isSubstitute(now, self, members, isLarge))
         return true;
+    const bool isRelay = !isLarge || relays(self, members).contains(self);
+    const Millis maxAge = isRelay ? maxRelayStoreAge : maxStoreAge;
     return std::none_of(m_heartbeats.begin(), m_heartbeats.end(),
-                        [now](const std::pair<const MemberName, Heartbeat> &entry) {
+                        [now, maxAge](const std::pair<const MemberName, Heartbeat> &entry) {
                             const Heartbeat &heartbeat = entry.second;
                             return heartbeat.reachable && now - heartbeat.at <= heartbeatLifetime
-                                && now - heartbeat.storeAnsweredAt <= maxStoreAge;
+                                && now - heartbeat.storeAnsweredAt <= maxAge;
                         });
 }
 
@@ -293,6 +332,32 @@
                        });
 }
 
+std::optional<MemberName> FeedPolicy::choosePeerToAsk(Millis now, const MemberName &self,
+                                                      std::span<const MemberView> members,
+                                                      bool isLarge, double uniform) const
+{
+    const bool feedsOthers =
+        !isLarge || isWatcher(self, members) || relays(self, members).contains(self);
+    const auto own =
+        std::find_if(members.begin(), members.end(),
+                     [&self](const MemberView &member) { return member.info.name == self; });
+    if (!feedsOthers || own == members.end())
+        return std::nullopt;
+    std::vector<MemberName> near;
+    std::vector<MemberName> far;
+    for (const MemberView &member : members) {
+        const MemberInfo &info = member.info;
+        if (info.name == self || member.state != MemberState::Live
+            || isReportedRejected(now, info.name))
+            continue;
+        (info.zone == own->info.zone ? near : far).push_back(info.name);
+    }
+    const std::vector<MemberName> &eligible = near.empty() ? far : near;
+    if (eligible.empty())
+        return std::nullopt;
+    return eligible[static_cast<std::size_t>(uniform * static_cast<double>(eligible.size()))];
+}
+
 std::optional<MemberName> FeedPolicy::findPeerAhead(Millis now, net::StoreRevision at,
                                                     const ZoneName &zone,
                                                     std::span<const MemberView> members) const
--- a/tests/serving/storefeed_test.cpp
+++ b/tests/serving/storefeed_test.cpp
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <gtest/gtest.h>
 #include <map>
+#include <optional>
+#include <set>
 #include <string>
 
 namespace {
@@ -92,11 +94,11 @@
     for (const MemberView &member : members)
         (FeedPolicy::isWatcher(member.info.name, members) ? watcher : other) = member.info.name;
     FeedPolicy policy;
-    EXPECT_TRUE(policy.mustWatch(1_s, other, members));
+    EXPECT_TRUE(policy.mustWatch(1_s, other, members, false));
     policy.recordUpdate(1_s, makeUpdate(watcher, 5));
-    EXPECT_FALSE(policy.mustWatch(Millis {2'200}, other, members));
-    EXPECT_TRUE(policy.mustWatch(Millis {2'201}, other, members));
-    EXPECT_TRUE(policy.mustWatch(1_s, watcher, members));
+    EXPECT_FALSE(policy.mustWatch(Millis {2'200}, other, members, true));
+    EXPECT_TRUE(policy.mustWatch(Millis {2'201}, other, members, true));
+    EXPECT_TRUE(policy.mustWatch(1_s, watcher, members, false));
 }
 
 TEST(FeedPolicy, WatcherCutOffFromTheStoreIsIgnored)
@@ -105,9 +107,9 @@
     const MemberName other = someNonWatcher(members);
     FeedPolicy policy;
     policy.recordUpdate(1_s, makeUpdate(MemberName("w1"), 5, false));
-    EXPECT_TRUE(policy.mustWatch(1_s, other, members));
+    EXPECT_TRUE(policy.mustWatch(1_s, other, members, false));
     policy.recordUpdate(1_s, makeUpdate(MemberName("w2"), 5, true));
-    EXPECT_FALSE(policy.mustWatch(1_s, other, members));
+    EXPECT_FALSE(policy.mustWatch(1_s, other, members, false));
 }
 
 TEST(FeedPolicy, FindsThePeerWithMissedChanges)
@@ -175,28 +177,185 @@
 TEST(FeedPolicy, ProcessesThatReceiveOnlyFromEachOtherDetectTheSilentStore)
 {
     const std::vector<MemberView> members = makeMembers(30);
-    const MemberName self = someNonWatcher(members);
+    const std::set<MemberName> relays = FeedPolicy::relays(members.front().info.name, members);
+    const auto it = std::find_if(members.begin(), members.end(), [&](const MemberView &view) {
+        return !relays.contains(view.info.name) && !FeedPolicy::isWatcher(view.info.name, members);
+    });
+    const MemberName self = it->info.name;
+    const auto relay = std::find_if(relays.begin(), relays.end(), [&](const MemberName &name) {
+        return !FeedPolicy::isWatcher(name, members);
+    });
+    ASSERT_NE(relay, relays.end());
     FeedPolicy policy;
     StoreUpdate update = makeUpdate(MemberName("other"), 5);
     for (Millis now = 1_s; now <= 5_s; now += 250_ms) {
         update.storeAge = now - 1_s;
         policy.recordUpdate(now, update);
-        EXPECT_EQ(policy.mustWatch(now, self, members), update.storeAge > FeedPolicy::maxStoreAge);
+        EXPECT_EQ(policy.mustWatch(now, self, members, true),
+                  update.storeAge > FeedPolicy::maxStoreAge);
+        EXPECT_EQ(policy.mustWatch(now, *relay, members, true),
+                  update.storeAge > FeedPolicy::maxRelayStoreAge);
         EXPECT_TRUE(policy.hasRecentWatcher(now));
     }
     EXPECT_FALSE(policy.hasRecentWatcher(7_s));
 }
 
+// How the store treats the processes that it rejects.
+enum class Rejection : std::uint8_t
+{
+    // Their calls fail at once.
+    Refused,
+    // Their calls get no answer and fail after a timeout.
+    Silent,
+};
+
+// The processes of a system while the store rejects some of them. Moves in steps of 50 ms; updates
+// arrive with the next step.
+class RejectedFleet
+{
+public:
+    RejectedFleet(std::vector<MemberView> all, std::set<MemberName> rejectedNames, Rejection kind)
+        : m_members(std::move(all)), m_rejected(std::move(rejectedNames)), m_kind(kind),
+          m_processes(m_members.size())
+    { }
+
+    // Returns the time from the change of the store, shortly after the begin of the rejection,
+    // until all processes have it.
+    Millis timeOfAChange()
+    {
+        const Millis rejectsAt = 2_s;
+        const Millis changesAt = Millis {2'100};
+        for (Millis now {0}; now < changesAt + 20_s; now += step) {
+            if (now >= changesAt)
+                m_storeRevision = 2;
+            for (std::size_t i = 0; i < m_members.size(); ++i)
+                follow(now, i, now >= rejectsAt);
+            for (std::size_t i = 0; i < m_members.size(); ++i)
+                sendHeartbeat(now, i);
+            const bool all = std::all_of(m_processes.begin(), m_processes.end(),
+                                         [](const Process &p) { return p.revision == 2; });
+            if (all)
+                return now - changesAt;
+        }
+        return 20_s;
+    }
+
+private:
+    static constexpr Millis step = 50_ms;
+    static constexpr Millis askInterval = 300_ms;
+    // A watch that waits, and the timeout of its call.
+    static constexpr Millis silentCall = Millis {2'200};
+
+    struct Process
+    {
+        FeedPolicy policy;
+        std::uint64_t revision = 1;
+        Millis confirmedAt {0};
+        Millis askedAt {0};
+        std::optional<Millis> callBegan;
+        bool isRejected = false;
+        bool follows = false;
+    };
+
+    [[nodiscard]] bool isLarge() const { return m_members.size() > 20; }
+
+    void follow(Millis now, std::size_t i, bool storeRejects)
+    {
+        Process &process = m_processes[i];
+        const MemberName &name = m_members[i].info.name;
+        process.follows = process.policy.mustWatch(now, name, m_members, isLarge());
+        if (!process.follows && !process.callBegan)
+            return;
+        if (!storeRejects || !m_rejected.contains(name)) {
+            process.isRejected = false;
+            process.confirmedAt = now;
+            process.revision = m_storeRevision;
+            return;
+        }
+        if (!process.callBegan)
+            process.callBegan = now;
+        if (m_kind == Rejection::Silent && now - *process.callBegan < silentCall)
+            return;
+        process.callBegan.reset();
+        process.isRejected = true;
+        if (now - process.confirmedAt <= FeedPolicy::maxRelayStoreAge
+            || now - process.askedAt < askInterval)
+            return;
+        process.askedAt = now;
+        const double uniform = static_cast<double>(now.count / step.count % 10) / 10;
+        const std::optional<MemberName> peer =
+            process.policy.choosePeerToAsk(now, name, m_members, isLarge(), uniform);
+        for (std::size_t k = 0; k < m_members.size(); ++k) {
+            if (peer == m_members[k].info.name)
+                process.revision = std::max(process.revision, m_processes[k].revision);
+        }
+    }
+
+    void sendHeartbeat(Millis now, std::size_t i)
+    {
+        if (now.count % FeedPolicy::heartbeatInterval.count != 0)
+            return;
+        const Process &from = m_processes[i];
+        const MemberName &name = m_members[i].info.name;
+        StoreUpdate update =
+            makeUpdate(name, from.revision, now - from.confirmedAt <= FeedPolicy::maxStoreAge);
+        update.storeAge = now - from.confirmedAt;
+        update.isRejected = from.isRejected;
+        for (const MemberView *to :
+             FeedPolicy::recipients(name, m_members, isLarge(), from.follows)) {
+            Process &process = m_processes[static_cast<std::size_t>(to - m_members.data())];
+            process.policy.recordUpdate(now, update);
+            process.revision = std::max(process.revision, from.revision);
+            if (update.at.value >= process.revision)
+                process.confirmedAt = std::max(process.confirmedAt, from.confirmedAt);
+        }
+    }
+
+    std::vector<MemberView> m_members;
+    std::set<MemberName> m_rejected;
+    Rejection m_kind;
+    std::vector<Process> m_processes;
+    std::uint64_t m_storeRevision = 1;
+};
+
+// Guards against processes that keep an old configuration: the store rejects all watchers, and the
+// relays, whose leases are renewed, take each other's updates for recent ones. The bounds are the
+// shortest ones of the deployments, less the time that an update takes.
+TEST(FeedPolicy, ChangeReachesAllWhileTheStoreRejectsTheWatchers)
+{
+    for (const int n : {7, 9, 30, 70, 195}) {
+        std::vector<MemberView> members = makeZones(n);
+        for (std::size_t i = 0; i < members.size(); ++i)
+            members[i].info.linkMegabits = i < 15 ? 200 : 10;
+        std::set<MemberName> watchers;
+        for (const MemberView &member : members) {
+            if (FeedPolicy::isWatcher(member.info.name, members))
+                watchers.insert(member.info.name);
+        }
+        std::set<MemberName> allRelays = FeedPolicy::relays(members.front().info.name, members);
+        allRelays.merge(std::set<MemberName>(watchers));
+        const Millis bound = n > 20 ? Millis {2'800} : Millis {1'800};
+        for (const Rejection kind : {Rejection::Refused, Rejection::Silent}) {
+            SCOPED_TRACE(std::to_string(n) + (kind == Rejection::Silent ? " silent" : " refused"));
+            EXPECT_LE(RejectedFleet(members, watchers, kind).timeOfAChange(), bound);
+            if (n > 20)
+                EXPECT_LE(RejectedFleet(members, allRelays, kind).timeOfAChange(), bound);
+        }
+    }
+}
+
 TEST(StoreUpdate, RoundTripPreservesAllFields)
 {
     StoreUpdate update = makeUpdate(MemberName("w1"), 9);
     update.after = {7};
     update.storeAge = 321_ms;
+    update.isRejected = true;
     update.items = {{"servers/i-1", std::string("\x00\xff{", 3), {8}, false},
                     {"servers/i-2", "", {9}, true}};
     const Result<StoreUpdate> decoded = decodeStoreUpdate(encodeStoreUpdate(update));
     ASSERT_TRUE(decoded) << decoded.error().message;
     EXPECT_EQ(decoded->after.value, 7U);
+    EXPECT_TRUE(decoded->isRejected);
     EXPECT_EQ(decoded->at.value, 9U);
     ASSERT_EQ(decoded->items.size(), 2U);
     EXPECT_EQ(decoded->items[0].value, update.items[0].value);
--- a/tests/serving/storesession_test.cpp
+++ b/tests/serving/storesession_test.cpp
@@ -230,6 +230,30 @@
     onWorker([&] { EXPECT_EQ(session->copy({}, CopyScope::All).at, copy.at); });
 }
 
+// Guards against a relay that keeps its zone behind: while the store rejects its calls it applied
+// no updates, and waited for a failed call before it asked a peer.
+TEST_F(StoreSessionTest, RejectedProcessAppliesTheUpdatesOfPeers)
+{
+    start();
+    net::StoreRevision before;
+    ASSERT_TRUE(eventually([&] {
+        before = session->copy({}, CopyScope::All).at;
+        return before.value == store.contents.revision;
+    }));
+    onWorker([&] { store.rejectsCalls = true; });
+    ASSERT_TRUE(eventually([&] {
+        return state.metrics.serialize().find("cause=\"watch\",outcome=\"failed\"")
+            != std::string::npos;
+    }));
+    const net::StoreRevision next {before.value + 1, before.era};
+    onWorker([&] {
+        session->handleStoreUpdate(
+            {MemberName("entry-1"), before, next, true, {{"config", "7", next, false}}, 0_ms});
+        EXPECT_EQ(version(), 7U);
+        EXPECT_EQ(session->copy({}, CopyScope::All).at, next);
+    });
+}
+
 // Guards against excess traffic: while the store rejects a watcher's calls, each change reported by
 // a peer would cause a transfer of the whole copy.
 TEST_F(StoreSessionTest, RejectedWatcherRequestsOnlyMissedChanges)
