Weigh the prompt tokens that an engine still holds against the wait there

CachedPrefixes keeps what this process and the peers of its zone have sent lately; chooseEngine takes the held tokens off the prompt's reading time, less on engines short of memory. Not measured yet on the deployments.

--- a/include/fescue/serving/edgedaemon.inl
+++ b/include/fescue/serving/edgedaemon.inl
@@ -307,7 +307,8 @@
                         m_state.ledger.own(),
                         m_state.ownRetries(),
                         m_state.endpoints.recentLeavingNotices(ServingState::now()),
-                        m_state.ownRefusals.paused(ServingState::now())});
+                        m_state.ownRefusals.paused(ServingState::now()),
+                        m_state.prefixes.takeReport()});
     const std::vector<MemberView> members = m_state.members.members(ServingState::now());
     // In a large system loads are sent within a zone only: entries prefer endpoints of their zone.
     const bool all = !m_state.isLarge();
@@ -561,6 +562,7 @@
     m_state.ledger.peerReported(now, gossip->member.name, gossip->loads);
     for (const ServiceRetries &retries : gossip->retries)
         m_state.retryBudgetOf(retries.service).peerReported(now, gossip->member.name, retries.used);
+    m_state.prefixes.peerReported(now, gossip->prefixReads);
     for (const EndpointIncarnation &endpoint : gossip->refusingEndpoints)
         m_state.recordPeerRefusal(endpoint);
     m_store.handlePeerConfigVersion(gossip->member.name, gossip->configVersion);
--- a/include/fescue/serving/gossip.h
+++ b/include/fescue/serving/gossip.h
@@ -3,6 +3,7 @@
 #include "fescue/core/ids.h"
 #include "fescue/core/memberinfo.h"
 #include "fescue/core/result.h"
+#include "fescue/serving/cachedprefixes.h"
 #include "fescue/serving/endpointincarnation.h"
 #include "fescue/serving/loadledger.h"
 #include "fescue/serving/sharedretrybudget.h"
@@ -29,6 +30,8 @@
     std::vector<EndpointIncarnation> leaving;
     // Endpoints whose addresses refused the process' connections.
     std::vector<EndpointIncarnation> refusingEndpoints;
+    // Beginnings of prompts that the process has sent to engines since its last datagram.
+    std::vector<PrefixRead> prefixReads;
     bool operator==(const Gossip &) const = default;
 };
 
--- a/include/fescue/serving/nodesettings.h
+++ b/include/fescue/serving/nodesettings.h
@@ -41,6 +41,8 @@
     double retryShare = 0.2;
     double retryAllowance = 50;
     Millis retryWindow = 10_s;
+    // Time for which engines are likely to hold a prompt that they have read; 0 if it is not known.
+    Millis prefixRetention {0};
     // Limits of a roll-out of a new software version of a service; nullopt if the deployment has no
     // roll-outs.
     std::optional<RolloutLimits> rollout;
--- a/include/fescue/serving/placement.h
+++ b/include/fescue/serving/placement.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "fescue/serving/cachedprefixes.h"
 #include "fescue/serving/coldratelimiter.h"
 #include "fescue/serving/coldshares.h"
 #include "fescue/serving/endpointhealth.h"
@@ -28,6 +29,8 @@
     Millis now {0};
     // Large system: processes of other availability zones do not report their loads individually.
     bool isLarge = false;
+    // The beginnings of prompts that engines hold; null if they are not to be considered.
+    const CachedPrefixes *prefixes = nullptr;
 
     // Returns false if an endpoint is cold and the share of this process in its cold limit is used
     // up.
@@ -49,6 +52,9 @@
     bool mostUrgent = false;
     // Endpoints that must not be chosen because they were tried before.
     std::set<EndpointName> excluded;
+    // Parts of the prompt whose reading may be saved; empty if prompts of the route share none.
+    // Must outlive the call.
+    std::span<const PromptPart> promptParts = {};
 };
 
 // Derives a number in [0, 1) for an endpoint from the one random number of a whole choice.
--- a/include/fescue/serving/requestcontext.h
+++ b/include/fescue/serving/requestcontext.h
@@ -6,6 +6,7 @@
 #include "fescue/serving/routetable.h"
 #include "fescue/serving/servingstate.h"
 
+#include <span>
 #include <string>
 
 namespace fescue::serving {
@@ -37,6 +38,8 @@
     Millis endpointAge {0};
     // Load of the endpoint as known when it was chosen.
     EndpointLoad endpointLoad;
+    // Tokens of the prompt that the endpoint was likely to hold when it was chosen.
+    std::uint64_t heldTokens = 0;
     std::uint32_t attempts = 0;
     std::string detail;
     Millis firstByteAt {0};
@@ -63,6 +66,10 @@
 // Records the choice of an endpoint for the log.
 void noteEndpoint(const ServingState &state, RequestContext &context, const EndpointView &endpoint);
 
+// Records that an endpoint reads a prompt, and how much of it the endpoint is likely to hold.
+void notePrefix(ServingState &state, RequestContext &context, const EndpointView &endpoint,
+                std::span<const PromptPart> parts);
+
 // Updates the health of the endpoint from the outcome of an attempt, and logs attempts that failed.
 void noteAttempt(ServingState &state, RequestContext &context, const EndpointRecord &endpoint,
                  SendOutcome outcome, std::string_view detail);
--- a/include/fescue/serving/servingconfig.h
+++ b/include/fescue/serving/servingconfig.h
@@ -54,6 +54,8 @@
     // A stream may be resumed after its last event, by the caller or at another engine. Such a
     // request may run more than once. Only for routes that stream.
     bool isResumable = false;
+    // Prompts of different requests begin with the same parts.
+    bool sharesPrefixes = false;
     bool operator==(const Route &) const = default;
 
     // Returns true if a request of this route may run more than once.
--- a/include/fescue/serving/servingstate.h
+++ b/include/fescue/serving/servingstate.h
@@ -6,6 +6,7 @@
 #include "fescue/net/workerpool.h"
 #include "fescue/observe/metrics.h"
 #include "fescue/policy/lengthforecast.h"
+#include "fescue/serving/cachedprefixes.h"
 #include "fescue/serving/callerrequest.h"
 #include "fescue/serving/coldratelimiter.h"
 #include "fescue/serving/coldshares.h"
@@ -132,6 +133,8 @@
         endpointAnnouncedLeaving = [](const EndpointIncarnation &, std::optional<Millis>) {};
     // Called when a zone goes out of service.
     std::function<void(const ZoneName &)> zoneWentOut = [](const ZoneName &) {};
+    // Beginnings of prompts that engines are likely to hold.
+    CachedPrefixes prefixes;
     // Prompt parts that crash engines.
     PromptQuarantine quarantine;
     // Sends news about crashes and quarantined parts to the other processes.
--- a/include/fescue/serving/streamforwarder.inl
+++ b/include/fescue/serving/streamforwarder.inl
@@ -92,6 +92,7 @@
         return std::nullopt;
     }
     noteEndpoint(*m_state, context, *endpoint);
+    notePrefix(*m_state, context, *endpoint, demand.promptParts);
     forwarded.run->engine = endpoint->record;
     const EndpointRecord &record = forwarded.run->engine;
     forwarded.load = std::make_unique<ScopedLoad>(
@@ -142,6 +143,8 @@
     demand.memoryTokens = forwarded.run->reservedTokens();
     demand.prefillTokens = forwarded.run->promptTokens;
     demand.mostUrgent = context.route->priority == 0;
+    if (context.route->sharesPrefixes)
+        demand.promptParts = context.caller.promptParts;
     AttemptVerdict verdict = AttemptVerdict::RefuseNotRun;
     std::optional<ExchangeResult> result;
     do {
--- a/src/serving/gossip.cpp
+++ b/src/serving/gossip.cpp
@@ -75,6 +75,29 @@
     return incarnations;
 }
 
+Json encodePrefixReads(std::span<const PrefixRead> reads)
+{
+    Json list = Json::array();
+    for (const PrefixRead &read :
+         reads.first(std::min(reads.size(), CachedPrefixes::maxReported))) {
+        list.push_back({read.endpoint.endpoint.text(), read.endpoint.incarnation.value, read.prefix,
+                        read.tokens});
+    }
+    return list;
+}
+
+std::vector<PrefixRead> decodePrefixReads(const Json &list)
+{
+    std::vector<PrefixRead> reads;
+    for (const Json &entry : list) {
+        reads.push_back(
+            {{EndpointName(entry.at(0).get<std::string>()), {numberAt<std::uint64_t>(entry, 1)}},
+             numberAt<std::uint64_t>(entry, 2),
+             numberAt<std::uint32_t>(entry, 3)});
+    }
+    return reads;
+}
+
 } // namespace
 
 std::string encodeGossip(const Gossip &gossip)
@@ -89,7 +112,8 @@
                        loads,
                        retries,
                        encodeIncarnations(gossip.leaving),
-                       encodeIncarnations(gossip.refusingEndpoints)};
+                       encodeIncarnations(gossip.refusingEndpoints),
+                       encodePrefixReads(gossip.prefixReads)};
     return toCbor(json);
 }
 
@@ -111,6 +135,9 @@
             gossip.leaving = decodeIncarnations(json.at(leavingField));
             gossip.refusingEndpoints = decodeIncarnations(json.at(refusingField));
         }
+        constexpr std::size_t prefixField = 7;
+        if (json.size() > prefixField)
+            gossip.prefixReads = decodePrefixReads(json.at(prefixField));
         return gossip;
     });
 }
--- a/src/serving/placement.cpp
+++ b/src/serving/placement.cpp
@@ -50,6 +50,9 @@
 // the most urgent priority, so that less urgent requests never leave it without capacity.
 constexpr double memoryFillLimit = 0.9;
 constexpr double urgentFillLimit = 1.05;
+// Cached beginnings of prompts count in full up to `scarceMemoryFill` of the engine's memory in
+// use, and not at all from this fraction on: an engine drops them when it needs the memory.
+constexpr double noCacheFill = 0.85;
 // Time that a plain request occupies a slot, used to weigh load against zone cost.
 constexpr double plainServiceMillis = 30;
 
@@ -74,6 +77,20 @@
     return memoryFillRatio(load, model, demand) <= limit && load.requests < model.slots;
 }
 
+// Returns the number of tokens of a prompt that the engine does not have to read, as far as it is
+// likely to hold them still with this fraction of its memory in use.
+double savedPrefillTokens(const EndpointView &endpoint, const PlacementView &view,
+                          const PlacementDemand &demand, double filled)
+{
+    if (view.prefixes == nullptr || demand.promptParts.empty() || filled >= noCacheFill)
+        return 0;
+    const double likelihood =
+        std::min((noCacheFill - filled) / (noCacheFill - scarceMemoryFill), 1.0);
+    const std::uint64_t held = view.prefixes->heldTokens(
+        view.now, {endpoint.record.name, endpoint.record.incarnation}, demand.promptParts);
+    return likelihood * static_cast<double>(std::min(held, demand.prefillTokens));
+}
+
 double commonCost(const EndpointView &endpoint, const PlacementView &view, double uniform)
 {
     double cost = jitterCost * endpointJitter(uniform, endpoint.record.name);
@@ -182,13 +199,15 @@
         if (!hasRoom(load, model, demand))
             return std::numeric_limits<double>::infinity();
         const double filled = memoryFillRatio(load, model, demand);
+        const double saved = savedPrefillTokens(endpoint, view, demand, filled);
         const double prefill =
-            static_cast<double>(load.prefillTokens + demand.prefillTokens) / prefillTokensPerMilli;
+            (static_cast<double>(load.prefillTokens + demand.prefillTokens) - saved)
+            / prefillTokensPerMilli;
         // An engine whose load is unknown may be full.
         const std::uint32_t others =
             view.isZoneLoadKnown(endpoint.record.zone) ? load.requests : model.slots;
         const double delayOfOthers = others * runningRequestDelayWeight
-            * static_cast<double>(demand.prefillTokens) / idlePrefillTokensPerMilli;
+            * (static_cast<double>(demand.prefillTokens) - saved) / idlePrefillTokensPerMilli;
         const double scarce = std::max(filled - scarceMemoryFill, 0.0);
         return commonCost(endpoint, view, uniform) + prefill + delayOfOthers
             + load.requests * stepDelayCostPerRequest + filled * filled * fullMemoryCost
--- a/src/serving/requestcontext.cpp
+++ b/src/serving/requestcontext.cpp
@@ -67,6 +67,17 @@
     ++context.attempts;
 }
 
+void notePrefix(ServingState &state, RequestContext &context, const EndpointView &endpoint,
+                std::span<const PromptPart> parts)
+{
+    const Millis now = ServingState::now();
+    const EndpointIncarnation engine {endpoint.record.name, endpoint.record.incarnation};
+    context.heldTokens = state.prefixes.heldTokens(now, engine, parts);
+    state.prefixes.recordRead(now, engine, parts);
+    state.metrics.counter("fescue_prefix_tokens_held_total")
+        .Increment(static_cast<double>(context.heldTokens));
+}
+
 void noteAttempt(ServingState &state, RequestContext &context, const EndpointRecord &endpoint,
                  SendOutcome outcome, std::string_view detail)
 {
@@ -120,6 +131,7 @@
          {"load_requests", context.endpointLoad.requests},
          {"load_memory", context.endpointLoad.memoryTokens},
          {"load_prefill", context.endpointLoad.prefillTokens},
+         {"prefix_held", context.heldTokens},
          {"attempts", context.attempts},
          {"moves", context.moves},
          {"events", context.events},
--- a/src/serving/servingstate.cpp
+++ b/src/serving/servingstate.cpp
@@ -64,7 +64,8 @@
     : settings(std::move(nodeSettings)), pool(workerPool), metrics(processMetrics),
       engineClient(engineClientLimits()),
       bodyBudget(std::make_shared<net::ByteBudget>(bodyMemoryOf(settings))),
-      coldShares(settings.name), members(memberLimits()), m_random(std::random_device {}())
+      coldShares(settings.name), members(memberLimits()),
+      prefixes(settings.deploymentLimits.prefixRetention), m_random(std::random_device {}())
 { }
 
 double ServingState::uniform()
@@ -106,7 +107,7 @@
 PlacementView ServingState::placementView(const ServiceName &service)
 {
     return {ledger,        health, coldRateLimiter, coldShares, coldLimitOf(service),
-            settings.zone, now(),  isLarge()};
+            settings.zone, now(),  isLarge(),       &prefixes};
 }
 
 std::vector<const EndpointView *> ServingState::candidates(const ServiceName &service) const
--- a/tests/serving/gossip_test.cpp
+++ b/tests/serving/gossip_test.cpp
@@ -23,6 +23,7 @@
     gossip.retries = {{ServiceName("s"), 4}};
     gossip.leaving = {{EndpointName("e2"), {1'700'000'000'123}}};
     gossip.refusingEndpoints = {{EndpointName("e3"), {7}}};
+    gossip.prefixReads = {{{EndpointName("e1"), {5}}, 0xfedcba9876543210ULL, 350}};
     return gossip;
 }
 
