Resume streams of routes that allow it, for callers that come back and after breaks of engines

Change: ResumptionPlan decides where a stream begins, whether a part of it is whole, and whether another engine may go on; AttemptPolicy treats such streams as idempotent and does not count engines that have ended. StreamForwarder goes on within the same response: backup, standby copy, then a new run that begins after the last whole event. A silent engine is left after half of the gap after which callers abandon a stream, if another one has room. An id on a stream that may not be resumed, that is no number, or that is beyond the end is answered 400 bad-event-id before anything runs.

Ruled out: pieces of two runs on other routes; they still break off visibly. An orderly end of the connection after a whole event stays the end of a stream without a length.

A move whose answer comes after another engine has taken the generation over no longer stops the new run.

--- a/include/fescue/serving/attemptpolicy.h
+++ b/include/fescue/serving/attemptpolicy.h
@@ -58,8 +58,9 @@
 class AttemptPolicy
 {
 public:
-    AttemptPolicy(RouteKind kind, std::uint32_t maxAttempts) noexcept
-        : m_kind(kind), m_maxAttempts(maxAttempts)
+    // `isResumable` is Route::isResumable.
+    AttemptPolicy(RouteKind kind, std::uint32_t maxAttempts, bool isResumable = false) noexcept
+        : m_mayRunAgain(kind == RouteKind::Idempotent || isResumable), m_maxAttempts(maxAttempts)
     { }
 
     // Records the result of an attempt and returns the next step. `timeLeft` is the time until the
@@ -84,6 +85,12 @@
     // Returns the number of endpoints on which the request has run or may have run. Endpoints that
     // rejected it do not count against the route's limit.
     [[nodiscard]] std::uint32_t sent() const noexcept { return m_sent; }
+    // Returns true if one more endpoint may run the request although others have begun to.
+    [[nodiscard]] bool mayRunAgain(Millis timeLeft) const noexcept;
+    // Counts an endpoint that runs the request without an attempt of its own, from a copy.
+    void countResumed() noexcept { ++m_sent; }
+    // Stops counting an endpoint that has terminated since it ran the request.
+    void discountEnded() noexcept { m_sent -= m_sent > 0 ? 1 : 0; }
     // Returns true if some endpoint may have run the request.
     [[nodiscard]] bool mayHaveRun() const noexcept { return m_mayHaveRun; }
 
@@ -92,7 +99,7 @@
     [[nodiscard]] bool mayRetry(SendOutcome outcome, Millis timeLeft) const noexcept;
     [[nodiscard]] bool mayConnectAgain(Millis timeLeft) noexcept;
 
-    RouteKind m_kind;
+    bool m_mayRunAgain;
     std::uint32_t m_maxAttempts;
     std::uint32_t m_sent = 0;
     std::uint32_t m_failedConnects = 0;
--- a/include/fescue/serving/callerrequest.h
+++ b/include/fescue/serving/callerrequest.h
@@ -38,6 +38,8 @@
     // Time that the caller waits, counted from the arrival of the request.
     std::optional<Millis> patience;
     std::optional<GenerationSize> generation;
+    // Id of the last event that the caller has of this stream, as sent; empty if it has none.
+    std::string lastEventId;
     // Parts of the prompt in their order; the last one belongs to this request or its session.
     std::vector<PromptPart> promptParts;
 };
--- a/include/fescue/serving/enginesend.h
+++ b/include/fescue/serving/enginesend.h
@@ -38,6 +38,8 @@
     // Engine that receives copies of the generation's memory as it grows.
     std::optional<net::Address> backup;
     std::optional<ResumePoint> resume;
+    // Without a copy to resume from: the engine runs the request and begins after this event.
+    std::optional<std::uint64_t> lastEventId;
 };
 
 // Contents of the head of an endpoint's answer.
--- a/include/fescue/serving/eventsplitter.h
+++ b/include/fescue/serving/eventsplitter.h
@@ -17,8 +17,11 @@
     static constexpr std::size_t maxEventBytes = std::size_t {256} * 1024;
 
     // Parses the next chunk of the stream. Returns false if an event is too large, or if the first
-    // new id after a resume does not follow lastId().
+    // new id after a resume, or after beginAfter() any id, does not follow lastId().
     [[nodiscard]] bool feed(std::string_view data);
+    // Begins after an event that was received before, or at the beginning without one. Ids have to
+    // be consecutive from then on.
+    void beginAfter(std::optional<std::uint64_t> lastId) noexcept;
     // Returns the whole events since the last clearReady(). Valid until the next call.
     [[nodiscard]] std::string_view ready() const noexcept { return m_ready; }
     void clearReady() noexcept { m_ready.clear(); }
@@ -31,6 +34,8 @@
     // Returns the id of the last whole event; nullopt before the first.
     [[nodiscard]] std::optional<std::uint64_t> lastId() const noexcept { return m_lastId; }
     [[nodiscard]] std::uint64_t events() const noexcept { return m_events; }
+    // Returns the number of whole events since the last resume().
+    [[nodiscard]] std::uint64_t eventsOfPart() const noexcept { return m_events - m_eventsBefore; }
 
     // Discards an incomplete event; the stream resumes on another endpoint after lastId(). Events
     // up to that id are dropped if they are received again.
@@ -43,9 +48,11 @@
     std::string m_partial;
     std::optional<std::uint64_t> m_lastId;
     std::uint64_t m_events = 0;
+    std::uint64_t m_eventsBefore = 0;
     // Position in m_partial up to which no end of an event was found.
     std::size_t m_scanned = 0;
     bool m_resumed = false;
+    bool m_isConsecutive = false;
 };
 
 } // namespace fescue::serving
--- a/include/fescue/serving/generationmover.inl
+++ b/include/fescue/serving/generationmover.inl
@@ -404,7 +404,8 @@
 {
     run->phase = MovePhase::Stopping;
     const MoveAnswer answer = call(run, source, destination, true);
-    if (run->finished)
+    // An answer that came too late is about a run that another engine has replaced.
+    if (run->finished || run->engine.name != source.name)
         return NextStep::Done;
     const bool copied = answer.outcome == MoveOutcome::Copied;
     const bool keptAtSource = answer.outcome == MoveOutcome::NoRoom && !answer.handle.empty();
--- a/include/fescue/serving/generationrun.h
+++ b/include/fescue/serving/generationrun.h
@@ -41,7 +41,9 @@
     std::uint32_t promptTokens = 0;
     std::uint32_t expectedOutputTokens = 0;
     std::uint32_t tokensPerEvent = 1;
+    // Events of this response; those that the caller had before it are not in it.
     std::uint64_t events = 0;
+    std::uint64_t eventsBefore = 0;
 
     // The engine to which `engine` sends a backup of the memory.
     std::optional<EndpointRecord> backup;
@@ -69,6 +71,8 @@
         standbyLoad.reset();
         standbyHandle.clear();
     }
+    // Returns the number of output tokens so far, those of earlier responses included.
+    [[nodiscard]] std::uint64_t producedTokens() const noexcept;
     // Returns the memory in use now, in tokens.
     [[nodiscard]] std::uint64_t memoryTokens() const noexcept;
     // Returns the number of output tokens that are expected to follow: at least a fraction of the
--- a/include/fescue/serving/requestcontext.h
+++ b/include/fescue/serving/requestcontext.h
@@ -29,6 +29,8 @@
     const AccountSpec *account = nullptr;
     ServiceName service;
     Millis arrivedAt {0};
+    // The event after which the caller wants its stream to begin; nullopt for all of it.
+    std::optional<std::uint64_t> position;
     // Latest time at which the caller needs an answer.
     Millis deadline {0};
 
--- a/include/fescue/serving/requesthandler.inl
+++ b/include/fescue/serving/requesthandler.inl
@@ -68,6 +68,12 @@
         }
     }
     const Route &route = *context.route;
+    const Result<std::optional<std::uint64_t>> position = requestedPosition(route, context.caller);
+    if (!position) {
+        return net::Problem {400, position.error().code, RunState::NotRun, position.error().message,
+                             std::nullopt};
+    }
+    context.position = *position;
     context.service = RouteTable::pickService(route, m_state->uniform());
     Millis patience = context.caller.patience.value_or(defaultRequestTimeout);
     if (route.timeout > Millis {0})
--- a/include/fescue/serving/streamforwarder.h
+++ b/include/fescue/serving/streamforwarder.h
@@ -7,13 +7,15 @@
 #include "fescue/serving/promptguard.h"
 #include "fescue/serving/refuse.h"
 #include "fescue/serving/requestcontext.h"
+#include "fescue/serving/resumptionplan.h"
 
 #include <memory>
 
 namespace fescue::serving {
 
 // Serves generations: forwards their events to the caller as they arrive, only complete events, and
-// resumes the stream from another engine when the generation has been moved there.
+// resumes the stream from another engine when the generation has been moved there, or when its
+// engine is lost and the route's streams may be resumed.
 template <PlatformProtocol P>
 class StreamForwarder
 {
@@ -25,29 +27,22 @@
     void serve(RequestContext &context);
 
 private:
-    // Reason why the forwarding of a stream ended.
-    enum class StreamEnd : std::uint8_t
-    {
-        Complete,
-        CallerGone,
-        // The engine's stream was interrupted.
-        EngineLost,
-        DeadlinePassed,
-        // An event is too long, or the event ids are not consecutive after the stream was resumed.
-        Malformed,
-    };
-
     // A generation while its stream is forwarded.
     struct ForwardedStream
     {
         RequestContext &context;
         GenerationRunPtr run;
+        ResumptionPlan resumption;
+        // What the generation needs at an engine, and the engines that have failed it.
+        PlacementDemand demand;
         EventSplitter events;
         net::ClientStream upstream;
         std::unique_ptr<ScopedLoad> load;
         std::unique_ptr<ScopedLoad> backupLoad;
         std::vector<net::Header> headers;
         bool started = false;
+        // The engine that runs the generation still reads its prompt.
+        bool prefilling = false;
     };
 
     [[nodiscard]] const EndpointView *choose(const RequestContext &context,
@@ -58,15 +53,29 @@
     // Requests a backup of the generation's memory if the generation is long enough and an engine
     // has room for it.
     void addBackup(ForwardedStream &forwarded, const EndpointView &engine, EngineSend &send);
+    // Sends the request to the engine that placement chooses. Returns nullopt if there is none,
+    // else the engine's answer, and in `verdict` what follows.
     [[nodiscard]] std::optional<ExchangeResult> attempt(ForwardedStream &forwarded,
-                                                        const PlacementDemand &demand,
-                                                        AttemptPolicy &policy,
                                                         AttemptVerdict &verdict);
+    // Makes attempts until one succeeds or no other may follow. Returns the last answer, if any
+    // engine was asked.
+    [[nodiscard]] std::optional<ExchangeResult> attemptUntilAnswered(ForwardedStream &forwarded,
+                                                                     AttemptVerdict &verdict);
+    // Updates what the generation needs at an engine.
+    void updateDemand(ForwardedStream &forwarded) const;
+    // Returns true if some engine that has not failed the generation has room for it, besides
+    // `engine`.
+    [[nodiscard]] bool hasOtherEngine(const ForwardedStream &forwarded,
+                                      const EndpointName &engine) const;
+    // Returns how long an engine may take for the head of its answer.
+    [[nodiscard]] Millis headTimeout(ForwardedStream &forwarded, const EndpointName &engine) const;
     void forwardFailure(RequestContext &context, ExchangeResult &result);
     [[nodiscard]] std::function<bool()> abandonCheck(const ForwardedStream &forwarded) const;
 
     void forward(ForwardedStream &forwarded);
     [[nodiscard]] StreamEnd forwardUntilBreak(ForwardedStream &forwarded);
+    // Returns true if a silent engine is given up for another one.
+    [[nodiscard]] bool mayLeaveSilentEngine(ForwardedStream &forwarded);
     // Returns how a stream has ended whose engine sent all that the framing announced.
     [[nodiscard]] StreamEnd judgeEnd(ForwardedStream &forwarded);
     // Waits until the engine has answered a call to stop the generation, if there is one.
@@ -86,6 +95,14 @@
     // long or the caller has disconnected.
     [[nodiscard]] bool waitForPauseEnd(const RequestContext &context, const EndpointRecord &engine);
     [[nodiscard]] bool resumeAt(ForwardedStream &forwarded, const EndpointRecord &engine);
+    // Runs the request once more, at another engine and from the event after the last one, if the
+    // route allows that.
+    [[nodiscard]] bool runAgain(ForwardedStream &forwarded);
+    // Returns true if the engines that ran the generation and the time left allow one more run,
+    // apart from the retry budget.
+    [[nodiscard]] bool canRunAgain(ForwardedStream &forwarded);
+    // Continues with the stream of another engine, which runs the generation from now on.
+    void adopt(ForwardedStream &forwarded, net::ClientStream &&stream);
     void finish(ForwardedStream &forwarded, StreamEnd end);
 
     ServingState *m_state;
--- a/include/fescue/serving/streamforwarder.inl
+++ b/include/fescue/serving/streamforwarder.inl
@@ -26,6 +26,8 @@
 // Number of events after which a prompt is considered sound: an engine may still send the first
 // event of a prompt that crashes it.
 inline constexpr std::uint64_t eventsOfSoundPrompt = 2;
+// Smallest status by which an engine reports a fault of its own.
+inline constexpr int firstServerFault = 500;
 
 template <PlatformProtocol P>
 const EndpointView *StreamForwarder<P>::choose(const RequestContext &context,
@@ -55,9 +57,13 @@
 template <PlatformProtocol P>
 void StreamForwarder<P>::serve(RequestContext &context)
 {
-    ForwardedStream forwarded {context, std::make_shared<GenerationRun>(), {}, {}, {}, {}, {},
-                               false};
+    ForwardedStream forwarded {.context = context,
+                               .run = std::make_shared<GenerationRun>(),
+                               .resumption = ResumptionPlan(*context.route, context.position)};
+    if (context.route->isResumable)
+        forwarded.events.beginAfter(context.position);
     GenerationRun &run = *forwarded.run;
+    run.eventsBefore = context.position.value_or(0);
     run.requestId = context.caller.requestId;
     run.service = context.service;
     const EngineModel *model = context.routes->findEngineModel(context.service);
@@ -77,11 +83,11 @@
 }
 
 template <PlatformProtocol P>
-std::optional<ExchangeResult>
-StreamForwarder<P>::attempt(ForwardedStream &forwarded, const PlacementDemand &demand,
-                            AttemptPolicy &policy, AttemptVerdict &verdict)
+std::optional<ExchangeResult> StreamForwarder<P>::attempt(ForwardedStream &forwarded,
+                                                          AttemptVerdict &verdict)
 {
     RequestContext &context = forwarded.context;
+    const PlacementDemand &demand = forwarded.demand;
     const EndpointView *endpoint = choose(context, demand);
     if (endpoint == nullptr) {
         const EngineModel *model = context.routes->findEngineModel(context.service);
@@ -97,20 +103,92 @@
     forwarded.load = std::make_unique<ScopedLoad>(
         m_state->ledger, record.name, EndpointLoad {1, demand.memoryTokens, demand.prefillTokens});
     m_state->notifyPeers();
+    forwarded.prefilling = true;
     EngineSend send = makeGenerationSend(context, record);
+    send.lastEventId = forwarded.events.lastId();
     addBackup(forwarded, *endpoint, send);
     ExchangeResult result =
-        exchange<P>(*m_state, context, record, send, context.timeLeft(), abandonCheck(forwarded));
+        exchange<P>(*m_state, context, record, send, headTimeout(forwarded, record.name),
+                    abandonCheck(forwarded));
     noteAttempt(*m_state, context, record, result.outcome, result.detail);
     if (result.outcome == SendOutcome::Lost)
         m_guard->recordLoss(context, record);
-    verdict = policy.verdictAfter(result.outcome, context.timeLeft(),
-                                  [this, &context](RetryPurpose purpose) {
-                                      return m_state->tryTakeRetry(context.service, purpose);
-                                  });
+    AttemptPolicy &policy = forwarded.resumption.policy();
+    const std::uint32_t sentBefore = policy.sent();
+    // Another engine would find the same fault in the request.
+    const bool faultsRequest =
+        result.outcome == SendOutcome::Failed && result.head.status < firstServerFault;
+    verdict = policy.verdictAfter(
+        result.outcome, context.timeLeft(), [this, &context, faultsRequest](RetryPurpose purpose) {
+            return !faultsRequest && m_state->tryTakeRetry(context.service, purpose);
+        });
+    if (policy.sent() > sentBefore)
+        forwarded.resumption.recordEngine({record.name, record.incarnation});
     return result;
 }
 
+template <PlatformProtocol P>
+std::optional<ExchangeResult> StreamForwarder<P>::attemptUntilAnswered(ForwardedStream &forwarded,
+                                                                       AttemptVerdict &verdict)
+{
+    const AttemptPolicy &policy = forwarded.resumption.policy();
+    std::optional<ExchangeResult> last;
+    verdict = AttemptVerdict::RefuseNotRun;
+    do {
+        std::optional<ExchangeResult> result = attempt(forwarded, verdict);
+        if (!result)
+            break;
+        last = std::move(result);
+        forwarded.demand.excluded.insert(forwarded.run->engine.name);
+        // A run that follows another one must end before the process as well.
+        if (policy.sent() > 0 && !m_state->stop.mayTake(forwarded.context.deadline))
+            break;
+    } while (verdict == AttemptVerdict::TryAnother);
+    if (verdict == AttemptVerdict::TryAnother) {
+        const bool hasAnswer = last && last->outcome == SendOutcome::Failed;
+        verdict = hasAnswer       ? AttemptVerdict::ForwardAnswer
+            : policy.mayHaveRun() ? AttemptVerdict::FailUnknown
+                                  : AttemptVerdict::RefuseNotRun;
+    }
+    return last;
+}
+
+template <PlatformProtocol P>
+void StreamForwarder<P>::updateDemand(ForwardedStream &forwarded) const
+{
+    forwarded.demand.memoryTokens = forwarded.run->reservedTokens();
+    forwarded.demand.prefillTokens = forwarded.run->memoryTokens();
+    forwarded.demand.mostUrgent = forwarded.context.route->priority == 0;
+}
+
+template <PlatformProtocol P>
+bool StreamForwarder<P>::hasOtherEngine(const ForwardedStream &forwarded,
+                                        const EndpointName &engine) const
+{
+    const RequestContext &context = forwarded.context;
+    const EngineModel *model = context.routes->findEngineModel(context.service);
+    PlacementDemand demand = forwarded.demand;
+    demand.excluded.insert(engine);
+    const std::vector<const EndpointView *> candidates = m_state->candidates(context.service);
+    const PlacementView view = m_state->placementView(context.service);
+    return (model != nullptr ? chooseEngine(candidates, *model, view, demand, 0)
+                             : choosePlain(candidates, view, demand, 0))
+        != nullptr;
+}
+
+template <PlatformProtocol P>
+Millis StreamForwarder<P>::headTimeout(ForwardedStream &forwarded, const EndpointName &engine) const
+{
+    const RequestContext &context = forwarded.context;
+    const Millis left = context.timeLeft();
+    const std::optional<Millis> limit = forwarded.resumption.silenceLimit();
+    // This attempt is not counted yet.
+    const bool mayFollow = forwarded.resumption.policy().sent() + 1 < context.route->maxAttempts;
+    if (!limit || *limit >= left || !mayFollow || !hasOtherEngine(forwarded, engine))
+        return left;
+    return *limit;
+}
+
 template <PlatformProtocol P>
 void StreamForwarder<P>::addBackup(ForwardedStream &forwarded, const EndpointView &engine,
                                    EngineSend &send)
@@ -137,17 +215,9 @@
 bool StreamForwarder<P>::begin(ForwardedStream &forwarded)
 {
     RequestContext &context = forwarded.context;
-    AttemptPolicy policy(RouteKind::Streaming, context.route->maxAttempts);
-    PlacementDemand demand;
-    demand.memoryTokens = forwarded.run->reservedTokens();
-    demand.prefillTokens = forwarded.run->promptTokens;
-    demand.mostUrgent = context.route->priority == 0;
+    updateDemand(forwarded);
     AttemptVerdict verdict = AttemptVerdict::RefuseNotRun;
-    std::optional<ExchangeResult> result;
-    do {
-        result = attempt(forwarded, demand, policy, verdict);
-        demand.excluded.insert(forwarded.run->engine.name);
-    } while (result && verdict == AttemptVerdict::TryAnother);
+    std::optional<ExchangeResult> result = attemptUntilAnswered(forwarded, verdict);
     if (result && result->outcome == SendOutcome::Succeeded) {
         forwarded.upstream = std::move(result->stream);
         forwarded.headers = P::answerHeaders(forwarded.upstream.headers());
@@ -158,7 +228,7 @@
     } else if (verdict == AttemptVerdict::Abandon) {
         context.writer.abort();
         noteOutcome(*m_state, context, ResultCode::Cancelled, 0);
-    } else if (policy.mayHaveRun()) {
+    } else if (forwarded.resumption.policy().mayHaveRun()) {
         const SendOutcome outcome = result ? result->outcome : SendOutcome::Lost;
         refuse<P>(*m_state, context, unknownProblem(outcome, "the engine gave no answer"));
     } else if (const std::optional<net::Problem> problem = m_guard->refusal(context)) {
@@ -203,8 +273,10 @@
             end == StreamEnd::EngineLost && forwarded.run->phase == MovePhase::Running;
         if (mayBeCrash && !context.promptStarted)
             m_guard->recordLoss(context, forwarded.run->engine);
-        const bool resumed = end == StreamEnd::EngineLost && resume(forwarded);
+        const bool resumed = forwarded.resumption.isBreak(end) && resume(forwarded);
         if (!resumed) {
+            if (forwarded.resumption.isResumable() && context.writer.callerGone())
+                end = StreamEnd::CallerGone;
             finish(forwarded, end);
             return;
         }
@@ -212,8 +284,7 @@
 }
 
 template <PlatformProtocol P>
-typename StreamForwarder<P>::StreamEnd
-StreamForwarder<P>::forwardUntilBreak(ForwardedStream &forwarded)
+StreamEnd StreamForwarder<P>::forwardUntilBreak(ForwardedStream &forwarded)
 {
     RequestContext &context = forwarded.context;
     std::array<char, streamReadBytes> buf {};
@@ -221,34 +292,47 @@
         const Millis left = context.timeLeft();
         if (left <= Millis {0})
             return StreamEnd::DeadlinePassed;
-        const Result<std::size_t> n = forwarded.upstream.read(buf, left);
+        const Millis wait = std::min(left, forwarded.resumption.silenceLimit().value_or(left));
+        const Result<std::size_t> n = forwarded.upstream.read(buf, wait);
         if (!n) {
+            const bool silent = n.error().code == ResultCode::LinkSilent;
+            if (silent && wait < left && !mayLeaveSilentEngine(forwarded))
+                continue;
             context.detail = n.error().message;
-            if (n.error().code == ResultCode::LinkSilent)
-                return StreamEnd::DeadlinePassed;
+            if (silent)
+                return wait < left ? StreamEnd::EngineSilent : StreamEnd::DeadlinePassed;
             const bool callerGone = n.error().code == ResultCode::Cancelled
                 && forwarded.run->phase != MovePhase::Stopped;
             return callerGone ? StreamEnd::CallerGone : StreamEnd::EngineLost;
         }
         if (*n == 0)
             return StreamEnd::Complete;
-        if (!forwarded.events.feed(std::string_view(buf.data(), *n)))
+        const bool isSound = forwarded.events.feed(std::string_view(buf.data(), *n));
+        if (!isSound && !forwarded.resumption.isResumable())
             return StreamEnd::Malformed;
         if (!forwardReady(forwarded))
             return StreamEnd::CallerGone;
+        if (!isSound)
+            return StreamEnd::Malformed;
         if (forwarded.run->phase == MovePhase::FailingOver)
             failOver(forwarded);
     }
 }
 
 template <PlatformProtocol P>
-typename StreamForwarder<P>::StreamEnd StreamForwarder<P>::judgeEnd(ForwardedStream &forwarded)
+bool StreamForwarder<P>::mayLeaveSilentEngine(ForwardedStream &forwarded)
+{
+    return canRunAgain(forwarded) && hasOtherEngine(forwarded, forwarded.run->engine.name);
+}
+
+template <PlatformProtocol P>
+StreamEnd StreamForwarder<P>::judgeEnd(ForwardedStream &forwarded)
 {
     const GenerationRun &run = *forwarded.run;
-    if (forwarded.events.midEvent() || forwarded.events.events() == 0)
-        return StreamEnd::EngineLost;
-    if (!forwarded.upstream.bodyEndsWithConnection())
-        return StreamEnd::Complete;
+    const bool endsWithConnection = forwarded.upstream.bodyEndsWithConnection();
+    const StreamEnd end = forwarded.resumption.endOfPart(forwarded.events, endsWithConnection);
+    if (end != StreamEnd::Complete || !endsWithConnection)
+        return end;
     // An engine that stops a generation for a move closes its connection as well. It answers that
     // it runs no such generation if the stream had ended by itself before.
     waitForStopAnswer(run);
@@ -311,12 +395,13 @@
     if (!forwarded.started) {
         forwarded.started = true;
         context.firstByteAt = ServingState::now();
-        forwarded.load->prefillDone();
         const Result<void> begun =
             context.writer.startStream(forwarded.upstream.status(), forwarded.headers);
         if (!begun)
             return false;
     }
+    if (std::exchange(forwarded.prefilling, false))
+        forwarded.load->prefillDone();
     // Several first events may arrive together.
     const bool isFirst = forwarded.run->events == 0;
     forwarded.run->events = forwarded.events.events();
@@ -347,7 +432,7 @@
         if (run.destination.name != source.name && resumeAt(forwarded, source))
             return true;
     }
-    return resumeFromBackup(forwarded) || resumeFromStandbyCopy(forwarded);
+    return resumeFromBackup(forwarded) || resumeFromStandbyCopy(forwarded) || runAgain(forwarded);
 }
 
 template <PlatformProtocol P>
@@ -396,18 +481,88 @@
         forwarded.backupLoad.reset();
         return false;
     }
-    forwarded.upstream = std::move(result.stream);
-    forwarded.events.resume();
     forwarded.load = std::make_unique<ScopedLoad>(m_state->ledger, engine.name,
                                                   EndpointLoad {1, run.reservedTokens(), 0});
     m_state->notifyPeers();
     run.engine = engine;
+    forwarded.prefilling = false;
+    forwarded.resumption.policy().countResumed();
+    forwarded.resumption.recordEngine({engine.name, engine.incarnation});
+    adopt(forwarded, std::move(result.stream));
+    return true;
+}
+
+template <PlatformProtocol P>
+void StreamForwarder<P>::adopt(ForwardedStream &forwarded, net::ClientStream &&stream)
+{
+    GenerationRun &run = *forwarded.run;
+    forwarded.upstream = std::move(stream);
+    forwarded.events.resume();
     run.phase = MovePhase::Running;
     run.resume.reset();
-    ++context.moves;
+    ++forwarded.context.moves;
     run.clearStandbyCopy();
     m_mover->moveIfLeaving(forwarded.run);
     m_mover->startStandbyCopy(forwarded.run);
+}
+
+template <PlatformProtocol P>
+bool StreamForwarder<P>::canRunAgain(ForwardedStream &forwarded)
+{
+    const RequestContext &context = forwarded.context;
+    return m_state->stop.mayTake(context.deadline)
+        && forwarded.resumption.mayRunAgain(
+            context.timeLeft(), [this](const EndpointIncarnation &engine) {
+                const EndpointView *view = m_state->endpoints.find(engine.endpoint);
+                return view == nullptr || view->record.incarnation != engine.incarnation
+                    || m_state->refusingEndpoints.isPaused(ServingState::now(), engine.endpoint,
+                                                           engine.incarnation);
+            });
+}
+
+template <PlatformProtocol P>
+bool StreamForwarder<P>::runAgain(ForwardedStream &forwarded)
+{
+    RequestContext &context = forwarded.context;
+    GenerationRun &run = *forwarded.run;
+    if (!forwarded.resumption.isResumable())
+        return false;
+    const Millis begun = ServingState::now();
+    const EndpointName failed = run.engine.name;
+    m_state->health.record(begun, failed, false);
+    const bool mayRun = canRunAgain(forwarded) && m_state->tryTakeRetryForResume(run);
+    std::optional<ExchangeResult> result;
+    if (mayRun) {
+        // The engine that failed the generation, and a move away from it, have no part in it now.
+        run.phase = MovePhase::Running;
+        run.resume.reset();
+        forwarded.demand.excluded.insert(failed);
+        updateDemand(forwarded);
+        AttemptVerdict verdict = AttemptVerdict::RefuseNotRun;
+        result = attemptUntilAnswered(forwarded, verdict);
+    }
+    const bool succeeded = result && result->outcome == SendOutcome::Succeeded;
+    const std::string_view outcome = !mayRun ? std::string_view("not-allowed")
+        : !result                            ? std::string_view("no-engine")
+                                             : serving::toString(result->outcome);
+    observe::logChange("run-again",
+                       {{"id", run.requestId},
+                        {"from", failed.text()},
+                        {"endpoint", result ? run.engine.name.text() : std::string_view()},
+                        {"outcome", outcome},
+                        {"last_event", forwarded.events.lastId().value_or(0)},
+                        {"events", forwarded.events.events()},
+                        {"took_ms", (ServingState::now() - begun).count},
+                        {"left_ms", context.timeLeft().count},
+                        {"detail", context.detail}});
+    m_state->metrics.counter("fescue_streams_run_again_total", {{"outcome", std::string(outcome)}})
+        .Increment();
+    if (!succeeded)
+        return false;
+    // Without an event the caller has seen nothing of the first engine.
+    if (!forwarded.started)
+        forwarded.headers = P::answerHeaders(result->stream.headers());
+    adopt(forwarded, std::move(result->stream));
     return true;
 }
 
@@ -443,8 +598,7 @@
                 context.writer.startStream(forwarded.upstream.status(), forwarded.headers));
         const Result<void> ended = context.writer.finish();
         m_state->observeOutput(*context.route,
-                               static_cast<std::uint32_t>(forwarded.run->events)
-                                   * forwarded.run->tokensPerEvent);
+                               static_cast<std::uint32_t>(forwarded.run->producedTokens()));
         noteOutcome(*m_state, context, ended ? ResultCode::Ok : ended.error().code, status);
         return;
     }
@@ -454,9 +608,10 @@
         noteOutcome(*m_state, context, ResultCode::Cancelled, status);
         return;
     }
-    const ResultCode code = end == StreamEnd::DeadlinePassed ? ResultCode::BackEndTimeout
-        : end == StreamEnd::EngineLost                       ? ResultCode::GenerationLost
-                                                             : ResultCode::BackEndProtocol;
+    const bool late = end == StreamEnd::DeadlinePassed || end == StreamEnd::EngineSilent;
+    const ResultCode code = late       ? ResultCode::BackEndTimeout
+        : end == StreamEnd::EngineLost ? ResultCode::GenerationLost
+                                       : ResultCode::BackEndProtocol;
     m_state->health.record(ServingState::now(), forwarded.run->engine.name, false);
     forwarded.upstream.close();
     if (forwarded.started) {
@@ -464,8 +619,7 @@
         noteOutcome(*m_state, context, code, status);
         return;
     }
-    const SendOutcome outcome =
-        end == StreamEnd::DeadlinePassed ? SendOutcome::TimedOut : SendOutcome::Lost;
+    const SendOutcome outcome = late ? SendOutcome::TimedOut : SendOutcome::Lost;
     refuse<P>(*m_state, context,
               unknownProblem(outcome, "the engine's stream broke off before its first event"));
 }
--- a/src/serving/attemptpolicy.cpp
+++ b/src/serving/attemptpolicy.cpp
@@ -93,12 +93,17 @@
     case SendOutcome::Lost:
     case SendOutcome::Foreign:
     case SendOutcome::TimedOut:
-        return m_kind == RouteKind::Idempotent;
+        return m_mayRunAgain;
     default:
         return false;
     }
 }
 
+bool AttemptPolicy::mayRunAgain(Millis timeLeft) const noexcept
+{
+    return m_mayRunAgain && timeLeft >= minRetryTime && m_sent < m_maxAttempts;
+}
+
 bool AttemptPolicy::mayConnectAgain(Millis timeLeft) noexcept
 {
     return timeLeft >= minRetryTime && m_failedConnects < maxFailedConnects;
--- a/src/serving/eventsplitter.cpp
+++ b/src/serving/eventsplitter.cpp
@@ -72,7 +72,7 @@
     if (id && m_lastId) {
         if (m_resumed && *id <= *m_lastId)
             return true;
-        if (m_resumed && *id != *m_lastId + 1)
+        if ((m_resumed || m_isConsecutive) && *id != *m_lastId + 1)
             return false;
     }
     if (id) {
@@ -84,11 +84,19 @@
     return true;
 }
 
+void EventSplitter::beginAfter(std::optional<std::uint64_t> lastId) noexcept
+{
+    m_lastId = lastId;
+    m_resumed = lastId.has_value();
+    m_isConsecutive = true;
+}
+
 void EventSplitter::resume() noexcept
 {
     m_partial.clear();
     m_scanned = 0;
     m_resumed = true;
+    m_eventsBefore = m_events;
 }
 
 } // namespace fescue::serving
--- a/src/serving/generationrun.cpp
+++ b/src/serving/generationrun.cpp
@@ -16,14 +16,19 @@
 
 } // namespace
 
+std::uint64_t GenerationRun::producedTokens() const noexcept
+{
+    return (eventsBefore + events) * tokensPerEvent;
+}
+
 std::uint64_t GenerationRun::memoryTokens() const noexcept
 {
-    return promptTokens + events * tokensPerEvent;
+    return promptTokens + producedTokens();
 }
 
 std::uint64_t GenerationRun::remainingTokens() const noexcept
 {
-    const std::uint64_t produced = events * tokensPerEvent;
+    const std::uint64_t produced = producedTokens();
     const std::uint64_t overrun = produced / overrunDivisor;
     if (produced >= expectedOutputTokens)
         return overrun;
--- a/tests/platform/requestcodec_test.cpp
+++ b/tests/platform/requestcodec_test.cpp
@@ -119,6 +119,22 @@
     EXPECT_EQ(out.header("X-Request-Priority"), "1");
 }
 
+// Guards against a stream from its beginning for a caller that has pieces of it.
+TEST(RequestCodec, PositionOfACallerIsReadAndOnlyThatOfTheSystemIsSent)
+{
+    net::HttpRequest request = callerRequest();
+    EXPECT_EQ(platform::decodeCaller(request)->lastEventId, "");
+    request.headers.push_back({"Last-Event-Id", "7"});
+    EXPECT_EQ(platform::decodeCaller(request)->lastEventId, "7");
+    EngineSend send = makeSend();
+    EXPECT_EQ(countOf(platform::encodeSend(request, send), "Last-Event-Id"), 0);
+    send.lastEventId = 9;
+    const net::HttpRequest out = platform::encodeSend(request, send);
+    EXPECT_EQ(out.header("Last-Event-Id"), "9");
+    EXPECT_EQ(countOf(out, "Last-Event-Id"), 1);
+    EXPECT_EQ(countOf(out, "Kv-From"), 0);
+}
+
 TEST(RequestCodec, AnswerHeadsTellWhatRan)
 {
     EXPECT_TRUE(platform::decodeAnswerHead(503, {{"X-Not-Executed", "1"}}).notRun);
--- a/tests/serving/attemptpolicy_test.cpp
+++ b/tests/serving/attemptpolicy_test.cpp
@@ -27,6 +27,24 @@
     }
 }
 
+// Guards against losing a stream before its first event although its route lets it run again.
+TEST(AttemptPolicy, ResumableStreamIsSentAgainLikeAnIdempotentRequest)
+{
+    for (const SendOutcome outcome :
+         {SendOutcome::Failed, SendOutcome::Lost, SendOutcome::Foreign, SendOutcome::TimedOut}) {
+        AttemptPolicy policy(RouteKind::Streaming, 2, true);
+        EXPECT_EQ(verdictAfter(policy, outcome), AttemptVerdict::TryAnother);
+        EXPECT_TRUE(policy.mayRunAgain(enough));
+        EXPECT_NE(verdictAfter(policy, outcome), AttemptVerdict::TryAnother);
+        EXPECT_FALSE(policy.mayRunAgain(enough));
+        policy.discountEnded();
+        EXPECT_TRUE(policy.mayRunAgain(enough));
+        policy.countResumed();
+        EXPECT_FALSE(policy.mayRunAgain(enough));
+    }
+    EXPECT_FALSE(AttemptPolicy(RouteKind::Streaming, 2).mayRunAgain(enough));
+}
+
 TEST(AttemptPolicy, NotRunIsReportedOnlyIfItIsCertain)
 {
     AttemptPolicy shed(RouteKind::NonIdempotent, 1);
--- a/tests/serving/eventsplitter_test.cpp
+++ b/tests/serving/eventsplitter_test.cpp
@@ -56,6 +56,31 @@
     EXPECT_FALSE(splitter.feed(event(3)));
 }
 
+TEST(EventSplitter, StreamOfACallerThatCameBackBeginsAfterItsLastEvent)
+{
+    EventSplitter splitter;
+    splitter.beginAfter(2);
+    ASSERT_TRUE(splitter.feed(event(1) + event(2) + event(3) + event(4)));
+    EXPECT_EQ(splitter.ready(), event(3) + event(4));
+    EXPECT_EQ(splitter.events(), 2U);
+    splitter.resume();
+    EXPECT_EQ(splitter.eventsOfPart(), 0U);
+    ASSERT_TRUE(splitter.feed(event(5)));
+    EXPECT_EQ(splitter.eventsOfPart(), 1U);
+}
+
+// Guards against gaps and duplicates in a stream whose pieces a caller counts.
+TEST(EventSplitter, IdsOfAResumableStreamFollowEachOther)
+{
+    for (const int next : {1, 2, 4}) {
+        EventSplitter splitter;
+        splitter.beginAfter(std::nullopt);
+        ASSERT_TRUE(splitter.feed(event(1) + event(2)));
+        EXPECT_FALSE(splitter.feed(event(next)));
+        EXPECT_EQ(splitter.ready(), event(1) + event(2));
+    }
+}
+
 TEST(EventSplitter, OversizedEventIsAnError)
 {
     EventSplitter splitter;
--- /dev/null
+++ b/tests/serving/resumablestream_test.cpp
@@ -0,0 +1,376 @@
+#include "fescue/serving/requesthandler.h"
+#include "tests/net/rawengine.h"
+#include "tests/serving/onworker.h"
+#include "tests/serving/testprotocol.h"
+
+#include <algorithm>
+#include <array>
+#include <atomic>
+#include <gtest/gtest.h>
+#include <list>
+#include <sstream>
+#include <thread>
+
+namespace {
+
+using namespace fescue;
+using namespace fescue::serving;
+using Write = test::RawEngine::Write;
+
+constexpr int eventCount = 6;
+
+std::string events(int first, int last)
+{
+    std::string text;
+    for (int n = first; n <= last; ++n)
+        text += "id: " + std::to_string(n) + "\ndata: x\n\n";
+    return text;
+}
+
+std::string chunk(const std::string &text)
+{
+    std::ostringstream out;
+    out << std::hex << text.size() << "\r\n" << text << "\r\n";
+    return out.str();
+}
+
+const std::string lastChunk = "0\r\n\r\n";
+
+std::string head(const std::string &signature, const std::string &framing = "")
+{
+    return "HTTP/1.1 200 OK\r\nRequest: id-1\r\nSignature: " + signature
+        + "\r\nConnection: close\r\n" + framing + "\r\n";
+}
+
+std::string chunkedHead(const std::string &signature)
+{
+    return head(signature, "Transfer-Encoding: chunked\r\n");
+}
+
+// Returns the event after which a request wants its stream to begin; 0 for all of it.
+int positionIn(std::string_view requestHead)
+{
+    constexpr std::string_view name = "Begin-After: ";
+    const std::size_t at = requestHead.find(name);
+    return at == std::string_view::npos ? 0 : std::atoi(requestHead.data() + at + name.size());
+}
+
+// Streams of two routes, one of them resumable, in front of engines without copies of memory. The
+// engine that is asked first breaks off as its test wants; all others serve the rest.
+class ResumableStream : public testing::Test
+{
+protected:
+    // Answers a request that wants the stream after `position`.
+    using Serve = std::function<void(int position, const Write &write)>;
+
+    ResumableStream()
+        : pool(1), state(makeSettings(), pool, metrics), mover(state), handler(state, mover),
+          front(pool, {"127.0.0.1", 0}, {},
+                [this](const net::HttpRequest &request, net::ResponseWriter &writer) {
+                    handler.handle(request, writer);
+                })
+    {
+        config.version = {1};
+        for (const char *prefix : {"/resume/", "/stream/"}) {
+            Route route;
+            route.name = prefix;
+            route.host = "test";
+            route.prefix = prefix;
+            route.kind = RouteKind::Streaming;
+            route.timeout = 10_s;
+            route.targetLatency = 200_ms;
+            route.services = {{ServiceName("service"), 1}};
+            route.maxAttempts = 2;
+            route.isResumable = route.prefix == "/resume/";
+            config.routes.push_back(std::move(route));
+        }
+        ServiceSpec service;
+        service.name = ServiceName("service");
+        service.engine = EngineModel {64, 30'000, 18'432, 2'700, false, false, 4, 5_s};
+        config.services = {service};
+        EXPECT_TRUE(front.start());
+    }
+
+    ~ResumableStream() override
+    {
+        pool.stop();
+        pool.join();
+    }
+
+    static NodeSettings makeSettings()
+    {
+        NodeSettings settings;
+        settings.name = MemberName("entry");
+        settings.zone = ZoneName("north");
+        return settings;
+    }
+
+    static void serveRest(int position, const Write &write)
+    {
+        write(chunkedHead("sound") + chunk(events(position + 1, eventCount)) + lastChunk);
+    }
+
+    void addEngines(int count, const Serve &breaks, const Serve &serves = serveRest,
+                    int breaking = 1)
+    {
+        for (int n = 0; n < count; ++n) {
+            const std::string name = "e" + std::to_string(n);
+            engines.emplace_back([=, this](std::string_view requestHead, const Write &write) {
+                const int position = positionIn(requestHead);
+                const bool isBreaking = requests++ < breaking;
+                lastPosition = position;
+                if (isBreaking && restarts)
+                    list(name, engines.back().address(), Incarnation {2});
+                (isBreaking ? breaks : serves)(position, write);
+                return false;
+            });
+            list(name, engines.back().address(), Incarnation {1});
+        }
+    }
+
+    void list(const std::string &name, const net::Address &address, Incarnation incarnation)
+    {
+        EndpointRecord record;
+        record.name = EndpointName(name);
+        record.incarnation = incarnation;
+        record.service = ServiceName("service");
+        record.zone = ZoneName("north");
+        record.slots = 64;
+        record.address = address;
+        test::runOnWorker(pool, [&] { state.endpoints.listed(ServingState::now(), record); });
+    }
+
+    Result<net::HttpResponse> call(std::string target, std::vector<net::Header> headers = {})
+    {
+        Result<net::HttpResponse> response = fail(ResultCode::Internal, "not run");
+        test::runOnWorker(pool, [&] {
+            if (!state.routes)
+                EXPECT_TRUE(state.applyConfig(config));
+            net::HttpRequest request;
+            request.target = std::move(target);
+            request.headers = std::move(headers);
+            request.headers.push_back({"Request", "id-1"});
+            response = client.request(front.address(), request, 10_s);
+        });
+        return response;
+    }
+
+    net::WorkerPool pool;
+    observe::Metrics metrics;
+    ServingConfig config;
+    ServingState state;
+    GenerationMover<test::TestProtocol> mover;
+    RequestHandler<test::TestProtocol> handler;
+    net::HttpServer front;
+    net::HttpClient client;
+    std::list<test::RawEngine> engines;
+    // An engine that breaks off is listed as restarted by then.
+    bool restarts = false;
+    std::atomic<int> requests {0};
+    std::atomic<int> lastPosition {-1};
+};
+
+// Guards against pieces that come twice: a caller that comes back after its process was killed has
+// the first pieces already.
+TEST_F(ResumableStream, CallerThatComesBackGetsWhatFollowsItsLastEvent)
+{
+    addEngines(1, serveRest);
+    const Result<net::HttpResponse> response = call("/resume/x", {{"Last-Event", "4"}});
+    ASSERT_TRUE(response) << response.error().message;
+    EXPECT_EQ(response->body, events(5, eventCount));
+    EXPECT_EQ(lastPosition, 4);
+}
+
+TEST_F(ResumableStream, EarlierPiecesOfAnEngineThatBeginsAnewAreDropped)
+{
+    addEngines(1, [](int, const Write &write) { serveRest(0, write); });
+    const Result<net::HttpResponse> response = call("/resume/x", {{"Last-Event", "4"}});
+    ASSERT_TRUE(response) << response.error().message;
+    EXPECT_EQ(response->body, events(5, eventCount));
+}
+
+TEST_F(ResumableStream, CallerThatHasAllGetsAnEmptyStreamThatIsWhole)
+{
+    addEngines(1, serveRest);
+    const Result<net::HttpResponse> response = call("/resume/x", {{"Last-Event", "6"}});
+    ASSERT_TRUE(response) << response.error().message;
+    EXPECT_EQ(response->status, 200);
+    EXPECT_EQ(response->body, "");
+}
+
+// Guards against a stream that looks whole because its engine ended before the first event.
+TEST_F(ResumableStream, EmptyStreamThatEndsWithItsConnectionIsNotWhole)
+{
+    addEngines(1, [](int, const Write &write) { write(head("s")); });
+    const Result<net::HttpResponse> response = call("/resume/x", {{"Last-Event", "4"}});
+    EXPECT_TRUE(!response || response->status == 502);
+}
+
+TEST_F(ResumableStream, PositionThatCannotBeServedIsRefusedBeforeAnythingRuns)
+{
+    addEngines(1, serveRest);
+    for (const char *target : {"/resume/x", "/stream/x"}) {
+        const bool isResumable = target == std::string("/resume/x");
+        const Result<net::HttpResponse> response =
+            call(target, {{"Last-Event", isResumable ? "4th" : "4"}});
+        ASSERT_TRUE(response) << response.error().message;
+        EXPECT_EQ(response->status, 400);
+        EXPECT_NE(response->body.find("1008"), std::string::npos) << response->body;
+    }
+    EXPECT_EQ(requests, 0);
+}
+
+// Guards against joining pieces of two runs where the route does not allow it.
+TEST_F(ResumableStream, StreamOfAnotherRouteIsNeverRunAgain)
+{
+    addEngines(3,
+               [](int, const Write &write) { write(chunkedHead("first") + chunk(events(1, 2))); });
+    EXPECT_FALSE(call("/stream/x"));
+    EXPECT_EQ(requests, 1);
+}
+
+TEST_F(ResumableStream, NoMoreEnginesRunItThanTheRouteAllows)
+{
+    addEngines(
+        3,
+        [](int position, const Write &write) {
+            write(chunkedHead("s") + chunk(events(position + 1, position + 1)));
+        },
+        serveRest, 3);
+    EXPECT_FALSE(call("/resume/x"));
+    EXPECT_EQ(requests, 2);
+}
+
+// Guards against losing a stream because engines that crashed count against the route's limit.
+TEST_F(ResumableStream, EnginesThatEndedDoNotCountAgainstTheLimit)
+{
+    restarts = true;
+    addEngines(
+        3,
+        [](int position, const Write &write) {
+            write(chunkedHead("s") + chunk(events(position + 1, position + 1)));
+        },
+        serveRest, 2);
+    const Result<net::HttpResponse> response = call("/resume/x");
+    ASSERT_TRUE(response) << response.error().message;
+    EXPECT_EQ(response->body, events(1, eventCount));
+    EXPECT_EQ(requests, 3);
+}
+
+TEST_F(ResumableStream, NothingIsRunAgainWithoutBudget)
+{
+    addEngines(2, [](int, const Write &write) { write(chunkedHead("s") + chunk(events(1, 2))); });
+    test::runOnWorker(pool, [this] {
+        while (state.tryTakeRetry(ServiceName("service"))) { }
+    });
+    EXPECT_FALSE(call("/resume/x"));
+    EXPECT_EQ(requests, 1);
+}
+
+// Guards against a run that outlasts the process: the caller comes back to another one instead.
+TEST_F(ResumableStream, NothingIsRunAgainByAProcessThatStops)
+{
+    addEngines(2, [this](int, const Write &write) {
+        test::runOnWorker(pool, [this] { state.stop.begin(ServingState::now(), 1_s); });
+        write(chunkedHead("s") + chunk(events(1, 2)));
+    });
+    EXPECT_FALSE(call("/resume/x"));
+    EXPECT_EQ(requests, 1);
+}
+
+// One way in which the first engine fails, and the number of pieces that the caller has by then.
+struct Break
+{
+    const char *name;
+    std::function<void(int position, const Write &write)> serve;
+    int passed;
+};
+
+void PrintTo(const Break &value, std::ostream *out)
+{
+    *out << value.name;
+}
+
+// Long enough for an engine to count as silent.
+void staySilent()
+{
+    std::this_thread::sleep_for(std::chrono::milliseconds(1300));
+}
+
+const std::array<Break, 12> breaks {{
+    {"WithoutAnAnswer", [](int, const Write &) {}, 0},
+    {"InTheHead", [](int, const Write &write) { write("HTTP/1.1 200 OK\r\nReq"); }, 0},
+    {"FailureOfTheEngine",
+     [](int, const Write &write) {
+         write("HTTP/1.1 500 Fault\r\nRequest: id-1\r\nContent-Length: 0\r\n\r\n");
+     },
+     0},
+    {"Rejection",
+     [](int, const Write &write) {
+         write("HTTP/1.1 503 Full\r\nRequest: id-1\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n");
+     },
+     0},
+    {"ForeignSuccess",
+     [](int, const Write &write) {
+         write(head("first", "Foreign: 1\r\n") + events(1, eventCount));
+     },
+     0},
+    {"AfterTheHead", [](int, const Write &write) { write(chunkedHead("first")); }, 0},
+    {"AfterAnEvent",
+     [](int, const Write &write) { write(chunkedHead("first") + chunk(events(1, 2))); }, 2},
+    {"InsideAnEvent",
+     [](int, const Write &write) {
+         write(chunkedHead("first") + chunk(events(1, 2) + "id: 3\nda"));
+     },
+     2},
+    {"InsideAnEventWithoutALength",
+     [](int, const Write &write) { write(head("first") + events(1, 2) + "id: 3\nda"); }, 2},
+    {"IdThatDoesNotFollow",
+     [](int, const Write &write) {
+         write(chunkedHead("first") + chunk(events(1, 2) + events(4, eventCount)) + lastChunk);
+     },
+     2},
+    {"SilenceBeforeTheAnswer", [](int, const Write &) { staySilent(); }, 0},
+    {"SilenceAfterAnEvent",
+     [](int, const Write &write) {
+         write(chunkedHead("first") + chunk(events(1, 2)));
+         staySilent();
+     },
+     2},
+}};
+
+class BrokenStream : public ResumableStream, public testing::WithParamInterface<Break>
+{ };
+
+// Guards against a lost stream, and against gaps and duplicates in one that goes on: whatever the
+// first engine does, another one runs the rest within the same response, which keeps the head of
+// the first.
+TEST_P(BrokenStream, GoesOnAtAnotherEngine)
+{
+    addEngines(2, GetParam().serve);
+    const Result<net::HttpResponse> response = call("/resume/x", {{"Tokens", "1"}});
+    ASSERT_TRUE(response) << response.error().message;
+    EXPECT_EQ(response->status, 200);
+    EXPECT_EQ(response->body, events(1, eventCount));
+    EXPECT_EQ(response->header("Signature"), GetParam().passed > 0 ? "first" : "sound");
+    EXPECT_EQ(lastPosition, GetParam().passed);
+    EXPECT_EQ(requests, 2);
+}
+
+// The same for a caller that came back with its last event, at engines that begin anew.
+TEST_P(BrokenStream, GoesOnForACallerThatCameBack)
+{
+    addEngines(2, GetParam().serve, [](int, const Write &write) { serveRest(0, write); });
+    const Result<net::HttpResponse> response =
+        call("/resume/x", {{"Tokens", "1"}, {"Last-Event", "1"}});
+    ASSERT_TRUE(response) << response.error().message;
+    EXPECT_EQ(response->body, events(2, eventCount));
+    EXPECT_EQ(lastPosition, std::max(GetParam().passed, 1));
+}
+
+INSTANTIATE_TEST_SUITE_P(Breaks, BrokenStream, testing::ValuesIn(breaks),
+                         [](const testing::TestParamInfo<Break> &info) {
+                             return std::string(info.param.name);
+                         });
+
+} // namespace
--- a/tests/serving/testprotocol.h
+++ b/tests/serving/testprotocol.h
@@ -39,6 +39,7 @@
             caller.patience = Millis {std::stoll(patience)};
         if (!request.header("Tokens").empty())
             caller.generation = serving::GenerationSize {1'000, 800, 800};
+        caller.lastEventId = request.header("Last-Event");
         caller.promptParts = parseParts(request.header("Parts"));
         return caller;
     }
@@ -61,6 +62,8 @@
         net::HttpRequest out = request;
         out.freshConnection = true;
         out.headers.push_back({"Endpoint", send.endpoint.text()});
+        if (send.lastEventId)
+            out.headers.push_back({"Begin-After", std::to_string(*send.lastEventId)});
         if (send.backup)
             out.headers.push_back({"Backup", send.backup->toString()});
         if (send.resume) {
