Soak: streams that may be resumed

--resumable adds callers of a route whose streams may be resumed; they come back with their last event after a break. The ledger counts the engines that have not ended against the attempts, and finds two engines at one such stream.

--- a/tests/soak/callers.cpp
+++ b/tests/soak/callers.cpp
@@ -15,8 +15,12 @@
 constexpr Millis readGap = 60_ms;
 constexpr Millis postGap = 40_ms;
 constexpr Millis draftGap = 300_ms;
+constexpr Millis verdictGap = 120_ms;
 constexpr Millis plainPatience = 1500_ms;
 constexpr Millis draftPatience = 20_s;
+constexpr Millis verdictPatience = 6_s;
+// Pause of a caller whose stream broke off.
+constexpr Millis goOnPause = 100_ms;
 constexpr Millis resolveTimeout = 1_s;
 constexpr Millis resolvePause = 200_ms;
 // A caller reads on for this long after its deadline, so that late answers are seen.
@@ -26,6 +30,7 @@
 constexpr Millis directoryLag = 6_s;
 constexpr std::uint32_t fewestEvents = 20;
 constexpr std::uint32_t mostEvents = 160;
+constexpr std::uint32_t mostVerdictEvents = 60;
 constexpr std::size_t mostBody = 64UL * 1024;
 
 } // namespace
@@ -49,6 +54,8 @@
     pool.spawn(0, [this] { sendPeriodically(CallKind::Read, readGap); });
     pool.spawn(0, [this] { sendPeriodically(CallKind::Post, postGap); });
     pool.spawn(0, [this] { sendPeriodically(CallKind::Draft, draftGap); });
+    if (m_world->options.hasResumable)
+        pool.spawn(0, [this] { sendPeriodically(CallKind::Verdict, verdictGap); });
 }
 
 void Callers::sendPeriodically(CallKind kind, Millis meanGap)
@@ -70,15 +77,13 @@
     const std::array<std::string_view, 3> accounts {"diner", "kiosk", "coffee"};
     Order order;
     order.kind = kind;
-    order.prefix = kind == CallKind::Draft ? "/draft/"
-        : kind == CallKind::Post           ? "/post/"
-                                           : "/read/";
+    order.prefix = '/' + std::string(toString(kind)) + '/';
     if (kind == CallKind::Read && uniform() < extraPart)
         order.prefix = "/extra/";
     const std::string account(accounts[m_random() % accounts.size()]);
     order.key = (uniform() < spareKeyPart ? "spare-" : "key-") + account;
     if (uniform() < leavingPart) {
-        const double most = kind == CallKind::Draft ? 2000 : 100;
+        const double most = isStreamed(kind) ? 2000 : 100;
         order.leavesAfter = Millis {static_cast<std::int64_t>(uniform() * most)};
     }
     order.forges = uniform() < forgingPart;
@@ -141,9 +146,14 @@
     call.prefix = order.prefix;
     call.key = order.key;
     call.entry = session.entries[m_random() % session.entries.size()];
-    call.patience = order.kind == CallKind::Draft ? draftPatience : plainPatience;
-    call.events =
-        fewestEvents + static_cast<std::uint32_t>(m_random() % (mostEvents - fewestEvents));
+    call.patience = order.kind == CallKind::Draft ? draftPatience
+        : order.kind == CallKind::Verdict         ? verdictPatience
+                                                  : plainPatience;
+    const std::uint32_t most = order.kind == CallKind::Verdict ? mostVerdictEvents : mostEvents;
+    call.events = fewestEvents + static_cast<std::uint32_t>(m_random() % (most - fewestEvents));
+    if (order.events > 0)
+        call.events = order.events;
+    call.position = order.position;
     call.crashing = order.crashing;
     call.sentAt = World::now();
     perform(session, m_world->ledger.callerSends(call), order);
@@ -160,7 +170,7 @@
                        {"Authorization", std::string(names::keyScheme) + call.key}};
     if (call.kind != CallKind::Read)
         request.body = "body of " + call.id;
-    if (call.kind == CallKind::Draft) {
+    if (isStreamed(call.kind)) {
         const std::string output = std::to_string(call.events * 4);
         request.headers.push_back({"X-Model-Id", "m"});
         request.headers.push_back({std::string(names::tokens), "3000,2000"});
@@ -168,6 +178,10 @@
         request.headers.push_back(
             {std::string(names::promptParts), "a1:79," + crashing + "b" + call.id + ":2921"});
         request.headers.push_back({std::string(names::lengthHint), output});
+        if (call.position > 0) {
+            request.headers.push_back(
+                {std::string(names::lastEventId), std::to_string(call.position)});
+        }
     }
     if (order.forges) {
         request.headers.push_back({std::string(names::hold), "1"});
@@ -197,13 +211,15 @@
         return;
     }
     call.status = stream->status();
-    if (call.kind == CallKind::Draft && call.status == 200)
+    if (isStreamed(call.kind) && call.status == 200)
         readEvents(*stream, call, leaves);
     else
         readPlain(*stream, call);
     const bool refused = call.end == CallEnd::Answered && call.status == 503;
     if (refused && !order.isRetry)
         comeBack(order, stream->header("Retry-After"), call.sentAt + call.patience);
+    if (call.kind == CallKind::Verdict && call.end == CallEnd::Broken)
+        goOn(order, call);
 }
 
 void Callers::end(Call &call, CallEnd end, int status)
@@ -231,7 +247,7 @@
 {
     std::array<char, 4096> buf {};
     std::string text;
-    std::uint64_t next = 1;
+    std::uint64_t next = call.position + 1;
     const Millis until = call.sentAt + call.patience + lateReading;
     while (true) {
         if (leaves()) {
@@ -254,7 +270,7 @@
                 m_world->ledger.violation("ORDER",
                                           call.id + " got a wrong event in place of event "
                                               + std::to_string(next));
-            ++next;
+            call.position = next++;
             text.erase(0, whole + 2);
             whole = text.find("\n\n");
         }
@@ -264,6 +280,21 @@
     end(call, CallEnd::Answered, call.status);
 }
 
+void Callers::goOn(const Order &order, const Call &broken)
+{
+    if (m_world->stopping)
+        return;
+    Order again = order;
+    again.leavesAfter.reset();
+    again.position = broken.position;
+    again.events = broken.events;
+    m_world->pool.spawn(0, [this, again] {
+        net::sleepFor(goOnPause);
+        if (!m_world->stopping)
+            place(again);
+    });
+}
+
 void Callers::comeBack(const Order &order, std::string_view retryAfter, Millis deadline)
 {
     const double seconds = std::strtod(std::string(retryAfter).c_str(), nullptr);
--- a/tests/soak/callers.h
+++ b/tests/soak/callers.h
@@ -40,6 +40,9 @@
         bool crashing = false;
         bool forges = false;
         bool isRetry = false;
+        // For a stream that goes on: its last event that the caller has, and its length.
+        std::uint64_t position = 0;
+        std::uint32_t events = 0;
     };
 
     void sendPeriodically(CallKind kind, Millis meanGap);
@@ -52,6 +55,8 @@
     void readPlain(net::ClientStream &stream, Call &call);
     void readEvents(net::ClientStream &stream, Call &call, const std::function<bool()> &leaves);
     void comeBack(const Order &order, std::string_view retryAfter, Millis deadline);
+    // Asks for the rest of a stream that broke off.
+    void goOn(const Order &order, const Call &broken);
     void end(Call &call, CallEnd end, int status);
     [[nodiscard]] double uniform();
 
--- a/tests/soak/ledger.cpp
+++ b/tests/soak/ledger.cpp
@@ -237,14 +237,20 @@
 
 void Ledger::checkRuns(const Call &call)
 {
-    const std::size_t fresh = static_cast<std::size_t>(std::count_if(
-        call.runs.begin(), call.runs.end(), [](const Run &run) { return !run.resumed; }));
-    if (call.kind != CallKind::Read && fresh > 1)
+    const bool mayRepeat = mayRunAgain(call.kind);
+    const std::size_t fresh = static_cast<std::size_t>(
+        std::count_if(call.runs.begin(), call.runs.end(), [this, &call](const Run &run) {
+            // Engines that ended or were cut off do not count against the limit of attempts.
+            const bool ended = m_endpoints[run.endpoint].goneAt <= call.endedAt
+                || !m_disturbances->endpointCalm(run.endpoint, call.sentAt, call.endedAt);
+            return !run.resumed && !(call.kind == CallKind::Verdict && ended);
+        }));
+    if (!mayRepeat && fresh > 1)
         violation("TWICE", describe(call) + " ran " + std::to_string(fresh) + " times");
-    if (call.kind != CallKind::Read && promisesNotRun(call.status) && !call.runs.empty())
+    if (!mayRepeat && promisesNotRun(call.status) && !call.runs.empty())
         violation("REFUSED", describe(call) + " was refused and has run");
     constexpr std::size_t mostAttempts = 2;
-    if (call.kind == CallKind::Read && fresh > mostAttempts)
+    if (mayRepeat && fresh > mostAttempts)
         violation("BUDGET", describe(call) + " ran on too many endpoints");
 }
 
@@ -352,8 +358,9 @@
             const Run &before = call.runs[j];
             const Run &after = call.runs[i];
             const Millis limit = after.begunAt + overlapLimit;
-            const bool both = after.resumed && before.endpoint != after.endpoint
-                && before.endedAt > limit && after.endedAt > limit;
+            const bool goesOn = after.resumed || call.kind == CallKind::Verdict;
+            const bool both = goesOn && before.endpoint != after.endpoint && before.endedAt > limit
+                && after.endedAt > limit;
             if (both && m_disturbances->runsCalmly(call.entry, limit)
                 && m_disturbances->endpointCalm(before.endpoint, after.begunAt, limit)
                 && m_disturbances->endpointCalm(after.endpoint, after.begunAt, limit))
@@ -416,10 +423,8 @@
 
 std::string Ledger::describe(const Call &call) const
 {
-    const std::string_view kind = call.kind == CallKind::Read ? "read"
-        : call.kind == CallKind::Post                         ? "post"
-                                                              : "draft";
-    return std::string(kind) + ' ' + call.id + " at entry " + std::to_string(call.entry);
+    return std::string(toString(call.kind)) + ' ' + call.id + " at entry "
+        + std::to_string(call.entry);
 }
 
 } // namespace fescue::soak
--- a/tests/soak/ledger.h
+++ b/tests/soak/ledger.h
@@ -54,6 +54,8 @@
     Millis writtenAt {0};
     Millis patience {0};
     std::uint32_t events = 0;
+    // The last event that the caller has: from earlier calls when this one is sent.
+    std::uint64_t position = 0;
     // The prompt has a part that crashes each engine that begins to answer it.
     bool crashing = false;
 
--- a/tests/soak/main.cpp
+++ b/tests/soak/main.cpp
@@ -120,6 +120,8 @@
         ->check(CLI::Range(0.1, 100.0));
     app.add_option("--crashing", options.crashingShare, "share of the prompts that crash engines")
         ->check(CLI::Range(0.0, 1.0));
+    app.add_flag("--resumable", options.hasResumable,
+                 "also callers of streams that may be resumed");
     app.add_option("--out", options.folder, "folder for settings, logs and the report; emptied");
     CLI11_PARSE(app, argc, argv);
     options.duration = Millis {seconds * 1000};
--- a/tests/soak/soakconfig.cpp
+++ b/tests/soak/soakconfig.cpp
@@ -17,6 +17,7 @@
     case CallKind::Post:
         return "non_idempotent";
     case CallKind::Draft:
+    case CallKind::Verdict:
         break;
     }
     return "streaming";
@@ -24,20 +25,22 @@
 
 Json describe(const std::string &prefix, const SoakRoute &route)
 {
-    const bool draft = route.kind == CallKind::Draft;
+    const bool streamed = isStreamed(route.kind);
     Json json = {{"Name", "r" + prefix},
                  {"Host", soakHost},
                  {"Prefix", prefix},
                  {"RouteKind", kindName(route.kind)},
                  {"TimeoutMs", route.timeout.count},
-                 {"TargetLatencyMs", draft ? 1800 : 150},
-                 {"Priority", draft ? 1 : 0},
+                 {"TargetLatencyMs", streamed ? 1800 : 150},
+                 {"Priority", streamed ? 1 : 0},
                  {"Service", route.service},
-                 {"MaxAttempts", route.kind == CallKind::Read ? 2 : 1},
+                 {"MaxAttempts", mayRunAgain(route.kind) ? 2 : 1},
                  {"Anonymous", false},
-                 {"SessionAffinity", draft}};
-    if (draft)
+                 {"SessionAffinity", streamed}};
+    if (streamed)
         json["TargetItlMs"] = 180;
+    if (route.kind == CallKind::Verdict)
+        json["StreamResumption"] = true;
     return json;
 }
 
@@ -62,6 +65,21 @@
 
 } // namespace
 
+std::string_view toString(CallKind kind) noexcept
+{
+    switch (kind) {
+    case CallKind::Read:
+        return "read";
+    case CallKind::Post:
+        return "post";
+    case CallKind::Draft:
+        return "draft";
+    case CallKind::Verdict:
+        break;
+    }
+    return "verdict";
+}
+
 std::string SoakConfig::encode() const
 {
     Json json = {{"Version", version},
--- a/tests/soak/soakconfig.h
+++ b/tests/soak/soakconfig.h
@@ -25,8 +25,22 @@
     Post,
     // A generation that is streamed; runs once at most.
     Draft,
+    // A generation whose stream may be resumed.
+    Verdict,
 };
 
+[[nodiscard]] constexpr bool isStreamed(CallKind kind) noexcept
+{
+    return kind == CallKind::Draft || kind == CallKind::Verdict;
+}
+
+[[nodiscard]] constexpr bool mayRunAgain(CallKind kind) noexcept
+{
+    return kind == CallKind::Read || kind == CallKind::Verdict;
+}
+
+[[nodiscard]] std::string_view toString(CallKind kind) noexcept;
+
 struct SoakRoute
 {
     CallKind kind = CallKind::Read;
--- a/tests/soak/world.cpp
+++ b/tests/soak/world.cpp
@@ -170,7 +170,10 @@
         farm.start(firstPlainService, zones[i % zones.size()], false);
         farm.start(secondPlainService, zones[i % zones.size()], false);
     }
-    publish(firstConfig());
+    SoakConfig config = firstConfig();
+    if (options.hasResumable)
+        config.routes["/verdict/"] = {CallKind::Verdict, std::string(engineService), 6_s};
+    publish(config);
     for (std::size_t i = 0; i < entries.size(); ++i) {
         createEntry(i);
         startEntry(i);
--- a/tests/soak/world.h
+++ b/tests/soak/world.h
@@ -29,6 +29,8 @@
     double density = 1;
     // Share of the generations whose prompt crashes engines.
     double crashingShare = 0;
+    // Some callers ask for streams that may be resumed, and come back after breaks.
+    bool hasResumable = false;
     std::string program;
     std::string folder;
 };
--- a/tests/soakledger/ledger_test.cpp
+++ b/tests/soakledger/ledger_test.cpp
@@ -34,9 +34,7 @@
         Call call;
         call.id = "c" + std::to_string(++m_calls);
         call.kind = kind;
-        call.prefix = kind == CallKind::Draft ? "/draft/"
-            : kind == CallKind::Post          ? "/post/"
-                                              : "/read/";
+        call.prefix = '/' + std::string(toString(kind)) + '/';
         call.key = "key-diner";
         call.sentAt = at;
         call.patience = 10_s;
@@ -138,6 +136,36 @@
     EXPECT_EQ(broken(), Names {"TWICE"});
 }
 
+TEST_F(LedgerTest, FindsTooManyEnginesOfAResumableStream)
+{
+    Call &call = send(CallKind::Verdict);
+    for (const std::size_t endpoint : {engine, otherEngine, engine})
+        m_ledger.ends(call, m_ledger.begins(call, endpoint, false, start), start);
+    m_ledger.callerEnds(call, CallEnd::Answered, 200, start + 1_s);
+    EXPECT_EQ(broken(), Names {"BUDGET"});
+}
+
+TEST_F(LedgerTest, EnginesThatEndedDoNotCountForAResumableStream)
+{
+    Call &call = send(CallKind::Verdict);
+    for (const std::size_t endpoint : {engine, otherEngine, engine})
+        m_ledger.ends(call, m_ledger.begins(call, endpoint, false, start), start);
+    m_ledger.endpoint(otherEngine).goneAt = start;
+    m_ledger.callerEnds(call, CallEnd::Answered, 200, start + 1_s);
+    EXPECT_EQ(broken(), Names {});
+}
+
+TEST_F(LedgerTest, FindsTwoEnginesOnOneResumableStream)
+{
+    Call &call = send(CallKind::Verdict);
+    const std::size_t first = m_ledger.begins(call, engine, false, start);
+    const std::size_t second = m_ledger.begins(call, otherEngine, false, start + 1_s);
+    m_ledger.ends(call, first, start + 1_s + Ledger::overlapLimit + 1_ms);
+    m_ledger.ends(call, second, start + 3_s);
+    m_ledger.callerEnds(call, CallEnd::Answered, 200, start + 3_s);
+    EXPECT_EQ(broken(), Names {"TWICE"});
+}
+
 TEST_F(LedgerTest, AllowsTheOverlapOfAHandOver)
 {
     Call &call = send(CallKind::Draft);
