--- a/include/fescue/serving/resumptionplan.h
+++ b/include/fescue/serving/resumptionplan.h
@@ -59,18 +59,24 @@
     // nullopt if the stream may not be resumed.
     [[nodiscard]] std::optional<Millis> silenceLimit() const noexcept;
 
+    // Engines that may terminate in the course of one request. More of them may have its prompt as
+    // their cause.
+    static constexpr std::uint32_t maxEndedEngines = 2;
+
     // Returns true if another engine may run the rest of the stream. `hasEnded(engine)` tells
-    // whether an engine has terminated; such engines do not count against the route's limit. The
-    // retry budget is not part of this decision.
+    // whether an engine has terminated; such engines do not count against the route's limit, but
+    // no more than maxEndedEngines of them. The retry budget is not part of this decision.
     template <typename HasEnded>
     [[nodiscard]] bool mayRunAgain(Millis timeLeft, HasEnded hasEnded)
     {
         if (!m_isResumable)
             return false;
         std::erase_if(m_engines, [this, &hasEnded](const EndpointIncarnation &engine) {
-            const bool ended = hasEnded(engine);
-            if (ended)
+            const bool ended = m_endedEngines < maxEndedEngines && hasEnded(engine);
+            if (ended) {
+                ++m_endedEngines;
                 m_policy.discountEnded();
+            }
             return ended;
         });
         return m_policy.mayRunAgain(timeLeft);
@@ -82,6 +88,7 @@
     Millis m_silenceLimit;
     AttemptPolicy m_policy;
     std::vector<EndpointIncarnation> m_engines;
+    std::uint32_t m_endedEngines = 0;
 };
 
 } // namespace fescue::serving
--- a/include/fescue/serving/streamforwarder.h
+++ b/include/fescue/serving/streamforwarder.h
@@ -45,6 +45,10 @@
         bool prefilling = false;
     };
 
+    // Returns the engine that placement prefers, or null if none has room.
+    [[nodiscard]] const EndpointView *findEngine(const RequestContext &context,
+                                                 const PlacementDemand &demand) const;
+    // The same, and takes its share of a cold engine's limit. Returns null if that is used up.
     [[nodiscard]] const EndpointView *choose(const RequestContext &context,
                                              const PlacementDemand &demand);
     // Sends the request to engines until one answers. Sends the failure to the caller and returns
--- a/include/fescue/serving/streamforwarder.inl
+++ b/include/fescue/serving/streamforwarder.inl
@@ -30,15 +30,21 @@
 inline constexpr int firstServerFault = 500;
 
 template <PlatformProtocol P>
-const EndpointView *StreamForwarder<P>::choose(const RequestContext &context,
-                                               const PlacementDemand &demand)
+const EndpointView *StreamForwarder<P>::findEngine(const RequestContext &context,
+                                                   const PlacementDemand &demand) const
 {
     const std::vector<const EndpointView *> candidates = m_state->candidates(context.service);
     const PlacementView view = m_state->placementView(context.service);
     const EngineModel *model = context.routes->findEngineModel(context.service);
-    const EndpointView *endpoint = model != nullptr
-        ? chooseEngine(candidates, *model, view, demand, m_state->uniform())
-        : choosePlain(candidates, view, demand, m_state->uniform());
+    return model != nullptr ? chooseEngine(candidates, *model, view, demand, m_state->uniform())
+                            : choosePlain(candidates, view, demand, m_state->uniform());
+}
+
+template <PlatformProtocol P>
+const EndpointView *StreamForwarder<P>::choose(const RequestContext &context,
+                                               const PlacementDemand &demand)
+{
+    const EndpointView *endpoint = findEngine(context, demand);
     return endpoint != nullptr && m_state->tryTakeColdShare(*endpoint) ? endpoint : nullptr;
 }
 
@@ -165,15 +171,9 @@
 bool StreamForwarder<P>::hasOtherEngine(const ForwardedStream &forwarded,
                                         const EndpointName &engine) const
 {
-    const RequestContext &context = forwarded.context;
-    const EngineModel *model = context.routes->findEngineModel(context.service);
     PlacementDemand demand = forwarded.demand;
     demand.excluded.insert(engine);
-    const std::vector<const EndpointView *> candidates = m_state->candidates(context.service);
-    const PlacementView view = m_state->placementView(context.service);
-    return (model != nullptr ? chooseEngine(candidates, *model, view, demand, 0)
-                             : choosePlain(candidates, view, demand, 0))
-        != nullptr;
+    return findEngine(forwarded.context, demand) != nullptr;
 }
 
 template <PlatformProtocol P>
--- a/src/serving/requestcontext.cpp
+++ b/src/serving/requestcontext.cpp
@@ -123,6 +123,7 @@
          {"attempts", context.attempts},
          {"moves", context.moves},
          {"events", context.events},
+         {"after_event", context.position.value_or(0)},
          {"parts", describePrompt(context.caller.promptParts)},
          {"first_ms", first.count},
          {"total_ms", total.count},
--- a/tests/serving/resumablestream_test.cpp
+++ b/tests/serving/resumablestream_test.cpp
@@ -286,9 +286,9 @@
     int passed;
 };
 
-void PrintTo(const Break &value, std::ostream *out)
+std::ostream &operator<<(std::ostream &out, const Break &value)
 {
-    *out << value.name;
+    return out << value.name;
 }
 
 // Long enough for an engine to count as silent.
--- a/tests/serving/resumptionplan_test.cpp
+++ b/tests/serving/resumptionplan_test.cpp
@@ -143,6 +143,22 @@
     EXPECT_FALSE(other.mayRunAgain(1_s, firstEnded));
 }
 
+// Guards against engines that are lost one after the other to a prompt that crashes them in
+// mid-stream.
+TEST(ResumptionPlan, RequestThatManyEnginesDoNotSurviveIsNotRunAgain)
+{
+    const auto ended = [](const EndpointIncarnation &) { return true; };
+    ResumptionPlan resumption(makeRoute(true, 1), std::nullopt);
+    std::uint32_t runs = 0;
+    do {
+        ++runs;
+        static_cast<void>(resumption.policy().verdictAfter(SendOutcome::Succeeded, 1_s,
+                                                           [](RetryPurpose) { return true; }));
+        resumption.recordEngine({EndpointName("e"), {}});
+    } while (runs < 10 && resumption.mayRunAgain(1_s, ended));
+    EXPECT_EQ(runs, 1 + ResumptionPlan::maxEndedEngines);
+}
+
 // What an engine does with a request: what it begins with, how much it sends, and how it ends.
 struct EngineScript
 {
