--- a/tests/soak/entryprocess.h
+++ b/tests/soak/entryprocess.h
@@ -70,6 +70,7 @@
     [[nodiscard]] std::string logOfLife() const;
     [[nodiscard]] net::Address front() const { return {m_options.ip, frontPort}; }
     [[nodiscard]] net::Address ready() const { return {m_options.ip, readyPort}; }
+    [[nodiscard]] net::Address metrics() const { return {m_options.ip, internalPort}; }
     // The second of its internal ports, for datagrams and copies between processes.
     [[nodiscard]] net::Address peer() const
     {
