Hold requests only while they are needed, and within the budget

Cause: a string that is assigned an empty one keeps its memory, so that each kept connection held its last body outside of the budget; the addresses that forward nothing had neither a budget nor a small limit on bodies; a refused request was kept while its rest was drained; parsed fields, bodies as they grow and buffers were not counted. Change: each request has its own memory and gives it back with its answer; the parser ends before a drain; fields, capacity and large buffers count; readiness, metrics, directory and peers accept 64 KB, share the budget, and hold 5 % of the descriptors each; their long answers count.

--- a/include/fescue/serving/descriptorshare.h
+++ b/include/fescue/serving/descriptorshare.h
@@ -10,6 +10,14 @@
 [[nodiscard]] std::size_t callerConnections(std::size_t settingsLimit,
                                             std::size_t kernelLimit) noexcept;
 
+// Returns how many connections each of the addresses may hold that forward nothing.
+[[nodiscard]] std::size_t sideConnections(std::size_t settingsLimit,
+                                          std::size_t kernelLimit) noexcept;
+
+// Returns how many sockets a process may hold in all.
+[[nodiscard]] std::size_t allConnections(std::size_t settingsLimit,
+                                         std::size_t kernelLimit) noexcept;
+
 // Returns the number of descriptors that the operating system lets this process open.
 [[nodiscard]] std::size_t openFileLimit() noexcept;
 
--- a/include/fescue/serving/edgedaemon.h
+++ b/include/fescue/serving/edgedaemon.h
@@ -55,6 +55,10 @@
     void closeFront();
     void applyLimits();
     void tick();
+    // Returns the limits of the servers that forward nothing.
+    [[nodiscard]] net::ServerLimits sideLimits() const;
+    // Sends an answer whose body counts as held until the caller has taken it.
+    void sendHeld(net::ResponseWriter &writer, const net::HttpResponse &answer);
     // Returns the limits of the server for callers.
     [[nodiscard]] net::ServerLimits frontLimits(const CallerLimits &limits) const;
     // Logs from time to time how many callers were refused for want of memory or descriptors.
--- a/include/fescue/serving/edgedaemon.inl
+++ b/include/fescue/serving/edgedaemon.inl
@@ -26,6 +26,8 @@
 inline constexpr int quarantineRepeats = 2;
 // Number of ticks between two messages with all quarantine entries.
 inline constexpr std::uint64_t ticksPerQuarantineSync = 4;
+// Longest body of a request to an address that does not forward. No request there needs more.
+inline constexpr std::uint64_t maxSideBodyBytes = std::uint64_t {64} * 1024;
 // Shortest time between two log lines about callers that were refused for want of room.
 inline constexpr Millis refusalLogInterval = 1_s;
 inline constexpr Millis drainPollInterval = 50_ms;
@@ -60,8 +62,8 @@
 net::HttpServer &EdgeDaemon<P>::addServer(const net::Address &address,
                                           net::HttpServer::Handler handler)
 {
-    m_servers.push_back(std::make_unique<net::HttpServer>(*m_pool, address, net::ServerLimits {},
-                                                          std::move(handler)));
+    m_servers.push_back(
+        std::make_unique<net::HttpServer>(*m_pool, address, sideLimits(), std::move(handler)));
     m_notListening.push_back(m_servers.back().get());
     return *m_servers.back();
 }
@@ -214,8 +216,7 @@
         .Set(static_cast<double>(m_front->refusedConnections()));
     m_metrics.gauge("fescue_log_lines_dropped")
         .Set(static_cast<double>(observe::droppedLogLines()));
-    static_cast<void>(
-        writer.send({200, {{"Content-Type", "text/plain; version=0.0.4"}}, m_metrics.serialize()}));
+    sendHeld(writer, {200, {{"Content-Type", "text/plain; version=0.0.4"}}, m_metrics.serialize()});
 }
 
 template <PlatformProtocol P>
@@ -224,6 +225,28 @@
     m_front->setLimits(frontLimits(m_state.routes->config().limits));
 }
 
+template <PlatformProtocol P>
+net::ServerLimits EdgeDaemon<P>::sideLimits() const
+{
+    net::ServerLimits server;
+    server.maxConnections = sideConnections(m_state.settings.maxDescriptors, openFileLimit());
+    server.bodyBudget = m_state.bodyBudget;
+    server.maxBodyBytes = maxSideBodyBytes;
+    return server;
+}
+
+template <PlatformProtocol P>
+void EdgeDaemon<P>::sendHeld(net::ResponseWriter &writer, const net::HttpResponse &answer)
+{
+    net::ByteReservation memory(*m_state.bodyBudget);
+    if (memory.reserve(answer.body.size())) {
+        static_cast<void>(writer.send(answer));
+        return;
+    }
+    m_state.bodyBudget->countRefusal();
+    static_cast<void>(writer.send({503, {}, {}}));
+}
+
 template <PlatformProtocol P>
 net::ServerLimits EdgeDaemon<P>::frontLimits(const CallerLimits &limits) const
 {
@@ -545,7 +568,7 @@
     }
     const CopyScope scope =
         request.queryValue("part") == std::string("held") ? CopyScope::Retained : CopyScope::All;
-    static_cast<void>(writer.send({200, {}, encodeCopy(m_store.copy({*revision, *era}, scope))}));
+    sendHeld(writer, {200, {}, encodeCopy(m_store.copy({*revision, *era}, scope))});
 }
 
 template <PlatformProtocol P>
--- a/src/net/httpmessage.cpp
+++ b/src/net/httpmessage.cpp
@@ -1,5 +1,7 @@
 #include "net/httpmessage.h"
 
+#include <iterator>
+
 #include <boost/beast/core/string.hpp>
 
 namespace fescue::net {
@@ -24,6 +26,7 @@
 std::vector<Header> takeHeaders(const http::fields &fields)
 {
     std::vector<Header> headers;
+    headers.reserve(static_cast<std::size_t>(std::distance(fields.begin(), fields.end())));
     for (const http::fields::value_type &field : fields)
         headers.push_back({std::string(field.name_string()), std::string(field.value())});
     return headers;
--- a/src/net/httpserver.cpp
+++ b/src/net/httpserver.cpp
@@ -203,13 +203,17 @@
 
 void HttpServer::Shared::serveRequests(ServerConnection &connection)
 {
-    HttpRequest request;
     bool goOn = true;
-    while (goOn && connection.readRequest(request)) {
-        runHandler(request, connection);
+    while (goOn) {
+        {
+            // A string that is assigned an empty one keeps its memory, so each request has its own.
+            HttpRequest request;
+            if (!connection.readRequest(request))
+                return;
+            runHandler(request, connection);
+        }
+        connection.releaseRequest();
         goOn = connection.endRequest();
-        request = {};
-        connection.releaseBody();
         connection.setLimits(limitsNow());
     }
 }
--- a/src/net/serverconnection.cpp
+++ b/src/net/serverconnection.cpp
@@ -2,7 +2,9 @@
 
 #include "net/httpmessage.h"
 
+#include <algorithm>
 #include <array>
+#include <iterator>
 #include <string>
 
 #include <boost/beast/http/chunk_encode.hpp>
@@ -22,6 +24,10 @@
 constexpr std::size_t readBytes = 4096;
 constexpr std::size_t bodyReadBytes = 64ULL * 1024;
 constexpr std::size_t drainReadBytes = 16ULL * 1024;
+// A buffer of at most this size is part of what each connection takes.
+constexpr std::size_t keptBufferBytes = 8192;
+// Memory of one field: in the parser, in the request, and in the request that is passed on.
+constexpr std::size_t fieldBytes = 400;
 // How long a peer may go on sending before its connection is closed, and how much besides a body.
 constexpr Millis closingDrainTime = 500_ms;
 constexpr std::size_t drainBytes = 1024ULL * 1024;
@@ -87,36 +93,50 @@
     m_chunked = true;
     m_headOnly = false;
     m_version = 11;
-    m_body.reset();
+    m_memory.reset();
     m_idle = m_buffer.size() == 0;
     const bool begun = !m_idle || readMore(deadlineAfter(m_limits.idleTimeout));
     m_idle = false;
     if (!begun)
         return false;
-    Parser parser;
     {
         const CountedWhileInScope counted(m_state->receiving);
         m_isReceiving = true;
-        const bool isWhole = parseRequest(parser);
+        const bool isWhole = parseRequest();
         m_isReceiving = false;
         if (!isWhole)
             return false;
     }
-    Parser::value_type &message = parser.get();
-    m_keepAlive = parser.keep_alive();
+    takeRequest(request);
+    return true;
+}
+
+void ServerConnection::takeRequest(HttpRequest &request)
+{
+    Parser::value_type &message = m_parser->get();
+    m_keepAlive = m_parser->keep_alive();
     m_version = message.version();
     m_chunked = m_version >= 11;
     m_headOnly = message.method() == http::verb::head;
-    request = {};
     request.method = std::string(message.method_string());
     splitTarget(message.target(), request);
     request.headers = takeHeaders(message);
     request.body = std::move(message.body());
-    return true;
+    m_parser.reset();
 }
 
-bool ServerConnection::parseRequest(Parser &parser)
+void ServerConnection::releaseRequest()
 {
+    m_memory.reset();
+    if (m_buffer.capacity() > keptBufferBytes)
+        m_buffer.shrink_to_fit();
+}
+
+bool ServerConnection::parseRequest()
+{
+    m_fields = 0;
+    m_parser.emplace();
+    Parser &parser = *m_parser;
     parser.eager(true);
     parser.header_limit(m_limits.maxHeadBytes);
     parser.body_limit(m_limits.maxBodyBytes);
@@ -133,23 +153,25 @@
         }
         if (parser.is_header_done() && !isChecked) {
             isChecked = true;
-            const std::string_view fault = findRequestFault(parser.get(), parser.get().version());
+            const http::fields &fields = parser.get();
+            m_fields = static_cast<std::size_t>(std::distance(fields.begin(), fields.end()));
+            const std::string_view fault = findRequestFault(fields, parser.get().version());
             if (!fault.empty()) {
                 refuse({400, ResultCode::BadRequest, RunState::NotRun,
                         "the request is not valid HTTP: " + std::string(fault), std::nullopt});
                 return false;
             }
         }
-        if (parser.is_header_done() && !reserveBody(parser)) {
+        if (!reserveRequest()) {
             m_limits.bodyBudget->countRefusal();
             refuse({503, ResultCode::NoCapacity, RunState::NotRun,
-                    "no memory is left for the request's body", noMemoryRetryAfter});
+                    "no memory is left for the request", noMemoryRetryAfter});
             return false;
         }
         if (parser.is_done())
             return true;
         if (parser.is_header_done() && !continued && !m_partialRefusal) {
-            confirmContinue(parser);
+            confirmContinue();
             continued = true;
         }
         if (!ec && used > 0 && m_buffer.size() > 0)
@@ -177,14 +199,23 @@
         m_socket.interruptRead();
 }
 
-bool ServerConnection::reserveBody(const Parser &parser)
+bool ServerConnection::reserveRequest()
 {
     if (!m_limits.bodyBudget)
         return true;
-    if (!m_body)
-        m_body.emplace(*m_limits.bodyBudget, ByteUse::Request);
-    const std::size_t announced = parser.content_length().value_or(0);
-    return m_body->reserveUpTo(std::max(announced, parser.get().body().size()));
+    if (!m_memory)
+        m_memory.emplace(*m_limits.bodyBudget, ByteUse::Request);
+    const std::size_t buffered = m_buffer.capacity() > keptBufferBytes ? m_buffer.capacity() : 0;
+    if (!m_parser->is_header_done())
+        return m_memory->reserveUpTo(buffered);
+    if (m_parser->is_done()) {
+        // Trailers come after the count of the head.
+        const http::fields &fields = m_parser->get();
+        m_fields = static_cast<std::size_t>(std::distance(fields.begin(), fields.end()));
+    }
+    const std::size_t announced = m_parser->content_length().value_or(0);
+    const std::size_t body = std::max(announced, m_parser->get().body().capacity());
+    return m_memory->reserveUpTo(buffered + m_fields * fieldBytes + body);
 }
 
 bool ServerConnection::readMore(Millis deadline)
@@ -195,9 +226,9 @@
     return outcome.ok();
 }
 
-void ServerConnection::confirmContinue(const Parser &parser)
+void ServerConnection::confirmContinue()
 {
-    if (!http::token_list(parser.get()[http::field::expect]).exists("100-continue"))
+    if (!http::token_list(m_parser->get()[http::field::expect]).exists("100-continue"))
         return;
     constexpr std::string_view text = "HTTP/1.1 100 Continue\r\n\r\n";
     // A failure shows in the read that follows.
@@ -210,6 +241,9 @@
     // The rest of the request is read for as long as usual, so that the refusal arrives.
     m_isReceiving = false;
     m_keepAlive = false;
+    // What has arrived of it is of no more use.
+    m_parser.reset();
+    releaseRequest();
     static_cast<void>(send(problemResponse(problem)));
     closeGracefully(refusalDrainTime);
 }
--- a/src/net/serverconnection.h
+++ b/src/net/serverconnection.h
@@ -39,8 +39,9 @@
     void refusePartialRequests(const Problem &refusal);
     // Makes the current answer the last one.
     void closeAfterAnswer() noexcept { m_keepAlive = false; }
-    // Releases the memory of the last request's body, which must be gone.
-    void releaseBody() noexcept { m_body.reset(); }
+    // Releases the memory of the last request, which must be gone, and that of buffers that it
+    // made grow.
+    void releaseRequest();
     // Closes the connection so that the peer can still read what was sent: reads on for a while,
     // but keeps nothing.
     void closeGracefully();
@@ -71,14 +72,17 @@
         Failed,
     };
 
-    [[nodiscard]] bool parseRequest(Parser &parser);
-    // Reserves the memory of a body by its announced length, or else as it grows.
-    [[nodiscard]] bool reserveBody(const Parser &parser);
+    // Reads a whole request into the parser.
+    [[nodiscard]] bool parseRequest();
+    // Takes a request out of the parser, which it ends.
+    void takeRequest(HttpRequest &request);
+    // Reserves the memory of what has arrived of a request, and of a body by its announced length.
+    [[nodiscard]] bool reserveRequest();
     [[nodiscard]] bool readMore(Millis deadline);
     // Decides with the head of an answer whether the connection goes on, so that a peer that was
     // told so is never cut off with its next request.
     [[nodiscard]] bool decideKeepAlive() noexcept;
-    void confirmContinue(const Parser &parser);
+    void confirmContinue();
     void refuse(const Problem &problem);
     [[nodiscard]] Result<void> checkWritten(const IoOutcome &outcome);
     [[nodiscard]] Millis writeDeadline() const noexcept;
@@ -89,7 +93,11 @@
     bool m_isReceiving = false;
     std::optional<Problem> m_partialRefusal;
     boost::beast::flat_buffer m_buffer;
-    std::optional<ByteReservation> m_body;
+    // The request that is being read.
+    std::optional<Parser> m_parser;
+    // Fields of its head, once that is whole.
+    std::size_t m_fields = 0;
+    std::optional<ByteReservation> m_memory;
     Millis m_connectedAt = steadyNow();
     Phase m_phase = Phase::Waiting;
     bool m_keepAlive = true;
--- a/src/serving/descriptorshare.cpp
+++ b/src/serving/descriptorshare.cpp
@@ -15,6 +15,8 @@
 constexpr std::size_t ownDescriptors = 32;
 // Of the others, callers may hold this part.
 constexpr std::size_t callerPercent = 75;
+// The part that each address may hold that forwards nothing.
+constexpr std::size_t sidePercent = 5;
 constexpr std::size_t minCallerConnections = 16;
 // Used where no limit is known.
 constexpr std::size_t maxCallerConnections = 20000;
@@ -24,16 +26,32 @@
     return limit - std::min(limit, reserved);
 }
 
+std::size_t percentOf(std::size_t n, std::size_t percent) noexcept
+{
+    return n / 100 * percent + n % 100 * percent / 100;
+}
+
 } // namespace
 
+std::size_t allConnections(std::size_t settingsLimit, std::size_t kernelLimit) noexcept
+{
+    const std::size_t connections = without(kernelLimit, ownDescriptors);
+    return settingsLimit > 0 ? std::min(connections, without(settingsLimit, reservedForFiles))
+                             : connections;
+}
+
 std::size_t callerConnections(std::size_t settingsLimit, std::size_t kernelLimit) noexcept
 {
-    std::size_t connections = without(kernelLimit, ownDescriptors);
-    if (settingsLimit > 0)
-        connections = std::min(connections, without(settingsLimit, reservedForFiles));
-    const std::size_t share =
-        connections / 100 * callerPercent + connections % 100 * callerPercent / 100;
-    return std::clamp(share, minCallerConnections, maxCallerConnections);
+    const std::size_t connections = allConnections(settingsLimit, kernelLimit);
+    return std::clamp(percentOf(connections, callerPercent), minCallerConnections,
+                      maxCallerConnections);
+}
+
+std::size_t sideConnections(std::size_t settingsLimit, std::size_t kernelLimit) noexcept
+{
+    const std::size_t connections = allConnections(settingsLimit, kernelLimit);
+    return std::clamp(percentOf(connections, sidePercent), minCallerConnections,
+                      maxCallerConnections);
 }
 
 std::size_t openFileLimit() noexcept
