Connections by peer, a limit on all sockets, bounded tables of peers

Cause: the addresses that forward nothing took 20,000 connections each; connections to endpoints had no limit, so that callers and endpoints together held more than the platform allows; one IP number could hold every connection of an address; each service, endpoint and member that a datagram named was kept. Change: at the limit a peer with less than half of the connections of the largest one displaces one of those on which no request is served; sockets count over the whole process, callers wait and requests are refused with no-capacity, not run, before the platform's limit; heartbeats add at most 4,096 members, retries and refusals count for known services and endpoints only, notices about unlisted endpoints are kept up to 8,192.

--- a/include/fescue/core/membertable.h
+++ b/include/fescue/core/membertable.h
@@ -3,6 +3,7 @@
 #include "fescue/core/clock.h"
 #include "fescue/core/memberinfo.h"
 
+#include <cstddef>
 #include <map>
 #include <optional>
 #include <span>
@@ -20,6 +21,8 @@
     Millis registerAgain = 15_s;
     // A member that is gone is forgotten after this time.
     Millis forgetAfter = 60_s;
+    // Heartbeats add no member beyond this number. Several times the largest system.
+    std::size_t maxHeard = 4096;
 };
 
 // The members of the system as this process sees them: the leased keys of the store, united with
@@ -40,8 +43,9 @@
     // Records that the store does not answer. A later storeListed() ends the outage.
     void storeLost() noexcept;
 
-    // Records a heartbeat that came from the member itself.
-    void heartbeat(Millis now, const MemberInfo &member);
+    // Records a heartbeat that came from the member itself. Returns false, and records nothing, if
+    // the member is not known and there are too many.
+    bool heartbeat(Millis now, const MemberInfo &member);
 
     // Records that this process no longer has a link to the member, so that the lack of heartbeats
     // says nothing.
--- a/include/fescue/net/httpserver.h
+++ b/include/fescue/net/httpserver.h
@@ -20,6 +20,8 @@
     std::uint32_t maxHeadBytes = 16 * 1024;
     std::uint64_t maxBodyBytes = 4ULL * 1024 * 1024;
     std::size_t maxConnections = 20000;
+    // Connections of the whole process at which no more are accepted for now; no limit if 0.
+    std::size_t maxProcessSockets = 0;
     // Longest time without a request on a kept connection.
     Millis idleTimeout = 60_s;
     // Longest time from the first byte of a request to its last.
@@ -66,8 +68,12 @@
 // each connection has one fiber, which runs the handler for one request after the other.
 //
 // A malformed request is answered with 400, a head over its limit with 431, a body over its limit
-// with 413, each as problem details, and the connection is closed. So is a request for whose body
-// no memory is left, with 503 before its body is read.
+// with 413, each as problem details, and the connection is closed. So is a request for which no
+// memory is left, with 503 before its body is read.
+//
+// At the limit of connections, one more makes room for itself if its peer holds less than half as
+// many as the peer that holds most: a connection of that peer on which no request is being served
+// is closed. Otherwise it is refused with 503.
 class HttpServer
 {
 public:
@@ -105,6 +111,8 @@
     [[nodiscard]] std::size_t openConnections() const noexcept;
     // Connections that were refused because of the limit of open ones.
     [[nodiscard]] std::uint64_t refusedConnections() const noexcept;
+    // Connections that were closed to make room for those of other peers.
+    [[nodiscard]] std::uint64_t displacedConnections() const noexcept;
     // Requests whose handler has not returned.
     [[nodiscard]] std::size_t activeRequests() const noexcept;
     // Requests that have arrived in part.
--- a/include/fescue/serving/descriptorshare.h
+++ b/include/fescue/serving/descriptorshare.h
@@ -14,9 +14,18 @@
 [[nodiscard]] std::size_t sideConnections(std::size_t settingsLimit,
                                           std::size_t kernelLimit) noexcept;
 
-// Returns how many sockets a process may hold in all.
-[[nodiscard]] std::size_t allConnections(std::size_t settingsLimit,
-                                         std::size_t kernelLimit) noexcept;
+// How many connections a process may hold in all, at different uses.
+struct SocketLimits
+{
+    // At this number callers wait until others end.
+    std::size_t callers = 0;
+    // At this number the addresses that forward nothing accept no more, and requests that need a
+    // connection to an endpoint are refused.
+    std::size_t all = 0;
+};
+
+[[nodiscard]] SocketLimits socketLimits(std::size_t settingsLimit,
+                                        std::size_t kernelLimit) noexcept;
 
 // Returns the number of descriptors that the operating system lets this process open.
 [[nodiscard]] std::size_t openFileLimit() noexcept;
--- a/include/fescue/serving/edgedaemon.h
+++ b/include/fescue/serving/edgedaemon.h
@@ -61,6 +61,9 @@
     void sendHeld(net::ResponseWriter &writer, const net::HttpResponse &answer);
     // Returns the limits of the server for callers.
     [[nodiscard]] net::ServerLimits frontLimits(const CallerLimits &limits) const;
+    // Connections that were refused, and that had to make room, at all addresses.
+    [[nodiscard]] std::uint64_t refusedConnections() const;
+    [[nodiscard]] std::uint64_t displacedConnections() const;
     // Logs from time to time how many callers were refused for want of memory or descriptors.
     void logRefusals(Millis now);
     void answerPeer(const net::HttpRequest &request, net::ResponseWriter &writer);
@@ -125,10 +128,13 @@
     // Refusals for want of room that have been logged.
     std::uint64_t m_bodiesRefused = 0;
     std::uint64_t m_callersRefused = 0;
+    std::uint64_t m_displaced = 0;
     Millis m_refusalsLoggedAt {0};
     observe::Counter &m_datagramsSent = m_metrics.counter("fescue_datagrams_sent_total");
     observe::Counter &m_datagramsNotSent = m_metrics.counter("fescue_datagrams_not_sent_total");
     observe::Counter &m_datagramsMalformed = m_metrics.counter("fescue_datagrams_malformed_total");
+    observe::Counter &m_datagramsFromTooMany =
+        m_metrics.counter("fescue_datagrams_from_too_many_total");
 };
 
 } // namespace fescue::serving
--- a/include/fescue/serving/edgedaemon.inl
+++ b/include/fescue/serving/edgedaemon.inl
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "fescue/core/parsenumber.h"
+#include "fescue/net/opensockets.h"
 #include "fescue/observe/log.h"
 #include "fescue/observe/timeline.h"
 #include "fescue/serving/descriptorshare.h"
@@ -213,7 +214,11 @@
     m_metrics.gauge("fescue_caller_connections")
         .Set(static_cast<double>(m_front->openConnections()));
     m_metrics.gauge("fescue_caller_connections_refused")
-        .Set(static_cast<double>(m_front->refusedConnections()));
+        .Set(static_cast<double>(refusedConnections()));
+    m_metrics.gauge("fescue_connections_displaced")
+        .Set(static_cast<double>(displacedConnections()));
+    m_metrics.gauge("fescue_sockets").Set(static_cast<double>(net::openSockets()));
+    m_metrics.gauge("fescue_sockets_limit").Set(static_cast<double>(m_state.socketLimits.all));
     m_metrics.gauge("fescue_log_lines_dropped")
         .Set(static_cast<double>(observe::droppedLogLines()));
     sendHeld(writer, {200, {{"Content-Type", "text/plain; version=0.0.4"}}, m_metrics.serialize()});
@@ -225,11 +230,30 @@
     m_front->setLimits(frontLimits(m_state.routes->config().limits));
 }
 
+template <PlatformProtocol P>
+std::uint64_t EdgeDaemon<P>::refusedConnections() const
+{
+    std::uint64_t sum = 0;
+    for (const std::unique_ptr<net::HttpServer> &server : m_servers)
+        sum += server->refusedConnections();
+    return sum;
+}
+
+template <PlatformProtocol P>
+std::uint64_t EdgeDaemon<P>::displacedConnections() const
+{
+    std::uint64_t sum = 0;
+    for (const std::unique_ptr<net::HttpServer> &server : m_servers)
+        sum += server->displacedConnections();
+    return sum;
+}
+
 template <PlatformProtocol P>
 net::ServerLimits EdgeDaemon<P>::sideLimits() const
 {
     net::ServerLimits server;
     server.maxConnections = sideConnections(m_state.settings.maxDescriptors, openFileLimit());
+    server.maxProcessSockets = m_state.socketLimits.all;
     server.bodyBudget = m_state.bodyBudget;
     server.maxBodyBytes = maxSideBodyBytes;
     return server;
@@ -252,6 +276,7 @@
 {
     net::ServerLimits server;
     server.maxConnections = callerConnections(m_state.settings.maxDescriptors, openFileLimit());
+    server.maxProcessSockets = m_state.socketLimits.callers;
     server.bodyBudget = m_state.bodyBudget;
     server.maxHeadBytes = limits.maxHeadBytes;
     server.maxBodyBytes = limits.maxBodyBytes;
@@ -265,8 +290,10 @@
 {
     const net::ByteBudget &bodies = *m_state.bodyBudget;
     const std::uint64_t bodiesRefused = bodies.refusals();
-    const std::uint64_t callersRefused = m_front->refusedConnections();
-    const bool isNew = bodiesRefused != m_bodiesRefused || callersRefused != m_callersRefused;
+    const std::uint64_t callersRefused = refusedConnections();
+    const std::uint64_t displaced = displacedConnections();
+    const bool isNew = bodiesRefused != m_bodiesRefused || callersRefused != m_callersRefused
+        || displaced != m_displaced;
     if (!isNew || now - m_refusalsLoggedAt < refusalLogInterval)
         return;
     m_refusalsLoggedAt = now;
@@ -276,9 +303,12 @@
                         {"body_bytes_peak", bodies.peak()},
                         {"body_bytes_limit", bodies.limit()},
                         {"callers_refused", callersRefused - m_callersRefused},
-                        {"connections", m_front->openConnections()}});
+                        {"displaced", displaced - m_displaced},
+                        {"connections", m_front->openConnections()},
+                        {"sockets", net::openSockets()}});
     m_bodiesRefused = bodiesRefused;
     m_callersRefused = callersRefused;
+    m_displaced = displaced;
 }
 
 template <PlatformProtocol P>
@@ -580,12 +610,20 @@
         return;
     }
     const Millis now = ServingState::now();
-    m_state.members.heartbeat(now, gossip->member);
+    if (!m_state.members.heartbeat(now, gossip->member)) {
+        m_datagramsFromTooMany.Increment();
+        return;
+    }
     m_state.ledger.peerReported(now, gossip->member.name, gossip->loads);
-    for (const ServiceRetries &retries : gossip->retries)
-        m_state.retryBudgetOf(retries.service).peerReported(now, gossip->member.name, retries.used);
-    for (const EndpointIncarnation &endpoint : gossip->refusingEndpoints)
-        m_state.recordPeerRefusal(endpoint);
+    for (const ServiceRetries &retries : gossip->retries) {
+        if (m_state.routes != nullptr && m_state.routes->findService(retries.service) != nullptr)
+            m_state.retryBudgetOf(retries.service)
+                .peerReported(now, gossip->member.name, retries.used);
+    }
+    for (const EndpointIncarnation &endpoint : gossip->refusingEndpoints) {
+        if (m_state.endpoints.find(endpoint.endpoint) != nullptr)
+            m_state.recordPeerRefusal(endpoint);
+    }
     m_store.handlePeerConfigVersion(gossip->member.name, gossip->configVersion);
     static_cast<void>(
         applyLeavingNotices(gossip->leaving, std::nullopt, gossip->member.name.text()));
--- a/include/fescue/serving/endpointtable.h
+++ b/include/fescue/serving/endpointtable.h
@@ -31,6 +31,8 @@
     // force for this time. The platform's pages give no time for their return; this is five times
     // the one for entries.
     Millis lostOrderGrace = 10_s;
+    // Notices about endpoints that are not listed are kept up to this number of all notices.
+    std::size_t maxUnlistedNotices = 8192;
 };
 
 // How an entry of the store was received.
--- a/include/fescue/serving/requesthandler.inl
+++ b/include/fescue/serving/requesthandler.inl
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "fescue/net/opensockets.h"
+
 namespace fescue::serving {
 
 // Time limit of a request that states none, unless its route has a shorter timeout.
@@ -81,6 +83,10 @@
         return notRunProblem(*m_state, context, ResultCode::ShuttingDown,
                              "this entry is shutting down");
     }
+    if (net::openSockets() >= m_state->socketLimits.all) {
+        return notRunProblem(*m_state, context, ResultCode::NoCapacity,
+                             "no descriptor is left for a connection to an endpoint");
+    }
     return std::nullopt;
 }
 
--- a/include/fescue/serving/servingstate.h
+++ b/include/fescue/serving/servingstate.h
@@ -9,6 +9,7 @@
 #include "fescue/serving/callerrequest.h"
 #include "fescue/serving/coldratelimiter.h"
 #include "fescue/serving/coldshares.h"
+#include "fescue/serving/descriptorshare.h"
 #include "fescue/serving/endpointhealth.h"
 #include "fescue/serving/endpointpauses.h"
 #include "fescue/serving/endpointtable.h"
@@ -120,6 +121,7 @@
     // Memory for the bodies of requests, and for answers that are buffered completely before they
     // are forwarded.
     std::shared_ptr<net::ByteBudget> bodyBudget;
+    const SocketLimits socketLimits;
     ColdRateLimiter coldRateLimiter;
     ColdShares coldShares;
     LinkQueue links;
--- a/src/core/membertable.cpp
+++ b/src/core/membertable.cpp
@@ -42,10 +42,13 @@
     m_storeOut = true;
 }
 
-void MemberTable::heartbeat(Millis now, const MemberInfo &member)
+bool MemberTable::heartbeat(Millis now, const MemberInfo &member)
 {
+    if (m_entries.size() >= m_limits.maxHeard && !m_entries.contains(member.name))
+        return false;
     if (update(now, member, Source::Itself))
         m_entries[member.name].heardAt = now;
+    return true;
 }
 
 void MemberTable::stopExpecting(Millis now, const MemberName &name)
--- a/src/net/httpserver.cpp
+++ b/src/net/httpserver.cpp
@@ -1,6 +1,8 @@
 #include "fescue/net/httpserver.h"
 
 #include "fescue/net/listenerror.h"
+#include "fescue/net/opensockets.h"
+#include "net/connectiontable.h"
 #include "net/serverconnection.h"
 
 #include <algorithm>
@@ -8,7 +10,6 @@
 #include <cstdio>
 #include <mutex>
 #include <optional>
-#include <unordered_set>
 #include <vector>
 
 #include <boost/asio/ip/tcp.hpp>
@@ -56,6 +57,12 @@
     void serveRequests(ServerConnection &connection);
     void runHandler(const HttpRequest &request, ServerConnection &connection);
     void refuseConnection(ServerConnection &connection);
+    // Ends a connection of the current worker in favour of one from an IP number. Returns false
+    // where none may be ended.
+    [[nodiscard]] bool makeRoom(const std::string &ip);
+    // Calls a function with each connection of the current worker.
+    template <typename F>
+    void forEachConnection(F function) const;
     [[nodiscard]] bool mayAccept() const;
     // The limits of the next request.
     [[nodiscard]] ServerLimits limitsNow() const;
@@ -78,8 +85,9 @@
     std::atomic<std::size_t> active {0};
     ServerConnection::ServerState connectionState;
     std::atomic<std::uint64_t> refused {0};
-    // By worker; each set is used by its worker only.
-    std::vector<std::unordered_set<ServerConnection *>> connections;
+    // By worker; each table is used by its worker only.
+    std::vector<ConnectionTable> connections;
+    std::atomic<std::uint64_t> displaced {0};
 };
 
 // An accepted connection, counted as open from its acceptance on.
@@ -172,10 +180,44 @@
 
 void HttpServer::Shared::closeIdle()
 {
-    for (ServerConnection *connection : connections[currentWorker()]) {
-        if (connection->isIdle())
+    forEachConnection([](ServerConnection &connection) {
+        if (connection.isIdle())
+            connection.close();
+    });
+}
+
+template <typename F>
+void HttpServer::Shared::forEachConnection(F function) const
+{
+    for (const std::pair<const std::string, ConnectionTable::Group> &entry :
+         connections[currentWorker()].groups()) {
+        for (ServerConnection *connection : entry.second)
+            function(*connection);
+    }
+}
+
+bool HttpServer::Shared::makeRoom(const std::string &ip)
+{
+    const ConnectionTable::Group *group = connections[currentWorker()].largestBeside(ip);
+    if (group == nullptr)
+        return false;
+    const Problem problem {503, ResultCode::NoCapacity, RunState::NotRun,
+                           "too many connections are open", 1_s};
+    ServerConnection *receiving = nullptr;
+    for (ServerConnection *connection : *group) {
+        if (connection->isIdle()) {
             connection->close();
+            displaced.fetch_add(1);
+            return true;
+        }
+        if (connection->isReceiving())
+            receiving = connection;
     }
+    if (receiving == nullptr)
+        return false;
+    receiving->refusePartialRequests(problem);
+    displaced.fetch_add(1);
+    return true;
 }
 
 void HttpServer::Shared::serve(tcp::socket socket)
@@ -184,12 +226,13 @@
     ServerConnection connection(TcpSocket(std::move(socket)), now, connectionState);
     if (const std::optional<Problem> refusal = partialRefusal())
         connection.refusePartialRequests(*refusal);
-    if (open > now.maxConnections) {
+    const std::string ip = connection.remoteAddress().ip;
+    if (open > now.maxConnections && !makeRoom(ip)) {
         refuseConnection(connection);
         return;
     }
-    std::unordered_set<ServerConnection *> &registry = connections[currentWorker()];
-    registry.insert(&connection);
+    ConnectionTable &registry = connections[currentWorker()];
+    registry.insert(ip, &connection);
     try {
         serveRequests(connection);
     } catch (const WorkerStopped &) {
@@ -198,7 +241,7 @@
         std::fprintf(stderr, "a connection to %s failed: %s\n", listen.toString().c_str(),
                      e.what());
     }
-    registry.erase(&connection);
+    registry.erase(ip, &connection);
 }
 
 void HttpServer::Shared::serveRequests(ServerConnection &connection)
@@ -253,8 +296,10 @@
 
 bool HttpServer::Shared::mayAccept() const
 {
-    const std::size_t most = limitsNow().maxConnections;
-    return open <= most + most / refusingDivisor;
+    const ServerLimits now = limitsNow();
+    const std::size_t most = now.maxConnections;
+    const bool hasSocket = now.maxProcessSockets == 0 || openSockets() < now.maxProcessSockets;
+    return hasSocket && open <= most + most / refusingDivisor;
 }
 
 void HttpServer::Shared::refuseConnection(ServerConnection &connection)
@@ -321,12 +366,13 @@
         m_shared->refusalOfPartial = refusal;
     }
     for (std::size_t i = 0; i < m_shared->pool.size(); ++i) {
-        asio::post(m_shared->pool.context(i), [weak = std::weak_ptr<Shared>(m_shared), i, refusal] {
+        asio::post(m_shared->pool.context(i), [weak = std::weak_ptr<Shared>(m_shared), refusal] {
             const std::shared_ptr<Shared> shared = weak.lock();
             if (!shared)
                 return;
-            for (ServerConnection *connection : shared->connections[i])
-                connection->refusePartialRequests(refusal);
+            shared->forEachConnection([&refusal](ServerConnection &connection) {
+                connection.refusePartialRequests(refusal);
+            });
         });
     }
 }
@@ -353,12 +399,11 @@
 void HttpServer::closeConnections()
 {
     for (std::size_t i = 0; i < m_shared->pool.size(); ++i) {
-        asio::post(m_shared->pool.context(i), [weak = std::weak_ptr<Shared>(m_shared), i] {
+        asio::post(m_shared->pool.context(i), [weak = std::weak_ptr<Shared>(m_shared)] {
             const std::shared_ptr<Shared> shared = weak.lock();
             if (!shared)
                 return;
-            for (ServerConnection *connection : shared->connections[i])
-                connection->close();
+            shared->forEachConnection([](ServerConnection &connection) { connection.close(); });
         });
     }
 }
@@ -373,6 +418,11 @@
     return m_shared->refused;
 }
 
+std::uint64_t HttpServer::displacedConnections() const noexcept
+{
+    return m_shared->displaced;
+}
+
 std::size_t HttpServer::activeRequests() const noexcept
 {
     return m_shared->active;
--- a/src/net/serverconnection.h
+++ b/src/net/serverconnection.h
@@ -50,6 +50,9 @@
     // True while no byte of a request has come since the last answer.
     [[nodiscard]] bool isIdle() { return m_idle && !m_socket.readable(); }
 
+    // True while a request arrives in part.
+    [[nodiscard]] bool isReceiving() const noexcept { return m_isReceiving; }
+
     Result<void> send(const HttpResponse &response);
     Result<void> startStream(int status, std::span<const Header> headers);
     Result<void> write(std::string_view data);
--- a/src/net/tcpsocket.cpp
+++ b/src/net/tcpsocket.cpp
@@ -1,5 +1,8 @@
 #include "net/tcpsocket.h"
 
+#include "fescue/net/opensockets.h"
+
+#include <atomic>
 #include <utility>
 
 #include <boost/asio/ip/address.hpp>
@@ -14,6 +17,28 @@
 namespace asio = boost::asio;
 using asio::ip::tcp;
 
+namespace {
+
+std::atomic<std::size_t> socketCount {0};
+
+} // namespace
+
+std::size_t openSockets() noexcept
+{
+    return socketCount;
+}
+
+CountedSocket::CountedSocket() noexcept
+{
+    socketCount.fetch_add(1);
+}
+
+void CountedSocket::release() noexcept
+{
+    if (std::exchange(m_isCounted, false))
+        socketCount.fetch_sub(1);
+}
+
 TcpSocket::TcpSocket(tcp::socket socket) : m_socket(std::move(socket))
 {
     prepare();
@@ -116,6 +141,7 @@
 {
     boost::system::error_code ignored;
     m_socket.close(ignored);
+    m_count.release();
 }
 
 Address TcpSocket::remoteAddress() const
--- a/src/net/tcpsocket.h
+++ b/src/net/tcpsocket.h
@@ -46,6 +46,23 @@
     return outcome;
 }
 
+// Counts a socket of this process from its construction until it is released.
+class CountedSocket
+{
+public:
+    CountedSocket() noexcept;
+    ~CountedSocket() { release(); }
+    CountedSocket(CountedSocket &&other) noexcept
+        : m_isCounted(std::exchange(other.m_isCounted, false))
+    { }
+    CountedSocket &operator=(CountedSocket &&) = delete;
+
+    void release() noexcept;
+
+private:
+    bool m_isCounted = true;
+};
+
 // A connected TCP socket of the current worker, used by at most one reading and one writing fiber.
 class TcpSocket
 {
@@ -83,6 +100,7 @@
     [[nodiscard]] IoOutcome waitWritable(Millis deadline);
 
     boost::asio::ip::tcp::socket m_socket;
+    CountedSocket m_count;
     bool m_readInterrupted = false;
 };
 
--- a/src/serving/descriptorshare.cpp
+++ b/src/serving/descriptorshare.cpp
@@ -15,6 +15,10 @@
 constexpr std::size_t ownDescriptors = 32;
 // Of the others, callers may hold this part.
 constexpr std::size_t callerPercent = 75;
+// Sockets of this process that are not counted as connections, and room for its own calls.
+constexpr std::size_t ownSockets = 16;
+// The part that callers leave to connections to endpoints.
+constexpr std::size_t beyondCallersPercent = 6;
 // The part that each address may hold that forwards nothing.
 constexpr std::size_t sidePercent = 5;
 constexpr std::size_t minCallerConnections = 16;
@@ -31,8 +35,6 @@
     return n / 100 * percent + n % 100 * percent / 100;
 }
 
-} // namespace
-
 std::size_t allConnections(std::size_t settingsLimit, std::size_t kernelLimit) noexcept
 {
     const std::size_t connections = without(kernelLimit, ownDescriptors);
@@ -40,6 +42,14 @@
                              : connections;
 }
 
+} // namespace
+
+SocketLimits socketLimits(std::size_t settingsLimit, std::size_t kernelLimit) noexcept
+{
+    const std::size_t all = without(allConnections(settingsLimit, kernelLimit), ownSockets);
+    return {all - percentOf(all, beyondCallersPercent), all};
+}
+
 std::size_t callerConnections(std::size_t settingsLimit, std::size_t kernelLimit) noexcept
 {
     const std::size_t connections = allConnections(settingsLimit, kernelLimit);
--- a/src/serving/endpointtable.cpp
+++ b/src/serving/endpointtable.cpp
@@ -55,8 +55,11 @@
     // A notice of an earlier incarnation may arrive late.
     if (recorded != m_notices.end() && recorded->second.incarnation >= notice.incarnation)
         return false;
-    m_notices[notice.endpoint] = {notice.incarnation, now};
     const auto it = m_endpoints.find(notice.endpoint);
+    if (it == m_endpoints.end() && recorded == m_notices.end()
+        && m_notices.size() >= m_limits.maxUnlistedNotices)
+        return false;
+    m_notices[notice.endpoint] = {notice.incarnation, now};
     if (it == m_endpoints.end() || it->second.record.incarnation != notice.incarnation)
         return false;
     const bool wasNotLeaving = !it->second.leaving();
--- a/src/serving/loadledger.cpp
+++ b/src/serving/loadledger.cpp
@@ -52,6 +52,11 @@
 void LoadLedger::peerReported(Millis now, const MemberName &peer,
                               std::vector<EndpointLoadEntry> loads)
 {
+    if (!m_peers.contains(peer)) {
+        std::erase_if(m_peers, [now](const std::pair<const MemberName, PeerLoads> &entry) {
+            return now - entry.second.at > peerLifetime;
+        });
+    }
     m_peers[peer] = {now, std::move(loads)};
 }
 
--- a/src/serving/servingstate.cpp
+++ b/src/serving/servingstate.cpp
@@ -64,6 +64,7 @@
     : settings(std::move(nodeSettings)), pool(workerPool), metrics(processMetrics),
       engineClient(engineClientLimits()),
       bodyBudget(std::make_shared<net::ByteBudget>(bodyMemoryOf(settings))),
+      socketLimits(serving::socketLimits(settings.maxDescriptors, openFileLimit())),
       coldShares(settings.name), members(memberLimits()), m_random(std::random_device {}())
 { }
 
--- a/src/serving/sharedretrybudget.cpp
+++ b/src/serving/sharedretrybudget.cpp
@@ -30,6 +30,11 @@
 
 void SharedRetryBudget::peerReported(Millis now, const MemberName &peer, std::uint32_t used)
 {
+    if (!m_peers.contains(peer)) {
+        std::erase_if(m_peers, [now](const std::pair<const MemberName, PeerUse> &entry) {
+            return now - entry.second.at > peerLifetime;
+        });
+    }
     m_peers[peer] = {now, used};
 }
 
