--- a/src/net/serverconnection.cpp
+++ b/src/net/serverconnection.cpp
@@ -4,7 +4,6 @@
 
 #include <algorithm>
 #include <array>
-#include <iterator>
 #include <string>
 
 #include <boost/beast/http/chunk_encode.hpp>
@@ -28,6 +27,8 @@
 constexpr std::size_t keptBufferBytes = 8192;
 // Memory of one field: in the parser, in the request, and in the request that is passed on.
 constexpr std::size_t fieldBytes = 400;
+// A head's bytes are held this many times, as parts of it are kept in a decoded form.
+constexpr std::size_t headCopies = 8;
 // How long a peer may go on sending before its connection is closed, and how much besides a body.
 constexpr Millis closingDrainTime = 500_ms;
 constexpr std::size_t drainBytes = 1024ULL * 1024;
@@ -52,6 +53,15 @@
             "the request is not valid HTTP: " + ec.message(), std::nullopt};
 }
 
+// Returns the memory that a head takes until its request has been answered.
+std::size_t memoryOf(const http::request_header<> &head)
+{
+    std::size_t bytes = head.target().size() * headCopies;
+    for (const http::fields::value_type &field : head)
+        bytes += fieldBytes + (field.name_string().size() + field.value().size()) * headCopies;
+    return bytes;
+}
+
 // Counts one while it exists, also where an exception leaves its scope.
 class CountedWhileInScope
 {
@@ -134,7 +144,7 @@
 
 bool ServerConnection::parseRequest()
 {
-    m_fields = 0;
+    m_headMemory = 0;
     m_parser.emplace();
     Parser &parser = *m_parser;
     parser.eager(true);
@@ -154,7 +164,7 @@
         if (parser.is_header_done() && !isChecked) {
             isChecked = true;
             const http::fields &fields = parser.get();
-            m_fields = static_cast<std::size_t>(std::distance(fields.begin(), fields.end()));
+            m_headMemory = memoryOf(parser.get());
             const std::string_view fault = findRequestFault(fields, parser.get().version());
             if (!fault.empty()) {
                 refuse({400, ResultCode::BadRequest, RunState::NotRun,
@@ -209,13 +219,12 @@
     if (!m_parser->is_header_done())
         return m_memory->reserveUpTo(buffered);
     if (m_parser->is_done()) {
-        // Trailers come after the count of the head.
-        const http::fields &fields = m_parser->get();
-        m_fields = static_cast<std::size_t>(std::distance(fields.begin(), fields.end()));
+        // Trailers come after the head.
+        m_headMemory = memoryOf(m_parser->get());
     }
     const std::size_t announced = m_parser->content_length().value_or(0);
     const std::size_t body = std::max(announced, m_parser->get().body().capacity());
-    return m_memory->reserveUpTo(buffered + m_fields * fieldBytes + body);
+    return m_memory->reserveUpTo(buffered + m_headMemory + body);
 }
 
 bool ServerConnection::readMore(Millis deadline)
--- a/src/net/serverconnection.h
+++ b/src/net/serverconnection.h
@@ -98,8 +98,8 @@
     boost::beast::flat_buffer m_buffer;
     // The request that is being read.
     std::optional<Parser> m_parser;
-    // Fields of its head, once that is whole.
-    std::size_t m_fields = 0;
+    // Memory that its head takes, once that is whole.
+    std::size_t m_headMemory = 0;
     std::optional<ByteReservation> m_memory;
     Millis m_connectedAt = steadyNow();
     Phase m_phase = Phase::Waiting;
--- a/tests/core/membertable_test.cpp
+++ b/tests/core/membertable_test.cpp
@@ -106,6 +106,21 @@
     EXPECT_EQ(table.state(2_ms, nameA), MemberState::Live);
 }
 
+// Answers datagrams that each name another sender.
+TEST(MemberTable, HeartbeatsOfStrangersAddNoMoreThanTheLimit)
+{
+    MemberLimits limits;
+    limits.maxHeard = 2;
+    MemberTable table(limits);
+    EXPECT_TRUE(table.heartbeat(0_ms, makeMember("a")));
+    EXPECT_TRUE(table.heartbeat(0_ms, makeMember("b")));
+    EXPECT_FALSE(table.heartbeat(0_ms, makeMember("c")));
+    EXPECT_TRUE(table.heartbeat(1_ms, makeMember("a")));
+    table.storeWritten(1_ms, makeMember("c"));
+    EXPECT_TRUE(table.heartbeat(2_ms, makeMember("c")));
+    EXPECT_EQ(table.count(2_ms), 3U);
+}
+
 TEST(MemberTable, ForgetsThoseLongGone)
 {
     MemberTable table;
--- a/tests/net/http_test.cpp
+++ b/tests/net/http_test.cpp
@@ -397,6 +397,56 @@
     });
 }
 
+// Answers a crowd from one IP number that holds all connections.
+TEST(HttpServerTest, CallerOfAnotherIpNumberDisplacesAnIdleConnection)
+{
+    constexpr std::size_t mostConnections = 4;
+    WorkerPool pool(1);
+    ServerLimits limits;
+    limits.maxConnections = mostConnections;
+    HttpServer server(pool, anyPort, limits, [](const HttpRequest &, ResponseWriter &writer) {
+        static_cast<void>(writer.send({}));
+    });
+    ASSERT_TRUE(server.start());
+    asio::io_context context;
+    std::vector<tcp::socket> crowd;
+    for (std::size_t i = 0; i < mostConnections; ++i) {
+        crowd.emplace_back(context, tcp::endpoint(asio::ip::make_address("127.0.0.2"), 0));
+        crowd.back().connect({asio::ip::make_address(server.address().ip), server.address().port});
+    }
+    while (server.openConnections() < mostConnections)
+        runOn(pool, 0, [] { sleepFor(1_ms); });
+    HttpClient client;
+    runOn(pool, 0, [&] {
+        const Result<HttpResponse> served = client.request(server.address(), {}, 5_s);
+        ASSERT_TRUE(served) << served.error().toString();
+        EXPECT_EQ(served->status, 200);
+    });
+    EXPECT_EQ(server.displacedConnections(), 1U);
+    EXPECT_EQ(server.refusedConnections(), 0U);
+}
+
+// Guards against a refused request that is held while its rest is drained.
+TEST_F(HttpTest, RefusedRequestIsNotHeldWhileItIsDrained)
+{
+    ServerLimits limited = limits();
+    limited.bodyBudget = std::make_shared<ByteBudget>(400'000);
+    limited.maxBodyBytes = 80'000;
+    m_server.setLimits(limited);
+    asio::io_context context;
+    tcp::socket socket(context);
+    socket.connect({asio::ip::make_address(m_server.address().ip), m_server.address().port});
+    const std::string request = "POST /echo HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n11170\r\n"
+        + std::string(70'000, 'x') + "\r\n11170\r\n";
+    asio::write(socket, asio::buffer(request));
+    std::array<char, 12> status {};
+    asio::read(socket, asio::buffer(status));
+    EXPECT_EQ(std::string_view(status.data(), status.size()), "HTTP/1.1 413");
+    EXPECT_GT(limited.bodyBudget->peak(), 0U);
+    EXPECT_EQ(limited.bodyBudget->used(), 0U);
+    EXPECT_EQ(m_server.openConnections(), 1U);
+}
+
 TEST(HttpServerTest, CallerThatLeavesIsNoticed)
 {
     std::promise<void> noticed;
--- a/tests/serving/descriptorshare_test.cpp
+++ b/tests/serving/descriptorshare_test.cpp
@@ -25,4 +25,14 @@
     EXPECT_EQ(callerConnections(0, 0), 16U);
 }
 
+TEST(DescriptorShare, AllAddressesTogetherLeaveRoomForEndpoints)
+{
+    const SocketLimits limits = socketLimits(4100, unlimited);
+    EXPECT_EQ(limits.all, 3884U);
+    EXPECT_EQ(limits.callers, 3651U);
+    EXPECT_LT(callerConnections(4100, unlimited), limits.callers);
+    EXPECT_EQ(sideConnections(4100, unlimited), 195U);
+    EXPECT_EQ(sideConnections(100, unlimited), 16U);
+}
+
 } // namespace fescue::serving
