Soak: crowds of clients outside the limits, from seed 2000 on

Change: a sixth draw with one kind; earlier seeds keep their faults. FaultPlan.DrawsEveryKind takes seeds from 2000 on for all kinds and checks in addition that seeds from 1000 on draw the kinds of before and no others.

--- a/tests/soak/faultplan.cpp
+++ b/tests/soak/faultplan.cpp
@@ -64,6 +64,7 @@
     "stop-beside-leaving-endpoints",
     "stop-beside-large-bodies",
     "pause-in-stop",
+    "client-crowd",
 };
 
 // Faults begin once the system has served for a moment.
@@ -82,6 +83,8 @@
 constexpr std::uint64_t fourthDrawSeed = 0x8cb92ba72f3d8dd7;
 constexpr Millis fifthDrawGap = 2_s;
 constexpr std::uint64_t fifthDrawSeed = 0xa0761d6478bd642f;
+constexpr Millis sixthDrawGap = 3_s;
+constexpr std::uint64_t sixthDrawSeed = 0xe7037ed1a0b428db;
 
 // Draws faults of the kinds from `first` on, `kinds` of them.
 std::vector<Fault> draw(std::mt19937_64 &random, double meanGap, std::size_t first,
@@ -133,7 +136,9 @@
     drawMore(thirdDrawSeed, thirdDrawGap, secondDrawKinds, thirdDrawKinds);
     drawMore(fourthDrawSeed, fourthDrawGap, thirdDrawKinds, fourthDrawKinds);
     if (seed >= firstSeedOfStops)
-        drawMore(fifthDrawSeed, fifthDrawGap, fourthDrawKinds, faultKinds);
+        drawMore(fifthDrawSeed, fifthDrawGap, fourthDrawKinds, fifthDrawKinds);
+    if (seed >= firstSeedOfCrowds)
+        drawMore(sixthDrawSeed, sixthDrawGap, fifthDrawKinds, faultKinds);
     std::stable_sort(faults.begin(), faults.end(),
                      [](const Fault &a, const Fault &b) { return a.at < b.at; });
     return faults;
--- a/tests/soak/faultplan.h
+++ b/tests/soak/faultplan.h
@@ -65,8 +65,9 @@
     StopBesideLeavingEndpoints,
     StopBesideLargeBodies,
     PauseInStop,
+    ClientCrowdComes,
 };
-inline constexpr std::size_t faultKinds = static_cast<std::size_t>(FaultKind::PauseInStop) + 1;
+inline constexpr std::size_t faultKinds = static_cast<std::size_t>(FaultKind::ClientCrowdComes) + 1;
 // Kinds of the first draw, of the first two and so on. Later ones are drawn beside them, so that
 // the faults of a seed that once failed stay the same.
 inline constexpr std::size_t firstDrawKinds = static_cast<std::size_t>(FaultKind::ZoneOut) + 1;
@@ -75,7 +76,10 @@
 inline constexpr std::size_t thirdDrawKinds =
     static_cast<std::size_t>(FaultKind::StoreComesBackOlder) + 1;
 inline constexpr std::size_t fourthDrawKinds = static_cast<std::size_t>(FaultKind::OddEntries) + 1;
+inline constexpr std::size_t fifthDrawKinds = static_cast<std::size_t>(FaultKind::PauseInStop) + 1;
 
+// The first seed with crowds of clients outside the limits, beside all other faults.
+inline constexpr std::uint64_t firstSeedOfCrowds = 2000;
 // The first seed with faults of the fifth draw and with endpoints whose work is long at times.
 inline constexpr std::uint64_t firstSeedOfStops = 1000;
 
--- a/tests/soak/injector.cpp
+++ b/tests/soak/injector.cpp
@@ -1,9 +1,11 @@
 #include "tests/soak/injector.h"
 
 #include "platform/names.h"
+#include "tests/clients/clientscripts.h"
 
 #include <algorithm>
 #include <csignal>
+#include <memory>
 
 namespace fescue::soak {
 
@@ -15,6 +17,7 @@
 constexpr Millis zoneOutExtra = 7_s;
 constexpr Millis replacementPause = 2_s;
 constexpr Millis reuseAfter = 2_s;
+constexpr std::size_t crowdClients = 60;
 constexpr Millis shortestNotice = 1500_ms;
 // Some endpoints serve on for many seconds after they have given notice.
 constexpr Millis longestExtraNotice = 6500_ms;
@@ -56,7 +59,9 @@
 
 void Injector::apply(const Fault &fault)
 {
-    if (fault.kind >= FaultKind::EntryAddressHeld)
+    if (fault.kind == FaultKind::ClientCrowdComes)
+        sendCrowd(fault);
+    else if (fault.kind >= FaultKind::EntryAddressHeld)
         m_stops.apply(fault);
     else if (fault.kind == FaultKind::StoreComesBackOlder)
         rewindStore(fault);
@@ -415,4 +420,23 @@
     });
 }
 
+void Injector::sendCrowd(const Fault &fault)
+{
+    const EntryProcess &process = *m_world->entries[fault.target % m_world->entries.size()].process;
+    const std::size_t kind = fault.target / 4096 % test::clientKinds;
+    const auto script = [kind](test::Door door) {
+        return test::scriptOf(static_cast<test::ClientKind>(kind), door);
+    };
+    const std::shared_ptr<test::ClientCrowd> crowd = std::make_shared<test::ClientCrowd>(
+        std::vector<test::ClientCrowd::Target> {
+            {process.front(), script(test::Door::NoRoute)},
+            {process.ready(), script(test::Door::Ready)},
+            {process.directory(), script(test::Door::Directory)},
+            {process.metrics(), script(test::Door::Metrics)},
+            {process.peer(), script(test::Door::Peer)}},
+        crowdClients);
+    // The end of the crowd closes its connections.
+    after(fault.lasts, [crowd] {});
+}
+
 } // namespace fescue::soak
--- a/tests/soak/injector.h
+++ b/tests/soak/injector.h
@@ -39,6 +39,8 @@
     void writeOddEntries(const Fault &fault);
     // Endpoints that live write their entries again where the store lacks them.
     void registerLiveEndpoints();
+    // Clients outside the limits come to addresses of an entry that forward nothing.
+    void sendCrowd(const Fault &fault);
     // Runs `over` when the fault is over.
     void after(Millis span, std::function<void()> over);
 
--- a/tests/soakledger/ledger_test.cpp
+++ b/tests/soakledger/ledger_test.cpp
@@ -395,10 +395,18 @@
 {
     std::vector<bool> seen(faultKinds);
     for (std::uint64_t seed = 1; seed <= 50; ++seed) {
-        for (const Fault &fault : drawFaults(firstSeedOfStops + seed, 20_s))
+        for (const Fault &fault : drawFaults(firstSeedOfCrowds + seed, 20_s))
             seen[static_cast<std::size_t>(fault.kind)] = true;
     }
     EXPECT_EQ(std::count(seen.begin(), seen.end(), true), static_cast<int>(faultKinds));
+    std::vector<bool> seenBefore(faultKinds);
+    for (std::uint64_t seed = 1; seed <= 50; ++seed) {
+        for (const Fault &fault : drawFaults(firstSeedOfStops + seed, 20_s))
+            seenBefore[static_cast<std::size_t>(fault.kind)] = true;
+    }
+    EXPECT_EQ(std::count(seenBefore.begin(), seenBefore.begin() + fifthDrawKinds, true),
+              static_cast<int>(fifthDrawKinds));
+    EXPECT_EQ(std::count(seenBefore.begin() + fifthDrawKinds, seenBefore.end(), true), 0);
 }
 
 // Guards against a later draw that changes the faults of seeds that failed before it.
