--- a/include/fescue/serving/streamforwarder.h
+++ b/include/fescue/serving/streamforwarder.h
@@ -27,6 +27,15 @@
     void serve(RequestContext &context);
 
 private:
+    // What is known of an engine that sends nothing.
+    struct SilenceWatch
+    {
+        Millis heardAt {0};
+        // When the engine was last asked for its state.
+        Millis askedAt {0};
+        bool isUnresponsive = false;
+    };
+
     // A generation while its stream is forwarded.
     struct ForwardedStream
     {
@@ -43,6 +52,13 @@
         bool started = false;
         // The engine that runs the generation still reads its prompt.
         bool prefilling = false;
+        // Of the engine that runs the generation; null for streams that may not be resumed.
+        std::shared_ptr<SilenceWatch> silence;
+
+        [[nodiscard]] bool foundSilent() const noexcept
+        {
+            return silence && silence->isUnresponsive && !context.writer.callerGone();
+        }
     };
 
     // Returns the engine that placement prefers, or null if none has room.
@@ -71,15 +87,19 @@
     // `engine`.
     [[nodiscard]] bool hasOtherEngine(const ForwardedStream &forwarded,
                                       const EndpointName &engine) const;
-    // Returns how long an engine may take for the head of its answer.
-    [[nodiscard]] Millis headTimeout(ForwardedStream &forwarded, const EndpointName &engine) const;
+    // Returns a check that is true once `abandoned` is, or once an engine has sent nothing for the
+    // time that the stream allows, does not answer for itself, and another one has room. Streams
+    // that may not be resumed are not watched.
+    [[nodiscard]] std::function<bool()> silenceCheck(ForwardedStream &forwarded,
+                                                     const EndpointRecord &engine,
+                                                     std::function<bool()> abandoned);
+    // Asks an engine for its state. Returns false if it gives no answer.
+    [[nodiscard]] bool isResponsive(const EndpointRecord &engine);
     void forwardFailure(RequestContext &context, ExchangeResult &result);
     [[nodiscard]] std::function<bool()> abandonCheck(const ForwardedStream &forwarded) const;
 
     void forward(ForwardedStream &forwarded);
     [[nodiscard]] StreamEnd forwardUntilBreak(ForwardedStream &forwarded);
-    // Returns true if a silent engine is given up for another one.
-    [[nodiscard]] bool mayLeaveSilentEngine(ForwardedStream &forwarded);
     // Returns how a stream has ended whose engine sent all that the framing announced.
     [[nodiscard]] StreamEnd judgeEnd(ForwardedStream &forwarded);
     // Waits until the engine has answered a call to stop the generation, if there is one.
--- a/include/fescue/serving/streamforwarder.inl
+++ b/include/fescue/serving/streamforwarder.inl
@@ -113,9 +113,12 @@
     EngineSend send = makeGenerationSend(context, record);
     send.lastEventId = forwarded.events.lastId();
     addBackup(forwarded, *endpoint, send);
-    ExchangeResult result =
-        exchange<P>(*m_state, context, record, send, headTimeout(forwarded, record.name),
-                    abandonCheck(forwarded));
+    ExchangeResult result = exchange<P>(*m_state, context, record, send, context.timeLeft(),
+                                        silenceCheck(forwarded, record, abandonCheck(forwarded)));
+    if (result.outcome == SendOutcome::CallerGone && forwarded.foundSilent()) {
+        result.outcome = SendOutcome::TimedOut;
+        result.detail = "the engine is silent and does not answer for itself";
+    }
     noteAttempt(*m_state, context, record, result.outcome, result.detail);
     if (result.outcome == SendOutcome::Lost)
         m_guard->recordLoss(context, record);
@@ -177,16 +180,42 @@
 }
 
 template <PlatformProtocol P>
-Millis StreamForwarder<P>::headTimeout(ForwardedStream &forwarded, const EndpointName &engine) const
+std::function<bool()> StreamForwarder<P>::silenceCheck(ForwardedStream &forwarded,
+                                                       const EndpointRecord &engine,
+                                                       std::function<bool()> abandoned)
 {
-    const RequestContext &context = forwarded.context;
-    const Millis left = context.timeLeft();
     const std::optional<Millis> limit = forwarded.resumption.silenceLimit();
-    // This attempt is not counted yet.
-    const bool mayFollow = forwarded.resumption.policy().sent() + 1 < context.route->maxAttempts;
-    if (!limit || *limit >= left || !mayFollow || !hasOtherEngine(forwarded, engine))
-        return left;
-    return *limit;
+    if (!limit)
+        return abandoned;
+    forwarded.silence = std::make_shared<SilenceWatch>();
+    const std::shared_ptr<SilenceWatch> watch = forwarded.silence;
+    watch->heardAt = ServingState::now();
+    return [this, &forwarded, watch, engine, limit = *limit, abandoned = std::move(abandoned)] {
+        if (abandoned())
+            return true;
+        const Millis now = ServingState::now();
+        const bool mayLeave = now - std::max(watch->heardAt, watch->askedAt) > limit
+            && hasOtherEngine(forwarded, engine.name);
+        if (mayLeave) {
+            watch->askedAt = now;
+            m_state->pool.spawn(net::currentWorker(), [this, watch, engine] {
+                const bool responsive = isResponsive(engine);
+                watch->isUnresponsive = !responsive && watch->heardAt < watch->askedAt;
+            });
+        }
+        return watch->isUnresponsive;
+    };
+}
+
+template <PlatformProtocol P>
+bool StreamForwarder<P>::isResponsive(const EndpointRecord &engine)
+{
+    const Result<net::HttpResponse> answer =
+        callEndpoint<P>(*m_state, engine, P::encodeReportCall(), reportTimeout);
+    if (!answer && outcomeOf(answer.error()) == SendOutcome::Refused)
+        m_state->recordRefusedConnection(engine);
+    // Nothing is sent to an engine that asked for a pause.
+    return answer || answer.error().code == ResultCode::BackEndRefused;
 }
 
 template <PlatformProtocol P>
@@ -292,21 +321,21 @@
         const Millis left = context.timeLeft();
         if (left <= Millis {0})
             return StreamEnd::DeadlinePassed;
-        const Millis wait = std::min(left, forwarded.resumption.silenceLimit().value_or(left));
-        const Result<std::size_t> n = forwarded.upstream.read(buf, wait);
+        const Result<std::size_t> n = forwarded.upstream.read(buf, left);
         if (!n) {
-            const bool silent = n.error().code == ResultCode::LinkSilent;
-            if (silent && wait < left && !mayLeaveSilentEngine(forwarded))
-                continue;
             context.detail = n.error().message;
-            if (silent)
-                return wait < left ? StreamEnd::EngineSilent : StreamEnd::DeadlinePassed;
+            if (n.error().code == ResultCode::LinkSilent)
+                return StreamEnd::DeadlinePassed;
+            if (n.error().code == ResultCode::Cancelled && forwarded.foundSilent())
+                return StreamEnd::EngineSilent;
             const bool callerGone = n.error().code == ResultCode::Cancelled
                 && forwarded.run->phase != MovePhase::Stopped;
             return callerGone ? StreamEnd::CallerGone : StreamEnd::EngineLost;
         }
         if (*n == 0)
             return StreamEnd::Complete;
+        if (forwarded.silence)
+            forwarded.silence->heardAt = ServingState::now();
         const bool isSound = forwarded.events.feed(std::string_view(buf.data(), *n));
         if (!isSound && !forwarded.resumption.isResumable())
             return StreamEnd::Malformed;
@@ -319,12 +348,6 @@
     }
 }
 
-template <PlatformProtocol P>
-bool StreamForwarder<P>::mayLeaveSilentEngine(ForwardedStream &forwarded)
-{
-    return canRunAgain(forwarded) && hasOtherEngine(forwarded, forwarded.run->engine.name);
-}
-
 template <PlatformProtocol P>
 StreamEnd StreamForwarder<P>::judgeEnd(ForwardedStream &forwarded)
 {
@@ -466,7 +489,7 @@
     net::ResponseWriter &writer = context.writer;
     ExchangeResult result =
         exchange<P>(*m_state, context, engine, send, std::min(resumeTimeout, context.timeLeft()),
-                    [&writer] { return writer.callerGone(); });
+                    silenceCheck(forwarded, engine, [&writer] { return writer.callerGone(); }));
     observe::logChange("resume",
                        {{"id", run.requestId},
                         {"endpoint", engine.name.text()},
