Learn the pace of engines and place generations by it

Cause: a third of the engines of a deployment work at 1.3 to 1.6 times the time of the others and do not say so; placement took them for equal, so that prompts waited behind others at slow engines while fast ones were idle. Change: processes sample the events of their generations, report them with their loads, and compare engines with the mean. The priority in force decides about the reserve: that of the account goes before that of the route. Only for services whose requests have different priorities. Not measured yet.

--- a/include/fescue/serving/edgedaemon.inl
+++ b/include/fescue/serving/edgedaemon.inl
@@ -281,6 +281,7 @@
         m_state.members.purge(now);
         const std::vector<MemberView> members = m_state.members.members(now);
         m_state.coldShares.recordMembers(now, members);
+        m_state.updatePaces();
         m_state.health.purge(now);
         m_state.coldRateLimiter.purge(now);
         for (EndpointPauses *pauses :
--- a/include/fescue/serving/generationrun.h
+++ b/include/fescue/serving/generationrun.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "fescue/serving/endpointrecord.h"
+#include "fescue/serving/enginepace.h"
 #include "fescue/serving/enginesend.h"
 #include "fescue/serving/loadledger.h"
 #include "fescue/serving/moveplan.h"
@@ -88,6 +89,8 @@
 public:
     void add(const GenerationRunPtr &run) { m_runs[run->requestId] = run; }
     void remove(const GenerationRunPtr &run);
+    // Returns how far each generation has come.
+    [[nodiscard]] std::vector<RunProgress> progress() const;
     [[nodiscard]] std::vector<GenerationRunPtr> runsAt(const EndpointName &endpoint) const;
     // Returns the engines that run generations of this process.
     [[nodiscard]] std::vector<EndpointRecord> engines() const;
--- a/include/fescue/serving/loadledger.h
+++ b/include/fescue/serving/loadledger.h
@@ -18,6 +18,10 @@
     std::uint64_t memoryTokens = 0;
     // Tokens of prompts whose first output has not arrived.
     std::uint64_t prefillTokens = 0;
+    // Recent progress of the generations: the number of events that they produced, and the sum of
+    // the times in milliseconds that each of them took.
+    std::uint64_t progressEvents = 0;
+    std::uint64_t progressMillis = 0;
 
     EndpointLoad &operator+=(const EndpointLoad &other) noexcept;
     EndpointLoad &operator-=(const EndpointLoad &other) noexcept;
@@ -57,6 +61,9 @@
 
     void add(const EndpointName &endpoint, const EndpointLoad &load);
     void subtract(const EndpointName &endpoint, const EndpointLoad &load);
+    // Replaces the recent progress of this process' generations by endpoint. Other fields of the
+    // entries are ignored.
+    void setProgress(std::span<const EndpointLoadEntry> progress);
     // Replaces the last report of a peer.
     void peerReported(Millis now, const MemberName &peer, std::vector<EndpointLoadEntry> loads);
 
@@ -94,7 +101,12 @@
         std::map<EndpointName, EndpointLoad> loads;
     };
 
+    // Returns the load from this process with the progress of its generations.
+    [[nodiscard]] std::map<EndpointName, EndpointLoad> ownLoads() const;
+
     std::map<EndpointName, EndpointLoad> m_own;
+    // Only the progress fields are set.
+    std::map<EndpointName, EndpointLoad> m_ownProgress;
     std::map<MemberName, PeerLoads> m_peers;
     std::map<ZoneName, ZoneSum> m_zones;
 };
--- a/include/fescue/serving/placement.h
+++ b/include/fescue/serving/placement.h
@@ -4,6 +4,7 @@
 #include "fescue/serving/coldshares.h"
 #include "fescue/serving/endpointhealth.h"
 #include "fescue/serving/endpointtable.h"
+#include "fescue/serving/enginepace.h"
 #include "fescue/serving/loadledger.h"
 #include "fescue/serving/servingconfig.h"
 
@@ -28,10 +29,14 @@
     Millis now {0};
     // Large system: processes of other availability zones do not report their loads individually.
     bool isLarge = false;
+    // Learned paces of engines; null if all engines count as equally fast.
+    const EnginePace *paces = nullptr;
 
     // Returns false if an endpoint is cold and the share of this process in its cold limit is used
     // up.
     [[nodiscard]] bool hasColdShareLeft(const EndpointView &endpoint) const;
+    // Returns the time that an engine takes for its work, as a multiple of the mean of all engines.
+    [[nodiscard]] double slowness(const EndpointName &engine) const;
     // Returns true if the load on the endpoints of an availability zone is known to this process.
     [[nodiscard]] bool isZoneLoadKnown(const ZoneName &other) const;
     // Returns the part of an endpoint's cost that its availability zone causes, in milliseconds of
--- a/include/fescue/serving/requestcontext.h
+++ b/include/fescue/serving/requestcontext.h
@@ -55,6 +55,10 @@
 // Returns the fields that are added to every request sent to an endpoint.
 [[nodiscard]] EngineSend makeSend(const RequestContext &context, const EndpointRecord &endpoint);
 
+// Returns the priority of the request: that of its account, or of its route if the account has
+// none.
+[[nodiscard]] int priorityInForce(const RequestContext &context) noexcept;
+
 // Returns the fields for a generation request: those of makeSend() and the priority of its account,
 // or of its route if the account has none.
 [[nodiscard]] EngineSend makeGenerationSend(const RequestContext &context,
--- a/include/fescue/serving/routetable.h
+++ b/include/fescue/serving/routetable.h
@@ -3,6 +3,7 @@
 #include "fescue/serving/servingconfig.h"
 
 #include <memory>
+#include <set>
 #include <string_view>
 #include <unordered_map>
 
@@ -28,11 +29,19 @@
     // Returns the properties of a service's engines, or null if it has no model engines.
     [[nodiscard]] const EngineModel *findEngineModel(const ServiceName &service) const;
 
+    // Returns true if requests of different priorities share the engines of a service.
+    [[nodiscard]] bool hasPriorities(const ServiceName &service) const
+    {
+        return m_withPriorities.contains(service);
+    }
+
     // Picks the service for one request to a route by weight; `uniform` is a random number in
     // [0, 1).
     [[nodiscard]] static const ServiceName &pickService(const Route &route, double uniform);
 
 private:
+    void collectPriorities();
+
     // The key is the host, a line break and the path prefix.
     using RouteIndex = std::unordered_map<std::string, const Route *>;
 
@@ -40,6 +49,7 @@
     RouteIndex m_routes;
     std::unordered_map<std::string, const AccountSpec *> m_accounts;
     std::unordered_map<ServiceName, const ServiceSpec *> m_services;
+    std::set<ServiceName> m_withPriorities;
 };
 
 using RouteTablePtr = std::shared_ptr<const RouteTable>;
--- a/include/fescue/serving/servingstate.h
+++ b/include/fescue/serving/servingstate.h
@@ -12,6 +12,7 @@
 #include "fescue/serving/endpointhealth.h"
 #include "fescue/serving/endpointpauses.h"
 #include "fescue/serving/endpointtable.h"
+#include "fescue/serving/enginepace.h"
 #include "fescue/serving/enginesend.h"
 #include "fescue/serving/generationrun.h"
 #include "fescue/serving/loadledger.h"
@@ -57,6 +58,9 @@
     // processes would use too much of their links and processors.
     [[nodiscard]] bool isLarge() const;
 
+    // Samples the progress of this process' generations, and updates the learned paces of engines
+    // from it and from the reports of other processes.
+    void updatePaces();
     [[nodiscard]] PlacementView placementView(const ServiceName &service);
     // Returns the endpoints of a service that may receive new requests.
     [[nodiscard]] std::vector<const EndpointView *> candidates(const ServiceName &service) const;
@@ -110,6 +114,8 @@
     RouteTablePtr routes;
     EndpointTable endpoints;
     LoadLedger ledger;
+    EnginePace paces;
+    ProgressSampler progress;
     EndpointHealth health;
     // Pauses that endpoints asked this process for.
     EndpointPauses pauses;
--- a/include/fescue/serving/streamforwarder.inl
+++ b/include/fescue/serving/streamforwarder.inl
@@ -141,7 +141,7 @@
     PlacementDemand demand;
     demand.memoryTokens = forwarded.run->reservedTokens();
     demand.prefillTokens = forwarded.run->promptTokens;
-    demand.mostUrgent = context.route->priority == 0;
+    demand.mostUrgent = priorityInForce(context) == 0;
     AttemptVerdict verdict = AttemptVerdict::RefuseNotRun;
     std::optional<ExchangeResult> result;
     do {
--- a/src/serving/generationrun.cpp
+++ b/src/serving/generationrun.cpp
@@ -47,6 +47,15 @@
         m_runs.erase(it);
 }
 
+std::vector<RunProgress> RunRegistry::progress() const
+{
+    std::vector<RunProgress> progress;
+    progress.reserve(m_runs.size());
+    for (const std::pair<const std::string, GenerationRunPtr> &entry : m_runs)
+        progress.push_back({entry.first, entry.second->engine.name, entry.second->events});
+    return progress;
+}
+
 std::vector<GenerationRunPtr> RunRegistry::runsAt(const EndpointName &endpoint) const
 {
     std::vector<GenerationRunPtr> runs;
--- a/src/serving/gossip.cpp
+++ b/src/serving/gossip.cpp
@@ -39,9 +39,15 @@
 Json encodeLoads(std::span<const EndpointLoadEntry> loads)
 {
     Json list = Json::array();
-    for (const EndpointLoadEntry &entry : loads)
-        list.push_back({entry.endpoint.text(), entry.load.requests, entry.load.memoryTokens,
-                        entry.load.prefillTokens});
+    for (const EndpointLoadEntry &entry : loads) {
+        const EndpointLoad &load = entry.load;
+        Json row = {entry.endpoint.text(), load.requests, load.memoryTokens, load.prefillTokens};
+        if (load.progressEvents > 0) {
+            row.push_back(load.progressEvents);
+            row.push_back(load.progressMillis);
+        }
+        list.push_back(std::move(row));
+    }
     return list;
 }
 
@@ -49,9 +55,16 @@
 {
     std::vector<EndpointLoadEntry> loads;
     for (const Json &entry : list) {
-        loads.push_back({EndpointName(entry.at(0).get<std::string>()),
-                         {numberAt<std::uint32_t>(entry, 1), numberAt<std::uint64_t>(entry, 2),
-                          numberAt<std::uint64_t>(entry, 3)}});
+        EndpointLoad load {numberAt<std::uint32_t>(entry, 1), numberAt<std::uint64_t>(entry, 2),
+                           numberAt<std::uint64_t>(entry, 3)};
+        // Missing if there was no progress, and from processes of the previous release.
+        constexpr std::size_t eventsField = 4;
+        constexpr std::size_t millisField = 5;
+        if (entry.size() > millisField) {
+            load.progressEvents = numberAt<std::uint64_t>(entry, eventsField);
+            load.progressMillis = numberAt<std::uint64_t>(entry, millisField);
+        }
+        loads.push_back({EndpointName(entry.at(0).get<std::string>()), load});
     }
     return loads;
 }
--- a/src/serving/loadledger.cpp
+++ b/src/serving/loadledger.cpp
@@ -23,6 +23,8 @@
     requests += other.requests;
     memoryTokens += other.memoryTokens;
     prefillTokens += other.prefillTokens;
+    progressEvents += other.progressEvents;
+    progressMillis += other.progressMillis;
     return *this;
 }
 
@@ -31,6 +33,8 @@
     requests -= other.requests;
     memoryTokens -= other.memoryTokens;
     prefillTokens -= other.prefillTokens;
+    progressEvents -= other.progressEvents;
+    progressMillis -= other.progressMillis;
     return *this;
 }
 
@@ -49,6 +53,24 @@
         m_own.erase(it);
 }
 
+void LoadLedger::setProgress(std::span<const EndpointLoadEntry> progress)
+{
+    m_ownProgress.clear();
+    for (const EndpointLoadEntry &entry : progress) {
+        EndpointLoad &own = m_ownProgress[entry.endpoint];
+        own.progressEvents += entry.load.progressEvents;
+        own.progressMillis += entry.load.progressMillis;
+    }
+}
+
+std::map<EndpointName, EndpointLoad> LoadLedger::ownLoads() const
+{
+    std::map<EndpointName, EndpointLoad> loads = m_own;
+    for (const std::pair<const EndpointName, EndpointLoad> &entry : m_ownProgress)
+        loads[entry.first] += entry.second;
+    return loads;
+}
+
 void LoadLedger::peerReported(Millis now, const MemberName &peer,
                               std::vector<EndpointLoadEntry> loads)
 {
@@ -61,6 +83,9 @@
     const auto it = m_own.find(endpoint);
     if (it != m_own.end())
         sum = it->second;
+    const auto progress = m_ownProgress.find(endpoint);
+    if (progress != m_ownProgress.end())
+        sum += progress->second;
     for (const std::pair<const MemberName, PeerLoads> &peer : m_peers) {
         if (now - peer.second.at > peerLifetime)
             continue;
@@ -99,7 +124,7 @@
 
 std::vector<EndpointLoadEntry> LoadLedger::sum(Millis now) const
 {
-    std::map<EndpointName, EndpointLoad> sums = m_own;
+    std::map<EndpointName, EndpointLoad> sums = ownLoads();
     for (const std::pair<const MemberName, PeerLoads> &peer : m_peers) {
         if (now - peer.second.at > peerLifetime)
             continue;
@@ -138,7 +163,7 @@
 
 std::vector<EndpointLoadEntry> LoadLedger::own() const
 {
-    return listOf(m_own);
+    return listOf(ownLoads());
 }
 
 ScopedLoad::ScopedLoad(LoadLedger &ledger, EndpointName endpoint, const EndpointLoad &load)
--- a/src/serving/placement.cpp
+++ b/src/serving/placement.cpp
@@ -68,6 +68,13 @@
     return static_cast<double>(load.memoryTokens + demand.memoryTokens) / memory;
 }
 
+// Returns the time until the prompt has been processed behind those that wait at the engine, in
+// milliseconds.
+double prefillDelay(const EndpointLoad &load, const PlacementDemand &demand)
+{
+    return static_cast<double>(load.prefillTokens + demand.prefillTokens) / prefillTokensPerMilli;
+}
+
 bool hasRoom(const EndpointLoad &load, const EngineModel &model, const PlacementDemand &demand)
 {
     const double limit = demand.mostUrgent ? urgentFillLimit : memoryFillLimit;
@@ -109,6 +116,11 @@
         || coldRateLimiter.wouldTake(now, name, coldShares.share(now, name, coldPerSecond));
 }
 
+double PlacementView::slowness(const EndpointName &engine) const
+{
+    return paces == nullptr ? 1 : paces->slowness(now, engine);
+}
+
 bool PlacementView::isZoneLoadKnown(const ZoneName &other) const
 {
     return !isLarge || other == zone || ledger.hasRecentZoneReport(now, other);
@@ -182,17 +194,17 @@
         if (!hasRoom(load, model, demand))
             return std::numeric_limits<double>::infinity();
         const double filled = memoryFillRatio(load, model, demand);
-        const double prefill =
-            static_cast<double>(load.prefillTokens + demand.prefillTokens) / prefillTokensPerMilli;
+        const double slowness = view.slowness(endpoint.record.name);
+        const double prefill = prefillDelay(load, demand);
         // An engine whose load is unknown may be full.
         const std::uint32_t others =
             view.isZoneLoadKnown(endpoint.record.zone) ? load.requests : model.slots;
         const double delayOfOthers = others * runningRequestDelayWeight
             * static_cast<double>(demand.prefillTokens) / idlePrefillTokensPerMilli;
         const double scarce = std::max(filled - scarceMemoryFill, 0.0);
-        return commonCost(endpoint, view, uniform) + prefill + delayOfOthers
-            + load.requests * stepDelayCostPerRequest + filled * filled * fullMemoryCost
-            + scarce * scarceMemoryCost;
+        return commonCost(endpoint, view, uniform)
+            + slowness * (prefill + delayOfOthers + load.requests * stepDelayCostPerRequest)
+            + filled * filled * fullMemoryCost + scarce * scarceMemoryCost;
     });
 }
 
--- a/src/serving/requestcontext.cpp
+++ b/src/serving/requestcontext.cpp
@@ -51,11 +51,16 @@
     return send;
 }
 
+int priorityInForce(const RequestContext &context) noexcept
+{
+    const bool fromAccount = context.account != nullptr && context.account->priority;
+    return fromAccount ? *context.account->priority : context.route->priority;
+}
+
 EngineSend makeGenerationSend(const RequestContext &context, const EndpointRecord &endpoint)
 {
     EngineSend send = makeSend(context, endpoint);
-    const bool fromAccount = context.account != nullptr && context.account->priority;
-    send.priority = fromAccount ? *context.account->priority : context.route->priority;
+    send.priority = priorityInForce(context);
     return send;
 }
 
--- a/src/serving/routetable.cpp
+++ b/src/serving/routetable.cpp
@@ -1,5 +1,6 @@
 #include "fescue/serving/routetable.h"
 
+#include <map>
 #include <utility>
 
 namespace fescue::serving {
@@ -33,6 +34,26 @@
     }
     for (const ServiceSpec &service : m_config.services)
         m_services.emplace(service.name, &service);
+    collectPriorities();
+}
+
+void RouteTable::collectPriorities()
+{
+    std::map<ServiceName, std::set<int>> priorities;
+    for (const Route &route : m_config.routes) {
+        for (const WeightedService &choice : route.services) {
+            std::set<int> &known = priorities[choice.service];
+            known.insert(route.priority);
+            for (const AccountSpec &account : m_config.accounts) {
+                if (account.priority)
+                    known.insert(*account.priority);
+            }
+        }
+    }
+    for (const std::pair<const ServiceName, std::set<int>> &entry : priorities) {
+        if (entry.second.size() > 1)
+            m_withPriorities.insert(entry.first);
+    }
 }
 
 const Route *RouteTable::findRoute(std::string_view host, std::string_view path) const
--- a/src/serving/servingstate.cpp
+++ b/src/serving/servingstate.cpp
@@ -103,10 +103,27 @@
     return members.count(now()) > maxMembersForFullGossip;
 }
 
+void ServingState::updatePaces()
+{
+    const Millis time = now();
+    ledger.setProgress(progress.sample(time, runs.progress()));
+    for (const std::pair<const EndpointName, EndpointView> &entry : endpoints.all())
+        paces.observe(time, entry.first, ledger.total(time, entry.first));
+    paces.purge(time);
+}
+
 PlacementView ServingState::placementView(const ServiceName &service)
 {
-    return {ledger,        health, coldRateLimiter, coldShares, coldLimitOf(service),
-            settings.zone, now(),  isLarge()};
+    const bool learnsPaces = routes && routes->hasPriorities(service);
+    return {ledger,
+            health,
+            coldRateLimiter,
+            coldShares,
+            coldLimitOf(service),
+            settings.zone,
+            now(),
+            isLarge(),
+            learnsPaces ? &paces : nullptr};
 }
 
 std::vector<const EndpointView *> ServingState::candidates(const ServiceName &service) const
