Order generations that compete for engines; log why a generation is not moved

Cause: the reserve looked at the route alone, nobody waited in order. Change: less urgent generations leave an engine alone while prompts wait there and start when they are due; callers who come back count as having waited.

--- a/include/fescue/serving/generationmover.h
+++ b/include/fescue/serving/generationmover.h
@@ -67,6 +67,8 @@
     // generations, before the engine terminates.
     [[nodiscard]] bool copyFitsBeforeEnd(const GenerationRun &run, const EndpointView &source,
                                          const EngineModel &model);
+    // Logs why a generation is not moved although its engine leaves, if the reason is new.
+    void noteNotMoved(GenerationRun &run, const EndpointView &source, std::string_view reason);
     void move(const GenerationRunPtr &run);
     [[nodiscard]] NextStep moveOnce(const GenerationRunPtr &run, const EndpointView &source,
                                     PlacementDemand &demand);
--- a/include/fescue/serving/generationmover.inl
+++ b/include/fescue/serving/generationmover.inl
@@ -282,6 +282,24 @@
                     copyTime(model, run.memoryTokens(), true));
 }
 
+template <PlatformProtocol P>
+void GenerationMover<P>::noteNotMoved(GenerationRun &run, const EndpointView &source,
+                                      std::string_view reason)
+{
+    if (run.notMovedBecause == reason)
+        return;
+    run.notMovedBecause = reason;
+    observe::logChange(
+        "not-moved",
+        {{"id", run.requestId},
+         {"reason", reason},
+         {"from", source.record.name.text()},
+         {"requests", m_state->ledger.total(ServingState::now(), source.record.name).requests},
+         {"ends_in_ms", (expectedEndOf(source) - ServingState::now()).count},
+         {"memory_tokens", run.memoryTokens()},
+         {"remaining_tokens", run.remainingTokens()}});
+}
+
 template <PlatformProtocol P>
 typename GenerationMover<P>::NextStep GenerationMover<P>::moveOnce(const GenerationRunPtr &run,
                                                                    const EndpointView &source,
@@ -305,11 +323,15 @@
             net::sleepFor(failoverPollInterval);
         return NextStep::TryAgain;
     }
-    if (!isUsable(run->standbyEngine) && !copyFitsBeforeEnd(*run, source, *model))
+    if (!isUsable(run->standbyEngine) && !copyFitsBeforeEnd(*run, source, *model)) {
+        noteNotMoved(*run, source, "links-busy");
         return NextStep::TryAgain;
+    }
     const MoveDecision decision = chooseDestination(*run, source, *model, demand);
-    if (decision.verdict == MoveVerdict::EndsInTime)
+    if (decision.verdict == MoveVerdict::EndsInTime) {
+        noteNotMoved(*run, source, toString(decision.verdict));
         return NextStep::TryAgain;
+    }
     observe::logChange(
         "move",
         {{"id", run->requestId},
--- a/include/fescue/serving/generationrun.h
+++ b/include/fescue/serving/generationrun.h
@@ -58,6 +58,8 @@
     std::optional<ResumePoint> resume;
     // The engine that stores the copy from which the generation resumes.
     EndpointRecord destination;
+    // Last reason why the generation is not moved although its engine leaves, for the log.
+    std::string_view notMovedBecause;
     bool finished = false;
     // True while a fiber moves the generation.
     bool hasMoveFiber = false;
--- a/include/fescue/serving/placement.h
+++ b/include/fescue/serving/placement.h
@@ -7,6 +7,7 @@
 #include "fescue/serving/enginepace.h"
 #include "fescue/serving/loadledger.h"
 #include "fescue/serving/servingconfig.h"
+#include "fescue/serving/turnorder.h"
 
 #include <cstdint>
 #include <set>
@@ -77,4 +78,8 @@
                                                const EngineModel &model, const PlacementView &view,
                                                const PlacementDemand &demand, double uniform);
 
+// Returns when a generation would begin at an engine.
+[[nodiscard]] StartOffer startOffer(const EndpointView &engine, const PlacementView &view,
+                                    const PlacementDemand &demand);
+
 } // namespace fescue::serving
--- a/include/fescue/serving/requestcontext.h
+++ b/include/fescue/serving/requestcontext.h
@@ -49,6 +49,9 @@
     // True once engines are known to answer the prompt without crashing.
     bool promptStarted = false;
 
+    // Returns the time that the caller spent on earlier attempts: the part of the route's timeout
+    // that it no longer grants; 0 if it states no deadline.
+    [[nodiscard]] Millis waitedBefore() const noexcept;
     [[nodiscard]] Millis timeLeft() const noexcept { return deadline - ServingState::now(); }
 };
 
@@ -71,6 +74,10 @@
 void noteAttempt(ServingState &state, RequestContext &context, const EndpointRecord &endpoint,
                  SendOutcome outcome, std::string_view detail);
 
+// Logs that a generation was held before it started, was refused or was abandoned, and counts it.
+void noteHeld(ServingState &state, const RequestContext &context, const TurnRequest &request,
+              TurnStep step);
+
 // Logs the end of a request and updates the request metrics.
 void noteOutcome(ServingState &state, const RequestContext &context, ResultCode code, int status);
 
--- a/include/fescue/serving/streamforwarder.h
+++ b/include/fescue/serving/streamforwarder.h
@@ -52,6 +52,9 @@
 
     [[nodiscard]] const EndpointView *choose(const RequestContext &context,
                                              const PlacementDemand &demand);
+    // Holds a generation that competes with others until it may start. Returns false if its caller
+    // has disconnected.
+    [[nodiscard]] bool waitForTurn(const RequestContext &context, const PlacementDemand &demand);
     // Sends the request to engines until one answers. Sends the failure to the caller and returns
     // false if none does.
     [[nodiscard]] bool begin(ForwardedStream &forwarded);
--- a/include/fescue/serving/streamforwarder.inl
+++ b/include/fescue/serving/streamforwarder.inl
@@ -23,6 +23,10 @@
 inline constexpr Millis maxPauseWait = 1800_ms;
 // Timeout for the first byte of a stream that resumes on another engine.
 inline constexpr Millis resumeTimeout = 3_s;
+// Interval at which a held generation is considered again, with a random part so that processes
+// that wait for the same engine do not all send at the same moment.
+inline constexpr Millis turnCheckInterval = 20_ms;
+inline constexpr Millis turnCheckSpread = 20_ms;
 // Number of events after which a prompt is considered sound: an engine may still send the first
 // event of a prompt that crashes it.
 inline constexpr std::uint64_t eventsOfSoundPrompt = 2;
@@ -133,6 +137,42 @@
                                                         EndpointLoad {0, reserved, 0});
 }
 
+template <PlatformProtocol P>
+bool StreamForwarder<P>::waitForTurn(const RequestContext &context, const PlacementDemand &demand)
+{
+    const EngineModel *model = context.routes->findEngineModel(context.service);
+    if (model == nullptr || !context.routes->hasPriorities(context.service))
+        return true;
+    const Millis begun = ServingState::now();
+    TurnRequest request;
+    request.mostUrgent = demand.mostUrgent;
+    request.targetLatency = context.route->targetLatency;
+    const Millis before = context.waitedBefore();
+    while (true) {
+        const Millis now = ServingState::now();
+        request.held = now - begun;
+        request.waited = now - context.arrivedAt + before;
+        const PlacementView view = m_state->placementView(context.service);
+        const EndpointView *engine = chooseEngine(m_state->candidates(context.service), *model,
+                                                  view, demand, m_state->uniform());
+        request.offer = engine == nullptr
+            ? std::nullopt
+            : std::optional<StartOffer>(startOffer(*engine, view, demand));
+        const TurnStep step = decideTurn(request);
+        if (step != TurnStep::Wait) {
+            noteHeld(*m_state, context, request, step);
+            return true;
+        }
+        net::sleepFor(
+            turnCheckInterval
+            + Millis {static_cast<std::int64_t>(turnCheckSpread.count * m_state->uniform())});
+        if (context.writer.callerGone()) {
+            noteHeld(*m_state, context, request, step);
+            return false;
+        }
+    }
+}
+
 template <PlatformProtocol P>
 bool StreamForwarder<P>::begin(ForwardedStream &forwarded)
 {
@@ -144,6 +184,11 @@
     demand.mostUrgent = priorityInForce(context) == 0;
     AttemptVerdict verdict = AttemptVerdict::RefuseNotRun;
     std::optional<ExchangeResult> result;
+    if (!waitForTurn(context, demand)) {
+        context.writer.abort();
+        noteOutcome(*m_state, context, ResultCode::Cancelled, 0);
+        return false;
+    }
     do {
         result = attempt(forwarded, demand, policy, verdict);
         demand.excluded.insert(forwarded.run->engine.name);
--- a/src/serving/placement.cpp
+++ b/src/serving/placement.cpp
@@ -208,4 +208,15 @@
     });
 }
 
+StartOffer startOffer(const EndpointView &engine, const PlacementView &view,
+                      const PlacementDemand &demand)
+{
+    const EndpointLoad load = view.ledger.total(view.now, engine.record.name);
+    const double perToken = view.slowness(engine.record.name) / prefillTokensPerMilli;
+    const auto millis = [perToken](std::uint64_t tokens) {
+        return Millis {static_cast<std::int64_t>(static_cast<double>(tokens) * perToken)};
+    };
+    return {millis(load.prefillTokens), millis(demand.prefillTokens)};
+}
+
 } // namespace fescue::serving
--- a/src/serving/requestcontext.cpp
+++ b/src/serving/requestcontext.cpp
@@ -51,6 +51,12 @@
     return send;
 }
 
+Millis RequestContext::waitedBefore() const noexcept
+{
+    const bool isKnown = caller.patience && route != nullptr && route->timeout > Millis {0};
+    return isKnown ? std::max(route->timeout - *caller.patience, Millis {0}) : Millis {0};
+}
+
 int priorityInForce(const RequestContext &context) noexcept
 {
     const bool fromAccount = context.account != nullptr && context.account->priority;
@@ -102,6 +108,30 @@
          {"detail", detail}});
 }
 
+void noteHeld(ServingState &state, const RequestContext &context, const TurnRequest &request,
+              TurnStep step)
+{
+    if (request.held == Millis {0} && step == TurnStep::Start)
+        return;
+    const std::string_view account =
+        context.account == nullptr ? std::string_view() : context.account->name.text();
+    observe::logChange("held",
+                       {{"id", context.caller.requestId},
+                        {"step", step == TurnStep::Wait ? "abandoned" : toString(step)},
+                        {"service", context.service.text()},
+                        {"route", context.route->name},
+                        {"account", account},
+                        {"priority", priorityInForce(context)},
+                        {"held_ms", request.held.count},
+                        {"waited_ms", request.waited.count},
+                        {"queue_ms", request.offer ? request.offer->queueDelay.count : -1}});
+    state.metrics
+        .histogram("fescue_generation_held_ms", observe::delayBucketsMillis(),
+                   {{"service", context.service.text()},
+                    {"priority", std::to_string(priorityInForce(context))}})
+        .Observe(static_cast<double>(request.held.count));
+}
+
 void noteOutcome(ServingState &state, const RequestContext &context, ResultCode code, int status)
 {
     const Millis now = ServingState::now();
--- /dev/null
+++ b/src/serving/turnorder.cpp
@@ -0,0 +1,50 @@
+#include "fescue/serving/turnorder.h"
+
+#include <algorithm>
+
+namespace fescue::serving {
+
+namespace {
+
+// Queue of prompts that an engine keeps for less urgent requests that have not waited. An urgent
+// prompt behind it still begins within a fraction of its target latency.
+constexpr Millis baseQueue {150};
+// The accepted queue grows by the time that the request has waited, divided by this.
+constexpr std::int64_t waitedDivisor = 2;
+// Estimates of the time to the first event are exceeded by half at a busy engine.
+constexpr std::int64_t safetyPercent = 150;
+constexpr std::int64_t percent = 100;
+// A request without room waits for its target latency divided by this.
+constexpr std::int64_t roomWaitDivisor = 8;
+
+} // namespace
+
+std::string_view toString(TurnStep step) noexcept
+{
+    switch (step) {
+    case TurnStep::Start:
+        return "start";
+    case TurnStep::Wait:
+        return "wait";
+    case TurnStep::Refuse:
+        return "refuse";
+    }
+    return "unknown";
+}
+
+TurnStep decideTurn(const TurnRequest &request) noexcept
+{
+    if (!request.offer) {
+        const bool mayWait = request.held < request.targetLatency / roomWaitDivisor;
+        return mayWait ? TurnStep::Wait : TurnStep::Refuse;
+    }
+    if (request.mostUrgent)
+        return TurnStep::Start;
+    const StartOffer &offer = *request.offer;
+    const Millis expected = (offer.queueDelay + offer.readTime) * safetyPercent / percent;
+    const bool isDue = request.waited + expected >= request.targetLatency;
+    const Millis accepted = baseQueue + request.waited / waitedDivisor;
+    return isDue || offer.queueDelay <= accepted ? TurnStep::Start : TurnStep::Wait;
+}
+
+} // namespace fescue::serving
