Report new prompts to other zones at once, and processed prompts to all

Cause: sums of other zones' loads arrive 0.7 to 1.4 s late, and processed prompts stay in the peers' figures until the next report. Change: a datagram for each start to the processes of other zones, and one for each processed prompt to all, in large systems with priorities. Not measured yet.

--- a/include/fescue/serving/edgedaemon.h
+++ b/include/fescue/serving/edgedaemon.h
@@ -71,6 +71,10 @@
     void sendLeavingNotice(std::vector<EndpointIncarnation> leavingEndpoints,
                            std::optional<Millis> leavesIn, bool toOtherZones);
     void handleLeavingNotice(std::string_view bytes);
+    // In a large system, reports new load on an endpoint to the processes of other zones, and
+    // processed prompts to all.
+    void sendLoadChange(const EndpointName &endpoint, bool added, const EndpointLoad &load);
+    void handleLoadChange(std::string_view bytes);
     // In a large system, if this process is a relay, sends the load sum of this zone to the relays
     // of other zones, and the sums of other zones to the members of this zone.
     void sendZoneLoads(std::span<const MemberView> members);
--- a/include/fescue/serving/edgedaemon.inl
+++ b/include/fescue/serving/edgedaemon.inl
@@ -22,6 +22,7 @@
 inline const std::string leavingKind = "L";
 inline const std::string zoneLoadsKind = "Z";
 inline const std::string quarantineKind = "Q";
+inline const std::string loadChangeKind = "C";
 // Number of ticks with which a notice about crashes and quarantined parts is sent again.
 inline constexpr int quarantineRepeats = 2;
 // Number of ticks between two messages with all quarantine entries.
@@ -146,6 +147,10 @@
                                               std::optional<Millis> leavesIn) {
         endpointAnnouncedLeaving(leavingEndpoint, leavesIn);
     };
+    m_state.reportLoadChange = [this](const EndpointName &endpoint, bool added,
+                                      const EndpointLoad &load) {
+        sendLoadChange(endpoint, added, load);
+    };
     m_state.zoneWentOut = [this](const ZoneName &zone) { m_mover.replaceCopiesIn(zone); };
     m_state.sendQuarantineNotice = [this](const QuarantineNotice &notice) {
         sendQuarantineNotice(notice, true);
@@ -350,6 +355,8 @@
         handleLeavingNotice(bytes.substr(leavingKind.size()));
     else if (bytes.starts_with(zoneLoadsKind))
         handleZoneLoads(bytes.substr(zoneLoadsKind.size()));
+    else if (bytes.starts_with(loadChangeKind))
+        handleLoadChange(bytes.substr(loadChangeKind.size()));
     else if (bytes.starts_with(quarantineKind))
         handleQuarantineNotice(bytes.substr(quarantineKind.size()));
     else
@@ -417,6 +424,35 @@
         sendLeavingNotice(std::move(newNotices), received->leavesIn, false);
 }
 
+template <PlatformProtocol P>
+void EdgeDaemon<P>::sendLoadChange(const EndpointName &endpoint, bool added,
+                                   const EndpointLoad &load)
+{
+    if (!m_state.isLarge())
+        return;
+    const std::string datagram =
+        loadChangeKind + encodeLoadChange({m_self.name, m_self.zone, endpoint, added, load});
+    for (const MemberView &member : m_state.members.members(ServingState::now())) {
+        // The processes of this zone receive new load with the gossip.
+        if (!added || member.info.zone != m_self.zone)
+            sendTo(member.info, datagram);
+    }
+}
+
+template <PlatformProtocol P>
+void EdgeDaemon<P>::handleLoadChange(std::string_view bytes)
+{
+    const Result<LoadChange> change = decodeLoadChange(bytes);
+    if (!change) {
+        m_datagramsMalformed.Increment();
+        return;
+    }
+    if (change->fromZone != m_self.zone)
+        m_state.ledger.zoneChanged(ServingState::now(), *change);
+    else if (!change->added)
+        m_state.ledger.peerPromptDone(change->from, change->endpoint, change->load.prefillTokens);
+}
+
 template <PlatformProtocol P>
 void EdgeDaemon<P>::sendZoneLoads(std::span<const MemberView> members)
 {
--- a/include/fescue/serving/gossip.h
+++ b/include/fescue/serving/gossip.h
@@ -50,6 +50,10 @@
 // Fails with MessageMalformed.
 [[nodiscard]] Result<LeavingNotice> decodeLeavingNotice(std::string_view bytes);
 
+[[nodiscard]] std::string encodeLoadChange(const LoadChange &change);
+// Fails with MessageMalformed.
+[[nodiscard]] Result<LoadChange> decodeLoadChange(std::string_view bytes);
+
 // Encodes the load sums of availability zones, which relays send to each other and to their zone.
 // Splits them into several messages that each fit into a datagram.
 [[nodiscard]] std::vector<std::string> encodeZoneLoads(std::span<const ZoneLoads> zones);
--- a/include/fescue/serving/loadledger.h
+++ b/include/fescue/serving/loadledger.h
@@ -46,6 +46,19 @@
     bool operator==(const ZoneLoads &) const = default;
 };
 
+// A change of the load on an endpoint that a process reports at once, since sums arrive too late
+// for prompts that are processed within a second.
+struct LoadChange
+{
+    MemberName from;
+    ZoneName fromZone;
+    EndpointName endpoint;
+    // True if the load was added. False if its prompt has been processed: only the prefill counts.
+    bool added = true;
+    EndpointLoad load;
+    bool operator==(const LoadChange &) const = default;
+};
+
 // The load that all entry processes have sent to each endpoint: exact for this process, and as last
 // reported by its peers. In a large system peers are the processes of the same availability zone,
 // and other zones report their sums.
@@ -72,6 +85,12 @@
     // later ones replace it.
     void zoneReported(Millis now, const ZoneName &zone, Millis age,
                       std::span<const EndpointLoadEntry> loads);
+    // Records a change at a process of another availability zone; it counts until a later sum of
+    // that zone arrives.
+    void zoneChanged(Millis now, const LoadChange &change);
+    // Records that a peer's prompt has been processed; its next report replaces this.
+    void peerPromptDone(const MemberName &peer, const EndpointName &endpoint,
+                        std::uint64_t prefillTokens);
     // Returns true if a recent sum of that zone's processes has been received.
     [[nodiscard]] bool hasRecentZoneReport(Millis now, const ZoneName &zone) const;
     // Returns the sum of the loads from this process and its peers, for reports to other zones.
@@ -104,6 +123,18 @@
     // Returns the load from this process with the progress of its generations.
     [[nodiscard]] std::map<EndpointName, EndpointLoad> ownLoads() const;
 
+    struct ZoneChange
+    {
+        Millis at {0};
+        bool added = true;
+        EndpointLoad load;
+    };
+
+    // Applies the changes at the endpoint that are more recent than the sums of their zones.
+    void applyChanges(Millis now, const EndpointName &endpoint, EndpointLoad &sum) const;
+
+    // Changes by zone and endpoint, the oldest first.
+    std::map<ZoneName, std::map<EndpointName, std::vector<ZoneChange>>> m_changes;
     std::map<EndpointName, EndpointLoad> m_own;
     // Only the progress fields are set.
     std::map<EndpointName, EndpointLoad> m_ownProgress;
--- a/include/fescue/serving/servingstate.h
+++ b/include/fescue/serving/servingstate.h
@@ -133,6 +133,10 @@
     RunRegistry runs;
     // Sends this process' state to peers at once: they choose endpoints by its loads.
     std::function<void()> notifyPeers = [] {};
+    // Reports a change of the load on an endpoint to the processes that learn of it too late from
+    // loads and sums.
+    std::function<void(const EndpointName &, bool added, const EndpointLoad &)> reportLoadChange =
+        [](const EndpointName &, bool, const EndpointLoad &) {};
     // Called once for each endpoint that announces leaving in an answer.
     std::function<void(const EndpointIncarnation &, std::optional<Millis> leavesIn)>
         endpointAnnouncedLeaving = [](const EndpointIncarnation &, std::optional<Millis>) {};
--- a/include/fescue/serving/streamforwarder.inl
+++ b/include/fescue/serving/streamforwarder.inl
@@ -101,6 +101,10 @@
     forwarded.load = std::make_unique<ScopedLoad>(
         m_state->ledger, record.name, EndpointLoad {1, demand.memoryTokens, demand.prefillTokens});
     m_state->notifyPeers();
+    if (context.routes->hasPriorities(context.service)) {
+        m_state->reportLoadChange(record.name, true,
+                                  {1, demand.memoryTokens, demand.prefillTokens});
+    }
     EngineSend send = makeGenerationSend(context, record);
     addBackup(forwarded, *endpoint, send);
     ExchangeResult result =
@@ -357,6 +361,10 @@
         forwarded.started = true;
         context.firstByteAt = ServingState::now();
         forwarded.load->prefillDone();
+        if (context.routes->hasPriorities(context.service)) {
+            m_state->reportLoadChange(forwarded.run->engine.name, false,
+                                      {0, 0, forwarded.run->promptTokens});
+        }
         const Result<void> begun =
             context.writer.startStream(forwarded.upstream.status(), forwarded.headers);
         if (!begun)
--- a/src/serving/gossip.cpp
+++ b/src/serving/gossip.cpp
@@ -147,6 +147,31 @@
     });
 }
 
+std::string encodeLoadChange(const LoadChange &change)
+{
+    return toCbor({layoutVersion, change.from.text(), change.fromZone.text(),
+                   change.endpoint.text(), change.added, change.load.requests,
+                   change.load.memoryTokens, change.load.prefillTokens});
+}
+
+Result<LoadChange> decodeLoadChange(std::string_view bytes)
+{
+    return readCbor<LoadChange>(bytes, layoutVersion, "load change", [](const Json &json) {
+        constexpr std::size_t requestsField = 5;
+        constexpr std::size_t memoryField = 6;
+        constexpr std::size_t prefillField = 7;
+        LoadChange change;
+        change.from = MemberName(json.at(1).get<std::string>());
+        change.fromZone = ZoneName(json.at(2).get<std::string>());
+        change.endpoint = EndpointName(json.at(3).get<std::string>());
+        change.added = json.at(4).get<bool>();
+        change.load = {numberAt<std::uint32_t>(json, requestsField),
+                       numberAt<std::uint64_t>(json, memoryField),
+                       numberAt<std::uint64_t>(json, prefillField)};
+        return change;
+    });
+}
+
 std::vector<std::string> encodeZoneLoads(std::span<const ZoneLoads> zones)
 {
     std::vector<std::string> texts;
--- a/src/serving/loadledger.cpp
+++ b/src/serving/loadledger.cpp
@@ -99,9 +99,49 @@
         if (load != zone.second.loads.end() && now - zone.second.at <= zoneLifetime)
             sum += load->second;
     }
+    applyChanges(now, endpoint, sum);
     return sum;
 }
 
+void LoadLedger::applyChanges(Millis now, const EndpointName &endpoint, EndpointLoad &sum) const
+{
+    for (const std::pair<const ZoneName, std::map<EndpointName, std::vector<ZoneChange>>> &zone :
+         m_changes) {
+        const auto it = zone.second.find(endpoint);
+        if (it == zone.second.end())
+            continue;
+        const auto summed = m_zones.find(zone.first);
+        for (const ZoneChange &change : it->second) {
+            const bool isSummed = summed != m_zones.end() && change.at <= summed->second.at;
+            if (isSummed || now - change.at > zoneLifetime)
+                continue;
+            if (change.added)
+                sum += change.load;
+            else
+                sum.prefillTokens -= std::min(sum.prefillTokens, change.load.prefillTokens);
+        }
+    }
+}
+
+void LoadLedger::zoneChanged(Millis now, const LoadChange &change)
+{
+    std::vector<ZoneChange> &changes = m_changes[change.fromZone][change.endpoint];
+    std::erase_if(changes, [now](const ZoneChange &old) { return now - old.at > zoneLifetime; });
+    changes.push_back({now, change.added, change.load});
+}
+
+void LoadLedger::peerPromptDone(const MemberName &peer, const EndpointName &endpoint,
+                                std::uint64_t prefillTokens)
+{
+    const auto it = m_peers.find(peer);
+    if (it == m_peers.end())
+        return;
+    for (EndpointLoadEntry &reported : it->second.loads) {
+        if (reported.endpoint == endpoint)
+            reported.load.prefillTokens -= std::min(reported.load.prefillTokens, prefillTokens);
+    }
+}
+
 void LoadLedger::zoneReported(Millis now, const ZoneName &zone, Millis age,
                               std::span<const EndpointLoadEntry> loads)
 {
@@ -110,8 +150,17 @@
     // Sums arrive through two relays and may overtake each other.
     if (at + sumSpan < latest.at)
         return;
-    if (at > latest.at + sumSpan)
+    if (at > latest.at + sumSpan) {
         latest = {at, {}};
+        // Later sums contain these changes.
+        for (std::pair<const EndpointName, std::vector<ZoneChange>> &changes : m_changes[zone])
+            std::erase_if(changes.second,
+                          [at](const ZoneChange &change) { return change.at <= at; });
+        std::erase_if(m_changes[zone],
+                      [](const std::pair<const EndpointName, std::vector<ZoneChange>> &changes) {
+                          return changes.second.empty();
+                      });
+    }
     for (const EndpointLoadEntry &reported : loads)
         latest.loads[reported.endpoint] = reported.load;
 }
--- a/src/serving/turnorder.cpp
+++ b/src/serving/turnorder.cpp
@@ -9,6 +9,9 @@
 // Queue of prompts that an engine keeps for less urgent requests that have not waited. An urgent
 // prompt behind it still begins within a fraction of its target latency.
 constexpr Millis baseQueue {150};
+// Longest queue that they accept before they are due: urgent prompts still have most of a target
+// latency of a second and a half for themselves.
+constexpr Millis maxQueue {400};
 // The accepted queue grows by the time that the request has waited, divided by this.
 constexpr std::int64_t waitedDivisor = 2;
 // Estimates of the time to the first event are exceeded by half at a busy engine.
@@ -43,7 +46,7 @@
     const StartOffer &offer = *request.offer;
     const Millis expected = (offer.queueDelay + offer.readTime) * safetyPercent / percent;
     const bool isDue = request.waited + expected >= request.targetLatency;
-    const Millis accepted = baseQueue + request.waited / waitedDivisor;
+    const Millis accepted = std::min(baseQueue + request.waited / waitedDivisor, maxQueue);
     return isDue || offer.queueDelay <= accepted ? TurnStep::Start : TurnStep::Wait;
 }
 
--- a/tests/serving/gossip_test.cpp
+++ b/tests/serving/gossip_test.cpp
@@ -42,6 +42,32 @@
     EXPECT_FALSE(decodeGossip("\xa0"));
 }
 
+TEST(Gossip, LoadChangeRoundTripPreservesAllFields)
+{
+    const LoadChange change {
+        MemberName("edge-1"), ZoneName("north"), EndpointName("e1"), false, {1, 9'000, 500}};
+    const std::string bytes = encodeLoadChange(change);
+    const Result<LoadChange> decoded = decodeLoadChange(bytes);
+    ASSERT_TRUE(decoded) << decoded.error().message;
+    EXPECT_EQ(*decoded, change);
+    for (std::size_t n = 0; n < bytes.size(); ++n)
+        EXPECT_FALSE(decodeLoadChange(std::string_view(bytes).substr(0, n)));
+}
+
+// Processes of the previous release send and expect loads without progress.
+TEST(Gossip, ProgressIsSentOnlyWhereThereIsSome)
+{
+    Gossip gossip = makeGossip();
+    const std::size_t without = encodeGossip(gossip).size();
+    gossip.loads[0].load.progressEvents = 20;
+    gossip.loads[0].load.progressMillis = 700;
+    const std::string bytes = encodeGossip(gossip);
+    EXPECT_GT(bytes.size(), without);
+    const Result<Gossip> decoded = decodeGossip(bytes);
+    ASSERT_TRUE(decoded) << decoded.error().message;
+    EXPECT_EQ(*decoded, gossip);
+}
+
 TEST(Gossip, LeavingNoticeRoundTripPreservesAllFields)
 {
     const LeavingNotice notice {ZoneName("north"), {{EndpointName("e1"), {5}}}, 900_ms};
--- a/tests/serving/loadledger_test.cpp
+++ b/tests/serving/loadledger_test.cpp
@@ -47,6 +47,38 @@
     EXPECT_EQ(zones.front().age, 400_ms);
 }
 
+// Answers bursts in which several zones send prompts to the same engine within the interval of
+// their sums.
+TEST(LoadLedger, ChangesAtOtherZonesCountUntilTheNextSum)
+{
+    LoadLedger ledger;
+    const ZoneName south("south");
+    const EndpointLoadEntry sum {first, {1, 100, 40}};
+    ledger.zoneReported(1_s, south, 0_ms, {&sum, 1});
+    ledger.zoneChanged(1'100_ms, {MemberName("p"), south, first, true, {1, 300, 250}});
+    EXPECT_EQ(ledger.total(1'100_ms, first), (EndpointLoad {2, 400, 290}));
+    ledger.zoneChanged(1'300_ms, {MemberName("p"), south, first, false, {0, 0, 250}});
+    EXPECT_EQ(ledger.total(1'300_ms, first), (EndpointLoad {2, 400, 40}));
+    // This sum was measured between the two changes.
+    const EndpointLoadEntry next {first, {2, 400, 290}};
+    ledger.zoneReported(1'400_ms, south, 200_ms, {&next, 1});
+    EXPECT_EQ(ledger.total(1'400_ms, first), (EndpointLoad {2, 400, 40}));
+    // A zone that is cut off counts no longer than its last sum.
+    EXPECT_EQ(ledger.total(1'400_ms + LoadLedger::zoneLifetime, first), EndpointLoad {});
+}
+
+TEST(LoadLedger, ProcessedPromptsOfPeersNoLongerCount)
+{
+    LoadLedger ledger;
+    const MemberName peer("peer");
+    ledger.peerReported(1_s, peer, {{first, {2, 200, 150}}});
+    ledger.peerPromptDone(peer, first, 100);
+    ledger.peerPromptDone(MemberName("unknown"), first, 100);
+    EXPECT_EQ(ledger.total(1_s, first), (EndpointLoad {2, 200, 50}));
+    ledger.peerPromptDone(peer, first, 100);
+    EXPECT_EQ(ledger.total(1_s, first), (EndpointLoad {2, 200, 0}));
+}
+
 TEST(LoadLedger, ZoneWithoutLoadIsKnown)
 {
     LoadLedger ledger;
