--- a/include/fescue/serving/placement.h
+++ b/include/fescue/serving/placement.h
@@ -30,6 +30,8 @@
     Millis now {0};
     // Large system: processes of other availability zones do not report their loads individually.
     bool isLarge = false;
+    // Processes of other availability zones report changes of their loads at once.
+    bool zonesReportChanges = false;
     // Learned paces of engines; null if all engines count as equally fast.
     const EnginePace *paces = nullptr;
 
--- a/src/serving/placement.cpp
+++ b/src/serving/placement.cpp
@@ -36,6 +36,9 @@
 // zones see the same figures.
 constexpr double knownZoneCost = 500;
 constexpr double knownZoneSpread = 200;
+// The same if changes are reported at once. The traffic still costs money.
+constexpr double reportedZoneCost = 150;
+constexpr double reportedZoneSpread = 50;
 // Zones with unknown load are used only if the local one is full: this exceeds the cost of the
 // prompts that wait at a busy engine.
 constexpr double unknownZoneCost = 800;
@@ -132,7 +135,10 @@
         return 0;
     if (!isZoneLoadKnown(other))
         return unknownZoneCost;
-    return isLarge ? knownZoneCost + knownZoneSpread * uniform : otherZoneCost;
+    if (!isLarge)
+        return otherZoneCost;
+    return zonesReportChanges ? reportedZoneCost + reportedZoneSpread * uniform
+                              : knownZoneCost + knownZoneSpread * uniform;
 }
 
 double endpointJitter(double uniform, const EndpointName &name)
--- a/src/serving/servingstate.cpp
+++ b/src/serving/servingstate.cpp
@@ -114,16 +114,10 @@
 
 PlacementView ServingState::placementView(const ServiceName &service)
 {
-    const bool learnsPaces = routes && routes->hasPriorities(service);
-    return {ledger,
-            health,
-            coldRateLimiter,
-            coldShares,
-            coldLimitOf(service),
-            settings.zone,
-            now(),
-            isLarge(),
-            learnsPaces ? &paces : nullptr};
+    const bool hasPriorities = routes && routes->hasPriorities(service);
+    return {
+        ledger,        health, coldRateLimiter, coldShares,    coldLimitOf(service),
+        settings.zone, now(),  isLarge(),       hasPriorities, hasPriorities ? &paces : nullptr};
 }
 
 std::vector<const EndpointView *> ServingState::candidates(const ServiceName &service) const
