Shares of accounts: who used much more than its share goes after the others

Cause: an account that sends many times its usual took the engines' queues from all others, also where its requests are urgent. Unused shares stay with whoever asks.

--- a/include/fescue/serving/edgedaemon.inl
+++ b/include/fescue/serving/edgedaemon.inl
@@ -313,7 +313,8 @@
                         m_state.ledger.own(),
                         m_state.ownRetries(),
                         m_state.endpoints.recentLeavingNotices(ServingState::now()),
-                        m_state.ownRefusals.paused(ServingState::now())});
+                        m_state.ownRefusals.paused(ServingState::now()),
+                        m_state.accountUse.own(ServingState::now())});
     const std::vector<MemberView> members = m_state.members.members(ServingState::now());
     // In a large system loads are sent within a zone only: entries prefer endpoints of their zone.
     const bool all = !m_state.isLarge();
@@ -596,6 +597,7 @@
     const Millis now = ServingState::now();
     m_state.members.heartbeat(now, gossip->member);
     m_state.ledger.peerReported(now, gossip->member.name, gossip->loads);
+    m_state.accountUse.peerReported(now, gossip->member.name, gossip->accountUse);
     for (const ServiceRetries &retries : gossip->retries)
         m_state.retryBudgetOf(retries.service).peerReported(now, gossip->member.name, retries.used);
     for (const EndpointIncarnation &endpoint : gossip->refusingEndpoints)
--- a/include/fescue/serving/gossip.h
+++ b/include/fescue/serving/gossip.h
@@ -3,6 +3,7 @@
 #include "fescue/core/ids.h"
 #include "fescue/core/memberinfo.h"
 #include "fescue/core/result.h"
+#include "fescue/serving/accountuse.h"
 #include "fescue/serving/endpointincarnation.h"
 #include "fescue/serving/loadledger.h"
 #include "fescue/serving/sharedretrybudget.h"
@@ -29,6 +30,8 @@
     std::vector<EndpointIncarnation> leaving;
     // Endpoints whose addresses refused the process' connections.
     std::vector<EndpointIncarnation> refusingEndpoints;
+    // Recent use of the engines by client accounts, through the process.
+    std::vector<AccountUseEntry> accountUse;
     bool operator==(const Gossip &) const = default;
 };
 
--- a/include/fescue/serving/servingstate.h
+++ b/include/fescue/serving/servingstate.h
@@ -6,6 +6,7 @@
 #include "fescue/net/workerpool.h"
 #include "fescue/observe/metrics.h"
 #include "fescue/policy/lengthforecast.h"
+#include "fescue/serving/accountuse.h"
 #include "fescue/serving/callerrequest.h"
 #include "fescue/serving/coldratelimiter.h"
 #include "fescue/serving/coldshares.h"
@@ -115,6 +116,7 @@
     EndpointTable endpoints;
     LoadLedger ledger;
     EnginePace paces;
+    AccountUse accountUse;
     ProgressSampler progress;
     EndpointHealth health;
     // Pauses that endpoints asked this process for.
--- a/include/fescue/serving/streamforwarder.inl
+++ b/include/fescue/serving/streamforwarder.inl
@@ -151,6 +151,8 @@
     TurnRequest request;
     request.mostUrgent = demand.mostUrgent;
     request.targetLatency = context.route->targetLatency;
+    request.overShare = context.account != nullptr
+        && isOverShare(m_state->accountUse.shareRatio(begun, context.account->name));
     const Millis before = context.waitedBefore();
     while (true) {
         const Millis now = ServingState::now();
@@ -163,6 +165,8 @@
             ? std::nullopt
             : std::optional<StartOffer>(startOffer(*engine, view, demand));
         const TurnStep step = decideTurn(request);
+        if (step == TurnStep::Start && context.account != nullptr)
+            m_state->accountUse.record(now, context.account->name, demand.prefillTokens);
         if (step != TurnStep::Wait) {
             noteHeld(*m_state, context, request, step);
             return true;
--- a/include/fescue/serving/turnorder.h
+++ b/include/fescue/serving/turnorder.h
@@ -22,6 +22,8 @@
 {
     // No request of the service may be more urgent.
     bool mostUrgent = false;
+    // The client account has recently used much more than its share of the engines.
+    bool overShare = false;
     // Time since the caller first asked, also of an earlier attempt that was refused.
     Millis waited {0};
     // Time that this process has held the request.
@@ -44,7 +46,12 @@
 
 [[nodiscard]] std::string_view toString(TurnStep step) noexcept;
 
-// Decides whether a generation starts. The most urgent ones start at once. Others leave the engines
+// Returns true if an account whose recent use is this multiple of the mean over all accounts has
+// used much more than its share.
+[[nodiscard]] bool isOverShare(double shareRatio) noexcept;
+
+// Decides whether a generation starts. The most urgent ones start at once, unless their account has
+// used much more than its share while others wait. Others leave the engines
 // to them while prompts wait there, but no longer than their own target latency allows: who has
 // waited longer accepts a longer queue at the engine, so that all processes follow the same order
 // without asking each other. A request without room waits for a small part of its target latency,
--- a/src/serving/gossip.cpp
+++ b/src/serving/gossip.cpp
@@ -96,13 +96,17 @@
     Json retries = Json::array();
     for (const ServiceRetries &entry : gossip.retries)
         retries.push_back({entry.service.text(), entry.used});
+    Json accountUse = Json::array();
+    for (const AccountUseEntry &entry : gossip.accountUse)
+        accountUse.push_back({entry.account.text(), static_cast<std::uint64_t>(entry.tokens)});
     const Json json = {layoutVersion,
                        encodeMember(gossip.member),
                        gossip.configVersion.value,
                        loads,
                        retries,
                        encodeIncarnations(gossip.leaving),
-                       encodeIncarnations(gossip.refusingEndpoints)};
+                       encodeIncarnations(gossip.refusingEndpoints),
+                       accountUse};
     return toCbor(json);
 }
 
@@ -124,6 +128,14 @@
             gossip.leaving = decodeIncarnations(json.at(leavingField));
             gossip.refusingEndpoints = decodeIncarnations(json.at(refusingField));
         }
+        constexpr std::size_t accountUseField = 7;
+        if (json.size() > accountUseField) {
+            for (const Json &entry : json.at(accountUseField)) {
+                gossip.accountUse.push_back(
+                    {AccountName(entry.at(0).get<std::string>()),
+                     static_cast<double>(numberAt<std::uint64_t>(entry, 1))});
+            }
+        }
         return gossip;
     });
 }
--- a/src/serving/requestcontext.cpp
+++ b/src/serving/requestcontext.cpp
@@ -122,6 +122,7 @@
                         {"route", context.route->name},
                         {"account", account},
                         {"priority", priorityInForce(context)},
+                        {"over_share", request.overShare ? "yes" : "no"},
                         {"held_ms", request.held.count},
                         {"waited_ms", request.waited.count},
                         {"queue_ms", request.offer ? request.offer->queueDelay.count : -1}});
--- a/src/serving/turnorder.cpp
+++ b/src/serving/turnorder.cpp
@@ -14,6 +14,9 @@
 constexpr Millis maxQueue {400};
 // The accepted queue grows by the time that the request has waited, divided by this.
 constexpr std::int64_t waitedDivisor = 2;
+// Multiple of the mean use over all accounts above which an account has used much more than its
+// share. Accounts of normal size differ by less.
+constexpr double overShareRatio = 4;
 // Estimates of the time to the first event are exceeded by half at a busy engine.
 constexpr std::int64_t safetyPercent = 150;
 constexpr std::int64_t percent = 100;
@@ -35,18 +38,25 @@
     return "unknown";
 }
 
+bool isOverShare(double shareRatio) noexcept
+{
+    return shareRatio > overShareRatio;
+}
+
 TurnStep decideTurn(const TurnRequest &request) noexcept
 {
     if (!request.offer) {
         const bool mayWait = request.held < request.targetLatency / roomWaitDivisor;
         return mayWait ? TurnStep::Wait : TurnStep::Refuse;
     }
-    if (request.mostUrgent)
+    if (request.mostUrgent && !request.overShare)
         return TurnStep::Start;
     const StartOffer &offer = *request.offer;
     const Millis expected = (offer.queueDelay + offer.readTime) * safetyPercent / percent;
     const bool isDue = request.waited + expected >= request.targetLatency;
-    const Millis accepted = std::min(baseQueue + request.waited / waitedDivisor, maxQueue);
+    const Millis accepted = request.overShare
+        ? baseQueue
+        : std::min(baseQueue + request.waited / waitedDivisor, maxQueue);
     return isDue || offer.queueDelay <= accepted ? TurnStep::Start : TurnStep::Wait;
 }
 
--- a/tests/serving/gossip_test.cpp
+++ b/tests/serving/gossip_test.cpp
@@ -23,6 +23,7 @@
     gossip.retries = {{ServiceName("s"), 4}};
     gossip.leaving = {{EndpointName("e2"), {1'700'000'000'123}}};
     gossip.refusingEndpoints = {{EndpointName("e3"), {7}}};
+    gossip.accountUse = {{AccountName("large"), 12'000}};
     return gossip;
 }
 
--- a/tests/serving/turnorder_test.cpp
+++ b/tests/serving/turnorder_test.cpp
@@ -33,6 +33,23 @@
     EXPECT_EQ(decideTurn(requestWith(600_ms, 0_ms)), TurnStep::Wait);
 }
 
+// Answers one account that sends many times its usual, also at the most urgent priority: while
+// prompts wait, it goes after the others, and no later than its own target allows.
+TEST(TurnOrder, AccountsOverTheirShareGoAfterOthers)
+{
+    EXPECT_FALSE(isOverShare(1));
+    EXPECT_TRUE(isOverShare(6));
+    TurnRequest request = requestWith(300_ms, 400_ms);
+    request.mostUrgent = true;
+    EXPECT_EQ(decideTurn(request), TurnStep::Start);
+    request.overShare = true;
+    EXPECT_EQ(decideTurn(request), TurnStep::Wait);
+    // Nobody else waits: the unused share is theirs.
+    EXPECT_EQ(decideTurn(requestWith(0_ms, 0_ms)), TurnStep::Start);
+    request.waited = 3'500_ms;
+    EXPECT_EQ(decideTurn(request), TurnStep::Start);
+}
+
 TEST(TurnOrder, WhoHasWaitedLongerGoesFirst)
 {
     EXPECT_EQ(decideTurn(requestWith(400_ms, 100_ms)), TurnStep::Wait);
