--- a/include/fescue/serving/generationrun.h
+++ b/include/fescue/serving/generationrun.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "fescue/serving/endpointrecord.h"
+#include "fescue/serving/enginepace.h"
 #include "fescue/serving/enginesend.h"
 #include "fescue/serving/loadledger.h"
 #include "fescue/serving/moveplan.h"
@@ -59,6 +60,8 @@
     std::optional<ResumePoint> resume;
     // The engine that stores the copy from which the generation resumes.
     EndpointRecord destination;
+    // Last reason why the generation is not moved although its engine leaves, for the log.
+    std::string_view notMovedBecause;
     bool finished = false;
     // True while a fiber moves the generation.
     bool hasMoveFiber = false;
@@ -92,6 +95,8 @@
 public:
     void add(const GenerationRunPtr &run) { m_runs[run->requestId] = run; }
     void remove(const GenerationRunPtr &run);
+    // Returns how far each generation has come.
+    [[nodiscard]] std::vector<RunProgress> progress() const;
     [[nodiscard]] std::vector<GenerationRunPtr> runsAt(const EndpointName &endpoint) const;
     // Returns the engines that run generations of this process.
     [[nodiscard]] std::vector<EndpointRecord> engines() const;
--- a/include/fescue/serving/gossip.h
+++ b/include/fescue/serving/gossip.h
@@ -3,6 +3,7 @@
 #include "fescue/core/ids.h"
 #include "fescue/core/memberinfo.h"
 #include "fescue/core/result.h"
+#include "fescue/serving/accountuse.h"
 #include "fescue/serving/cachedprefixes.h"
 #include "fescue/serving/endpointincarnation.h"
 #include "fescue/serving/loadledger.h"
@@ -32,6 +33,8 @@
     std::vector<EndpointIncarnation> refusingEndpoints;
     // Beginnings of prompts that the process has sent to engines since its last datagram.
     std::vector<PrefixRead> prefixReads;
+    // Recent use of the engines by client accounts, through the process.
+    std::vector<AccountUseEntry> accountUse;
     bool operator==(const Gossip &) const = default;
 };
 
@@ -53,6 +56,10 @@
 // Fails with MessageMalformed.
 [[nodiscard]] Result<LeavingNotice> decodeLeavingNotice(std::string_view bytes);
 
+[[nodiscard]] std::string encodeLoadChange(const LoadChange &change);
+// Fails with MessageMalformed.
+[[nodiscard]] Result<LoadChange> decodeLoadChange(std::string_view bytes);
+
 // Encodes the load sums of availability zones, which relays send to each other and to their zone.
 // Splits them into several messages that each fit into a datagram.
 [[nodiscard]] std::vector<std::string> encodeZoneLoads(std::span<const ZoneLoads> zones);
--- a/include/fescue/serving/placement.h
+++ b/include/fescue/serving/placement.h
@@ -5,8 +5,10 @@
 #include "fescue/serving/coldshares.h"
 #include "fescue/serving/endpointhealth.h"
 #include "fescue/serving/endpointtable.h"
+#include "fescue/serving/enginepace.h"
 #include "fescue/serving/loadledger.h"
 #include "fescue/serving/servingconfig.h"
+#include "fescue/serving/turnorder.h"
 
 #include <cstdint>
 #include <set>
@@ -29,12 +31,18 @@
     Millis now {0};
     // Large system: processes of other availability zones do not report their loads individually.
     bool isLarge = false;
+    // Processes of other availability zones report changes of their loads at once.
+    bool zonesReportChanges = false;
+    // Learned paces of engines; null if all engines count as equally fast.
+    const EnginePace *paces = nullptr;
     // The beginnings of prompts that engines hold; null if they are not to be considered.
     const CachedPrefixes *prefixes = nullptr;
 
     // Returns false if an endpoint is cold and the share of this process in its cold limit is used
     // up.
     [[nodiscard]] bool hasColdShareLeft(const EndpointView &endpoint) const;
+    // Returns the time that an engine takes for its work, as a multiple of the mean of all engines.
+    [[nodiscard]] double slowness(const EndpointName &engine) const;
     // Returns true if the load on the endpoints of an availability zone is known to this process.
     [[nodiscard]] bool isZoneLoadKnown(const ZoneName &other) const;
     // Returns the part of an endpoint's cost that its availability zone causes, in milliseconds of
@@ -78,4 +86,8 @@
                                                const EngineModel &model, const PlacementView &view,
                                                const PlacementDemand &demand, double uniform);
 
+// Returns when a generation would begin at an engine.
+[[nodiscard]] StartOffer startOffer(const EndpointView &engine, const PlacementView &view,
+                                    const PlacementDemand &demand);
+
 } // namespace fescue::serving
--- a/include/fescue/serving/requestcontext.h
+++ b/include/fescue/serving/requestcontext.h
@@ -54,12 +54,19 @@
     // True once engines are known to answer the prompt without crashing.
     bool promptStarted = false;
 
+    // Returns the time that the caller spent on earlier attempts: the part of the route's timeout
+    // that it no longer grants; 0 if it states no deadline.
+    [[nodiscard]] Millis waitedBefore() const noexcept;
     [[nodiscard]] Millis timeLeft() const noexcept { return deadline - ServingState::now(); }
 };
 
 // Returns the fields that are added to every request sent to an endpoint.
 [[nodiscard]] EngineSend makeSend(const RequestContext &context, const EndpointRecord &endpoint);
 
+// Returns the priority of the request: that of its account, or of its route if the account has
+// none.
+[[nodiscard]] int priorityInForce(const RequestContext &context) noexcept;
+
 // Returns the fields for a generation request: those of makeSend() and the priority of its account,
 // or of its route if the account has none.
 [[nodiscard]] EngineSend makeGenerationSend(const RequestContext &context,
@@ -76,6 +83,10 @@
 void noteAttempt(ServingState &state, RequestContext &context, const EndpointRecord &endpoint,
                  SendOutcome outcome, std::string_view detail);
 
+// Logs that a generation was held before it started, was refused or was abandoned, and counts it.
+void noteHeld(ServingState &state, const RequestContext &context, const TurnRequest &request,
+              TurnStep step);
+
 // Logs the end of a request and updates the request metrics.
 void noteOutcome(ServingState &state, const RequestContext &context, ResultCode code, int status);
 
--- a/include/fescue/serving/servingstate.h
+++ b/include/fescue/serving/servingstate.h
@@ -6,6 +6,7 @@
 #include "fescue/net/workerpool.h"
 #include "fescue/observe/metrics.h"
 #include "fescue/policy/lengthforecast.h"
+#include "fescue/serving/accountuse.h"
 #include "fescue/serving/cachedprefixes.h"
 #include "fescue/serving/callerrequest.h"
 #include "fescue/serving/coldratelimiter.h"
@@ -14,6 +15,7 @@
 #include "fescue/serving/endpointhealth.h"
 #include "fescue/serving/endpointpauses.h"
 #include "fescue/serving/endpointtable.h"
+#include "fescue/serving/enginepace.h"
 #include "fescue/serving/enginesend.h"
 #include "fescue/serving/generationrun.h"
 #include "fescue/serving/loadledger.h"
@@ -59,6 +61,9 @@
     // processes would use too much of their links and processors.
     [[nodiscard]] bool isLarge() const;
 
+    // Samples the progress of this process' generations, and updates the learned paces of engines
+    // from it and from the reports of other processes.
+    void updatePaces();
     [[nodiscard]] PlacementView placementView(const ServiceName &service);
     // Returns the endpoints of a service that may receive new requests.
     [[nodiscard]] std::vector<const EndpointView *> candidates(const ServiceName &service) const;
@@ -112,6 +117,9 @@
     RouteTablePtr routes;
     EndpointTable endpoints;
     LoadLedger ledger;
+    EnginePace paces;
+    AccountUse accountUse;
+    ProgressSampler progress;
     EndpointHealth health;
     // Pauses that endpoints asked this process for.
     EndpointPauses pauses;
@@ -130,6 +138,10 @@
     RunRegistry runs;
     // Sends this process' state to peers at once: they choose endpoints by its loads.
     std::function<void()> notifyPeers = [] {};
+    // Reports a change of the load on an endpoint to the processes that learn of it too late from
+    // loads and sums.
+    std::function<void(const EndpointName &, bool added, const EndpointLoad &)> reportLoadChange =
+        [](const EndpointName &, bool, const EndpointLoad &) {};
     // Called once for each endpoint that announces leaving in an answer.
     std::function<void(const EndpointIncarnation &, std::optional<Millis> leavesIn)>
         endpointAnnouncedLeaving = [](const EndpointIncarnation &, std::optional<Millis>) {};
--- a/include/fescue/serving/streamforwarder.h
+++ b/include/fescue/serving/streamforwarder.h
@@ -67,6 +67,9 @@
     // The same, and takes its share of a cold engine's limit. Returns null if that is used up.
     [[nodiscard]] const EndpointView *choose(const RequestContext &context,
                                              const PlacementDemand &demand);
+    // Holds a generation that competes with others until it may start. Returns false if its caller
+    // has disconnected.
+    [[nodiscard]] bool waitForTurn(const RequestContext &context, const PlacementDemand &demand);
     // Sends the request to engines until one answers. Sends the failure to the caller and returns
     // false if none does.
     [[nodiscard]] bool begin(ForwardedStream &forwarded);
--- a/include/fescue/serving/streamforwarder.inl
+++ b/include/fescue/serving/streamforwarder.inl
@@ -23,6 +23,10 @@
 inline constexpr Millis maxPauseWait = 1800_ms;
 // Timeout for the first byte of a stream that resumes on another engine.
 inline constexpr Millis resumeTimeout = 3_s;
+// Interval at which a held generation is considered again, with a random part so that processes
+// that wait for the same engine do not all send at the same moment.
+inline constexpr Millis turnCheckInterval = 20_ms;
+inline constexpr Millis turnCheckSpread = 20_ms;
 // Number of events after which a prompt is considered sound: an engine may still send the first
 // event of a prompt that crashes it.
 inline constexpr std::uint64_t eventsOfSoundPrompt = 2;
@@ -110,6 +114,10 @@
     forwarded.load = std::make_unique<ScopedLoad>(
         m_state->ledger, record.name, EndpointLoad {1, demand.memoryTokens, demand.prefillTokens});
     m_state->notifyPeers();
+    if (context.routes->hasPriorities(context.service)) {
+        m_state->reportLoadChange(record.name, true,
+                                  {1, demand.memoryTokens, demand.prefillTokens});
+    }
     forwarded.prefilling = true;
     EngineSend send = makeGenerationSend(context, record);
     send.lastEventId = forwarded.events.lastId();
@@ -168,7 +176,7 @@
 {
     forwarded.demand.memoryTokens = forwarded.run->reservedTokens();
     forwarded.demand.prefillTokens = forwarded.run->memoryTokens();
-    forwarded.demand.mostUrgent = forwarded.context.route->priority == 0;
+    forwarded.demand.mostUrgent = priorityInForce(forwarded.context) == 0;
     if (forwarded.context.route->sharesPrefixes)
         forwarded.demand.promptParts = forwarded.context.caller.promptParts;
 }
@@ -243,11 +251,56 @@
                                                         EndpointLoad {0, reserved, 0});
 }
 
+template <PlatformProtocol P>
+bool StreamForwarder<P>::waitForTurn(const RequestContext &context, const PlacementDemand &demand)
+{
+    const EngineModel *model = context.routes->findEngineModel(context.service);
+    if (model == nullptr || !context.routes->hasPriorities(context.service))
+        return true;
+    const Millis begun = ServingState::now();
+    TurnRequest request;
+    request.mostUrgent = demand.mostUrgent;
+    request.targetLatency = context.route->targetLatency;
+    request.overShare = context.account != nullptr
+        && isOverShare(m_state->accountUse.shareRatio(begun, context.account->name));
+    const Millis before = context.waitedBefore();
+    while (true) {
+        const Millis now = ServingState::now();
+        request.held = now - begun;
+        request.waited = now - context.arrivedAt + before;
+        const PlacementView view = m_state->placementView(context.service);
+        const EndpointView *engine = chooseEngine(m_state->candidates(context.service), *model,
+                                                  view, demand, m_state->uniform());
+        request.offer = engine == nullptr
+            ? std::nullopt
+            : std::optional<StartOffer>(startOffer(*engine, view, demand));
+        const TurnStep step = decideTurn(request);
+        if (step == TurnStep::Start && context.account != nullptr)
+            m_state->accountUse.record(now, context.account->name, demand.prefillTokens);
+        if (step != TurnStep::Wait) {
+            noteHeld(*m_state, context, request, step);
+            return true;
+        }
+        net::sleepFor(
+            turnCheckInterval
+            + Millis {static_cast<std::int64_t>(turnCheckSpread.count * m_state->uniform())});
+        if (context.writer.callerGone()) {
+            noteHeld(*m_state, context, request, step);
+            return false;
+        }
+    }
+}
+
 template <PlatformProtocol P>
 bool StreamForwarder<P>::begin(ForwardedStream &forwarded)
 {
     RequestContext &context = forwarded.context;
     updateDemand(forwarded);
+    if (!waitForTurn(context, forwarded.demand)) {
+        context.writer.abort();
+        noteOutcome(*m_state, context, ResultCode::Cancelled, 0);
+        return false;
+    }
     AttemptVerdict verdict = AttemptVerdict::RefuseNotRun;
     std::optional<ExchangeResult> result = attemptUntilAnswered(forwarded, verdict);
     if (result && result->outcome == SendOutcome::Succeeded) {
@@ -426,8 +479,13 @@
         if (!begun)
             return false;
     }
-    if (std::exchange(forwarded.prefilling, false))
+    if (std::exchange(forwarded.prefilling, false)) {
         forwarded.load->prefillDone();
+        if (context.routes->hasPriorities(context.service)) {
+            m_state->reportLoadChange(forwarded.run->engine.name, false,
+                                      {0, 0, forwarded.demand.prefillTokens});
+        }
+    }
     // Several first events may arrive together.
     const bool isFirst = forwarded.run->events == 0;
     forwarded.run->events = forwarded.events.events();
--- a/src/serving/gossip.cpp
+++ b/src/serving/gossip.cpp
@@ -39,9 +39,15 @@
 Json encodeLoads(std::span<const EndpointLoadEntry> loads)
 {
     Json list = Json::array();
-    for (const EndpointLoadEntry &entry : loads)
-        list.push_back({entry.endpoint.text(), entry.load.requests, entry.load.memoryTokens,
-                        entry.load.prefillTokens});
+    for (const EndpointLoadEntry &entry : loads) {
+        const EndpointLoad &load = entry.load;
+        Json row = {entry.endpoint.text(), load.requests, load.memoryTokens, load.prefillTokens};
+        if (load.progressEvents > 0) {
+            row.push_back(load.progressEvents);
+            row.push_back(load.progressMillis);
+        }
+        list.push_back(std::move(row));
+    }
     return list;
 }
 
@@ -49,9 +55,16 @@
 {
     std::vector<EndpointLoadEntry> loads;
     for (const Json &entry : list) {
-        loads.push_back({EndpointName(entry.at(0).get<std::string>()),
-                         {numberAt<std::uint32_t>(entry, 1), numberAt<std::uint64_t>(entry, 2),
-                          numberAt<std::uint64_t>(entry, 3)}});
+        EndpointLoad load {numberAt<std::uint32_t>(entry, 1), numberAt<std::uint64_t>(entry, 2),
+                           numberAt<std::uint64_t>(entry, 3)};
+        // Missing if there was no progress, and from processes of the previous release.
+        constexpr std::size_t eventsField = 4;
+        constexpr std::size_t millisField = 5;
+        if (entry.size() > millisField) {
+            load.progressEvents = numberAt<std::uint64_t>(entry, eventsField);
+            load.progressMillis = numberAt<std::uint64_t>(entry, millisField);
+        }
+        loads.push_back({EndpointName(entry.at(0).get<std::string>()), load});
     }
     return loads;
 }
@@ -106,6 +119,9 @@
     Json retries = Json::array();
     for (const ServiceRetries &entry : gossip.retries)
         retries.push_back({entry.service.text(), entry.used});
+    Json accountUse = Json::array();
+    for (const AccountUseEntry &entry : gossip.accountUse)
+        accountUse.push_back({entry.account.text(), static_cast<std::uint64_t>(entry.tokens)});
     const Json json = {layoutVersion,
                        encodeMember(gossip.member),
                        gossip.configVersion.value,
@@ -113,7 +129,8 @@
                        retries,
                        encodeIncarnations(gossip.leaving),
                        encodeIncarnations(gossip.refusingEndpoints),
-                       encodePrefixReads(gossip.prefixReads)};
+                       encodePrefixReads(gossip.prefixReads),
+                       accountUse};
     return toCbor(json);
 }
 
@@ -138,6 +155,14 @@
         constexpr std::size_t prefixField = 7;
         if (json.size() > prefixField)
             gossip.prefixReads = decodePrefixReads(json.at(prefixField));
+        constexpr std::size_t accountUseField = 8;
+        if (json.size() > accountUseField) {
+            for (const Json &entry : json.at(accountUseField)) {
+                gossip.accountUse.push_back(
+                    {AccountName(entry.at(0).get<std::string>()),
+                     static_cast<double>(numberAt<std::uint64_t>(entry, 1))});
+            }
+        }
         return gossip;
     });
 }
@@ -161,6 +186,31 @@
     });
 }
 
+std::string encodeLoadChange(const LoadChange &change)
+{
+    return toCbor({layoutVersion, change.from.text(), change.fromZone.text(),
+                   change.endpoint.text(), change.added, change.load.requests,
+                   change.load.memoryTokens, change.load.prefillTokens});
+}
+
+Result<LoadChange> decodeLoadChange(std::string_view bytes)
+{
+    return readCbor<LoadChange>(bytes, layoutVersion, "load change", [](const Json &json) {
+        constexpr std::size_t requestsField = 5;
+        constexpr std::size_t memoryField = 6;
+        constexpr std::size_t prefillField = 7;
+        LoadChange change;
+        change.from = MemberName(json.at(1).get<std::string>());
+        change.fromZone = ZoneName(json.at(2).get<std::string>());
+        change.endpoint = EndpointName(json.at(3).get<std::string>());
+        change.added = json.at(4).get<bool>();
+        change.load = {numberAt<std::uint32_t>(json, requestsField),
+                       numberAt<std::uint64_t>(json, memoryField),
+                       numberAt<std::uint64_t>(json, prefillField)};
+        return change;
+    });
+}
+
 std::vector<std::string> encodeZoneLoads(std::span<const ZoneLoads> zones)
 {
     std::vector<std::string> texts;
--- a/src/serving/loadledger.cpp
+++ b/src/serving/loadledger.cpp
@@ -23,6 +23,8 @@
     requests += other.requests;
     memoryTokens += other.memoryTokens;
     prefillTokens += other.prefillTokens;
+    progressEvents += other.progressEvents;
+    progressMillis += other.progressMillis;
     return *this;
 }
 
@@ -31,6 +33,8 @@
     requests -= other.requests;
     memoryTokens -= other.memoryTokens;
     prefillTokens -= other.prefillTokens;
+    progressEvents -= other.progressEvents;
+    progressMillis -= other.progressMillis;
     return *this;
 }
 
@@ -49,6 +53,24 @@
         m_own.erase(it);
 }
 
+void LoadLedger::setProgress(std::span<const EndpointLoadEntry> progress)
+{
+    m_ownProgress.clear();
+    for (const EndpointLoadEntry &entry : progress) {
+        EndpointLoad &own = m_ownProgress[entry.endpoint];
+        own.progressEvents += entry.load.progressEvents;
+        own.progressMillis += entry.load.progressMillis;
+    }
+}
+
+std::map<EndpointName, EndpointLoad> LoadLedger::ownLoads() const
+{
+    std::map<EndpointName, EndpointLoad> loads = m_own;
+    for (const std::pair<const EndpointName, EndpointLoad> &entry : m_ownProgress)
+        loads[entry.first] += entry.second;
+    return loads;
+}
+
 void LoadLedger::peerReported(Millis now, const MemberName &peer,
                               std::vector<EndpointLoadEntry> loads)
 {
@@ -66,6 +88,9 @@
     const auto it = m_own.find(endpoint);
     if (it != m_own.end())
         sum = it->second;
+    const auto progress = m_ownProgress.find(endpoint);
+    if (progress != m_ownProgress.end())
+        sum += progress->second;
     for (const std::pair<const MemberName, PeerLoads> &peer : m_peers) {
         if (now - peer.second.at > peerLifetime)
             continue;
@@ -79,9 +104,49 @@
         if (load != zone.second.loads.end() && now - zone.second.at <= zoneLifetime)
             sum += load->second;
     }
+    applyChanges(now, endpoint, sum);
     return sum;
 }
 
+void LoadLedger::applyChanges(Millis now, const EndpointName &endpoint, EndpointLoad &sum) const
+{
+    for (const std::pair<const ZoneName, std::map<EndpointName, std::vector<ZoneChange>>> &zone :
+         m_changes) {
+        const auto it = zone.second.find(endpoint);
+        if (it == zone.second.end())
+            continue;
+        const auto summed = m_zones.find(zone.first);
+        for (const ZoneChange &change : it->second) {
+            const bool isSummed = summed != m_zones.end() && change.at <= summed->second.at;
+            if (isSummed || now - change.at > zoneLifetime)
+                continue;
+            if (change.added)
+                sum += change.load;
+            else
+                sum.prefillTokens -= std::min(sum.prefillTokens, change.load.prefillTokens);
+        }
+    }
+}
+
+void LoadLedger::zoneChanged(Millis now, const LoadChange &change)
+{
+    std::vector<ZoneChange> &changes = m_changes[change.fromZone][change.endpoint];
+    std::erase_if(changes, [now](const ZoneChange &old) { return now - old.at > zoneLifetime; });
+    changes.push_back({now, change.added, change.load});
+}
+
+void LoadLedger::peerPromptDone(const MemberName &peer, const EndpointName &endpoint,
+                                std::uint64_t prefillTokens)
+{
+    const auto it = m_peers.find(peer);
+    if (it == m_peers.end())
+        return;
+    for (EndpointLoadEntry &reported : it->second.loads) {
+        if (reported.endpoint == endpoint)
+            reported.load.prefillTokens -= std::min(reported.load.prefillTokens, prefillTokens);
+    }
+}
+
 void LoadLedger::zoneReported(Millis now, const ZoneName &zone, Millis age,
                               std::span<const EndpointLoadEntry> loads)
 {
@@ -90,8 +155,17 @@
     // Sums arrive through two relays and may overtake each other.
     if (at + sumSpan < latest.at)
         return;
-    if (at > latest.at + sumSpan)
+    if (at > latest.at + sumSpan) {
         latest = {at, {}};
+        // Later sums contain these changes.
+        for (std::pair<const EndpointName, std::vector<ZoneChange>> &changes : m_changes[zone])
+            std::erase_if(changes.second,
+                          [at](const ZoneChange &change) { return change.at <= at; });
+        std::erase_if(m_changes[zone],
+                      [](const std::pair<const EndpointName, std::vector<ZoneChange>> &changes) {
+                          return changes.second.empty();
+                      });
+    }
     for (const EndpointLoadEntry &reported : loads)
         latest.loads[reported.endpoint] = reported.load;
 }
@@ -104,7 +178,7 @@
 
 std::vector<EndpointLoadEntry> LoadLedger::sum(Millis now) const
 {
-    std::map<EndpointName, EndpointLoad> sums = m_own;
+    std::map<EndpointName, EndpointLoad> sums = ownLoads();
     for (const std::pair<const MemberName, PeerLoads> &peer : m_peers) {
         if (now - peer.second.at > peerLifetime)
             continue;
@@ -143,7 +217,7 @@
 
 std::vector<EndpointLoadEntry> LoadLedger::own() const
 {
-    return listOf(m_own);
+    return listOf(ownLoads());
 }
 
 ScopedLoad::ScopedLoad(LoadLedger &ledger, EndpointName endpoint, const EndpointLoad &load)
--- a/src/serving/placement.cpp
+++ b/src/serving/placement.cpp
@@ -36,6 +36,9 @@
 // zones see the same figures.
 constexpr double knownZoneCost = 500;
 constexpr double knownZoneSpread = 200;
+// The same if changes are reported at once. The traffic still costs money.
+constexpr double reportedZoneCost = 150;
+constexpr double reportedZoneSpread = 50;
 // Zones with unknown load are used only if the local one is full: this exceeds the cost of the
 // prompts that wait at a busy engine.
 constexpr double unknownZoneCost = 800;
@@ -71,6 +74,13 @@
     return static_cast<double>(load.memoryTokens + demand.memoryTokens) / memory;
 }
 
+// Returns the time until the prompt has been processed behind those that wait at the engine, in
+// milliseconds.
+double prefillDelay(const EndpointLoad &load, const PlacementDemand &demand)
+{
+    return static_cast<double>(load.prefillTokens + demand.prefillTokens) / prefillTokensPerMilli;
+}
+
 bool hasRoom(const EndpointLoad &load, const EngineModel &model, const PlacementDemand &demand)
 {
     const double limit = demand.mostUrgent ? urgentFillLimit : memoryFillLimit;
@@ -126,6 +136,11 @@
         || coldRateLimiter.wouldTake(now, name, coldShares.share(now, name, coldPerSecond));
 }
 
+double PlacementView::slowness(const EndpointName &engine) const
+{
+    return paces == nullptr ? 1 : paces->slowness(now, engine);
+}
+
 bool PlacementView::isZoneLoadKnown(const ZoneName &other) const
 {
     return !isLarge || other == zone || ledger.hasRecentZoneReport(now, other);
@@ -137,7 +152,10 @@
         return 0;
     if (!isZoneLoadKnown(other))
         return unknownZoneCost;
-    return isLarge ? knownZoneCost + knownZoneSpread * uniform : otherZoneCost;
+    if (!isLarge)
+        return otherZoneCost;
+    return zonesReportChanges ? reportedZoneCost + reportedZoneSpread * uniform
+                              : knownZoneCost + knownZoneSpread * uniform;
 }
 
 double endpointJitter(double uniform, const EndpointName &name)
@@ -200,19 +218,29 @@
             return std::numeric_limits<double>::infinity();
         const double filled = memoryFillRatio(load, model, demand);
         const double saved = savedPrefillTokens(endpoint, view, demand, filled);
-        const double prefill =
-            (static_cast<double>(load.prefillTokens + demand.prefillTokens) - saved)
-            / prefillTokensPerMilli;
+        const double slowness = view.slowness(endpoint.record.name);
+        const double prefill = prefillDelay(load, demand) - saved / prefillTokensPerMilli;
         // An engine whose load is unknown may be full.
         const std::uint32_t others =
             view.isZoneLoadKnown(endpoint.record.zone) ? load.requests : model.slots;
         const double delayOfOthers = others * runningRequestDelayWeight
             * (static_cast<double>(demand.prefillTokens) - saved) / idlePrefillTokensPerMilli;
         const double scarce = std::max(filled - scarceMemoryFill, 0.0);
-        return commonCost(endpoint, view, uniform) + prefill + delayOfOthers
-            + load.requests * stepDelayCostPerRequest + filled * filled * fullMemoryCost
-            + scarce * scarceMemoryCost;
+        return commonCost(endpoint, view, uniform)
+            + slowness * (prefill + delayOfOthers + load.requests * stepDelayCostPerRequest)
+            + filled * filled * fullMemoryCost + scarce * scarceMemoryCost;
     });
 }
 
+StartOffer startOffer(const EndpointView &engine, const PlacementView &view,
+                      const PlacementDemand &demand)
+{
+    const EndpointLoad load = view.ledger.total(view.now, engine.record.name);
+    const double perToken = view.slowness(engine.record.name) / prefillTokensPerMilli;
+    const auto millis = [perToken](std::uint64_t tokens) {
+        return Millis {static_cast<std::int64_t>(static_cast<double>(tokens) * perToken)};
+    };
+    return {millis(load.prefillTokens), millis(demand.prefillTokens)};
+}
+
 } // namespace fescue::serving
