Report ended generations at once, also to the processes of the same zone

Tests: a held request's place ends with its caller, it starts once the prompts are processed, and an account's priority goes before its route's.

--- a/include/fescue/serving/edgedaemon.h
+++ b/include/fescue/serving/edgedaemon.h
@@ -72,7 +72,7 @@
                            std::optional<Millis> leavesIn, bool toOtherZones);
     void handleLeavingNotice(std::string_view bytes);
     // In a large system, reports new load on an endpoint to the processes of other zones, and
-    // processed prompts to all.
+    // removed load to all.
     void sendLoadChange(const EndpointName &endpoint, bool added, const EndpointLoad &load);
     void handleLoadChange(std::string_view bytes);
     // In a large system, if this process is a relay, sends the load sum of this zone to the relays
--- a/include/fescue/serving/edgedaemon.inl
+++ b/include/fescue/serving/edgedaemon.inl
@@ -451,7 +451,7 @@
     if (change->fromZone != m_self.zone)
         m_state.ledger.zoneChanged(ServingState::now(), *change);
     else if (!change->added)
-        m_state.ledger.peerPromptDone(change->from, change->endpoint, change->load.prefillTokens);
+        m_state.ledger.peerRemoved(change->from, change->endpoint, change->load);
 }
 
 template <PlatformProtocol P>
--- a/include/fescue/serving/loadledger.h
+++ b/include/fescue/serving/loadledger.h
@@ -53,7 +53,7 @@
     MemberName from;
     ZoneName fromZone;
     EndpointName endpoint;
-    // True if the load was added. False if its prompt has been processed: only the prefill counts.
+    // True if the load was added, false if it was removed.
     bool added = true;
     EndpointLoad load;
     bool operator==(const LoadChange &) const = default;
@@ -88,9 +88,9 @@
     // Records a change at a process of another availability zone; it counts until a later sum of
     // that zone arrives.
     void zoneChanged(Millis now, const LoadChange &change);
-    // Records that a peer's prompt has been processed; its next report replaces this.
-    void peerPromptDone(const MemberName &peer, const EndpointName &endpoint,
-                        std::uint64_t prefillTokens);
+    // Removes load from the last report of a peer; its next report replaces this.
+    void peerRemoved(const MemberName &peer, const EndpointName &endpoint,
+                     const EndpointLoad &load);
     // Returns true if a recent sum of that zone's processes has been received.
     [[nodiscard]] bool hasRecentZoneReport(Millis now, const ZoneName &zone) const;
     // Returns the sum of the loads from this process and its peers, for reports to other zones.
@@ -151,6 +151,8 @@
     ScopedLoad(const ScopedLoad &) = delete;
     ScopedLoad &operator=(const ScopedLoad &) = delete;
 
+    [[nodiscard]] const EndpointName &endpoint() const noexcept { return m_endpoint; }
+    [[nodiscard]] const EndpointLoad &load() const noexcept { return m_load; }
     // Records that the prompt has been processed: its tokens no longer count as prefill.
     void prefillDone();
 
--- a/include/fescue/serving/streamforwarder.h
+++ b/include/fescue/serving/streamforwarder.h
@@ -55,6 +55,8 @@
     // Holds a generation that competes with others until it may start. Returns false if its caller
     // has disconnected.
     [[nodiscard]] bool waitForTurn(const RequestContext &context, const PlacementDemand &demand);
+    // Removes the generation's load from its engine and reports that.
+    void releaseLoad(ForwardedStream &forwarded);
     // Sends the request to engines until one answers. Sends the failure to the caller and returns
     // false if none does.
     [[nodiscard]] bool begin(ForwardedStream &forwarded);
--- a/include/fescue/serving/streamforwarder.inl
+++ b/include/fescue/serving/streamforwarder.inl
@@ -72,14 +72,30 @@
         run.promptTokens = size.promptTokens;
         run.expectedOutputTokens = m_state->expectedOutput(*context.route, size);
     }
-    if (!begin(forwarded))
+    if (!begin(forwarded)) {
+        releaseLoad(forwarded);
         return;
+    }
     m_state->runs.add(forwarded.run);
     forward(forwarded);
+    releaseLoad(forwarded);
     run.finished = true;
     m_state->runs.remove(forwarded.run);
 }
 
+template <PlatformProtocol P>
+void StreamForwarder<P>::releaseLoad(ForwardedStream &forwarded)
+{
+    if (forwarded.load == nullptr)
+        return;
+    const EndpointName engine = forwarded.load->endpoint();
+    const EndpointLoad load = forwarded.load->load();
+    forwarded.load.reset();
+    const RequestContext &context = forwarded.context;
+    if (context.routes->hasPriorities(context.service))
+        m_state->reportLoadChange(engine, false, load);
+}
+
 template <PlatformProtocol P>
 std::optional<ExchangeResult>
 StreamForwarder<P>::attempt(ForwardedStream &forwarded, const PlacementDemand &demand,
@@ -98,6 +114,7 @@
     noteEndpoint(*m_state, context, *endpoint);
     forwarded.run->engine = endpoint->record;
     const EndpointRecord &record = forwarded.run->engine;
+    releaseLoad(forwarded);
     forwarded.load = std::make_unique<ScopedLoad>(
         m_state->ledger, record.name, EndpointLoad {1, demand.memoryTokens, demand.prefillTokens});
     m_state->notifyPeers();
--- a/src/serving/loadledger.cpp
+++ b/src/serving/loadledger.cpp
@@ -16,6 +16,14 @@
     return list;
 }
 
+// Subtracts a load, or as much of it as there is: a lost report may have left it out of the sum.
+void subtractUpTo(EndpointLoad &sum, const EndpointLoad &load)
+{
+    sum.requests -= std::min(sum.requests, load.requests);
+    sum.memoryTokens -= std::min(sum.memoryTokens, load.memoryTokens);
+    sum.prefillTokens -= std::min(sum.prefillTokens, load.prefillTokens);
+}
+
 } // namespace
 
 EndpointLoad &EndpointLoad::operator+=(const EndpointLoad &other) noexcept
@@ -118,7 +126,7 @@
             if (change.added)
                 sum += change.load;
             else
-                sum.prefillTokens -= std::min(sum.prefillTokens, change.load.prefillTokens);
+                subtractUpTo(sum, change.load);
         }
     }
 }
@@ -130,15 +138,15 @@
     changes.push_back({now, change.added, change.load});
 }
 
-void LoadLedger::peerPromptDone(const MemberName &peer, const EndpointName &endpoint,
-                                std::uint64_t prefillTokens)
+void LoadLedger::peerRemoved(const MemberName &peer, const EndpointName &endpoint,
+                             const EndpointLoad &load)
 {
     const auto it = m_peers.find(peer);
     if (it == m_peers.end())
         return;
     for (EndpointLoadEntry &reported : it->second.loads) {
         if (reported.endpoint == endpoint)
-            reported.load.prefillTokens -= std::min(reported.load.prefillTokens, prefillTokens);
+            subtractUpTo(reported.load, load);
     }
 }
 
--- a/tests/serving/exchange_test.cpp
+++ b/tests/serving/exchange_test.cpp
@@ -261,6 +261,75 @@
     EXPECT_EQ(ended.get_future().wait_for(std::chrono::seconds(5)), std::future_status::ready);
 }
 
+// Requests of another priority on the same engines: prompts that wait there hold the less urgent.
+class CompetingExchange : public Exchange
+{
+protected:
+    CompetingExchange()
+    {
+        for (Route &route : config.routes) {
+            route.priority = route.kind == RouteKind::Streaming ? 2 : 0;
+            route.targetLatency = 30_s;
+            route.timeout = 60_s;
+        }
+        addEndpoint("e1", [this](const net::HttpRequest &, net::ResponseWriter &writer) {
+            ++asked;
+            const std::vector<net::Header> headers {{"Request", "id-1"}};
+            static_cast<void>(writer.startStream(200, headers));
+            static_cast<void>(writer.write(eventText(1)));
+            static_cast<void>(writer.finish());
+        });
+        onWorker([this] { state.ledger.add(EndpointName("e1"), waitingPrompts); });
+    }
+
+    [[nodiscard]] std::uint64_t openRequests()
+    {
+        std::uint64_t n = 0;
+        onWorker([&] { n = state.open; });
+        return n;
+    }
+
+    const EndpointLoad waitingPrompts {2, 8'000, 8'000};
+    std::atomic<int> asked {0};
+};
+
+TEST_F(CompetingExchange, PlaceOfAHeldRequestEndsWithItsCaller)
+{
+    EXPECT_FALSE(call("/stream/x", {}, 200_ms));
+    const Millis until = SteadyClock {}.now() + 5_s;
+    while (openRequests() > 0 && SteadyClock {}.now() < until)
+        std::this_thread::sleep_for(std::chrono::milliseconds(5));
+    EXPECT_EQ(openRequests(), 0U);
+    EXPECT_EQ(asked, 0);
+}
+
+TEST_F(CompetingExchange, HeldRequestStartsOnceThePromptsAreProcessed)
+{
+    pool.spawn(0, [this] {
+        // Until the request is held.
+        while (state.open == 0)
+            net::sleepFor(5_ms);
+        net::sleepFor(50_ms);
+        EXPECT_EQ(asked, 0);
+        state.ledger.subtract(EndpointName("e1"), waitingPrompts);
+    });
+    const Result<net::HttpResponse> response = call("/stream/x");
+    ASSERT_TRUE(response) << response.error().message;
+    EXPECT_EQ(response->status, 200);
+    EXPECT_EQ(asked, 1);
+}
+
+// The priority of the account goes before that of the route.
+TEST_F(CompetingExchange, UrgentAccountIsNotHeld)
+{
+    // Requests of the test protocol have an empty key.
+    config.accounts = {{AccountName("urgent"), {""}, 0}};
+    const Result<net::HttpResponse> response = call("/stream/x");
+    ASSERT_TRUE(response) << response.error().message;
+    EXPECT_EQ(response->status, 200);
+    EXPECT_EQ(asked, 1);
+}
+
 TEST_F(Exchange, StreamThatBreaksOffDoesNotLookComplete)
 {
     addEndpoint("e1", [](const net::HttpRequest &, net::ResponseWriter &writer) {
--- a/tests/serving/loadledger_test.cpp
+++ b/tests/serving/loadledger_test.cpp
@@ -67,15 +67,28 @@
     EXPECT_EQ(ledger.total(1'400_ms + LoadLedger::zoneLifetime, first), EndpointLoad {});
 }
 
+// Answers many short generations: those that have ended must not fill an engine until the next sum.
+TEST(LoadLedger, EndedGenerationsOfOtherZonesNoLongerCount)
+{
+    LoadLedger ledger;
+    const ZoneName south("south");
+    for (int n = 0; n < 20; ++n) {
+        ledger.zoneChanged(1_s, {MemberName("p"), south, first, true, {1, 2'000, 1'900}});
+        ledger.zoneChanged(1_s, {MemberName("p"), south, first, false, {0, 0, 1'900}});
+        ledger.zoneChanged(1_s, {MemberName("p"), south, first, false, {1, 2'000, 0}});
+    }
+    EXPECT_EQ(ledger.total(1_s, first), EndpointLoad {});
+}
+
 TEST(LoadLedger, ProcessedPromptsOfPeersNoLongerCount)
 {
     LoadLedger ledger;
     const MemberName peer("peer");
     ledger.peerReported(1_s, peer, {{first, {2, 200, 150}}});
-    ledger.peerPromptDone(peer, first, 100);
-    ledger.peerPromptDone(MemberName("unknown"), first, 100);
+    ledger.peerRemoved(peer, first, {0, 0, 100});
+    ledger.peerRemoved(MemberName("unknown"), first, {0, 0, 100});
     EXPECT_EQ(ledger.total(1_s, first), (EndpointLoad {2, 200, 50}));
-    ledger.peerPromptDone(peer, first, 100);
+    ledger.peerRemoved(peer, first, {0, 0, 100});
     EXPECT_EQ(ledger.total(1_s, first), (EndpointLoad {2, 200, 0}));
 }
 
