Roll-outs: steps, quota, evidence, notices and the controller

An order in the store moves the requests of a service to another software version. Each process sends its own part of the quota to the new version, while a collector permits it; five collectors judge the sums of all processes' answers by Page's cumulative sum and write the next step under the condition that the record is unchanged.

--- a/include/fescue/serving/edgedaemon.h
+++ b/include/fescue/serving/edgedaemon.h
@@ -4,6 +4,7 @@
 #include "fescue/serving/gossipsocket.h"
 #include "fescue/serving/quarantineroutes.h"
 #include "fescue/serving/requesthandler.h"
+#include "fescue/serving/rolloutcontroller.h"
 #include "fescue/serving/storesession.h"
 
 #include <memory>
@@ -101,6 +102,7 @@
     GenerationMover<P> m_mover;
     RequestHandler<P> m_handler;
     StoreSession<P> m_store;
+    RolloutController<P> m_rollouts;
     GossipSocket m_gossip;
     std::vector<std::unique_ptr<net::HttpServer>> m_servers;
     net::HttpServer *m_front = nullptr;
--- a/include/fescue/serving/edgedaemon.inl
+++ b/include/fescue/serving/edgedaemon.inl
@@ -22,6 +22,7 @@
 inline const std::string leavingKind = "L";
 inline const std::string zoneLoadsKind = "Z";
 inline const std::string quarantineKind = "Q";
+inline const std::string rolloutKind = "R";
 // Number of ticks with which a notice about crashes and quarantined parts is sent again.
 inline constexpr int quarantineRepeats = 2;
 // Number of ticks between two messages with all quarantine entries.
@@ -52,7 +53,21 @@
                [this](const EndpointName &endpoint) { m_mover.evacuate(endpoint); },
                [this](std::span<const MemberView *const> to, std::string_view bytes) {
                    sendStoreUpdate(to, bytes);
+               },
+               [this](const ServiceName &service, const StoreChange &change) {
+                   m_rollouts.orderChanged(service, change);
+               },
+               [this](const ServiceName &service, const StoreChange &change) {
+                   m_rollouts.statusChanged(service, change);
                }}),
+      m_rollouts(m_state, m_mover, m_self,
+                 {[this](const MemberInfo &member, std::string_view bytes) {
+                      sendTo(member, rolloutKind + std::string(bytes));
+                  },
+                  [this](const std::string &key, const std::string &value) {
+                      return m_store.writeRollout(key, value);
+                  },
+                  [this] { return m_store.isRejected(); }}),
       m_gossip(pool.context(0), [this](std::string_view bytes) { handleDatagram(bytes); })
 { }
 
@@ -152,6 +167,7 @@
     };
     m_state.claimTrial = [this](const QuarantineEntry &entry) { return m_store.claimTrial(entry); };
     m_store.start();
+    m_rollouts.start();
     m_pool->spawn(net::currentWorker(), [this] { tick(); });
     m_pool->spawn(net::currentWorker(), [this] { m_mover.pollEngines(); });
     observe::logChange("started",
@@ -351,7 +367,10 @@
         handleZoneLoads(bytes.substr(zoneLoadsKind.size()));
     else if (bytes.starts_with(quarantineKind))
         handleQuarantineNotice(bytes.substr(quarantineKind.size()));
-    else
+    else if (bytes.starts_with(rolloutKind)) {
+        if (!m_rollouts.handleNotice(bytes.substr(rolloutKind.size())))
+            m_datagramsMalformed.Increment();
+    } else
         m_datagramsMalformed.Increment();
 }
 
--- a/include/fescue/serving/generationmover.inl
+++ b/include/fescue/serving/generationmover.inl
@@ -119,7 +119,7 @@
 void GenerationMover<P>::moveIfLeaving(const GenerationRunPtr &run)
 {
     const EndpointView *source = m_state->endpoints.find(run->engine.name);
-    const bool leaves = source != nullptr && source->leaving();
+    const bool leaves = source != nullptr && m_state->isEnding(*source);
     if (!leaves || run->hasMoveFiber || run->finished)
         return;
     run->hasMoveFiber = true;
@@ -142,7 +142,7 @@
     PlacementDemand demand;
     while (!run->finished && run->engine.name == engine && run->phase == MovePhase::Running) {
         const EndpointView *source = m_state->endpoints.find(engine);
-        if (source == nullptr || !source->leaving())
+        if (source == nullptr || !m_state->isEnding(*source))
             return;
         const EndpointView view = *source;
         if (moveOnce(run, view, demand) == NextStep::Done)
@@ -155,7 +155,7 @@
 bool GenerationMover<P>::isUsable(const std::optional<EndpointRecord> &engine) const
 {
     const EndpointView *view = engine ? m_state->endpoints.find(engine->name) : nullptr;
-    return view != nullptr && !view->leaving() && m_state->mayCall(view->record)
+    return view != nullptr && !m_state->isEnding(*view) && m_state->mayCall(view->record)
         && !m_state->endpoints.isZoneOut(view->record.zone);
 }
 
@@ -200,7 +200,7 @@
         if (source == nullptr)
             return;
         const EndpointView view = *source;
-        const bool mayCopy = run->phase == MovePhase::Running && !view.leaving();
+        const bool mayCopy = run->phase == MovePhase::Running && !m_state->isEnding(view);
         Millis pause = mayCopy ? renewStandbyCopy(run, view) : standbyCheckInterval;
         while (pause > Millis {0} && !run->finished) {
             net::sleepFor(std::min(pause, standbyCheckInterval));
--- a/include/fescue/serving/plainforwarder.inl
+++ b/include/fescue/serving/plainforwarder.inl
@@ -16,10 +16,14 @@
 const EndpointView *PlainForwarder<P>::choose(const RequestContext &context,
                                               const PlacementDemand &demand)
 {
-    const std::vector<const EndpointView *> candidates = m_state->candidates(context.service);
-    const EndpointView *endpoint = choosePlain(candidates, m_state->placementView(context.service),
-                                               demand, m_state->uniform());
-    return endpoint != nullptr && m_state->tryTakeColdShare(*endpoint) ? endpoint : nullptr;
+    const double uniform = m_state->uniform();
+    return m_state->chooseByVersion(
+        context.service, context.attempts > 0,
+        [&](const std::vector<const EndpointView *> &candidates) -> const EndpointView * {
+            const EndpointView *endpoint =
+                choosePlain(candidates, m_state->placementView(context.service), demand, uniform);
+            return endpoint != nullptr && m_state->tryTakeColdShare(*endpoint) ? endpoint : nullptr;
+        });
 }
 
 template <PlatformProtocol P>
--- a/include/fescue/serving/protocol.h
+++ b/include/fescue/serving/protocol.h
@@ -4,6 +4,7 @@
 #include "fescue/serving/callerrequest.h"
 #include "fescue/serving/endpointrecord.h"
 #include "fescue/serving/enginesend.h"
+#include "fescue/serving/rolloutplan.h"
 #include "fescue/serving/servingconfig.h"
 #include "fescue/serving/storesubject.h"
 
@@ -22,7 +23,8 @@
                                     const std::vector<net::Header> &headers, std::string_view text,
                                     const EndpointName &endpoint, const EngineSend &send,
                                     const MoveCall &move, const net::Problem &problem,
-                                    const std::vector<std::string> &addresses, Millis span)
+                                    const std::vector<std::string> &addresses, Millis span,
+                                    const ServiceName &service, const RolloutRecord &rollout)
 {
     typename P::Store;
     {
@@ -34,6 +36,18 @@
     {
         P::decodeEndpoint(endpoint, text)
         } -> std::same_as<Result<EndpointRecord>>;
+    {
+        P::decodeRolloutOrder(service, text)
+        } -> std::same_as<Result<RolloutOrder>>;
+    {
+        P::rolloutStatusKey(service)
+        } -> std::same_as<std::string>;
+    {
+        P::encodeRolloutStatus(rollout)
+        } -> std::same_as<std::string>;
+    {
+        P::decodeRolloutStatus(service, text)
+        } -> std::same_as<Result<RolloutRecord>>;
     {
         P::decodeCaller(request)
         } -> std::same_as<Result<CallerRequest>>;
--- a/include/fescue/serving/requestcontext.h
+++ b/include/fescue/serving/requestcontext.h
@@ -38,6 +38,9 @@
     // Load of the endpoint as known when it was chosen.
     EndpointLoad endpointLoad;
     std::uint32_t attempts = 0;
+    // Time at which the endpoint was chosen, and whether it was cold then.
+    Millis chosenAt {0};
+    bool wasCold = false;
     std::string detail;
     Millis firstByteAt {0};
     std::uint32_t moves = 0;
@@ -67,6 +70,12 @@
 void noteAttempt(ServingState &state, RequestContext &context, const EndpointRecord &endpoint,
                  SendOutcome outcome, std::string_view detail);
 
+// Record for the comparison of software versions that a stream has begun, or broke off for good.
+void noteStreamStart(ServingState &state, const RequestContext &context,
+                     const EndpointRecord &endpoint);
+void noteStreamFailure(ServingState &state, const RequestContext &context,
+                       const EndpointRecord &endpoint);
+
 // Logs the end of a request and updates the request metrics.
 void noteOutcome(ServingState &state, const RequestContext &context, ResultCode code, int status);
 
--- /dev/null
+++ b/include/fescue/serving/rolloutcontroller.inl
@@ -0,0 +1,404 @@
+#pragma once
+
+#include "fescue/core/rendezvous.h"
+#include "fescue/observe/log.h"
+#include "fescue/observe/timeline.h"
+#include "fescue/serving/periodictask.h"
+
+#include <algorithm>
+
+namespace fescue::serving {
+
+// Interval of reports and permits, and the one in a large system.
+inline constexpr Millis rolloutTickInterval = 250_ms;
+inline constexpr Millis largeRolloutTickInterval = 500_ms;
+// Number of processes that judge a roll-out.
+inline constexpr std::size_t rolloutCollectorCount = 5;
+// Time after which the next collector writes what the one before it should have written.
+inline constexpr Millis rolloutWriteSpacing = 600_ms;
+// Reports about open requests, and about being rejected by the store, count for this time.
+inline constexpr Millis rolloutReportLifetime = 2_s;
+// Time in a stage after which reports of all processes are of that stage.
+inline constexpr Millis minClosingTime = 500_ms;
+
+template <PlatformProtocol P>
+RolloutController<P>::RolloutController(ServingState &state, GenerationMover<P> &mover,
+                                        MemberInfo self, RolloutHooks hooks)
+    : m_state(&state), m_mover(&mover), m_self(std::move(self)), m_hooks(std::move(hooks))
+{ }
+
+template <PlatformProtocol P>
+void RolloutController<P>::start()
+{
+    m_state->pool.spawn(net::currentWorker(), [this] {
+        repeatUntilStopped(m_state->metrics, "roll-outs", [this] {
+            tick();
+            net::sleepFor(m_state->isLarge() ? largeRolloutTickInterval : rolloutTickInterval);
+        });
+    });
+}
+
+template <PlatformProtocol P>
+void RolloutController<P>::orderChanged(const ServiceName &service, const StoreChange &change)
+{
+    const Millis now = ServingState::now();
+    if (change.removed) {
+        m_state->rollouts.orderRemoved(now, service, change.fromListing);
+        observe::logChange("rollout-order-removed",
+                           {{"service", service.text()},
+                            {"revision", change.revision.value},
+                            {"listed", change.fromListing ? "yes" : "no"}});
+        return;
+    }
+    Result<RolloutOrder> order = P::decodeRolloutOrder(service, change.value);
+    if (order && !m_state->settings.deploymentLimits.rollout)
+        order = fail(ResultCode::ConfigSyntax, "the settings have no limits for roll-outs");
+    if (!order) {
+        observe::logChange(observe::LogLevel::Error, "rollout-order-rejected",
+                           {{"service", service.text()},
+                            {"revision", change.revision.value},
+                            {"reason", order.error().message}});
+        return;
+    }
+    order->revision = change.revision;
+    const RolloutLimits &limits = *m_state->settings.deploymentLimits.rollout;
+    // A process that finds the order by a listing may have had its part before a restart.
+    const double credit = change.fromListing
+        ? 0
+        : RolloutQuota::initialCredit(limits.exposureAllowance, m_state->membersForShares(),
+                                      m_state->uniform());
+    const OrderEffect effect = m_state->rollouts.orderWritten(
+        now, *order, change.fromListing ? std::nullopt : std::optional<Millis>(Millis {0}), credit);
+    const bool isKnownService = m_state->routes && m_state->routes->findService(service) != nullptr;
+    observe::logChange("rollout-order",
+                       {{"service", service.text()},
+                        {"to", order->version},
+                        {"duration_ms", order->duration.count},
+                        {"revision", change.revision.value},
+                        {"era", change.revision.era},
+                        {"credit_permille", static_cast<int>(credit * 1000)},
+                        {"service_known", isKnownService ? "yes" : "no"},
+                        {"effect",
+                         effect == OrderEffect::Begun          ? std::string_view("begun")
+                             : effect == OrderEffect::Repeated ? std::string_view("repeated")
+                                                               : "already completed"}});
+}
+
+template <PlatformProtocol P>
+void RolloutController<P>::statusChanged(const ServiceName &service, const StoreChange &change)
+{
+    if (change.removed) {
+        m_stored.erase(service);
+        return;
+    }
+    const Result<RolloutRecord> record = P::decodeRolloutStatus(service, change.value);
+    if (!record) {
+        m_stored.erase(service);
+        observe::logChange(observe::LogLevel::Warning, "rollout-status-malformed",
+                           {{"service", service.text()},
+                            {"revision", change.revision.value},
+                            {"reason", record.error().message}});
+        return;
+    }
+    m_stored[service] = *record;
+    const bool isNew = m_state->rollouts.recordSeen(ServingState::now(),
+                                                    Millis {observe::wallMillisNow()}, *record);
+    observe::logChange("rollout-status",
+                       {{"service", service.text()},
+                        {"to", record->version},
+                        {"stage", toString(record->stage)},
+                        {"change", record->change},
+                        {"revision", change.revision.value},
+                        {"applied", isNew ? "yes" : "no"},
+                        {"reason", record->reason}});
+    if (isNew && record->stage == RolloutStage::Closing)
+        leaveOldVersions(service);
+}
+
+template <PlatformProtocol P>
+void RolloutController<P>::leaveOldVersions(const ServiceName &service)
+{
+    const Rollout *rollout = m_state->rollouts.find(service);
+    if (rollout == nullptr || !rollout->order)
+        return;
+    const RolloutSchedule schedule(rollout->order->duration);
+    const Millis left = schedule.decideAt - rollout->elapsed(ServingState::now());
+    std::vector<EndpointName> retiring;
+    for (const std::pair<const EndpointName, EndpointView> &entry : m_state->endpoints.all()) {
+        if (entry.second.record.service == service && !entry.second.leaving()
+            && m_state->rollouts.isRetiring(entry.second.record))
+            retiring.push_back(entry.first);
+    }
+    for (const EndpointName &endpoint : retiring)
+        m_mover->evacuate(endpoint, std::max(left, Millis {0}));
+}
+
+template <PlatformProtocol P>
+void RolloutController<P>::tick()
+{
+    const Millis now = ServingState::now();
+    m_state->rollouts.tick(now);
+    std::vector<ServiceName> services;
+    for (const std::pair<const ServiceName, Rollout> &entry : m_state->rollouts.all()) {
+        // A decision that the store has lost is written again.
+        const auto stored = m_stored.find(entry.first);
+        const RolloutRecord *known = entry.second.current();
+        const bool isLost =
+            known != nullptr && (stored == m_stored.end() || stored->second.change < known->change);
+        if (entry.second.isActive() || isLost)
+            services.push_back(entry.first);
+    }
+    std::erase_if(m_collected, [&services](const std::pair<const ServiceName, Collected> &entry) {
+        return !entry.second.isWriting
+            && std::find(services.begin(), services.end(), entry.first) == services.end();
+    });
+    if (services.empty())
+        return;
+    const std::vector<MemberView> members = m_state->members.members(now);
+    for (const ServiceName &service : services)
+        serve(now, service, members);
+}
+
+template <PlatformProtocol P>
+void RolloutController<P>::serve(Millis now, const ServiceName &service,
+                                 const std::vector<MemberView> &members)
+{
+    const Rollout *rollout = m_state->rollouts.find(service);
+    if (rollout == nullptr || !rollout->order)
+        return;
+    const std::vector<MemberName> chosen = collectors(now, service, members);
+    const RolloutReport report = ownReport(*rollout);
+    handleReport(report);
+    const std::string bytes = encodeRolloutNotice(report);
+    for (const MemberView &member : members) {
+        if (std::find(chosen.begin(), chosen.end(), member.info.name) != chosen.end())
+            m_hooks.send(member.info, bytes);
+    }
+    const auto self = std::find(chosen.begin(), chosen.end(), m_self.name);
+    if (self != chosen.end())
+        collect(now, *rollout, static_cast<std::size_t>(self - chosen.begin()), members);
+}
+
+template <PlatformProtocol P>
+std::vector<MemberName>
+RolloutController<P>::collectors(Millis now, const ServiceName &service,
+                                 const std::vector<MemberView> &members) const
+{
+    std::vector<std::string_view> names;
+    for (const MemberView &member : members) {
+        const auto rejected = m_rejectedAt.find(member.info.name);
+        const bool isRejected =
+            rejected != m_rejectedAt.end() && now - rejected->second <= rolloutReportLifetime;
+        if (member.state == MemberState::Live && !member.info.leaving && !isRejected)
+            names.push_back(member.info.name.text());
+    }
+    std::vector<MemberName> chosen;
+    for (const std::size_t i : rendezvousOrder(service.text(), names)) {
+        if (chosen.size() == rolloutCollectorCount)
+            break;
+        chosen.emplace_back(names[i]);
+    }
+    return chosen;
+}
+
+template <PlatformProtocol P>
+RolloutReport RolloutController<P>::ownReport(const Rollout &rollout) const
+{
+    RolloutReport report {m_self.name,
+                          m_self.incarnation,
+                          rollout.order->service,
+                          rollout.order->revision,
+                          rollout.current() == nullptr ? 0 : rollout.current()->change,
+                          0,
+                          m_hooks.isRejected(),
+                          rollout.evidence};
+    for (const EndpointLoadEntry &entry : m_state->ledger.own()) {
+        const EndpointView *view = m_state->endpoints.find(entry.endpoint);
+        if (view != nullptr && view->record.service == rollout.order->service
+            && view->record.softwareVersion != rollout.order->version)
+            report.openAtOld += entry.load.requests;
+    }
+    return report;
+}
+
+template <PlatformProtocol P>
+typename RolloutController<P>::Collected &
+RolloutController<P>::collectedOf(const ServiceName &service, net::StoreRevision order)
+{
+    Collected &collected = m_collected[service];
+    if (collected.order != order && !collected.isWriting) {
+        collected = {};
+        collected.order = order;
+    }
+    return collected;
+}
+
+template <PlatformProtocol P>
+bool RolloutController<P>::handleNotice(std::string_view bytes)
+{
+    const Result<RolloutNotice> notice = decodeRolloutNotice(bytes);
+    if (!notice)
+        return false;
+    if (const RolloutReport *report = std::get_if<RolloutReport>(&*notice))
+        handleReport(*report);
+    else
+        handlePermit(std::get<RolloutPermit>(*notice));
+    return true;
+}
+
+template <PlatformProtocol P>
+void RolloutController<P>::handleReport(const RolloutReport &report)
+{
+    const Millis now = ServingState::now();
+    if (report.isRejected)
+        m_rejectedAt[report.from] = now;
+    else
+        m_rejectedAt.erase(report.from);
+    const Rollout *rollout = m_state->rollouts.find(report.service);
+    if (rollout == nullptr || !rollout->order || rollout->order->revision != report.order)
+        return;
+    Collected &collected = collectedOf(report.service, report.order);
+    collected.judge.report(report.from, report.incarnation, report.evidence);
+    collected.reports[report.from] = {now, report.change, report.openAtOld};
+}
+
+template <PlatformProtocol P>
+void RolloutController<P>::handlePermit(const RolloutPermit &permit)
+{
+    const Millis now = ServingState::now();
+    if (permit.isRejected)
+        m_rejectedAt[permit.from] = now;
+    const Rollout *before = m_state->rollouts.find(permit.service);
+    const bool wasHalted = before != nullptr && before->isHalted;
+    if (m_state->rollouts.permitted(now, permit) && permit.isHalted && !wasHalted)
+        observe::logChange("rollout-halted",
+                           {{"service", permit.service.text()}, {"by", permit.from.text()}});
+}
+
+template <PlatformProtocol P>
+void RolloutController<P>::collect(Millis now, const Rollout &rollout, std::size_t rank,
+                                   const std::vector<MemberView> &members)
+{
+    const RolloutOrder order = *rollout.order;
+    Collected &collected = collectedOf(order.service, order.revision);
+    collected.judge.step(now);
+    collected.verdict = collected.judge.verdict();
+    m_state->metrics.gauge("fescue_rollout_worst_sum", {{"service", order.service.text()}})
+        .Set(collected.verdict.worstSum);
+    const bool isRejected = m_hooks.isRejected();
+    if (rollout.isActive()) {
+        const RolloutPermit permit {m_self.name,
+                                    order.service,
+                                    order.revision,
+                                    std::max(rollout.elapsed(now), Millis {0}),
+                                    rollout.isHalted || collected.verdict.isBad,
+                                    isRejected};
+        // A process that the store does not reach must not permit anything.
+        if (permit.isHalted || !m_state->isStoreSilent()) {
+            handlePermit(permit);
+            const std::string bytes = encodeRolloutNotice(permit);
+            for (const MemberView &member : members)
+                m_hooks.send(member.info, bytes);
+        }
+    }
+    const std::optional<RolloutRecord> record = nextRecord(now, rollout, collected, members);
+    if (!record || collected.isWriting || m_state->isStoreSilent()) {
+        if (!record)
+            collected.writeWantedSince.reset();
+        return;
+    }
+    const bool isSameChange = collected.changeBefore == record->change;
+    if (!collected.writeWantedSince || !isSameChange)
+        collected.writeWantedSince = now;
+    collected.changeBefore = record->change;
+    const Millis delay = rolloutWriteSpacing * static_cast<std::int64_t>(rank);
+    if (now - *collected.writeWantedSince < delay)
+        return;
+    collected.isWriting = true;
+    m_state->pool.spawn(net::currentWorker(),
+                        [this, written = *record, verdict = collected.verdict] {
+                            write(written, verdict);
+                            m_collected[written.service].isWriting = false;
+                        });
+}
+
+template <PlatformProtocol P>
+std::optional<RolloutRecord>
+RolloutController<P>::nextRecord(Millis now, const Rollout &rollout, const Collected &collected,
+                                 const std::vector<MemberView> &members)
+{
+    const RolloutOrder &order = *rollout.order;
+    const RolloutRecord *known = rollout.current();
+    if (known == nullptr) {
+        const Millis beganAt = Millis {observe::wallMillisNow()} - rollout.elapsed(now);
+        return RolloutRecord {
+            order.service,  order.version, order.duration, RolloutStage::Canary, 1,
+            order.revision, beganAt,       "ordered"};
+    }
+    const auto stored = m_stored.find(order.service);
+    if (stored == m_stored.end() || stored->second.change < known->change)
+        return *known;
+    const bool isOldIdleNow = isOldIdle(now, *known, collected, members);
+    const RolloutFacts facts {rollout.elapsed(now),
+                              now - rollout.recordSeenAt,
+                              collected.verdict.isBad || rollout.isHalted,
+                              collected.verdict.isSuspicious,
+                              collected.verdict.hasEnoughEvidence,
+                              rollout.isCancelled,
+                              isOldIdleNow};
+    const std::optional<RolloutStep> step = nextStep(*known, facts);
+    if (!step)
+        return std::nullopt;
+    RolloutRecord record = *known;
+    record.stage = step->stage;
+    record.reason = step->reason;
+    record.order = order.revision;
+    ++record.change;
+    return record;
+}
+
+template <PlatformProtocol P>
+bool RolloutController<P>::isOldIdle(Millis now, const RolloutRecord &record,
+                                     const Collected &collected,
+                                     const std::vector<MemberView> &members) const
+{
+    const Rollout *rollout = m_state->rollouts.find(record.service);
+    if (rollout == nullptr || now - rollout->recordSeenAt < minClosingTime)
+        return false;
+    return std::all_of(members.begin(), members.end(), [&](const MemberView &member) {
+        if (member.state != MemberState::Live)
+            return true;
+        const auto it = collected.reports.find(member.info.name);
+        return it != collected.reports.end() && now - it->second.at <= rolloutReportLifetime
+            && it->second.change >= record.change && it->second.openAtOld == 0;
+    });
+}
+
+template <PlatformProtocol P>
+void RolloutController<P>::write(const RolloutRecord &record, const RolloutVerdict &verdict)
+{
+    const net::StoreResult<void> written =
+        m_hooks.write(P::rolloutStatusKey(record.service), P::encodeRolloutStatus(record));
+    observe::logChange(
+        written ? "rollout-step" : "rollout-not-written",
+        {{"service", record.service.text()},
+         {"to", record.version},
+         {"stage", toString(record.stage)},
+         {"change", record.change},
+         {"reason", record.reason},
+         {"answers", verdict.answers},
+         {"failures", verdict.failures},
+         {"worst_route", verdict.route},
+         {"worst_kind", verdict.kind},
+         {"worst_sum_permille", static_cast<int>(verdict.worstSum * 1000)},
+         {"detail", written ? std::string_view() : std::string_view(written.error().message)}});
+    if (written) {
+        m_state->metrics
+            .counter("fescue_rollout_steps_total",
+                     {{"service", record.service.text()},
+                      {"stage", std::string(toString(record.stage))}})
+            .Increment();
+    }
+}
+
+} // namespace fescue::serving
--- a/include/fescue/serving/servingstate.h
+++ b/include/fescue/serving/servingstate.h
@@ -18,6 +18,7 @@
 #include "fescue/serving/nodesettings.h"
 #include "fescue/serving/placement.h"
 #include "fescue/serving/promptquarantine.h"
+#include "fescue/serving/rollouttable.h"
 #include "fescue/serving/routetable.h"
 #include "fescue/serving/sharedretrybudget.h"
 #include "fescue/serving/stopplan.h"
@@ -60,6 +61,35 @@
     [[nodiscard]] PlacementView placementView(const ServiceName &service);
     // Returns the endpoints of a service that may receive new requests.
     [[nodiscard]] std::vector<const EndpointView *> candidates(const ServiceName &service) const;
+    // Returns those of a service's new software version that may receive requests during a
+    // roll-out.
+    [[nodiscard]] std::vector<const EndpointView *>
+    newVersionCandidates(const ServiceName &service) const;
+    // Chooses an endpoint with `choose(candidates)`, which returns null if none of them has room:
+    // during a roll-out one of the new version if that may get the request, else one of the others.
+    // Retries go to the others.
+    template <typename F>
+    [[nodiscard]] const EndpointView *chooseByVersion(const ServiceName &service, bool isRetry,
+                                                      F choose)
+    {
+        const std::optional<RolloutLimits> &limits = settings.deploymentLimits.rollout;
+        if (!limits || isRetry || rollouts.all().empty())
+            return choose(candidates(service));
+        const EndpointView *endpoint = nullptr;
+        if (rollouts.wantsNewVersion(now(), service, *limits))
+            endpoint = choose(newVersionCandidates(service));
+        if (endpoint == nullptr)
+            endpoint = choose(candidates(service));
+        if (endpoint != nullptr)
+            rollouts.recordRequest(endpoint->record, *limits);
+        return endpoint;
+    }
+    // Returns true if work at an endpoint has to end or move: it leaves, or its software version is
+    // being replaced.
+    [[nodiscard]] bool isEnding(const EndpointView &endpoint) const
+    {
+        return endpoint.leaving() || rollouts.isRetiring(endpoint.record);
+    }
     // Records that an endpoint's address refused a connection of this process or, as reported, of a
     // peer. The endpoint is not a candidate for a while, unless the service has no other.
     void recordRefusedConnection(const EndpointRecord &endpoint);
@@ -109,6 +139,7 @@
     net::HttpClient engineClient;
     RouteTablePtr routes;
     EndpointTable endpoints;
+    RolloutTable rollouts;
     LoadLedger ledger;
     EndpointHealth health;
     // Pauses that endpoints asked this process for.
@@ -149,6 +180,9 @@
     std::size_t open = 0;
 
 private:
+    // Removes endpoints that asked for a pause or refuse connections.
+    void removeUnreachable(std::vector<const EndpointView *> &usable) const;
+
     std::map<ServiceName, SharedRetryBudget> m_retryBudgets;
     LengthForecast m_lengths;
     std::mt19937_64 m_random;
--- a/include/fescue/serving/storesession.h
+++ b/include/fescue/serving/storesession.h
@@ -26,9 +26,11 @@
     Register,
     // Writes an entry of the quarantine of prompt parts, or claims a trial of one.
     Quarantine,
+    // Writes the state of a roll-out.
+    Rollout,
 };
-inline constexpr std::array<std::string_view, 5> storeCallNames {"list", "watch", "renew",
-                                                                 "register", "quarantine"};
+inline constexpr std::array<std::string_view, 6> storeCallNames {
+    "list", "watch", "renew", "register", "quarantine", "rollout"};
 
 // Callbacks of a store session's owner.
 struct StoreSessionHooks
@@ -39,6 +41,11 @@
     std::function<void(const EndpointName &)> endpointLeaving;
     // Sends a datagram to other entry processes.
     std::function<void(std::span<const MemberView *const>, std::string_view)> send;
+    // Called when an order for a roll-out, or the state of one, has changed.
+    std::function<void(const ServiceName &, const StoreChange &)> rolloutOrdered =
+        [](const ServiceName &, const StoreChange &) {};
+    std::function<void(const ServiceName &, const StoreChange &)> rolloutStatusChanged =
+        [](const ServiceName &, const StoreChange &) {};
 };
 
 // Follows the platform's store: the configuration, the endpoints, the zones out of service and the
@@ -63,6 +70,12 @@
     // Claims a trial of a quarantine entry. Returns false if another process has claimed it, or if
     // the store does not confirm it.
     [[nodiscard]] bool claimTrial(const QuarantineEntry &entry);
+    // Writes the state of a roll-out unless the store's copy of the key has changed since this
+    // process received it.
+    [[nodiscard]] net::StoreResult<void> writeRollout(const std::string &key,
+                                                      const std::string &value);
+    // Returns true if the last call of this process to list, watch or renew failed.
+    [[nodiscard]] bool isRejected() const noexcept { return m_isRejected; }
     // Returns this process' copy of the store, for a peer that has missed the changes after a
     // revision.
     [[nodiscard]] StoreCopy copy(net::StoreRevision after, CopyScope scope) const;
--- a/include/fescue/serving/storesession.inl
+++ b/include/fescue/serving/storesession.inl
@@ -147,6 +147,7 @@
                             {storeCallNames[2], m_calls[2]},
                             {storeCallNames[3], m_calls[3]},
                             {storeCallNames[4], m_calls[4]},
+                            {storeCallNames[5], m_calls[5]},
                             {"failed", m_failedCalls}});
         m_calls = {};
         m_failedCalls = 0;
@@ -602,7 +603,10 @@
         applyEndpointChange(EndpointName(subject.name), change);
         break;
     case StoreSubjectKind::Rollout:
-        // Nothing serves roll-outs yet.
+        m_hooks.rolloutOrdered(ServiceName(subject.name), change);
+        break;
+    case StoreSubjectKind::RolloutStatus:
+        m_hooks.rolloutStatusChanged(ServiceName(subject.name), change);
         break;
     case StoreSubjectKind::Other:
         if (change.key.starts_with(node::memberKeyPrefix))
@@ -787,6 +791,17 @@
     return written.map([](net::StoreRevision) {});
 }
 
+template <PlatformProtocol P>
+net::StoreResult<void> StoreSession<P>::writeRollout(const std::string &key,
+                                                     const std::string &value)
+{
+    const net::StoreItem *item = m_mirror.find(key);
+    const net::StoreResult<net::StoreRevision> written =
+        m_store.putIfMatch(key, value, item == nullptr ? net::StoreRevision {} : item->revision);
+    countCall(StoreCall::Rollout, written || written.error().code == ResultCode::StoreConflict);
+    return written.map([](net::StoreRevision) {});
+}
+
 template <PlatformProtocol P>
 bool StoreSession<P>::claimTrial(const QuarantineEntry &entry)
 {
--- a/include/fescue/serving/storesubject.h
+++ b/include/fescue/serving/storesubject.h
@@ -15,6 +15,8 @@
     Endpoint,
     // An order to move a service to a new software version; `name` is the service.
     Rollout,
+    // The state of a roll-out, written by this project; `name` is the service.
+    RolloutStatus,
     // Any other key, including this project's own ones.
     Other,
 };
--- a/include/fescue/serving/streamforwarder.inl
+++ b/include/fescue/serving/streamforwarder.inl
@@ -31,13 +31,17 @@
 const EndpointView *StreamForwarder<P>::choose(const RequestContext &context,
                                                const PlacementDemand &demand)
 {
-    const std::vector<const EndpointView *> candidates = m_state->candidates(context.service);
-    const PlacementView view = m_state->placementView(context.service);
     const EngineModel *model = context.routes->findEngineModel(context.service);
-    const EndpointView *endpoint = model != nullptr
-        ? chooseEngine(candidates, *model, view, demand, m_state->uniform())
-        : choosePlain(candidates, view, demand, m_state->uniform());
-    return endpoint != nullptr && m_state->tryTakeColdShare(*endpoint) ? endpoint : nullptr;
+    const double uniform = m_state->uniform();
+    return m_state->chooseByVersion(
+        context.service, context.attempts > 0,
+        [&](const std::vector<const EndpointView *> &candidates) -> const EndpointView * {
+            const PlacementView view = m_state->placementView(context.service);
+            const EndpointView *endpoint = model != nullptr
+                ? chooseEngine(candidates, *model, view, demand, uniform)
+                : choosePlain(candidates, view, demand, uniform);
+            return endpoint != nullptr && m_state->tryTakeColdShare(*endpoint) ? endpoint : nullptr;
+        });
 }
 
 template <PlatformProtocol P>
@@ -326,6 +330,7 @@
     if (context.events >= eventsOfSoundPrompt)
         m_guard->recordStart(context);
     if (isFirst) {
+        noteStreamStart(*m_state, context, forwarded.run->engine);
         m_mover->moveIfLeaving(forwarded.run);
         m_mover->startStandbyCopy(forwarded.run);
     }
@@ -458,6 +463,7 @@
         : end == StreamEnd::EngineLost                       ? ResultCode::GenerationLost
                                                              : ResultCode::BackEndProtocol;
     m_state->health.record(ServingState::now(), forwarded.run->engine.name, false);
+    noteStreamFailure(*m_state, context, forwarded.run->engine);
     forwarded.upstream.close();
     if (forwarded.started) {
         context.writer.abort();
--- a/src/serving/requestcontext.cpp
+++ b/src/serving/requestcontext.cpp
@@ -28,6 +28,17 @@
     return "unknown";
 }
 
+// Records an answer for the comparison of software versions. Cold endpoints are slow whatever their
+// version.
+void recordVersionAnswer(ServingState &state, const RequestContext &context,
+                         const EndpointRecord &endpoint, bool succeeded)
+{
+    if (context.route == nullptr || (succeeded && context.wasCold))
+        return;
+    state.rollouts.recordAnswer(endpoint.service, endpoint.softwareVersion, context.route->name,
+                                succeeded, ServingState::now() - context.chosenAt);
+}
+
 // Returns the ids of the first parts of a prompt.
 std::string describePrompt(std::span<const PromptPart> prompt)
 {
@@ -65,6 +76,20 @@
     context.endpoint = endpoint.record.name.text();
     context.endpointAge = ServingState::now() - endpoint.firstListedAt;
     ++context.attempts;
+    context.chosenAt = ServingState::now();
+    context.wasCold = endpoint.isCold(context.chosenAt);
+}
+
+void noteStreamStart(ServingState &state, const RequestContext &context,
+                     const EndpointRecord &endpoint)
+{
+    recordVersionAnswer(state, context, endpoint, true);
+}
+
+void noteStreamFailure(ServingState &state, const RequestContext &context,
+                       const EndpointRecord &endpoint)
+{
+    recordVersionAnswer(state, context, endpoint, false);
 }
 
 void noteAttempt(ServingState &state, RequestContext &context, const EndpointRecord &endpoint,
@@ -81,6 +106,11 @@
         state.health.recordUnresponsive(now, endpoint.name);
     else
         state.health.record(now, endpoint.name, outcome == SendOutcome::Succeeded);
+    const bool hasRun = !unreachable && outcome != SendOutcome::NotRun;
+    const bool isStream = context.route != nullptr && context.route->kind == RouteKind::Streaming;
+    // The success of a stream is its first event.
+    if (hasRun && !(isStream && outcome == SendOutcome::Succeeded))
+        recordVersionAnswer(state, context, endpoint, outcome == SendOutcome::Succeeded);
     if (outcome == SendOutcome::Refused)
         state.recordRefusedConnection(endpoint);
     if (outcome == SendOutcome::Succeeded)
--- /dev/null
+++ b/src/serving/rolloutplan.cpp
@@ -0,0 +1,106 @@
+#include "fescue/serving/rolloutplan.h"
+
+#include <algorithm>
+#include <array>
+
+namespace fescue::serving {
+
+namespace {
+
+constexpr std::array<std::string_view, 7> stageNames {"canary",  "quarter",   "half",    "most",
+                                                      "closing", "completed", "reverted"};
+// Fraction of the operator's limit that the canary uses. The rest is for requests that reach a bad
+// version in the later stages, until it is found.
+constexpr double canaryFraction = 0.6;
+// Limits of the time for the stages between canary and closing, all together, and for closing.
+constexpr Millis minPhase = 1500_ms;
+constexpr Millis maxPhase = 6_s;
+constexpr std::int64_t phaseDivisor = 5;
+// Limits of the time from the latest decision to the deadline.
+constexpr Millis minMargin = 300_ms;
+constexpr Millis maxMargin = 1500_ms;
+constexpr std::int64_t marginDivisor = 20;
+constexpr std::int64_t growingStages = 3;
+
+} // namespace
+
+std::string_view toString(RolloutStage stage) noexcept
+{
+    return stageNames[static_cast<std::size_t>(stage)];
+}
+
+std::optional<RolloutStage> parseRolloutStage(std::string_view text) noexcept
+{
+    const auto it = std::find(stageNames.begin(), stageNames.end(), text);
+    if (it == stageNames.end())
+        return std::nullopt;
+    return static_cast<RolloutStage>(it - stageNames.begin());
+}
+
+bool RolloutRecord::belongsTo(const RolloutOrder &rolloutOrder) const noexcept
+{
+    if (version != rolloutOrder.version || duration != rolloutOrder.duration)
+        return false;
+    return order == rolloutOrder.revision || order.era != rolloutOrder.revision.era;
+}
+
+RolloutSchedule::RolloutSchedule(Millis duration) noexcept
+{
+    const Millis phase = std::clamp(duration / phaseDivisor, minPhase, maxPhase);
+    const Millis margin = std::clamp(duration / marginDivisor, minMargin, maxMargin);
+    decideAt = duration - margin;
+    closeAt = decideAt - phase;
+    growAt = closeAt - phase;
+    stageTime = phase / growingStages;
+}
+
+std::optional<RolloutStep> nextStep(const RolloutRecord &record, const RolloutFacts &facts)
+{
+    if (record.isDecided())
+        return std::nullopt;
+    if (facts.isBad)
+        return RolloutStep {RolloutStage::Reverted, "the new version is bad"};
+    if (facts.isCancelled)
+        return RolloutStep {RolloutStage::Reverted, "the order was removed"};
+    const RolloutSchedule schedule(record.duration);
+    const bool isSound = facts.hasEnoughEvidence && !facts.isSuspicious;
+    if (record.stage == RolloutStage::Closing) {
+        const bool isLast = facts.elapsed >= schedule.decideAt;
+        if (isSound && facts.isOldIdle)
+            return RolloutStep {RolloutStage::Completed, "the old versions are idle"};
+        if (!isLast)
+            return std::nullopt;
+        return isSound ? RolloutStep {RolloutStage::Completed, "the time is over"}
+                       : RolloutStep {RolloutStage::Reverted, "the evidence is not sound in time"};
+    }
+    if (facts.elapsed >= schedule.decideAt)
+        return RolloutStep {RolloutStage::Reverted, "the evidence is not sound in time"};
+    if (!isSound)
+        return std::nullopt;
+    if (facts.elapsed >= schedule.closeAt)
+        return RolloutStep {RolloutStage::Closing, "sound, time for the last requests"};
+    const bool isCanary = record.stage == RolloutStage::Canary;
+    const bool isDue =
+        isCanary ? facts.elapsed >= schedule.growAt : facts.inStage >= schedule.stageTime;
+    if (!isDue || record.stage == RolloutStage::Most)
+        return std::nullopt;
+    return RolloutStep {static_cast<RolloutStage>(static_cast<int>(record.stage) + 1), "sound"};
+}
+
+double newVersionShare(RolloutStage stage, double exposureShare) noexcept
+{
+    switch (stage) {
+    case RolloutStage::Canary:
+        return exposureShare * canaryFraction;
+    case RolloutStage::Quarter:
+        return 0.25;
+    case RolloutStage::Half:
+        return 0.5;
+    case RolloutStage::Reverted:
+        return 0;
+    default:
+        return 1;
+    }
+}
+
+} // namespace fescue::serving
--- a/src/serving/servingstate.cpp
+++ b/src/serving/servingstate.cpp
@@ -112,6 +112,34 @@
 std::vector<const EndpointView *> ServingState::candidates(const ServiceName &service) const
 {
     std::vector<const EndpointView *> usable = endpoints.usable(service);
+    if (settings.deploymentLimits.rollout) {
+        const Millis time = now();
+        const VersionRule rule = rollouts.ruleFor(time, service);
+        if (rule == VersionRule::Any)
+            RolloutTable::holdNewVersions(time, usable);
+        else
+            rollouts.filter(time, service, rule, endpoints.all(), usable);
+    }
+    removeUnreachable(usable);
+    return usable;
+}
+
+std::vector<const EndpointView *>
+ServingState::newVersionCandidates(const ServiceName &service) const
+{
+    const std::optional<RolloutLimits> &limits = settings.deploymentLimits.rollout;
+    if (!limits)
+        return {};
+    const Millis time = now();
+    std::vector<const EndpointView *> usable = endpoints.usable(service);
+    rollouts.filter(time, service, VersionRule::OnlyNew, endpoints.all(), usable);
+    rollouts.limitToShare(time, service, *limits, usable);
+    removeUnreachable(usable);
+    return usable;
+}
+
+void ServingState::removeUnreachable(std::vector<const EndpointView *> &usable) const
+{
     std::erase_if(usable, [this](const EndpointView *view) { return !mayCall(view->record); });
     const Millis time = now();
     const auto refuses = [this, time](const EndpointView *view) {
@@ -119,7 +147,6 @@
     };
     if (!std::all_of(usable.begin(), usable.end(), refuses))
         std::erase_if(usable, refuses);
-    return usable;
 }
 
 void ServingState::recordRefusedConnection(const EndpointRecord &endpoint)
--- /dev/null
+++ b/tests/serving/rolloutplan_test.cpp
@@ -0,0 +1,149 @@
+#include "fescue/serving/rolloutplan.h"
+
+#include <gtest/gtest.h>
+
+namespace {
+
+using namespace fescue;
+using namespace fescue::serving;
+
+RolloutRecord recordIn(RolloutStage stage)
+{
+    RolloutRecord record;
+    record.service = ServiceName("llm");
+    record.version = "v2";
+    record.duration = 30_s;
+    record.stage = stage;
+    record.change = 1;
+    record.order = {7, 1};
+    return record;
+}
+
+RolloutFacts soundFacts(Millis elapsed)
+{
+    RolloutFacts facts;
+    facts.elapsed = elapsed;
+    facts.inStage = elapsed;
+    facts.hasEnoughEvidence = true;
+    return facts;
+}
+
+std::optional<RolloutStage> next(RolloutStage stage, const RolloutFacts &facts)
+{
+    const std::optional<RolloutStep> step = nextStep(recordIn(stage), facts);
+    return step ? std::optional<RolloutStage>(step->stage) : std::nullopt;
+}
+
+TEST(RolloutPlan, SoundVersionPassesAllStagesBeforeItsDeadline)
+{
+    RolloutRecord record = recordIn(RolloutStage::Canary);
+    Millis changedAt {0};
+    std::vector<RolloutStage> stages;
+    for (Millis now {0}; now < 30_s; now += 250_ms) {
+        RolloutFacts facts = soundFacts(now);
+        facts.inStage = now - changedAt;
+        facts.isOldIdle = record.stage == RolloutStage::Closing && facts.inStage > 2_s;
+        const std::optional<RolloutStep> step = nextStep(record, facts);
+        if (!step)
+            continue;
+        record.stage = step->stage;
+        changedAt = now;
+        stages.push_back(step->stage);
+    }
+    EXPECT_EQ(
+        stages,
+        (std::vector<RolloutStage> {RolloutStage::Quarter, RolloutStage::Half, RolloutStage::Most,
+                                    RolloutStage::Closing, RolloutStage::Completed}));
+    EXPECT_LT(changedAt, 29_s);
+}
+
+TEST(RolloutPlan, ShareStaysSmallWhileTimeIsLeft)
+{
+    EXPECT_EQ(next(RolloutStage::Canary, soundFacts(10_s)), std::nullopt);
+    EXPECT_LT(newVersionShare(RolloutStage::Canary, 0.1), 0.1);
+}
+
+TEST(RolloutPlan, BadVersionIsRevertedInEveryStage)
+{
+    for (const RolloutStage stage :
+         {RolloutStage::Canary, RolloutStage::Quarter, RolloutStage::Most, RolloutStage::Closing}) {
+        RolloutFacts facts = soundFacts(20_s);
+        facts.isBad = true;
+        facts.isOldIdle = true;
+        EXPECT_EQ(next(stage, facts), RolloutStage::Reverted);
+    }
+}
+
+TEST(RolloutPlan, DecisionIsFinal)
+{
+    RolloutFacts facts = soundFacts(40_s);
+    facts.isBad = true;
+    facts.isCancelled = true;
+    EXPECT_EQ(next(RolloutStage::Completed, facts), std::nullopt);
+    EXPECT_EQ(next(RolloutStage::Reverted, soundFacts(20_s)), std::nullopt);
+}
+
+TEST(RolloutPlan, SuspicionHoldsTheShareAndRevertsAtTheEnd)
+{
+    RolloutFacts facts = soundFacts(20_s);
+    facts.isSuspicious = true;
+    EXPECT_EQ(next(RolloutStage::Canary, facts), std::nullopt);
+    facts.elapsed = 29_s;
+    EXPECT_EQ(next(RolloutStage::Canary, facts), RolloutStage::Reverted);
+    EXPECT_EQ(next(RolloutStage::Closing, facts), RolloutStage::Reverted);
+}
+
+// No endpoint of the version ever came, or no request reached it.
+TEST(RolloutPlan, VersionWithoutEvidenceIsReverted)
+{
+    RolloutFacts facts = soundFacts(20_s);
+    facts.hasEnoughEvidence = false;
+    EXPECT_EQ(next(RolloutStage::Canary, facts), std::nullopt);
+    facts.elapsed = 29_s;
+    EXPECT_EQ(next(RolloutStage::Canary, facts), RolloutStage::Reverted);
+}
+
+TEST(RolloutPlan, RemovedOrderIsReverted)
+{
+    RolloutFacts facts = soundFacts(3_s);
+    facts.isCancelled = true;
+    EXPECT_EQ(next(RolloutStage::Canary, facts), RolloutStage::Reverted);
+}
+
+TEST(RolloutPlan, CompletionWaitsForRequestsOfTheOldVersionsUntilShortlyBeforeTheDeadline)
+{
+    EXPECT_EQ(next(RolloutStage::Closing, soundFacts(26_s)), std::nullopt);
+    EXPECT_EQ(next(RolloutStage::Closing, soundFacts(29_s)), RolloutStage::Completed);
+    RolloutFacts facts = soundFacts(26_s);
+    facts.isOldIdle = true;
+    EXPECT_EQ(next(RolloutStage::Closing, facts), RolloutStage::Completed);
+}
+
+// A takeover after a long gap of the store.
+TEST(RolloutPlan, LateCanaryClosesDirectly)
+{
+    EXPECT_EQ(next(RolloutStage::Canary, soundFacts(25_s)), RolloutStage::Closing);
+}
+
+TEST(RolloutPlan, RecordBelongsToItsOrderAlsoInALaterEra)
+{
+    RolloutOrder order {ServiceName("llm"), "v2", 30_s, {7, 1}};
+    EXPECT_TRUE(recordIn(RolloutStage::Half).belongsTo(order));
+    order.revision = {5, 2};
+    EXPECT_TRUE(recordIn(RolloutStage::Half).belongsTo(order));
+    order.revision = {9, 1};
+    EXPECT_FALSE(recordIn(RolloutStage::Half).belongsTo(order));
+    order = {ServiceName("llm"), "v3", 30_s, {7, 1}};
+    EXPECT_FALSE(recordIn(RolloutStage::Half).belongsTo(order));
+}
+
+TEST(RolloutPlan, StagesAreReadFromTheirNames)
+{
+    for (int i = 0; i <= static_cast<int>(RolloutStage::Reverted); ++i) {
+        const RolloutStage stage = static_cast<RolloutStage>(i);
+        EXPECT_EQ(parseRolloutStage(toString(stage)), stage);
+    }
+    EXPECT_EQ(parseRolloutStage("unknown"), std::nullopt);
+}
+
+} // namespace
--- a/tests/serving/testprotocol.h
+++ b/tests/serving/testprotocol.h
@@ -29,6 +29,16 @@
     {
         return fail(ResultCode::StoreProtocol, "not used");
     }
+    static Result<serving::RolloutOrder> decodeRolloutOrder(const ServiceName &, std::string_view)
+    {
+        return fail(ResultCode::StoreProtocol, "not used");
+    }
+    static std::string rolloutStatusKey(const ServiceName &service) { return service.text(); }
+    static std::string encodeRolloutStatus(const serving::RolloutRecord &) { return {}; }
+    static Result<serving::RolloutRecord> decodeRolloutStatus(const ServiceName &, std::string_view)
+    {
+        return fail(ResultCode::StoreProtocol, "not used");
+    }
     static Result<serving::CallerRequest> decodeCaller(const net::HttpRequest &request)
     {
         serving::CallerRequest caller;
