Roll-outs: compare within the same short time; the soak orders roll-outs

Fisher's noncentral hypergeometric likelihood of each short sample does not depend on bursts. Stages keep 40% of the requests at the old version for the comparison.

--- a/include/fescue/serving/rolloutcontroller.h
+++ b/include/fescue/serving/rolloutcontroller.h
@@ -67,6 +67,8 @@
         bool isWriting = false;
     };
 
+    // Returns this process' part of the operator's allowance.
+    [[nodiscard]] double initialCredit(const ServiceName &service, const RolloutLimits &limits);
     void tick();
     void serve(Millis now, const ServiceName &service, const std::vector<MemberView> &members);
     void handleReport(const RolloutReport &report);
--- a/include/fescue/serving/rolloutcontroller.inl
+++ b/include/fescue/serving/rolloutcontroller.inl
@@ -63,10 +63,7 @@
     order->revision = change.revision;
     const RolloutLimits &limits = *m_state->settings.deploymentLimits.rollout;
     // A process that finds the order by a listing may have had its part before a restart.
-    const double credit = change.fromListing
-        ? 0
-        : RolloutQuota::initialCredit(limits.exposureAllowance, m_state->membersForShares(),
-                                      m_state->uniform());
+    const double credit = change.fromListing ? 0 : initialCredit(service, limits);
     const OrderEffect effect = m_state->rollouts.orderWritten(
         now, *order, change.fromListing ? std::nullopt : std::optional<Millis>(Millis {0}), credit);
     const bool isKnownService = m_state->routes && m_state->routes->findService(service) != nullptr;
@@ -84,6 +81,19 @@
                                                                : "already completed"}});
 }
 
+template <PlatformProtocol P>
+double RolloutController<P>::initialCredit(const ServiceName &service, const RolloutLimits &limits)
+{
+    const std::vector<MemberView> members = m_state->members.members(ServingState::now());
+    const std::uint64_t own = rendezvousScore(service.text(), m_self.name.text());
+    const std::size_t rank = static_cast<std::size_t>(
+        std::count_if(members.begin(), members.end(), [&](const MemberView &member) {
+            return rendezvousScore(service.text(), member.info.name.text()) > own;
+        }));
+    return RolloutQuota::initialCredit(limits.exposureAllowance, m_state->membersForShares(), rank,
+                                       m_state->uniform());
+}
+
 template <PlatformProtocol P>
 void RolloutController<P>::statusChanged(const ServiceName &service, const StoreChange &change)
 {
--- a/include/fescue/serving/rolloutevidence.h
+++ b/include/fescue/serving/rolloutevidence.h
@@ -15,7 +15,7 @@
 
 // Number of classes of the time to the first byte. Each is longer than the one before by
 // `timeClassFactor`; the last is open.
-inline constexpr std::size_t timeClasses = 16;
+inline constexpr std::size_t timeClasses = 20;
 inline constexpr Millis firstTimeClass {8};
 inline constexpr double timeClassFactor = 1.5;
 
@@ -30,6 +30,8 @@
     std::array<std::uint32_t, timeClasses> successes {};
 
     [[nodiscard]] std::uint32_t total() const noexcept;
+    // Returns the number of successes in later classes than the given one.
+    [[nodiscard]] std::uint32_t slowerThan(std::size_t timeClass) const noexcept;
     bool operator==(const AnswerCounts &) const = default;
 };
 
@@ -43,15 +45,31 @@
 // Answers during a roll-out, by route.
 using RolloutEvidence = std::map<std::string, RouteEvidence>;
 
-// Page's cumulative sum of Wald's log likelihood ratios for the share of bad answers (E. S. Page,
-// Continuous inspection schemes, Biometrika 41, 1954): grows while answers are rather bad with
-// probability `badShare` than with `soundShare`, and never falls below 0, so good answers in the
-// past do not outweigh later bad ones.
+// Answers of two versions in the same short time, and how many of them are bad.
+struct AnswerSample
+{
+    std::uint32_t newAnswers = 0;
+    std::uint32_t newBad = 0;
+    std::uint32_t oldAnswers = 0;
+    std::uint32_t oldBad = 0;
+};
+
+// Page's cumulative sum of log likelihood ratios (E. S. Page, Continuous inspection schemes,
+// Biometrika 41, 1954; A. Wald, Sequential tests, Ann. Math. Stat. 16, 1945): grows while more of
+// the bad answers come from the new version than its share of all answers, and never falls below
+// 0, so good answers in the past do not outweigh later bad ones.
+//
+// Each sample is compared within itself, so a burst that slows both versions adds nothing: given
+// the bad answers of a sample, those of the new version have Fisher's noncentral hypergeometric
+// distribution (R. A. Fisher, The logic of inductive inference, J. R. Stat. Soc. 98, 1935). From
+// each of its zeros on, the sum of a sound version exceeds h with a probability of e^-h at most.
 class BadAnswerSum
 {
 public:
-    // Adds `bad` of `n` answers. Requires 0 < soundShare < badShare < 1.
-    void add(double bad, double n, double soundShare, double badShare) noexcept;
+    void add(const AnswerSample &sample) noexcept;
+    // Adds answers of the new version to which there are none of the old one at the same time.
+    // `soundShare` is the old version's share of bad answers in the past.
+    void addAlone(double bad, double n, double soundShare) noexcept;
     [[nodiscard]] double value() const noexcept { return m_value; }
 
 private:
@@ -80,7 +98,7 @@
 public:
     // Sums at which a version is bad and suspicious.
     static constexpr double badSum = 10;
-    static constexpr double suspiciousSum = 5;
+    static constexpr double suspiciousSum = 6;
     // Answers of the new version without which it is not known to be sound: over all routes, and on
     // each route with at least this number of answers and this share of them.
     static constexpr std::uint32_t minAnswers = 10;
@@ -95,29 +113,18 @@
     [[nodiscard]] RolloutVerdict verdict() const;
 
 private:
-    // Counts of the old version, older ones with less weight.
-    struct RecentCounts
-    {
-        double failures = 0;
-        std::array<double, timeClasses> successes {};
-
-        void decay(double factor) noexcept;
-        void add(const AnswerCounts &counts) noexcept;
-        [[nodiscard]] double total() const noexcept;
-        // Returns the number of successes in later classes than the given one.
-        [[nodiscard]] double slowerThan(std::size_t timeClass) const noexcept;
-    };
-
     struct RouteState
     {
         RouteEvidence seen;
-        RecentCounts recent;
-        RecentCounts all;
+        // Successes of the old version by their time, older ones with less weight.
+        std::array<double, timeClasses> recentTimes {};
         BadAnswerSum failures;
         BadAnswerSum slow;
     };
 
-    void compare(RouteState &route, const AnswerCounts &added);
+    static void compare(RouteState &route, const RouteEvidence &added);
+    // Returns the longest time class that is normal for the old version.
+    [[nodiscard]] static std::size_t normalTimeClass(const RouteState &route) noexcept;
 
     std::map<std::pair<MemberName, Incarnation>, RolloutEvidence> m_reports;
     std::map<std::string, RouteState> m_routes;
--- a/include/fescue/serving/rolloutplan.h
+++ b/include/fescue/serving/rolloutplan.h
@@ -30,10 +30,9 @@
     // A limited share of the requests goes to the new version.
     Canary,
     // Growing shares go to the new version.
-    Quarter,
-    Half,
-    // All requests for which the new version has room.
-    Most,
+    Fifth,
+    TwoFifths,
+    ThreeFifths,
     // No new request goes to the old versions; running ones are moved or end there.
     Closing,
     // Only the new version is used.
--- a/include/fescue/serving/rolloutquota.h
+++ b/include/fescue/serving/rolloutquota.h
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cstddef>
+#include <cstdint>
 
 namespace fescue::serving {
 
@@ -25,12 +26,16 @@
         m_credit = std::min(m_credit + share - (toNewVersion ? 1 : 0), maxCredit);
     }
 
-    // Returns the initial credit of one of `members` processes. All together get at most half of
-    // the operator's allowance: processes that restart get a part again. `uniform` in [0, 1).
-    [[nodiscard]] static double initialCredit(double allowance, std::size_t members,
-                                              double uniform) noexcept
+    // Returns the initial credit of the process that is the `rank`-th of `members`. Half of the
+    // operator's allowance is handed out in whole requests; the other half is left for processes
+    // that see other members. The fraction `uniform` in [0, 1) rounds the sum of all processes
+    // without a bias.
+    [[nodiscard]] static double initialCredit(std::uint32_t allowance, std::size_t members,
+                                              std::size_t rank, double uniform) noexcept
     {
-        return uniform * allowance / 2 / static_cast<double>(std::max<std::size_t>(members, 1));
+        const std::size_t shared = allowance / 2;
+        const std::size_t n = std::max<std::size_t>(members, 1);
+        return static_cast<double>(shared / n + (rank < shared % n ? 1 : 0)) + uniform;
     }
 
 private:
--- a/src/serving/rolloutevidence.cpp
+++ b/src/serving/rolloutevidence.cpp
@@ -8,30 +8,26 @@
 
 namespace {
 
-// The old version's counts of the last second or two: a burst slows both versions at once.
-constexpr double recentHalfLifeMillis = 1000;
 // Success times of the old version up to this quantile are normal.
 constexpr double normalQuantile = 0.9;
+// Half-life of the weight of an answer for what is normal: shorter than a burst.
+constexpr Millis timesHalfLife = 3_s;
 // A success counts as slow if it is this many classes above the normal ones.
 constexpr std::size_t slowMargin = 1;
-// Quantile of the normal distribution for the upper limit of the old version's share.
-constexpr double upperLimitQuantile = 2;
+// Odds of a bad answer of a bad version, as a multiple of those of a sound one.
+constexpr double badOdds = 4;
+// Each answer of the new version lowers a sum by this, so that it returns to 0 where both versions
+// have no bad answers.
+constexpr double decayOfAnswer = 0.03;
+// Share of bad answers that a bad version adds where only the past can be compared.
+constexpr double addedBadShare = 0.2;
 constexpr double minSoundShare = 0.02;
-// A version is bad if it adds this share of bad answers.
-constexpr double addedBadShare = 0.15;
-constexpr double maxBadShare = 0.97;
+constexpr double maxSoundShare = 0.6;
 
-// Upper limit of a share of which `hits` of `n` draws are known (E. B. Wilson, Probable inference,
-// J. Am. Stat. Assoc. 22, 1927).
-double upperLimit(double hits, double n)
+// Returns the logarithm of the number of ways to choose k of n.
+double logChoices(std::uint32_t n, std::uint32_t k) noexcept
 {
-    if (n <= 0)
-        return 1;
-    const double z = upperLimitQuantile;
-    const double share = hits / n;
-    const double middle = share + z * z / (2 * n);
-    const double spread = z * std::sqrt(share * (1 - share) / n + z * z / (4 * n * n));
-    return std::min(1.0, (middle + spread) / (1 + z * z / n));
+    return std::lgamma(n + 1.0) - std::lgamma(k + 1.0) - std::lgamma(n - k + 1.0);
 }
 
 AnswerCounts minus(const AnswerCounts &a, const AnswerCounts &b) noexcept
@@ -50,13 +46,6 @@
         sum.successes[i] += counts.successes[i];
 }
 
-void compareShares(BadAnswerSum &sum, double bad, double n, double soundShare) noexcept
-{
-    const double sound = std::max(soundShare, minSoundShare);
-    if (sound + addedBadShare < maxBadShare)
-        sum.add(bad, n, sound, sound + addedBadShare);
-}
-
 } // namespace
 
 std::size_t timeClassOf(Millis time) noexcept
@@ -74,37 +63,36 @@
     return std::accumulate(successes.begin(), successes.end(), failures);
 }
 
-void BadAnswerSum::add(double bad, double n, double soundShare, double badShare) noexcept
-{
-    const double added = bad * std::log(badShare / soundShare)
-        + (n - bad) * std::log((1 - badShare) / (1 - soundShare));
-    m_value = std::max(0.0, m_value + added);
-}
-
-void RolloutJudge::RecentCounts::decay(double factor) noexcept
+std::uint32_t AnswerCounts::slowerThan(std::size_t timeClass) const noexcept
 {
-    failures *= factor;
-    for (double &n : successes)
-        n *= factor;
-}
-
-void RolloutJudge::RecentCounts::add(const AnswerCounts &counts) noexcept
-{
-    failures += counts.failures;
-    for (std::size_t i = 0; i < timeClasses; ++i)
-        successes[i] += counts.successes[i];
+    const std::size_t first = std::min(timeClass + 1, timeClasses);
+    return std::accumulate(successes.begin() + static_cast<std::ptrdiff_t>(first), successes.end(),
+                           0U);
 }
 
-double RolloutJudge::RecentCounts::total() const noexcept
+void BadAnswerSum::add(const AnswerSample &sample) noexcept
 {
-    return std::accumulate(successes.begin(), successes.end(), failures);
+    const std::uint32_t n = sample.newAnswers;
+    const std::uint32_t m = sample.oldAnswers;
+    const std::uint32_t bad = sample.newBad + sample.oldBad;
+    if (n == 0 || m == 0)
+        return;
+    // Expected value of odds^k for the number k of bad answers that a sound version would have.
+    double expected = 0;
+    for (std::uint32_t k = bad > m ? bad - m : 0; k <= std::min(n, bad); ++k) {
+        expected += std::exp(logChoices(n, k) + logChoices(m, bad - k) - logChoices(n + m, bad)
+                             + k * std::log(badOdds));
+    }
+    const double added = sample.newBad * std::log(badOdds) - std::log(expected) - n * decayOfAnswer;
+    m_value = std::max(0.0, m_value + added);
 }
 
-double RolloutJudge::RecentCounts::slowerThan(std::size_t timeClass) const noexcept
+void BadAnswerSum::addAlone(double bad, double n, double soundShare) noexcept
 {
-    const std::size_t first = std::min(timeClass + 1, timeClasses);
-    return std::accumulate(successes.begin() + static_cast<std::ptrdiff_t>(first), successes.end(),
-                           0.0);
+    const double sound = std::clamp(soundShare, minSoundShare, maxSoundShare);
+    const double added = bad * std::log((sound + addedBadShare) / sound)
+        + (n - bad) * std::log((1 - sound - addedBadShare) / (1 - sound));
+    m_value = std::max(0.0, m_value + added);
 }
 
 void RolloutJudge::report(const MemberName &from, Incarnation incarnation,
@@ -122,6 +110,9 @@
 
 void RolloutJudge::step(Millis now)
 {
+    const double span = static_cast<double>((now - m_steppedAt).count);
+    const double weight = std::exp2(-span / static_cast<double>(timesHalfLife.count));
+    m_steppedAt = now;
     RolloutEvidence sums;
     for (const auto &[member, evidence] : m_reports) {
         for (const std::pair<const std::string, RouteEvidence> &entry : evidence) {
@@ -129,45 +120,43 @@
             addTo(sums[entry.first].newVersion, entry.second.newVersion);
         }
     }
-    const double span = static_cast<double>((now - m_steppedAt).count);
-    const double factor = std::exp2(-span / recentHalfLifeMillis);
-    m_steppedAt = now;
     for (const std::pair<const std::string, RouteEvidence> &entry : sums) {
         RouteState &route = m_routes[entry.first];
-        const AnswerCounts oldAdded = minus(entry.second.oldVersion, route.seen.oldVersion);
-        const AnswerCounts newAdded = minus(entry.second.newVersion, route.seen.newVersion);
+        const RouteEvidence added {minus(entry.second.oldVersion, route.seen.oldVersion),
+                                   minus(entry.second.newVersion, route.seen.newVersion)};
+        compare(route, added);
+        for (std::size_t i = 0; i < timeClasses; ++i)
+            route.recentTimes[i] = route.recentTimes[i] * weight + added.oldVersion.successes[i];
         route.seen = entry.second;
-        route.recent.decay(factor);
-        route.recent.add(oldAdded);
-        route.all.add(oldAdded);
-        compare(route, newAdded);
     }
 }
 
-void RolloutJudge::compare(RouteState &route, const AnswerCounts &added)
+std::size_t RolloutJudge::normalTimeClass(const RouteState &route) noexcept
 {
-    const double n = added.total();
-    if (n <= 0 || route.all.total() <= 0)
+    const std::array<double, timeClasses> &times = route.recentTimes;
+    const double total = std::accumulate(times.begin(), times.end(), 0.0);
+    double slower = 0;
+    std::size_t n = timeClasses - 1;
+    while (n > 0 && slower + times[n] <= (1 - normalQuantile) * total)
+        slower += times[n--];
+    return n;
+}
+
+void RolloutJudge::compare(RouteState &route, const RouteEvidence &added)
+{
+    // What is normal follows from earlier answers only, so it does not depend on the sample.
+    const AnswerCounts &past = route.seen.oldVersion;
+    const std::uint32_t n = added.newVersion.total();
+    const std::uint32_t oldTotal = added.oldVersion.total();
+    const double pastTotal = past.total();
+    if (oldTotal == 0 && pastTotal > 0) {
+        route.failures.addAlone(added.newVersion.failures, n, past.failures / pastTotal);
         return;
-    const double allTotal = route.all.total();
-    const double recentTotal = route.recent.total();
-    // Without recent answers of the old version only its past can be compared.
-    const auto soundShare = [&](double all, double recent) {
-        const double past = upperLimit(all, allTotal);
-        return recentTotal < 1 ? past : std::max(past, recent / recentTotal);
-    };
-    compareShares(route.failures, added.failures, n,
-                  soundShare(route.all.failures, route.recent.failures));
-    std::size_t normal = 0;
-    while (normal + 1 < timeClasses
-           && route.all.slowerThan(normal) > (1 - normalQuantile) * allTotal)
-        ++normal;
-    const std::size_t limit = normal + slowMargin;
-    RecentCounts counts;
-    counts.add(added);
-    const double slow = counts.slowerThan(limit);
-    compareShares(route.slow, slow, n,
-                  soundShare(route.all.slowerThan(limit), route.recent.slowerThan(limit)));
+    }
+    route.failures.add({n, added.newVersion.failures, oldTotal, added.oldVersion.failures});
+    const std::size_t limit = normalTimeClass(route) + slowMargin;
+    route.slow.add(
+        {n, added.newVersion.slowerThan(limit), oldTotal, added.oldVersion.slowerThan(limit)});
 }
 
 RolloutVerdict RolloutJudge::verdict() const
@@ -189,9 +178,9 @@
     verdict.isSuspicious = verdict.worstSum >= suspiciousSum;
     double total = 0;
     for (const std::pair<const std::string, RouteState> &entry : m_routes)
-        total += entry.second.all.total();
+        total += entry.second.seen.oldVersion.total();
     const auto isKnown = [total](const std::pair<const std::string, RouteState> &entry) {
-        const double n = entry.second.all.total();
+        const double n = entry.second.seen.oldVersion.total();
         return n < std::max<double>(usedRouteAnswers, usedRouteShare * total)
             || entry.second.seen.newVersion.total() >= minAnswersOfRoute;
     };
--- a/src/serving/rolloutplan.cpp
+++ b/src/serving/rolloutplan.cpp
@@ -7,8 +7,8 @@
 
 namespace {
 
-constexpr std::array<std::string_view, 7> stageNames {"canary",  "quarter",   "half",    "most",
-                                                      "closing", "completed", "reverted"};
+constexpr std::array<std::string_view, 7> stageNames {
+    "canary", "fifth", "two-fifths", "three-fifths", "closing", "completed", "reverted"};
 // Fraction of the operator's limit that the canary uses. The rest is for requests that reach a bad
 // version in the later stages, until it is found.
 constexpr double canaryFraction = 0.6;
@@ -82,7 +82,7 @@
     const bool isCanary = record.stage == RolloutStage::Canary;
     const bool isDue =
         isCanary ? facts.elapsed >= schedule.growAt : facts.inStage >= schedule.stageTime;
-    if (!isDue || record.stage == RolloutStage::Most)
+    if (!isDue || record.stage == RolloutStage::ThreeFifths)
         return std::nullopt;
     return RolloutStep {static_cast<RolloutStage>(static_cast<int>(record.stage) + 1), "sound"};
 }
@@ -92,10 +92,13 @@
     switch (stage) {
     case RolloutStage::Canary:
         return exposureShare * canaryFraction;
-    case RolloutStage::Quarter:
-        return 0.25;
-    case RolloutStage::Half:
-        return 0.5;
+    case RolloutStage::Fifth:
+        return 0.2;
+    case RolloutStage::TwoFifths:
+        return 0.4;
+    // The old versions keep enough for the comparison.
+    case RolloutStage::ThreeFifths:
+        return 0.6;
     case RolloutStage::Reverted:
         return 0;
     default:
--- a/tests/platform/rolloutcodec_test.cpp
+++ b/tests/platform/rolloutcodec_test.cpp
@@ -36,10 +36,10 @@
 
 TEST(RolloutCodec, StatusTellsTheOperatorStateAndVersion)
 {
-    RolloutRecord record {service, "v2", 30_s, RolloutStage::Half, 3, {7, 1}, 1'790'000'000'000_ms,
-                          "sound"};
+    RolloutRecord record {
+        service, "v2", 30_s, RolloutStage::TwoFifths, 3, {7, 1}, 1'790'000'000'000_ms, "sound"};
     for (const auto &[stage, state] :
-         {std::pair(RolloutStage::Canary, "serving"), std::pair(RolloutStage::Half, "serving"),
+         {std::pair(RolloutStage::Canary, "serving"), std::pair(RolloutStage::TwoFifths, "serving"),
           std::pair(RolloutStage::Closing, "serving"),
           std::pair(RolloutStage::Completed, "completed"),
           std::pair(RolloutStage::Reverted, "reverted")}) {
--- a/tests/serving/rolloutplan_test.cpp
+++ b/tests/serving/rolloutplan_test.cpp
@@ -50,10 +50,10 @@
         changedAt = now;
         stages.push_back(step->stage);
     }
-    EXPECT_EQ(
-        stages,
-        (std::vector<RolloutStage> {RolloutStage::Quarter, RolloutStage::Half, RolloutStage::Most,
-                                    RolloutStage::Closing, RolloutStage::Completed}));
+    EXPECT_EQ(stages,
+              (std::vector<RolloutStage> {RolloutStage::Fifth, RolloutStage::TwoFifths,
+                                          RolloutStage::ThreeFifths, RolloutStage::Closing,
+                                          RolloutStage::Completed}));
     EXPECT_LT(changedAt, 29_s);
 }
 
@@ -65,8 +65,8 @@
 
 TEST(RolloutPlan, BadVersionIsRevertedInEveryStage)
 {
-    for (const RolloutStage stage :
-         {RolloutStage::Canary, RolloutStage::Quarter, RolloutStage::Most, RolloutStage::Closing}) {
+    for (const RolloutStage stage : {RolloutStage::Canary, RolloutStage::Fifth,
+                                     RolloutStage::ThreeFifths, RolloutStage::Closing}) {
         RolloutFacts facts = soundFacts(20_s);
         facts.isBad = true;
         facts.isOldIdle = true;
@@ -128,13 +128,13 @@
 TEST(RolloutPlan, RecordBelongsToItsOrderAlsoInALaterEra)
 {
     RolloutOrder order {ServiceName("llm"), "v2", 30_s, {7, 1}};
-    EXPECT_TRUE(recordIn(RolloutStage::Half).belongsTo(order));
+    EXPECT_TRUE(recordIn(RolloutStage::TwoFifths).belongsTo(order));
     order.revision = {5, 2};
-    EXPECT_TRUE(recordIn(RolloutStage::Half).belongsTo(order));
+    EXPECT_TRUE(recordIn(RolloutStage::TwoFifths).belongsTo(order));
     order.revision = {9, 1};
-    EXPECT_FALSE(recordIn(RolloutStage::Half).belongsTo(order));
+    EXPECT_FALSE(recordIn(RolloutStage::TwoFifths).belongsTo(order));
     order = {ServiceName("llm"), "v3", 30_s, {7, 1}};
-    EXPECT_FALSE(recordIn(RolloutStage::Half).belongsTo(order));
+    EXPECT_FALSE(recordIn(RolloutStage::TwoFifths).belongsTo(order));
 }
 
 TEST(RolloutPlan, StagesAreReadFromTheirNames)
--- a/tests/soak/endpointfarm.cpp
+++ b/tests/soak/endpointfarm.cpp
@@ -96,13 +96,15 @@
     return {draw(m_random)};
 }
 
-Endpoint &EndpointFarm::start(std::string_view service, std::string_view zone, bool cold)
+Endpoint &EndpointFarm::start(std::string_view service, std::string_view zone, bool cold,
+                              std::string_view version)
 {
     m_endpoints.push_back(std::make_unique<Endpoint>());
     Endpoint &endpoint = *m_endpoints.back();
     endpoint.id = "e-" + std::to_string(m_endpoints.size());
     endpoint.service = service;
     endpoint.zone = zone;
+    endpoint.version = version;
     endpoint.bornAt = steadyNow();
     endpoint.server = std::make_unique<net::HttpServer>(
         *m_pool, net::Address {"127.0.0.1", 0}, net::ServerLimits {},
@@ -132,6 +134,7 @@
                          endpoint.zone,     6,
                          endpoint.draining, coldLeft,
                          endpoint.bornAt};
+    entry.version = endpoint.version;
     if (isEngine)
         entry.slots = 64;
     m_store->put(std::string(names::endpointPrefix) + endpoint.id, entry.encode());
@@ -167,6 +170,13 @@
     });
 }
 
+void EndpointFarm::stop(Endpoint &endpoint)
+{
+    crash(endpoint);
+    m_store->remove(std::string(names::endpointPrefix) + endpoint.id);
+    m_ledger->endpoint(endpoint.index).leavingAt = steadyNow();
+}
+
 void EndpointFarm::sayLeaving(Endpoint &endpoint, Millis notice)
 {
     endpoint.saysLeaving = true;
@@ -357,6 +367,30 @@
     return true;
 }
 
+bool EndpointFarm::troubleVersion(const Endpoint &endpoint, Call &call, net::ResponseWriter &writer)
+{
+    ++versionTally.requests;
+    if (endpoint.version != newVersion)
+        return false;
+    ++versionTally.toNew;
+    versionTally.lastToNew = steadyNow();
+    const bool applies =
+        steadyNow() >= versionTrouble.from && endpoint.running.size() >= versionTrouble.load;
+    if (!applies || !chance(versionTrouble.share))
+        return false;
+    if (++versionTally.bad == decisiveBadAnswers)
+        versionTally.decisiveAt = steadyNow();
+    if (versionTrouble.delay > Millis {0}) {
+        net::sleepFor(versionTrouble.delay);
+        return false;
+    }
+    const std::size_t run = m_ledger->begins(call, endpoint.index, false, steadyNow());
+    m_ledger->ends(call, run, steadyNow());
+    call.endpointStatus = 500;
+    static_cast<void>(writer.send({500, answerHeaders(call), {}}));
+    return true;
+}
+
 void EndpointFarm::serveDraft(Endpoint &endpoint, Call &call, const net::HttpRequest &request,
                               net::ResponseWriter &writer)
 {
@@ -368,6 +402,8 @@
         reject(writer, 503);
         return;
     }
+    if (from.empty() && troubleVersion(endpoint, call, writer))
+        return;
     const std::uint64_t first = toNumber(request.header(names::lastEventId)) + 1;
     stream(endpoint, call, first, !from.empty(), std::string(request.header(names::backup)),
            writer);
--- a/tests/soak/endpointfarm.h
+++ b/tests/soak/endpointfarm.h
@@ -13,6 +13,10 @@
 
 namespace fescue::soak {
 
+// The version that a roll-out orders, and the bad answers after which it must be found.
+inline constexpr std::string_view newVersion = "v2";
+inline constexpr std::uint32_t decisiveBadAnswers = 50;
+
 using standins::FaultRelay;
 using standins::RelayMode;
 
@@ -50,6 +54,7 @@
     std::string id;
     std::string service;
     std::string zone;
+    std::string version;
     Millis bornAt {0};
     bool draining = false;
     bool alive = true;
@@ -67,6 +72,27 @@
     Millis linkFreeAt {0};
 };
 
+// How the answers of a new version of the engines are bad.
+struct VersionTrouble
+{
+    double share = 0;
+    Millis from {0};
+    // Only at engines with at least this number of generations.
+    std::size_t load = 0;
+    // Time that bad answers take longer; failures if it is 0.
+    Millis delay {0};
+};
+
+// What the engines have seen of a new version.
+struct VersionTally
+{
+    std::uint32_t requests = 0;
+    std::uint32_t toNew = 0;
+    std::uint32_t bad = 0;
+    std::optional<Millis> decisiveAt;
+    Millis lastToNew {0};
+};
+
 // All endpoints of the deployment: stand-ins for model engines and plain services, which register
 // in the store and record in the ledger what reaches them.
 class EndpointFarm
@@ -76,7 +102,10 @@
                  Disturbances &disturbances, std::uint64_t seed);
 
     // Starts an endpoint and registers it. A cold one has just started.
-    Endpoint &start(std::string_view service, std::string_view zone, bool cold);
+    Endpoint &start(std::string_view service, std::string_view zone, bool cold,
+                    std::string_view version = "v1");
+    // Ends an endpoint whose version was replaced, with its entry.
+    void stop(Endpoint &endpoint);
     // Gives notice, serves for `notice` and ends.
     void drain(Endpoint &endpoint, Millis notice);
     // Gives notice in its answers only, serves for `notice` and ends.
@@ -86,6 +115,10 @@
     // Lets the address of an endpoint that is gone lead to another one.
     static void reuseAddress(const Endpoint &gone, const Endpoint &next);
 
+    // Trouble of the engines of version "v2", and what they have seen.
+    VersionTrouble versionTrouble;
+    VersionTally versionTally;
+
     // Makes the work of plain services long at times.
     void setLongWork(bool isLong) noexcept { m_hasLongWork = isLong; }
     // Endpoints that run and have given no notice.
@@ -103,6 +136,9 @@
     void serveCall(Endpoint &endpoint, const net::HttpRequest &request,
                    net::ResponseWriter &writer);
     void servePlain(Endpoint &endpoint, Call &call, net::ResponseWriter &writer);
+    // Answers of the new version that are bad; returns true if the call was answered.
+    [[nodiscard]] bool troubleVersion(const Endpoint &endpoint, Call &call,
+                                      net::ResponseWriter &writer);
     void serveDraft(Endpoint &endpoint, Call &call, const net::HttpRequest &request,
                     net::ResponseWriter &writer);
     void stream(Endpoint &endpoint, Call &call, std::uint64_t first, bool resumed,
--- a/tests/soak/entryprocess.cpp
+++ b/tests/soak/entryprocess.cpp
@@ -43,9 +43,14 @@
 std::string EntryProcess::settingsText(unsigned generation) const
 {
     const std::string &ip = m_options.ip;
-    const Json bounds = {{"GraceS", 8},          {"ttl_max_s", 5},          {"ColdOverrun", 1.5},
-                         {"ColdTolerance", 5},   {"RetryBudgetRatio", 0.2}, {"RetryAllowance", 58},
-                         {"BudgetWindowS", 10.0}};
+    Json bounds = {{"GraceS", 8},          {"ttl_max_s", 5},          {"ColdOverrun", 1.5},
+                   {"ColdTolerance", 5},   {"RetryBudgetRatio", 0.2}, {"RetryAllowance", 58},
+                   {"BudgetWindowS", 10.0}};
+    if (m_options.hasRollouts) {
+        bounds["ExposureShare"] = 0.1;
+        bounds["ExposureTolerance"] = 50;
+        bounds["RollbackMs"] = 5000;
+    }
     Json limits = {{"LinkMbps", 1000.0}};
     if (m_options.memoryMegabytes > 0)
         limits["MemoryMb"] = m_options.memoryMegabytes;
--- a/tests/soak/entryprocess.h
+++ b/tests/soak/entryprocess.h
@@ -26,6 +26,8 @@
     std::size_t maxDescriptors = 0;
     // Descriptors that the kernel lets the process open; those of the test if 0.
     std::size_t openFileLimit = 0;
+    // The settings have limits for roll-outs.
+    bool hasRollouts = false;
 };
 
 // One real process of the system, driven by signals.
--- a/tests/soak/main.cpp
+++ b/tests/soak/main.cpp
@@ -81,6 +81,8 @@
     pool.spawn(0, [&world] { world.supervise(); });
     pool.spawn(0, [&world] { world.watchOwnDelays(); });
     pool.spawn(0, [&world] { world.checkReadiness(); });
+    if (!options.rollout.empty())
+        pool.spawn(0, [&world] { world.rollOut(); });
     if (options.seed % 2 == 0)
         pool.spawn(0, [&world] { world.churn(); });
     callers.run();
@@ -120,6 +122,8 @@
         ->check(CLI::Range(0.1, 100.0));
     app.add_option("--crashing", options.crashingShare, "share of the prompts that crash engines")
         ->check(CLI::Range(0.0, 1.0));
+    app.add_option("--rollout", options.rollout, "roll-out of the engines")
+        ->check(CLI::IsMember({"good", "bad", "slow", "later", "load"}));
     app.add_option("--out", options.folder, "folder for settings, logs and the report; emptied");
     CLI11_PARSE(app, argc, argv);
     options.duration = Millis {seconds * 1000};
--- a/tests/soak/soakconfig.cpp
+++ b/tests/soak/soakconfig.cpp
@@ -93,7 +93,7 @@
     const Json json = {{"Service", service},
                        {"Address", address},
                        {"Zone", zone},
-                       {"Version", "v1"},
+                       {"Version", version},
                        {"Slots", slots},
                        {"State", draining ? "draining" : "ready"},
                        {"ColdRemainingMs", std::max<std::int64_t>(coldLeft.count, 0)},
--- a/tests/soak/soakconfig.h
+++ b/tests/soak/soakconfig.h
@@ -63,6 +63,7 @@
     bool draining = false;
     Millis coldLeft {0};
     Millis bornAt {1};
+    std::string version = "v1";
 
     // Text as it lies in the store.
     [[nodiscard]] std::string encode() const;
--- a/tests/soak/storestandin.h
+++ b/tests/soak/storestandin.h
@@ -37,6 +37,12 @@
     // Changes by the operator and by endpoints, which reach the store whatever its mode.
     void put(const std::string &key, const std::string &value);
     void remove(const std::string &key);
+    [[nodiscard]] std::optional<std::string> find(const std::string &key) const
+    {
+        const auto it = m_now.items.find(key);
+        return it == m_now.items.end() ? std::nullopt
+                                       : std::optional<std::string>(it->second.value);
+    }
     [[nodiscard]] bool has(const std::string &key) const { return m_now.items.contains(key); }
 
     void setMode(StoreMode mode);
--- a/tests/soak/world.cpp
+++ b/tests/soak/world.cpp
@@ -36,6 +36,15 @@
 constexpr Millis longestDelay = 100_ms;
 constexpr Millis readinessInterval = 1_s;
 constexpr Millis recoveryTime = 12_s;
+// Roll-outs: their times, the trouble of a bad version, and the users' bounds.
+constexpr Millis rolloutBegin = 4_s;
+constexpr Millis rolloutTime = 20_s;
+constexpr double badVersionShare = 0.5;
+constexpr std::size_t badVersionLoad = 2;
+constexpr Millis badVersionDelay = 600_ms;
+constexpr double exposureShare = 0.1;
+constexpr double exposureTolerance = 50;
+constexpr Millis rollbackTime = 5_s;
 // Between signals for changed settings in a series.
 constexpr Millis hangupGap = 7_ms;
 
@@ -75,6 +84,7 @@
     process.name = "entry-" + std::to_string(index);
     process.ip = loopbackIp(index);
     process.store = entry.storeRelay->address();
+    process.hasRollouts = !options.rollout.empty();
     entry.process = std::make_unique<EntryProcess>(process);
     entry.callerRelay = std::make_unique<FaultRelay>(pool, entry.process->front());
 }
@@ -297,6 +307,63 @@
     }
 }
 
+std::string World::waitForRollout(Millis until)
+{
+    const std::string key = std::string(names::rolloutStatusPrefix) + std::string(engineService);
+    std::string state(names::rolloutServing);
+    while (state == names::rolloutServing && now() < until && !stopping) {
+        net::sleepFor(superviseInterval);
+        const std::optional<std::string> text = store.find(key);
+        if (text)
+            state = standins::Json::parse(*text).value("State", state);
+    }
+    return state;
+}
+
+void World::rollOut()
+{
+    const bool isGood = options.rollout == "good";
+    net::sleepFor(rolloutBegin);
+    VersionTrouble &trouble = farm.versionTrouble;
+    trouble.share = isGood ? 0 : badVersionShare;
+    trouble.from = options.rollout == "later" ? now() + rolloutTime / 3 : now();
+    trouble.load = options.rollout == "load" ? badVersionLoad : 0;
+    trouble.delay = options.rollout == "slow" ? badVersionDelay : Millis {0};
+    farm.versionTally = {};
+    const standins::Json order = {
+        {"Service", engineService}, {"To", newVersion}, {"DurationS", rolloutTime.count / 1000}};
+    const Millis deadline = now() + rolloutTime;
+    store.put(std::string(names::rolloutPrefix) + std::string(engineService), order.dump());
+    for (std::size_t i = 0; i < options.engines; ++i)
+        farm.start(engineService, zones[i % zones.size()], true, newVersion);
+    const std::string state = waitForRollout(deadline);
+    if (state == names::rolloutCompleted) {
+        for (Endpoint *endpoint : farm.live(engineService)) {
+            if (endpoint->version != newVersion)
+                farm.stop(*endpoint);
+        }
+    }
+    net::sleepFor(std::max(deadline - now(), 1_ms));
+    const VersionTally &tally = farm.versionTally;
+    const std::string text = "roll-out " + options.rollout + ": " + state + ", "
+        + std::to_string(tally.toNew) + " of " + std::to_string(tally.requests)
+        + " requests to the new version, " + std::to_string(tally.bad) + " bad";
+    ends.push_back(text);
+    if (state != (isGood ? names::rolloutCompleted : names::rolloutReverted))
+        ledger.violation("ROLLOUT", text);
+    const double limit = exposureShare * tally.requests + exposureTolerance;
+    if (!isGood && tally.toNew > limit)
+        ledger.violation("EXPOSURE", text);
+    if (!isGood && tally.decisiveAt && tally.lastToNew > *tally.decisiveAt + rollbackTime)
+        ledger.violation("EXPOSURE", text + ", the last one too late");
+    if (state == names::rolloutCompleted)
+        return;
+    for (Endpoint *endpoint : farm.live(engineService)) {
+        if (endpoint->version == newVersion)
+            farm.drain(*endpoint, churnNotice);
+    }
+}
+
 void World::watchOwnDelays()
 {
     while (!stopping) {
--- a/tests/soak/world.h
+++ b/tests/soak/world.h
@@ -29,6 +29,9 @@
     double density = 1;
     // Share of the generations whose prompt crashes engines.
     double crashingShare = 0;
+    // Kind of the roll-out that is ordered: "good", "bad", "slow", "later" or "load"; none if
+    // empty.
+    std::string rollout;
     std::string program;
     std::string folder;
 };
@@ -86,6 +89,8 @@
     // Replaces some engines again and again, as the users' platform does all day.
     void churn();
     // Notes when this process itself did not run.
+    // Orders a roll-out of the engines and checks how it ends.
+    void rollOut();
     void watchOwnDelays();
     // Asks entries whether they are ready.
     void checkReadiness();
@@ -113,6 +118,8 @@
     Millis beganAt {0};
 
 private:
+    // Waits until the operator reads an end of the roll-out; returns its state, or "serving".
+    [[nodiscard]] std::string waitForRollout(Millis until);
     void createEntry(std::size_t index);
     void startEntry(std::size_t index);
     void holdAddress(const net::Address &address, Millis lasts);
