--- a/include/fescue/serving/rolloutcontroller.inl
+++ b/include/fescue/serving/rolloutcontroller.inl
@@ -352,6 +352,7 @@
     const RolloutFacts facts {rollout.elapsed(now),
                               now - rollout.recordSeenAt,
                               collected.verdict.isBad || rollout.isHalted,
+                              collected.verdict.isDoubtful,
                               collected.verdict.isSuspicious,
                               collected.verdict.hasEnoughEvidence,
                               rollout.isCancelled,
--- a/include/fescue/serving/rolloutevidence.h
+++ b/include/fescue/serving/rolloutevidence.h
@@ -80,6 +80,7 @@
 struct RolloutVerdict
 {
     bool isBad = false;
+    bool isDoubtful = false;
     bool isSuspicious = false;
     bool hasEnoughEvidence = false;
     // The worst sum, its route and what is compared: "failures" or "slow".
@@ -96,8 +97,10 @@
 class RolloutJudge
 {
 public:
-    // Sums at which a version is bad and suspicious.
+    // Sums at which a version is bad, at which it must not be completed, and at which its share
+    // must not grow.
     static constexpr double badSum = 10;
+    static constexpr double doubtfulSum = 8.5;
     static constexpr double suspiciousSum = 6;
     // Answers of the new version without which it is not known to be sound: over all routes, and on
     // each route with at least this number of answers and this share of them.
--- a/include/fescue/serving/rolloutplan.h
+++ b/include/fescue/serving/rolloutplan.h
@@ -64,8 +64,8 @@
     {
         return stage == RolloutStage::Completed || stage == RolloutStage::Reverted;
     }
-    // Returns true if the record belongs to the order, also if the store was restored and the order
-    // written again.
+    // Returns true if the record belongs to the order, also if the order was repeated, or the store
+    // was restored and the order written again.
     [[nodiscard]] bool belongsTo(const RolloutOrder &rolloutOrder) const noexcept;
 
     bool operator==(const RolloutRecord &) const = default;
@@ -93,7 +93,9 @@
     Millis elapsed {0};
     Millis inStage {0};
     bool isBad = false;
-    // The evidence points to a bad version, but does not suffice.
+    // The evidence points to a bad version, but does not suffice: the version must not be
+    // completed, or only its share must not grow yet.
+    bool isDoubtful = false;
     bool isSuspicious = false;
     bool hasEnoughEvidence = false;
     // The order was removed.
--- a/src/serving/rolloutevidence.cpp
+++ b/src/serving/rolloutevidence.cpp
@@ -175,6 +175,7 @@
         verdict.kind = isSlow ? "slow" : "failures";
     }
     verdict.isBad = verdict.worstSum >= badSum;
+    verdict.isDoubtful = verdict.worstSum >= doubtfulSum;
     verdict.isSuspicious = verdict.worstSum >= suspiciousSum;
     double total = 0;
     for (const std::pair<const std::string, RouteState> &entry : m_routes)
--- a/src/serving/rolloutplan.cpp
+++ b/src/serving/rolloutplan.cpp
@@ -39,9 +39,14 @@
 
 bool RolloutRecord::belongsTo(const RolloutOrder &rolloutOrder) const noexcept
 {
-    if (version != rolloutOrder.version || duration != rolloutOrder.duration)
+    if (version != rolloutOrder.version)
         return false;
-    return order == rolloutOrder.revision || order.era != rolloutOrder.revision.era;
+    if (stage == RolloutStage::Completed)
+        return true;
+    // Only after a reversal does an order of the same contents begin anew.
+    const bool isSameOrder = order == rolloutOrder.revision
+        || order.era != rolloutOrder.revision.era || stage != RolloutStage::Reverted;
+    return duration == rolloutOrder.duration && isSameOrder;
 }
 
 RolloutSchedule::RolloutSchedule(Millis duration) noexcept
@@ -63,7 +68,7 @@
     if (facts.isCancelled)
         return RolloutStep {RolloutStage::Reverted, "the order was removed"};
     const RolloutSchedule schedule(record.duration);
-    const bool isSound = facts.hasEnoughEvidence && !facts.isSuspicious;
+    const bool isSound = facts.hasEnoughEvidence && !facts.isDoubtful;
     if (record.stage == RolloutStage::Closing) {
         const bool isLast = facts.elapsed >= schedule.decideAt;
         if (isSound && facts.isOldIdle)
@@ -82,7 +87,7 @@
     const bool isCanary = record.stage == RolloutStage::Canary;
     const bool isDue =
         isCanary ? facts.elapsed >= schedule.growAt : facts.inStage >= schedule.stageTime;
-    if (!isDue || record.stage == RolloutStage::ThreeFifths)
+    if (!isDue || facts.isSuspicious || record.stage == RolloutStage::ThreeFifths)
         return std::nullopt;
     return RolloutStep {static_cast<RolloutStage>(static_cast<int>(record.stage) + 1), "sound"};
 }
--- a/src/serving/rollouttable.cpp
+++ b/src/serving/rollouttable.cpp
@@ -49,8 +49,10 @@
         && rollout.order->duration == order.duration;
     if (isSame && order.revision == rollout.order->revision)
         return OrderEffect::Repeated;
-    // The store was restored from an older copy and has the order again.
-    if (isSame && order.revision.era != rollout.order->revision.era) {
+    // The order was repeated, or the store was restored from an older copy and has it again.
+    const bool isRestored = isSame && order.revision.era != rollout.order->revision.era;
+    const bool isRepeated = isSame && rollout.isActive() && !rollout.isCancelled;
+    if (isRestored || isRepeated) {
         rollout.order->revision = order.revision;
         return OrderEffect::Repeated;
     }
@@ -60,8 +62,6 @@
         rollout.order = order;
         return OrderEffect::AlreadyCompleted;
     }
-    if (isSame && rollout.isActive() && !rollout.isCancelled)
-        return OrderEffect::Repeated;
     if (rollout.order && rollout.order->version != order.version && !isCompletedVersion(rollout))
         rollout.withheld.insert(rollout.order->version);
     rollout.withheld.erase(order.version);
--- a/tests/serving/rolloutfleet_test.cpp
+++ b/tests/serving/rolloutfleet_test.cpp
@@ -178,6 +178,7 @@
         const RolloutFacts facts {now,
                                   now - changedAt,
                                   verdict.isBad,
+                                  verdict.isDoubtful,
                                   verdict.isSuspicious,
                                   verdict.hasEnoughEvidence,
                                   false,
