--- a/include/fescue/serving/requestcontext.h
+++ b/include/fescue/serving/requestcontext.h
@@ -43,6 +43,9 @@
     // Tokens of the prompt that the endpoint was likely to hold when it was chosen.
     std::uint64_t heldTokens = 0;
     std::uint32_t attempts = 0;
+    // Time at which the endpoint was chosen, and whether it was cold then.
+    Millis chosenAt {0};
+    bool wasCold = false;
     std::string detail;
     Millis firstByteAt {0};
     std::uint32_t moves = 0;
@@ -86,6 +89,11 @@
 // Logs that a generation was held before it started, was refused or was abandoned, and counts it.
 void noteHeld(ServingState &state, const RequestContext &context, const TurnRequest &request,
               TurnStep step);
+// Record for the comparison of software versions that a stream has begun, or broke off for good.
+void noteStreamStart(ServingState &state, const RequestContext &context,
+                     const EndpointRecord &endpoint);
+void noteStreamFailure(ServingState &state, const RequestContext &context,
+                       const EndpointRecord &endpoint);
 
 // Logs the end of a request and updates the request metrics.
 void noteOutcome(ServingState &state, const RequestContext &context, ResultCode code, int status);
--- /dev/null
+++ b/src/serving/rolloutevidence.cpp
@@ -0,0 +1,193 @@
+#include "fescue/serving/rolloutevidence.h"
+
+#include <algorithm>
+#include <cmath>
+#include <numeric>
+
+namespace fescue::serving {
+
+namespace {
+
+// Success times of the old version up to this quantile are normal.
+constexpr double normalQuantile = 0.9;
+// Half-life of the weight of an answer for what is normal: shorter than a burst.
+constexpr Millis timesHalfLife = 3_s;
+// A success counts as slow if it is this many classes above the normal ones.
+constexpr std::size_t slowMargin = 1;
+// Odds of a bad answer of a bad version, as a multiple of those of a sound one.
+constexpr double badOdds = 4;
+// Each answer of the new version lowers a sum by this, so that it returns to 0 where both versions
+// have no bad answers.
+constexpr double decayOfAnswer = 0.03;
+// Share of bad answers that a bad version adds where only the past can be compared.
+constexpr double addedBadShare = 0.2;
+constexpr double minSoundShare = 0.02;
+constexpr double maxSoundShare = 0.6;
+
+// Returns the logarithm of the number of ways to choose k of n.
+double logChoices(std::uint32_t n, std::uint32_t k) noexcept
+{
+    return std::lgamma(n + 1.0) - std::lgamma(k + 1.0) - std::lgamma(n - k + 1.0);
+}
+
+AnswerCounts minus(const AnswerCounts &a, const AnswerCounts &b) noexcept
+{
+    AnswerCounts counts;
+    counts.failures = a.failures - b.failures;
+    for (std::size_t i = 0; i < timeClasses; ++i)
+        counts.successes[i] = a.successes[i] - b.successes[i];
+    return counts;
+}
+
+void addTo(AnswerCounts &sum, const AnswerCounts &counts) noexcept
+{
+    sum.failures += counts.failures;
+    for (std::size_t i = 0; i < timeClasses; ++i)
+        sum.successes[i] += counts.successes[i];
+}
+
+} // namespace
+
+std::size_t timeClassOf(Millis time) noexcept
+{
+    if (time <= firstTimeClass)
+        return 0;
+    const double ratio =
+        static_cast<double>(time.count) / static_cast<double>(firstTimeClass.count);
+    const double n = std::ceil(std::log(ratio) / std::log(timeClassFactor));
+    return std::min(static_cast<std::size_t>(n), timeClasses - 1);
+}
+
+std::uint32_t AnswerCounts::total() const noexcept
+{
+    return std::accumulate(successes.begin(), successes.end(), failures);
+}
+
+std::uint32_t AnswerCounts::slowerThan(std::size_t timeClass) const noexcept
+{
+    const std::size_t first = std::min(timeClass + 1, timeClasses);
+    return std::accumulate(successes.begin() + static_cast<std::ptrdiff_t>(first), successes.end(),
+                           0U);
+}
+
+void BadAnswerSum::add(const AnswerSample &sample) noexcept
+{
+    const std::uint32_t n = sample.newAnswers;
+    const std::uint32_t m = sample.oldAnswers;
+    const std::uint32_t bad = sample.newBad + sample.oldBad;
+    if (n == 0 || m == 0)
+        return;
+    // Expected value of odds^k for the number k of bad answers that a sound version would have.
+    double expected = 0;
+    for (std::uint32_t k = bad > m ? bad - m : 0; k <= std::min(n, bad); ++k) {
+        expected += std::exp(logChoices(n, k) + logChoices(m, bad - k) - logChoices(n + m, bad)
+                             + k * std::log(badOdds));
+    }
+    const double added = sample.newBad * std::log(badOdds) - std::log(expected) - n * decayOfAnswer;
+    m_value = std::max(0.0, m_value + added);
+}
+
+void BadAnswerSum::addAlone(double bad, double n, double soundShare) noexcept
+{
+    const double sound = std::clamp(soundShare, minSoundShare, maxSoundShare);
+    const double added = bad * std::log((sound + addedBadShare) / sound)
+        + (n - bad) * std::log((1 - sound - addedBadShare) / (1 - sound));
+    m_value = std::max(0.0, m_value + added);
+}
+
+void RolloutJudge::report(const MemberName &from, Incarnation incarnation,
+                          const RolloutEvidence &evidence)
+{
+    RolloutEvidence &known = m_reports[{from, incarnation}];
+    for (const std::pair<const std::string, RouteEvidence> &entry : evidence) {
+        RouteEvidence &route = known[entry.first];
+        // Datagrams may arrive out of order.
+        if (entry.second.oldVersion.total() >= route.oldVersion.total()
+            && entry.second.newVersion.total() >= route.newVersion.total())
+            route = entry.second;
+    }
+}
+
+void RolloutJudge::step(Millis now)
+{
+    const double span = static_cast<double>((now - m_steppedAt).count);
+    const double weight = std::exp2(-span / static_cast<double>(timesHalfLife.count));
+    m_steppedAt = now;
+    RolloutEvidence sums;
+    for (const auto &[member, evidence] : m_reports) {
+        for (const std::pair<const std::string, RouteEvidence> &entry : evidence) {
+            addTo(sums[entry.first].oldVersion, entry.second.oldVersion);
+            addTo(sums[entry.first].newVersion, entry.second.newVersion);
+        }
+    }
+    for (const std::pair<const std::string, RouteEvidence> &entry : sums) {
+        RouteState &route = m_routes[entry.first];
+        const RouteEvidence added {minus(entry.second.oldVersion, route.seen.oldVersion),
+                                   minus(entry.second.newVersion, route.seen.newVersion)};
+        compare(route, added);
+        for (std::size_t i = 0; i < timeClasses; ++i)
+            route.recentTimes[i] = route.recentTimes[i] * weight + added.oldVersion.successes[i];
+        route.seen = entry.second;
+    }
+}
+
+std::size_t RolloutJudge::normalTimeClass(const RouteState &route) noexcept
+{
+    const std::array<double, timeClasses> &times = route.recentTimes;
+    const double total = std::accumulate(times.begin(), times.end(), 0.0);
+    double slower = 0;
+    std::size_t n = timeClasses - 1;
+    while (n > 0 && slower + times[n] <= (1 - normalQuantile) * total)
+        slower += times[n--];
+    return n;
+}
+
+void RolloutJudge::compare(RouteState &route, const RouteEvidence &added)
+{
+    // What is normal follows from earlier answers only, so it does not depend on the sample.
+    const AnswerCounts &past = route.seen.oldVersion;
+    const std::uint32_t n = added.newVersion.total();
+    const std::uint32_t oldTotal = added.oldVersion.total();
+    const double pastTotal = past.total();
+    if (oldTotal == 0 && pastTotal > 0) {
+        route.failures.addAlone(added.newVersion.failures, n, past.failures / pastTotal);
+        return;
+    }
+    route.failures.add({n, added.newVersion.failures, oldTotal, added.oldVersion.failures});
+    const std::size_t limit = normalTimeClass(route) + slowMargin;
+    route.slow.add(
+        {n, added.newVersion.slowerThan(limit), oldTotal, added.oldVersion.slowerThan(limit)});
+}
+
+RolloutVerdict RolloutJudge::verdict() const
+{
+    RolloutVerdict verdict;
+    for (const std::pair<const std::string, RouteState> &entry : m_routes) {
+        const RouteState &route = entry.second;
+        verdict.answers += route.seen.newVersion.total();
+        verdict.failures += route.seen.newVersion.failures;
+        const bool isSlow = route.slow.value() > route.failures.value();
+        const double sum = std::max(route.slow.value(), route.failures.value());
+        if (sum <= verdict.worstSum)
+            continue;
+        verdict.worstSum = sum;
+        verdict.route = entry.first;
+        verdict.kind = isSlow ? "slow" : "failures";
+    }
+    verdict.isBad = verdict.worstSum >= badSum;
+    verdict.isDoubtful = verdict.worstSum >= doubtfulSum;
+    verdict.isSuspicious = verdict.worstSum >= suspiciousSum;
+    double total = 0;
+    for (const std::pair<const std::string, RouteState> &entry : m_routes)
+        total += entry.second.seen.oldVersion.total();
+    const auto isKnown = [total](const std::pair<const std::string, RouteState> &entry) {
+        const double n = entry.second.seen.oldVersion.total();
+        return n < std::max<double>(usedRouteAnswers, usedRouteShare * total)
+            || entry.second.seen.newVersion.total() >= minAnswersOfRoute;
+    };
+    verdict.hasEnoughEvidence =
+        verdict.answers >= minAnswers && std::all_of(m_routes.begin(), m_routes.end(), isKnown);
+    return verdict;
+}
+
+} // namespace fescue::serving
--- a/tests/soak/world.h
+++ b/tests/soak/world.h
@@ -31,6 +31,9 @@
     double crashingShare = 0;
     // Some callers ask for streams that may be resumed, and come back after breaks.
     bool hasResumable = false;
+    // Kind of the roll-out that is ordered: "good", "bad", "slow", "later" or "load"; none if
+    // empty.
+    std::string rollout;
     std::string program;
     std::string folder;
 };
@@ -88,6 +91,8 @@
     // Replaces some engines again and again, as the users' platform does all day.
     void churn();
     // Notes when this process itself did not run.
+    // Orders a roll-out of the engines and checks how it ends.
+    void rollOut();
     void watchOwnDelays();
     // Asks entries whether they are ready.
     void checkReadiness();
@@ -115,6 +120,8 @@
     Millis beganAt {0};
 
 private:
+    // Waits until the operator reads an end of the roll-out; returns its state, or "serving".
+    [[nodiscard]] std::string waitForRollout(Millis until);
     void createEntry(std::size_t index);
     void startEntry(std::size_t index);
     void holdAddress(const net::Address &address, Millis lasts);
