--- a/include/fescue/serving/streamforwarder.inl
+++ b/include/fescue/serving/streamforwarder.inl
@@ -104,6 +104,7 @@
         return std::nullopt;
     }
     noteEndpoint(*m_state, context, *endpoint);
+    notePrefix(*m_state, context, *endpoint, demand.promptParts);
     forwarded.run->engine = endpoint->record;
     const EndpointRecord &record = forwarded.run->engine;
     forwarded.load = std::make_unique<ScopedLoad>(
@@ -168,6 +169,8 @@
     forwarded.demand.memoryTokens = forwarded.run->reservedTokens();
     forwarded.demand.prefillTokens = forwarded.run->memoryTokens();
     forwarded.demand.mostUrgent = forwarded.context.route->priority == 0;
+    if (forwarded.context.route->sharesPrefixes)
+        forwarded.demand.promptParts = forwarded.context.caller.promptParts;
 }
 
 template <PlatformProtocol P>
