--- a/include/fescue/serving/turnorder.h
+++ b/include/fescue/serving/turnorder.h
@@ -50,8 +50,7 @@
 // used much more than its share.
 [[nodiscard]] bool isOverShare(double shareRatio) noexcept;
 
-// Decides whether a generation starts. The most urgent ones start at once, unless their account has
-// used much more than its share while others wait. Others leave the engines
+// Decides whether a generation starts. The most urgent ones start at once. Others leave the engines
 // to them while prompts wait there, but no longer than their own target latency allows: who has
 // waited longer accepts a longer queue at the engine, so that all processes follow the same order
 // without asking each other. A request without room waits for a small part of its target latency,
--- a/src/serving/turnorder.cpp
+++ b/src/serving/turnorder.cpp
@@ -49,7 +49,7 @@
         const bool mayWait = request.held < request.targetLatency / roomWaitDivisor;
         return mayWait ? TurnStep::Wait : TurnStep::Refuse;
     }
-    if (request.mostUrgent && !request.overShare)
+    if (request.mostUrgent)
         return TurnStep::Start;
     const StartOffer &offer = *request.offer;
     const Millis expected = (offer.queueDelay + offer.readTime) * safetyPercent / percent;
