--- a/include/fescue/serving/gossip.h
+++ b/include/fescue/serving/gossip.h
@@ -4,6 +4,7 @@
 #include "fescue/core/memberinfo.h"
 #include "fescue/core/result.h"
 #include "fescue/serving/accountuse.h"
+#include "fescue/serving/cachedprefixes.h"
 #include "fescue/serving/endpointincarnation.h"
 #include "fescue/serving/loadledger.h"
 #include "fescue/serving/sharedretrybudget.h"
@@ -32,6 +33,8 @@
     std::vector<EndpointIncarnation> refusingEndpoints;
     // Recent use of the engines by client accounts, through the process.
     std::vector<AccountUseEntry> accountUse;
+    // Beginnings of prompts that the process has sent to engines since its last datagram.
+    std::vector<PrefixRead> prefixReads;
     bool operator==(const Gossip &) const = default;
 };
 
--- a/include/fescue/serving/placement.h
+++ b/include/fescue/serving/placement.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "fescue/serving/cachedprefixes.h"
 #include "fescue/serving/coldratelimiter.h"
 #include "fescue/serving/coldshares.h"
 #include "fescue/serving/endpointhealth.h"
@@ -34,6 +35,8 @@
     bool zonesReportChanges = false;
     // Learned paces of engines; null if all engines count as equally fast.
     const EnginePace *paces = nullptr;
+    // The beginnings of prompts that engines hold; null if they are not to be considered.
+    const CachedPrefixes *prefixes = nullptr;
 
     // Returns false if an endpoint is cold and the share of this process in its cold limit is used
     // up.
@@ -57,6 +60,9 @@
     bool mostUrgent = false;
     // Endpoints that must not be chosen because they were tried before.
     std::set<EndpointName> excluded;
+    // Parts of the prompt whose reading may be saved; empty if prompts of the route share none.
+    // Must outlive the call.
+    std::span<const PromptPart> promptParts = {};
 };
 
 // Derives a number in [0, 1) for an endpoint from the one random number of a whole choice.
--- a/src/serving/gossip.cpp
+++ b/src/serving/gossip.cpp
@@ -88,6 +88,29 @@
     return incarnations;
 }
 
+Json encodePrefixReads(std::span<const PrefixRead> reads)
+{
+    Json list = Json::array();
+    for (const PrefixRead &read :
+         reads.first(std::min(reads.size(), CachedPrefixes::maxReported))) {
+        list.push_back({read.endpoint.endpoint.text(), read.endpoint.incarnation.value, read.prefix,
+                        read.tokens});
+    }
+    return list;
+}
+
+std::vector<PrefixRead> decodePrefixReads(const Json &list)
+{
+    std::vector<PrefixRead> reads;
+    for (const Json &entry : list) {
+        reads.push_back(
+            {{EndpointName(entry.at(0).get<std::string>()), {numberAt<std::uint64_t>(entry, 1)}},
+             numberAt<std::uint64_t>(entry, 2),
+             numberAt<std::uint32_t>(entry, 3)});
+    }
+    return reads;
+}
+
 } // namespace
 
 std::string encodeGossip(const Gossip &gossip)
@@ -106,7 +129,8 @@
                        retries,
                        encodeIncarnations(gossip.leaving),
                        encodeIncarnations(gossip.refusingEndpoints),
-                       accountUse};
+                       accountUse,
+                       encodePrefixReads(gossip.prefixReads)};
     return toCbor(json);
 }
 
@@ -136,6 +160,9 @@
                      static_cast<double>(numberAt<std::uint64_t>(entry, 1))});
             }
         }
+        constexpr std::size_t prefixField = 8;
+        if (json.size() > prefixField)
+            gossip.prefixReads = decodePrefixReads(json.at(prefixField));
         return gossip;
     });
 }
--- a/src/serving/servingstate.cpp
+++ b/src/serving/servingstate.cpp
@@ -64,7 +64,8 @@
     : settings(std::move(nodeSettings)), pool(workerPool), metrics(processMetrics),
       engineClient(engineClientLimits()),
       bodyBudget(std::make_shared<net::ByteBudget>(bodyMemoryOf(settings))),
-      coldShares(settings.name), members(memberLimits()), m_random(std::random_device {}())
+      coldShares(settings.name), members(memberLimits()),
+      prefixes(settings.deploymentLimits.prefixRetention), m_random(std::random_device {}())
 { }
 
 double ServingState::uniform()
@@ -115,9 +116,9 @@
 PlacementView ServingState::placementView(const ServiceName &service)
 {
     const bool hasPriorities = routes && routes->hasPriorities(service);
-    return {
-        ledger,        health, coldRateLimiter, coldShares,    coldLimitOf(service),
-        settings.zone, now(),  isLarge(),       hasPriorities, hasPriorities ? &paces : nullptr};
+    return {ledger,        health, coldRateLimiter, coldShares,    coldLimitOf(service),
+            settings.zone, now(),  isLarge(),       hasPriorities, hasPriorities ? &paces : nullptr,
+            &prefixes};
 }
 
 std::vector<const EndpointView *> ServingState::candidates(const ServiceName &service) const
--- a/tests/serving/gossip_test.cpp
+++ b/tests/serving/gossip_test.cpp
@@ -24,6 +24,7 @@
     gossip.leaving = {{EndpointName("e2"), {1'700'000'000'123}}};
     gossip.refusingEndpoints = {{EndpointName("e3"), {7}}};
     gossip.accountUse = {{AccountName("large"), 12'000}};
+    gossip.prefixReads = {{{EndpointName("e1"), {5}}, 0xfedcba9876543210ULL, 350}};
     return gossip;
 }
 
