--- a/include/fescue/serving/streamforwarder.inl
+++ b/include/fescue/serving/streamforwarder.inl
@@ -506,10 +506,10 @@
             return false;
     }
     if (std::exchange(forwarded.prefilling, false)) {
+        const std::uint64_t prefillTokens = forwarded.load->load().prefillTokens;
         forwarded.load->prefillDone();
-        if (context.routes->hasPriorities(context.service)) {
-            m_state->reportLoadChange(forwarded.run->engine.name, false,
-                                      {0, 0, forwarded.demand.prefillTokens});
+        if (forwarded.context.routes->hasPriorities(forwarded.context.service)) {
+            m_state->reportLoadChange(forwarded.load->endpoint(), false, {0, 0, prefillTokens});
         }
     }
     // Several first events may arrive together.
--- a/src/serving/placement.cpp
+++ b/src/serving/placement.cpp
@@ -74,13 +74,6 @@
     return static_cast<double>(load.memoryTokens + demand.memoryTokens) / memory;
 }
 
-// Returns the time until the prompt has been processed behind those that wait at the engine, in
-// milliseconds.
-double prefillDelay(const EndpointLoad &load, const PlacementDemand &demand)
-{
-    return static_cast<double>(load.prefillTokens + demand.prefillTokens) / prefillTokensPerMilli;
-}
-
 bool hasRoom(const EndpointLoad &load, const EngineModel &model, const PlacementDemand &demand)
 {
     const double limit = demand.mostUrgent ? urgentFillLimit : memoryFillLimit;
