--- a/src/serving/servingstate.cpp
+++ b/src/serving/servingstate.cpp
@@ -65,7 +65,8 @@
       engineClient(engineClientLimits()),
       bodyBudget(std::make_shared<net::ByteBudget>(bodyMemoryOf(settings))),
       socketLimits(serving::socketLimits(settings.maxDescriptors, openFileLimit())),
-      coldShares(settings.name), members(memberLimits()), m_random(std::random_device {}())
+      coldShares(settings.name), members(memberLimits()),
+      prefixes(settings.deploymentLimits.prefixRetention), m_random(std::random_device {}())
 { }
 
 double ServingState::uniform()
@@ -107,7 +108,7 @@
 PlacementView ServingState::placementView(const ServiceName &service)
 {
     return {ledger,        health, coldRateLimiter, coldShares, coldLimitOf(service),
-            settings.zone, now(),  isLarge()};
+            settings.zone, now(),  isLarge(),       &prefixes};
 }
 
 std::vector<const EndpointView *> ServingState::candidates(const ServiceName &service) const
