--- a/include/fescue/serving/rolloutcontroller.h
+++ b/include/fescue/serving/rolloutcontroller.h
@@ -56,7 +56,6 @@
     // What this process knows as a collector of one service.
     struct Collected
     {
-        net::StoreRevision order;
         RolloutJudge judge;
         RolloutVerdict verdict;
         std::map<MemberName, MemberReport> reports;
@@ -76,7 +75,6 @@
     // Returns the collectors of a service, the first to write first.
     [[nodiscard]] std::vector<MemberName> collectors(Millis now, const ServiceName &service,
                                                      const std::vector<MemberView> &members) const;
-    [[nodiscard]] Collected &collectedOf(const ServiceName &service, net::StoreRevision order);
     [[nodiscard]] RolloutReport ownReport(const Rollout &rollout) const;
     // Judges, permits and decides. `rank` is this process' place among the collectors.
     void collect(Millis now, const Rollout &rollout, std::size_t rank,
--- a/include/fescue/serving/rolloutcontroller.inl
+++ b/include/fescue/serving/rolloutcontroller.inl
@@ -231,18 +231,6 @@
     return report;
 }
 
-template <PlatformProtocol P>
-typename RolloutController<P>::Collected &
-RolloutController<P>::collectedOf(const ServiceName &service, net::StoreRevision order)
-{
-    Collected &collected = m_collected[service];
-    if (collected.order != order && !collected.isWriting) {
-        collected = {};
-        collected.order = order;
-    }
-    return collected;
-}
-
 template <PlatformProtocol P>
 bool RolloutController<P>::handleNotice(std::string_view bytes)
 {
@@ -265,9 +253,9 @@
     else
         m_rejectedAt.erase(report.from);
     const Rollout *rollout = m_state->rollouts.find(report.service);
-    if (rollout == nullptr || !rollout->order || rollout->order->revision != report.order)
+    if (rollout == nullptr || !rollout->order || !rollout->order->mayBe(report.order))
         return;
-    Collected &collected = collectedOf(report.service, report.order);
+    Collected &collected = m_collected[report.service];
     collected.judge.report(report.from, report.incarnation, report.evidence);
     collected.reports[report.from] = {now, report.change, report.openAtOld};
 }
@@ -290,7 +278,7 @@
                                    const std::vector<MemberView> &members)
 {
     const RolloutOrder order = *rollout.order;
-    Collected &collected = collectedOf(order.service, order.revision);
+    Collected &collected = m_collected[order.service];
     collected.judge.step(now);
     collected.verdict = collected.judge.verdict();
     m_state->metrics.gauge("fescue_rollout_worst_sum", {{"service", order.service.text()}})
--- a/include/fescue/serving/rolloutevidence.h
+++ b/include/fescue/serving/rolloutevidence.h
@@ -3,6 +3,7 @@
 #include "fescue/core/clock.h"
 #include "fescue/core/ids.h"
 
+#include <algorithm>
 #include <array>
 #include <cstddef>
 #include <cstdint>
@@ -70,10 +71,11 @@
     // Adds answers of the new version to which there are none of the old one at the same time.
     // `soundShare` is the old version's share of bad answers in the past.
     void addAlone(double bad, double n, double soundShare) noexcept;
-    [[nodiscard]] double value() const noexcept { return m_value; }
+    [[nodiscard]] double value() const noexcept { return std::max(m_sums[0], m_sums[1]); }
 
 private:
-    double m_value = 0;
+    // One sum each for moderately and very bad versions.
+    std::array<double, 2> m_sums {};
 };
 
 // The judgement on a new version.
@@ -99,8 +101,8 @@
 public:
     // Sums at which a version is bad, at which it must not be completed, and at which its share
     // must not grow.
-    static constexpr double badSum = 10;
-    static constexpr double doubtfulSum = 8.5;
+    static constexpr double badSum = 10.7;
+    static constexpr double doubtfulSum = 9.2;
     static constexpr double suspiciousSum = 6;
     // Answers of the new version without which it is not known to be sound: over all routes, and on
     // each route with at least this number of answers and this share of them.
@@ -119,6 +121,9 @@
     struct RouteState
     {
         RouteEvidence seen;
+        // Counters at the beginning of the present sample, and its time.
+        RouteEvidence sampledFrom;
+        Millis sampleBegan {0};
         // Successes of the old version by their time, older ones with less weight.
         std::array<double, timeClasses> recentTimes {};
         BadAnswerSum failures;
--- a/include/fescue/serving/rolloutplan.h
+++ b/include/fescue/serving/rolloutplan.h
@@ -21,6 +21,13 @@
     // Revision at which the order was written; tells orders of the same contents apart.
     net::StoreRevision revision;
 
+    // Returns true if a message about the order with a revision may be about this one: a restored
+    // store gives it another revision in a later era.
+    [[nodiscard]] bool mayBe(net::StoreRevision other) const noexcept
+    {
+        return other == revision || other.era != revision.era;
+    }
+
     bool operator==(const RolloutOrder &) const = default;
 };
 
--- a/src/serving/rolloutevidence.cpp
+++ b/src/serving/rolloutevidence.cpp
@@ -14,8 +14,12 @@
 constexpr Millis timesHalfLife = 3_s;
 // A success counts as slow if it is this many classes above the normal ones.
 constexpr std::size_t slowMargin = 1;
-// Odds of a bad answer of a bad version, as a multiple of those of a sound one.
-constexpr double badOdds = 4;
+// A sample ends with this number of answers of the old version, or after this time if fewer come.
+constexpr std::uint32_t sampleAnswers = 8;
+constexpr Millis longestSample = 2_s;
+// Odds of a bad answer of a moderately and of a very bad version, as multiples of those of a sound
+// one.
+constexpr std::array<double, 2> badOdds {4, 12};
 // Each answer of the new version lowers a sum by this, so that it returns to 0 where both versions
 // have no bad answers.
 constexpr double decayOfAnswer = 0.03;
@@ -77,14 +81,17 @@
     const std::uint32_t bad = sample.newBad + sample.oldBad;
     if (n == 0 || m == 0)
         return;
-    // Expected value of odds^k for the number k of bad answers that a sound version would have.
-    double expected = 0;
-    for (std::uint32_t k = bad > m ? bad - m : 0; k <= std::min(n, bad); ++k) {
-        expected += std::exp(logChoices(n, k) + logChoices(m, bad - k) - logChoices(n + m, bad)
-                             + k * std::log(badOdds));
+    for (std::size_t i = 0; i < badOdds.size(); ++i) {
+        const double logOdds = std::log(badOdds[i]);
+        // Expected value of odds^k for the number k of bad answers that a sound version would have.
+        double expected = 0;
+        for (std::uint32_t k = bad > m ? bad - m : 0; k <= std::min(n, bad); ++k) {
+            expected += std::exp(logChoices(n, k) + logChoices(m, bad - k) - logChoices(n + m, bad)
+                                 + k * logOdds);
+        }
+        const double added = sample.newBad * logOdds - std::log(expected) - n * decayOfAnswer;
+        m_sums[i] = std::max(0.0, m_sums[i] + added);
     }
-    const double added = sample.newBad * std::log(badOdds) - std::log(expected) - n * decayOfAnswer;
-    m_value = std::max(0.0, m_value + added);
 }
 
 void BadAnswerSum::addAlone(double bad, double n, double soundShare) noexcept
@@ -92,7 +99,8 @@
     const double sound = std::clamp(soundShare, minSoundShare, maxSoundShare);
     const double added = bad * std::log((sound + addedBadShare) / sound)
         + (n - bad) * std::log((1 - sound - addedBadShare) / (1 - sound));
-    m_value = std::max(0.0, m_value + added);
+    for (double &sum : m_sums)
+        sum = std::max(0.0, sum + added);
 }
 
 void RolloutJudge::report(const MemberName &from, Incarnation incarnation,
@@ -122,11 +130,18 @@
     }
     for (const std::pair<const std::string, RouteEvidence> &entry : sums) {
         RouteState &route = m_routes[entry.first];
-        const RouteEvidence added {minus(entry.second.oldVersion, route.seen.oldVersion),
-                                   minus(entry.second.newVersion, route.seen.newVersion)};
-        compare(route, added);
+        const AnswerCounts oldAdded = minus(entry.second.oldVersion, route.seen.oldVersion);
+        const RouteEvidence sample {minus(entry.second.oldVersion, route.sampledFrom.oldVersion),
+                                    minus(entry.second.newVersion, route.sampledFrom.newVersion)};
+        const bool isFull = sample.oldVersion.total() >= sampleAnswers
+            || (sample.oldVersion.total() == 0 && sample.newVersion.total() >= sampleAnswers);
+        if (isFull || now - route.sampleBegan >= longestSample) {
+            compare(route, sample);
+            route.sampledFrom = entry.second;
+            route.sampleBegan = now;
+        }
         for (std::size_t i = 0; i < timeClasses; ++i)
-            route.recentTimes[i] = route.recentTimes[i] * weight + added.oldVersion.successes[i];
+            route.recentTimes[i] = route.recentTimes[i] * weight + oldAdded.successes[i];
         route.seen = entry.second;
     }
 }
@@ -144,8 +159,7 @@
 
 void RolloutJudge::compare(RouteState &route, const RouteEvidence &added)
 {
-    // What is normal follows from earlier answers only, so it does not depend on the sample.
-    const AnswerCounts &past = route.seen.oldVersion;
+    const AnswerCounts &past = route.sampledFrom.oldVersion;
     const std::uint32_t n = added.newVersion.total();
     const std::uint32_t oldTotal = added.oldVersion.total();
     const double pastTotal = past.total();
--- a/src/serving/rollouttable.cpp
+++ b/src/serving/rollouttable.cpp
@@ -115,8 +115,7 @@
     if (it == m_rollouts.end() || !it->second.order)
         return false;
     Rollout &rollout = it->second;
-    const net::StoreRevision &known = rollout.order->revision;
-    if (permit.order != known)
+    if (!rollout.order->mayBe(permit.order))
         return false;
     if (permit.isHalted)
         rollout.isHalted = true;
