--- a/include/fescue/serving/rolloutquota.h
+++ b/include/fescue/serving/rolloutquota.h
@@ -35,7 +35,8 @@
     {
         const std::size_t shared = allowance / 2;
         const std::size_t n = std::max<std::size_t>(members, 1);
-        return static_cast<double>(shared / n + (rank < shared % n ? 1 : 0)) + uniform;
+        const std::size_t whole = shared / n + (rank < shared % n ? 1 : 0);
+        return static_cast<double>(whole) + uniform;
     }
 
 private:
