Mend what the review of the merged parts found

- A stream that kept its engine after a failed hand-over was checked against another watch for silence.
- A resume that may have run at an engine did not count against the limit of attempts.
- A held generation was sent after the stop of its process had begun; now it is refused as not run.
A hold ends with half of the caller's time.
- No new run of a resumable stream once its caller is gone.
- Readiness draws on memory of its own, so that requests that use up the budget do not take the VM out.
- Parts of a divided update of the store confirm nothing but the last one.
- A break in mid-stream counts as a failure of its software version also where the stream goes on elsewhere; suspicion holds back the last step of a roll-out.

--- a/include/fescue/serving/edgedaemon.inl
+++ b/include/fescue/serving/edgedaemon.inl
@@ -29,6 +29,8 @@
 inline constexpr int quarantineRepeats = 2;
 // Number of ticks between two messages with all quarantine entries.
 inline constexpr std::uint64_t ticksPerQuarantineSync = 4;
+// Memory for the requests at the address of readiness.
+inline constexpr std::size_t readyRequestBytes = std::size_t {1024} * 1024;
 // Longest body of a request to an address that does not forward. No request there needs more.
 inline constexpr std::uint64_t maxSideBodyBytes = std::uint64_t {64} * 1024;
 // Shortest time between two log lines about callers that were refused for want of room.
@@ -91,10 +93,13 @@
     using Request = net::HttpRequest;
     using Writer = net::ResponseWriter;
     const NodeSettings &settings = m_state.settings;
-    static_cast<void>(
-        addServer(settings.readyAddress, [this](const Request &request, Writer &writer) {
-            answerReady(request, writer);
-        }));
+    net::HttpServer &ready =
+        addServer(settings.readyAddress,
+                  [this](const Request &request, Writer &writer) { answerReady(request, writer); });
+    // Callers that use up the memory for requests must not make this process look unready.
+    net::ServerLimits readyLimits = sideLimits();
+    readyLimits.bodyBudget = std::make_shared<net::ByteBudget>(readyRequestBytes);
+    ready.setLimits(readyLimits);
     static_cast<void>(
         addServer(settings.metricsAddress, [this](const Request &request, Writer &writer) {
             answerMetrics(request, writer);
--- a/include/fescue/serving/storesession.inl
+++ b/include/fescue/serving/storesession.inl
@@ -397,7 +397,7 @@
         && update.at > m_revision && update.at.era == m_revision.era;
     if (follows)
         applyPeerChanges(update.at, update.items);
-    if (update.at > m_revision)
+    if (update.at > m_revision || !update.reachable)
         return;
     m_confirmedAt = std::max(m_confirmedAt, now - update.storeAge);
     // Nothing has been missed, so no listing is needed.
--- a/include/fescue/serving/streamforwarder.h
+++ b/include/fescue/serving/streamforwarder.h
@@ -67,9 +67,17 @@
     // The same, and takes its share of a cold engine's limit. Returns null if that is used up.
     [[nodiscard]] const EndpointView *choose(const RequestContext &context,
                                              const PlacementDemand &demand);
-    // Holds a generation that competes with others until it may start. Returns false if its caller
-    // has disconnected.
-    [[nodiscard]] bool waitForTurn(const RequestContext &context, const PlacementDemand &demand);
+    // How the hold of a generation before its start ends.
+    enum class TurnEnd : std::uint8_t
+    {
+        Start,
+        CallerGone,
+        // The process stops, and the generation would not end before it.
+        Stopping,
+    };
+
+    // Holds a generation that competes with others until it may start.
+    [[nodiscard]] TurnEnd waitForTurn(const RequestContext &context, const PlacementDemand &demand);
     // Removes the generation's load from its engine and reports that.
     void releaseLoad(ForwardedStream &forwarded);
     // Sends the request to engines until one answers. Sends the failure to the caller and returns
--- a/include/fescue/serving/streamforwarder.inl
+++ b/include/fescue/serving/streamforwarder.inl
@@ -278,11 +278,12 @@
 }
 
 template <PlatformProtocol P>
-bool StreamForwarder<P>::waitForTurn(const RequestContext &context, const PlacementDemand &demand)
+typename StreamForwarder<P>::TurnEnd StreamForwarder<P>::waitForTurn(const RequestContext &context,
+                                                                     const PlacementDemand &demand)
 {
     const EngineModel *model = context.routes->findEngineModel(context.service);
     if (model == nullptr || !context.routes->hasPriorities(context.service))
-        return true;
+        return TurnEnd::Start;
     const Millis begun = ServingState::now();
     TurnRequest request;
     request.mostUrgent = demand.mostUrgent;
@@ -303,16 +304,19 @@
         const TurnStep step = decideTurn(request);
         if (step == TurnStep::Start && context.account != nullptr)
             m_state->accountUse.record(now, context.account->name, demand.prefillTokens);
-        if (step != TurnStep::Wait) {
+        // Half of the caller's time is left for the answer.
+        const bool isShort = context.timeLeft() <= request.held;
+        if (step != TurnStep::Wait || isShort) {
             noteHeld(*m_state, context, request, step);
-            return true;
+            return TurnEnd::Start;
         }
         net::sleepFor(
             turnCheckInterval
             + Millis {static_cast<std::int64_t>(turnCheckSpread.count * m_state->uniform())});
-        if (context.writer.callerGone()) {
+        const bool isStopping = !m_state->stop.mayTake(context.deadline);
+        if (isStopping || context.writer.callerGone()) {
             noteHeld(*m_state, context, request, step);
-            return false;
+            return isStopping ? TurnEnd::Stopping : TurnEnd::CallerGone;
         }
     }
 }
@@ -322,11 +326,18 @@
 {
     RequestContext &context = forwarded.context;
     updateDemand(forwarded);
-    if (!waitForTurn(context, forwarded.demand)) {
+    const TurnEnd turn = waitForTurn(context, forwarded.demand);
+    if (turn == TurnEnd::CallerGone) {
         context.writer.abort();
         noteOutcome(*m_state, context, ResultCode::Cancelled, 0);
         return false;
     }
+    if (turn == TurnEnd::Stopping) {
+        refuse<P>(*m_state, context,
+                  notRunProblem(*m_state, context, ResultCode::ShuttingDown,
+                                "this entry is shutting down"));
+        return false;
+    }
     AttemptVerdict verdict = AttemptVerdict::RefuseNotRun;
     std::optional<ExchangeResult> result = attemptUntilAnswered(forwarded, verdict);
     if (result && result->outcome == SendOutcome::Succeeded) {
@@ -384,7 +395,11 @@
             end == StreamEnd::EngineLost && forwarded.run->phase == MovePhase::Running;
         if (mayBeCrash && !context.promptStarted)
             m_guard->recordLoss(context, forwarded.run->engine);
+        // finish() records the last break.
+        const EndpointRecord broken = forwarded.run->engine;
         const bool resumed = forwarded.resumption.isBreak(end) && resume(forwarded);
+        if (resumed && mayBeCrash)
+            noteStreamFailure(*m_state, context, broken);
         if (!resumed) {
             if (forwarded.resumption.isResumable() && context.writer.callerGone())
                 end = StreamEnd::CallerGone;
@@ -466,12 +481,15 @@
 {
     GenerationRun &run = *forwarded.run;
     net::ClientStream source = std::move(forwarded.upstream);
+    // The check of the source's stream goes on with its own watch.
+    const std::shared_ptr<SilenceWatch> silence = forwarded.silence;
     if (resumeFromBackup(forwarded)) {
         // The engine may keep generating for a moment; closing the connection stops it.
         source.close();
         return;
     }
     forwarded.upstream = std::move(source);
+    forwarded.silence = silence;
     run.phase = MovePhase::Running;
 }
 
@@ -587,7 +605,15 @@
                         {"events", forwarded.events.events()},
                         {"took_ms", (ServingState::now() - begun).count},
                         {"detail", result.detail}});
+    const bool mayHaveRun = result.outcome == SendOutcome::Lost
+        || result.outcome == SendOutcome::TimedOut || result.outcome == SendOutcome::Foreign
+        || result.outcome == SendOutcome::Failed;
+    if (mayHaveRun || result.outcome == SendOutcome::Succeeded) {
+        forwarded.resumption.policy().countResumed();
+        forwarded.resumption.recordEngine({engine.name, engine.incarnation});
+    }
     if (result.outcome != SendOutcome::Succeeded) {
+        forwarded.demand.excluded.insert(engine.name);
         run.backup.reset();
         forwarded.backupLoad.reset();
         return false;
@@ -597,8 +623,6 @@
     m_state->notifyPeers();
     run.engine = engine;
     forwarded.prefilling = false;
-    forwarded.resumption.policy().countResumed();
-    forwarded.resumption.recordEngine({engine.name, engine.incarnation});
     adopt(forwarded, std::move(result.stream));
     return true;
 }
@@ -621,7 +645,7 @@
 bool StreamForwarder<P>::canRunAgain(ForwardedStream &forwarded)
 {
     const RequestContext &context = forwarded.context;
-    return m_state->stop.mayTake(context.deadline)
+    return m_state->stop.mayTake(context.deadline) && !context.writer.callerGone()
         && forwarded.resumption.mayRunAgain(
             context.timeLeft(), [this](const EndpointIncarnation &engine) {
                 const EndpointView *view = m_state->endpoints.find(engine.endpoint);
--- a/src/serving/descriptorshare.cpp
+++ b/src/serving/descriptorshare.cpp
@@ -46,7 +46,8 @@
 
 SocketLimits socketLimits(std::size_t settingsLimit, std::size_t kernelLimit) noexcept
 {
-    const std::size_t all = without(allConnections(settingsLimit, kernelLimit), ownSockets);
+    const std::size_t all = std::max(
+        without(allConnections(settingsLimit, kernelLimit), ownSockets), minCallerConnections);
     return {all - percentOf(all, beyondCallersPercent), all};
 }
 
--- a/src/serving/placement.cpp
+++ b/src/serving/placement.cpp
@@ -212,7 +212,9 @@
         const double filled = memoryFillRatio(load, model, demand);
         const double saved = savedPrefillTokens(endpoint, view, demand, filled);
         const double slowness = view.slowness(endpoint.record.name);
-        const double prefill = prefillDelay(load, demand) - saved / prefillTokensPerMilli;
+        const double prefill =
+            (static_cast<double>(load.prefillTokens + demand.prefillTokens) - saved)
+            / prefillTokensPerMilli;
         // An engine whose load is unknown may be full.
         const std::uint32_t others =
             view.isZoneLoadKnown(endpoint.record.zone) ? load.requests : model.slots;
--- a/src/serving/rolloutplan.cpp
+++ b/src/serving/rolloutplan.cpp
@@ -80,14 +80,14 @@
     }
     if (facts.elapsed >= schedule.decideAt)
         return RolloutStep {RolloutStage::Reverted, "the evidence is not sound in time"};
-    if (!isSound)
+    if (!isSound || facts.isSuspicious)
         return std::nullopt;
     if (facts.elapsed >= schedule.closeAt)
         return RolloutStep {RolloutStage::Closing, "sound, time for the last requests"};
     const bool isCanary = record.stage == RolloutStage::Canary;
     const bool isDue =
         isCanary ? facts.elapsed >= schedule.growAt : facts.inStage >= schedule.stageTime;
-    if (!isDue || facts.isSuspicious || record.stage == RolloutStage::ThreeFifths)
+    if (!isDue || record.stage == RolloutStage::ThreeFifths)
         return std::nullopt;
     return RolloutStep {static_cast<RolloutStage>(static_cast<int>(record.stage) + 1), "sound"};
 }
--- a/src/serving/storefeed.cpp
+++ b/src/serving/storefeed.cpp
@@ -173,7 +173,10 @@
         const bool full = bytes + size > maxItemBytesPerUpdate;
         if (full && current.items.back().revision < item.revision) {
             current.at = current.items.back().revision;
+            // The store has confirmed the whole update only.
+            current.reachable = false;
             updates.push_back(current);
+            current.reachable = update.reachable;
             current.after = current.at;
             current.items.clear();
             bytes = 0;
