--- a/include/fescue/net/httptypes.h
+++ b/include/fescue/net/httptypes.h
@@ -43,6 +43,10 @@
     // Client only: use a new connection, so that a failure cannot come from one that the peer was
     // closing while it was idle. For requests that must not be repeated.
     bool freshConnection = false;
+    // Client only: a new connection is watched for this time before the request is sent. If the
+    // peer closes it meanwhile, as servers do with connections over their limit, the call fails
+    // with ConnectFailed, and no byte has been sent.
+    Millis settleTime {0};
     // Client only: sent in place of `body`, so that a body that is passed on is not copied. Its
     // owner must keep it until the call ends.
     std::optional<std::string_view> borrowedBody;
--- a/include/fescue/serving/edgedaemon.h
+++ b/include/fescue/serving/edgedaemon.h
@@ -4,6 +4,7 @@
 #include "fescue/serving/gossipsocket.h"
 #include "fescue/serving/quarantineroutes.h"
 #include "fescue/serving/requesthandler.h"
+#include "fescue/serving/slotdesk.h"
 #include "fescue/serving/storesession.h"
 
 #include <memory>
@@ -90,6 +91,8 @@
     void handleQuarantineNotice(std::string_view bytes);
     // Sends a datagram to a member other than this process. Returns false if that fails.
     bool sendTo(const MemberInfo &member, const std::string &datagram);
+    bool sendSlotMessage(const MemberName &to, const std::string &bytes);
+    void handleSlotMessage(std::string_view bytes);
     void handleDatagram(std::string_view bytes);
     void handleGossip(std::string_view bytes);
     void handleStoreUpdate(std::string_view bytes);
@@ -102,6 +105,7 @@
     RequestHandler<P> m_handler;
     StoreSession<P> m_store;
     GossipSocket m_gossip;
+    SlotDesk m_slots;
     std::vector<std::unique_ptr<net::HttpServer>> m_servers;
     net::HttpServer *m_front = nullptr;
     // Servers whose addresses are not bound yet, the front last.
--- a/include/fescue/serving/edgedaemon.inl
+++ b/include/fescue/serving/edgedaemon.inl
@@ -22,6 +22,7 @@
 inline const std::string leavingKind = "L";
 inline const std::string zoneLoadsKind = "Z";
 inline const std::string quarantineKind = "Q";
+inline const std::string slotKind = "S";
 // Number of ticks with which a notice about crashes and quarantined parts is sent again.
 inline constexpr int quarantineRepeats = 2;
 // Number of ticks between two messages with all quarantine entries.
@@ -53,7 +54,10 @@
                [this](std::span<const MemberView *const> to, std::string_view bytes) {
                    sendStoreUpdate(to, bytes);
                }}),
-      m_gossip(pool.context(0), [this](std::string_view bytes) { handleDatagram(bytes); })
+      m_gossip(pool.context(0), [this](std::string_view bytes) { handleDatagram(bytes); }),
+      m_slots(m_state, [this](const MemberName &to, const std::string &bytes) {
+          return sendSlotMessage(to, bytes);
+      })
 { }
 
 template <PlatformProtocol P>
@@ -142,6 +146,10 @@
         return listening;
     m_state.members.heartbeat(ServingState::now(), m_self);
     m_state.notifyPeers = [this] { sendGossip(); };
+    m_state.acquireSlot = [this](const SlotWish &wish) { return m_slots.acquire(wish); };
+    m_state.giveBackSlot = [this](const ServiceName &service, const SlotGrant &grant, SlotUse use) {
+        m_slots.giveBack(service, grant, use);
+    };
     m_state.endpointAnnouncedLeaving = [this](const EndpointIncarnation &leavingEndpoint,
                                               std::optional<Millis> leavesIn) {
         endpointAnnouncedLeaving(leavingEndpoint, leavesIn);
@@ -283,11 +291,12 @@
         m_state.coldShares.recordMembers(now, members);
         m_state.health.purge(now);
         m_state.coldRateLimiter.purge(now);
-        for (EndpointPauses *pauses :
-             {&m_state.pauses, &m_state.refusingEndpoints, &m_state.ownRefusals})
+        for (EndpointPauses *pauses : {&m_state.pauses, &m_state.refusingEndpoints,
+                                       &m_state.ownRefusals, &m_state.pressedEndpoints})
             pauses->purge(now);
         sendGossip();
         sendZoneLoads(members);
+        m_slots.tick(now);
         m_state.quarantine.purge(now);
         repeatQuarantineNotices();
         const Millis pause = m_state.isLarge() ? largeTickInterval : tickInterval;
@@ -338,6 +347,23 @@
     return sent;
 }
 
+template <PlatformProtocol P>
+bool EdgeDaemon<P>::sendSlotMessage(const MemberName &to, const std::string &bytes)
+{
+    for (const MemberView &member : m_state.members.members(ServingState::now())) {
+        if (member.info.name == to)
+            return sendTo(member.info, slotKind + bytes);
+    }
+    return false;
+}
+
+template <PlatformProtocol P>
+void EdgeDaemon<P>::handleSlotMessage(std::string_view bytes)
+{
+    if (!m_slots.handle(bytes))
+        m_datagramsMalformed.Increment();
+}
+
 template <PlatformProtocol P>
 void EdgeDaemon<P>::handleDatagram(std::string_view bytes)
 {
@@ -351,6 +377,8 @@
         handleZoneLoads(bytes.substr(zoneLoadsKind.size()));
     else if (bytes.starts_with(quarantineKind))
         handleQuarantineNotice(bytes.substr(quarantineKind.size()));
+    else if (bytes.starts_with(slotKind))
+        handleSlotMessage(bytes.substr(slotKind.size()));
     else
         m_datagramsMalformed.Increment();
 }
--- a/include/fescue/serving/engineexchange.inl
+++ b/include/fescue/serving/engineexchange.inl
@@ -37,8 +37,10 @@
         result.detail = "prompt part " + partsText(decision.entry.parts) + " is in quarantine";
         return result;
     }
-    Result<net::ClientStream> stream = state.engineClient.openStream(
-        endpoint.address, P::encodeSend(context.request, send), timeout, abandoned);
+    net::HttpRequest request = P::encodeSend(context.request, send);
+    request.settleTime = send.settleTime;
+    Result<net::ClientStream> stream =
+        state.engineClient.openStream(endpoint.address, request, timeout, abandoned);
     if (!stream) {
         result.outcome = outcomeOf(stream.error());
         result.detail = stream.error().message;
--- a/include/fescue/serving/enginesend.h
+++ b/include/fescue/serving/enginesend.h
@@ -35,6 +35,9 @@
     bool removeKey = false;
     // Priority at a model engine; 0 is the most urgent.
     std::optional<int> priority;
+    // Time for which the new connection is watched before the request is sent; see
+    // net::HttpRequest::settleTime.
+    Millis settleTime {0};
     // Engine that receives copies of the generation's memory as it grows.
     std::optional<net::Address> backup;
     std::optional<ResumePoint> resume;
--- a/include/fescue/serving/plainforwarder.h
+++ b/include/fescue/serving/plainforwarder.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "fescue/serving/engineexchange.h"
+#include "fescue/serving/plainattempt.h"
 #include "fescue/serving/promptguard.h"
 #include "fescue/serving/refuse.h"
 #include "fescue/serving/requestcontext.h"
@@ -24,12 +25,27 @@
     {
         SendOutcome outcome = SendOutcome::NotSent;
         net::HttpResponse answer;
+        // The attempt was ended in favour of another one, whose retry has been taken.
+        bool retryTaken = false;
     };
 
+    // Chooses an endpoint that has not been tried; with `mayRepeat` also one that has, if there is
+    // no other. Returns null if none may be used.
     [[nodiscard]] const EndpointView *choose(const RequestContext &context,
-                                             const PlacementDemand &demand);
+                                             const PlacementDemand &demand, bool mayRepeat);
+    // Returns the endpoint of a granted slot, or null if there is none that this process may use.
+    [[nodiscard]] const EndpointView *granted(const RequestContext &context, const SlotGrant &slot);
+    [[nodiscard]] static SlotWish wishOf(const RequestContext &context,
+                                         const PlacementDemand &demand);
+    // Returns true if the request could be sent to an endpoint that has not been tried.
+    [[nodiscard]] bool hasUntried(const RequestContext &context, const PlacementDemand &demand);
+    [[nodiscard]] Millis settleTimeOf(const RequestContext &context,
+                                      const EndpointRecord &endpoint) const;
+    // `takeOther` is asked once the attempt has lasted longer than usual, and returns true if
+    // another one takes its place; it has then taken the retry.
     [[nodiscard]] Attempt attempt(RequestContext &context, const EndpointRecord &endpoint,
-                                  bool isLast, net::ByteReservation &memory);
+                                  const std::function<bool()> &takeOther,
+                                  net::ByteReservation &memory);
     // Reads the rest of an answer. Where its length is known, waits first until there is memory for
     // all of it, so that answers that are held in part do not block one another.
     [[nodiscard]] static Result<std::string> readAnswer(net::ClientStream &stream,
--- a/include/fescue/serving/plainforwarder.inl
+++ b/include/fescue/serving/plainforwarder.inl
@@ -6,43 +6,93 @@
 
 // Maximum size of a plain service's answer; equals the maximum size of a caller's request.
 inline constexpr std::size_t maxPlainAnswerBytes = std::size_t {8} * 1024 * 1024;
-// An attempt that another one can follow is abandoned after this multiple of the target latency.
-inline constexpr std::int64_t attemptTimeoutInTargets = 3;
-inline constexpr Millis minAttemptTimeout {250};
 // Interval at which an answer that has no memory tries again to get it.
 inline constexpr Millis answerMemoryPollInterval {20};
 
+// An endpoint that rejected a request counts as under pressure for this time.
+inline constexpr Millis pressureTime {2000};
+
 template <PlatformProtocol P>
 const EndpointView *PlainForwarder<P>::choose(const RequestContext &context,
-                                              const PlacementDemand &demand)
+                                              const PlacementDemand &demand, bool mayRepeat)
 {
     const std::vector<const EndpointView *> candidates = m_state->candidates(context.service);
-    const EndpointView *endpoint = choosePlain(candidates, m_state->placementView(context.service),
-                                               demand, m_state->uniform());
+    const PlacementView view = m_state->placementView(context.service);
+    const EndpointView *endpoint = choosePlain(candidates, view, demand, m_state->uniform());
+    if (endpoint == nullptr && mayRepeat)
+        endpoint = choosePlain(candidates, view, {}, m_state->uniform());
     return endpoint != nullptr && m_state->tryTakeColdShare(*endpoint) ? endpoint : nullptr;
 }
 
+template <PlatformProtocol P>
+const EndpointView *PlainForwarder<P>::granted(const RequestContext &context, const SlotGrant &slot)
+{
+    if (slot.outcome != SlotOutcome::Granted)
+        return nullptr;
+    for (const EndpointView *view : m_state->candidates(context.service)) {
+        if (view->record.name == slot.endpoint)
+            return m_state->tryTakeColdShare(*view) ? view : nullptr;
+    }
+    return nullptr;
+}
+
+template <PlatformProtocol P>
+SlotWish PlainForwarder<P>::wishOf(const RequestContext &context, const PlacementDemand &demand)
+{
+    const bool hasAccount = context.account != nullptr;
+    const bool fromAccount = hasAccount && context.account->priority;
+    return {context.service,
+            hasAccount ? context.account->name : AccountName(),
+            fromAccount ? *context.account->priority : context.route->priority,
+            context.deadline,
+            demand.excluded,
+            [&context] { return context.writer.callerGone(); }};
+}
+
+template <PlatformProtocol P>
+bool PlainForwarder<P>::hasUntried(const RequestContext &context, const PlacementDemand &demand)
+{
+    return choosePlain(m_state->candidates(context.service),
+                       m_state->placementView(context.service), demand, m_state->uniform())
+        != nullptr;
+}
+
+template <PlatformProtocol P>
+Millis PlainForwarder<P>::settleTimeOf(const RequestContext &context,
+                                       const EndpointRecord &endpoint) const
+{
+    const Millis now = ServingState::now();
+    const ServiceSpec *service = context.routes->findService(context.service);
+    return connectionSettleTime(
+        {service == nullptr ? 0 : service->maxConnections, endpoint.slots,
+         m_state->ledger.total(now, endpoint.name).requests,
+         m_state->pressedEndpoints.isPaused(now, endpoint.name, endpoint.incarnation)});
+}
+
 template <PlatformProtocol P>
 typename PlainForwarder<P>::Attempt
-PlainForwarder<P>::attempt(RequestContext &context, const EndpointRecord &endpoint, bool isLast,
-                           net::ByteReservation &memory)
+PlainForwarder<P>::attempt(RequestContext &context, const EndpointRecord &endpoint,
+                           const std::function<bool()> &takeOther, net::ByteReservation &memory)
 {
+    EngineSend send = makeSend(context, endpoint);
+    send.settleTime = settleTimeOf(context, endpoint);
     const ScopedLoad load(m_state->ledger, endpoint.name, {1, 0, 0});
-    Millis timeout = context.timeLeft();
-    if (!isLast) {
-        const Millis attemptTimeout = context.route->targetLatency * attemptTimeoutInTargets;
-        timeout = std::min(timeout, std::max(attemptTimeout, minAttemptTimeout));
-    }
-    const Millis until = ServingState::now() + timeout;
-    net::ResponseWriter &writer = context.writer;
-    ExchangeResult result = exchange<P>(*m_state, context, endpoint, makeSend(context, endpoint),
-                                        timeout, [&writer] { return writer.callerGone(); });
+    const Millis patientUntil = ServingState::now() + attemptPatience(context.route->targetLatency);
     Attempt done;
+    const std::function<bool()> abandoned = [&context, &takeOther, &done, patientUntil] {
+        if (context.writer.callerGone())
+            return true;
+        if (!done.retryTaken && ServingState::now() >= patientUntil)
+            done.retryTaken = takeOther();
+        return done.retryTaken;
+    };
+    ExchangeResult result =
+        exchange<P>(*m_state, context, endpoint, send, context.timeLeft(), abandoned);
     done.outcome = result.outcome;
     const bool hasAnswer =
         result.outcome == SendOutcome::Succeeded || result.outcome == SendOutcome::Failed;
     if (hasAnswer) {
-        Result<std::string> body = readAnswer(result.stream, context, memory, until);
+        Result<std::string> body = readAnswer(result.stream, context, memory, context.deadline);
         if (body) {
             done.answer = {result.head.status, P::answerHeaders(result.stream.headers()),
                            std::move(*body)};
@@ -51,7 +101,17 @@
             result.detail = body.error().message;
         }
     }
+    if (done.outcome == SendOutcome::CallerGone && done.retryTaken) {
+        done.outcome = SendOutcome::TimedOut;
+        result.detail = "ended in favour of another endpoint";
+    }
     noteAttempt(*m_state, context, endpoint, done.outcome, result.detail);
+    const bool rejected = done.outcome == SendOutcome::NotRun
+        || done.outcome == SendOutcome::NotSent || done.outcome == SendOutcome::Lost;
+    if (rejected) {
+        m_state->pressedEndpoints.pause(ServingState::now(), endpoint.name, endpoint.incarnation,
+                                        pressureTime);
+    }
     if (done.outcome == SendOutcome::Succeeded)
         m_guard->recordStart(context);
     else if (done.outcome == SendOutcome::Lost)
@@ -89,30 +149,53 @@
 void PlainForwarder<P>::serve(RequestContext &context)
 {
     const Route &route = *context.route;
-    const bool mayRetry = route.kind == RouteKind::Idempotent;
     AttemptPolicy policy(route.kind, route.maxAttempts);
     PlacementDemand demand;
     net::ByteReservation memory(*m_state->bodyBudget);
     Attempt last;
     AttemptVerdict verdict = AttemptVerdict::RefuseNotRun;
+    bool mayRepeat = false;
     while (true) {
         // Another attempt must end before the process as well.
         if (policy.sent() > 0 && !m_state->stop.mayTake(context.deadline))
             break;
-        const EndpointView *endpoint = choose(context, demand);
+        const SlotGrant slot = m_state->acquireSlot(wishOf(context, demand));
+        if (slot.outcome == SlotOutcome::CallerGone) {
+            verdict = AttemptVerdict::Abandon;
+            break;
+        }
+        if (slot.outcome == SlotOutcome::Refused) {
+            context.detail = "no slot becomes free in time";
+            break;
+        }
+        const EndpointView *endpoint = granted(context, slot);
+        if (endpoint == nullptr) {
+            m_state->giveBackSlot(context.service, slot, SlotUse::Unused);
+            endpoint = choose(context, demand, mayRepeat);
+        }
         if (endpoint == nullptr)
             break;
         noteEndpoint(*m_state, context, *endpoint);
         const EndpointRecord record = endpoint->record;
         demand.excluded.insert(record.name);
-        const bool isLast = !mayRetry || policy.sent() + 1 >= route.maxAttempts;
+        const bool isLast = !route.mayRunAgain() || policy.sent() + 1 >= route.maxAttempts;
+        const std::function<bool()> takeOther = [this, &context, &demand, isLast] {
+            return !isLast && m_state->stop.mayTake(context.deadline) && hasUntried(context, demand)
+                && m_state->tryTakeRetry(context.service);
+        };
         last = {};
         memory.release();
-        last = attempt(context, record, isLast, memory);
-        verdict = policy.verdictAfter(last.outcome, context.timeLeft(),
-                                      [this, &context](RetryPurpose purpose) {
-                                          return m_state->tryTakeRetry(context.service, purpose);
-                                      });
+        last = attempt(context, record, takeOther, memory);
+        m_state->giveBackSlot(context.service, slot, slotUseOf(last.outcome));
+        const bool isShared = slot.outcome == SlotOutcome::Granted;
+        mayRepeat = (route.mayRunAgain() && mayRepeatAfter(last.outcome))
+            || (isShared && last.outcome == SendOutcome::NotRun);
+        const auto takeRetry = [this, &context, &demand, &last, mayRepeat](RetryPurpose purpose) {
+            return last.retryTaken
+                || ((mayRepeat || hasUntried(context, demand))
+                    && m_state->tryTakeRetry(context.service, purpose));
+        };
+        verdict = policy.verdictAfter(last.outcome, context.timeLeft(), takeRetry);
         if (verdict != AttemptVerdict::TryAnother)
             break;
     }
--- a/include/fescue/serving/servingstate.h
+++ b/include/fescue/serving/servingstate.h
@@ -20,6 +20,7 @@
 #include "fescue/serving/promptquarantine.h"
 #include "fescue/serving/routetable.h"
 #include "fescue/serving/sharedretrybudget.h"
+#include "fescue/serving/slotgrant.h"
 #include "fescue/serving/stopplan.h"
 
 #include <functional>
@@ -117,6 +118,9 @@
     EndpointPauses refusingEndpoints;
     // Endpoints that refused a connection of this process; only these are reported to peers.
     EndpointPauses ownRefusals;
+    // Endpoints that recently rejected a request of this process, or ended its connection without
+    // an answer.
+    EndpointPauses pressedEndpoints;
     // Memory for the bodies of requests, and for answers that are buffered completely before they
     // are forwarded.
     std::shared_ptr<net::ByteBudget> bodyBudget;
@@ -142,6 +146,13 @@
     std::function<bool(const QuarantineEntry &)> claimTrial = [](const QuarantineEntry &) {
         return false;
     };
+    // Asks for a slot of the request's service, and gives one back, where the slots of services are
+    // shared out among the processes; see SlotDesk.
+    std::function<SlotGrant(const SlotWish &)> acquireSlot = [](const SlotWish &) {
+        return SlotGrant {};
+    };
+    std::function<void(const ServiceName &, const SlotGrant &, SlotUse)> giveBackSlot =
+        [](const ServiceName &, const SlotGrant &, SlotUse) {};
     // Time of the store's last answer to this process or to a peer that reported it.
     Millis storeAnsweredAt {0};
     StopPlan stop;
--- /dev/null
+++ b/include/fescue/serving/slotdesk.h
@@ -0,0 +1,81 @@
+#pragma once
+
+#include "fescue/serving/servingstate.h"
+#include "fescue/serving/slotmessage.h"
+
+#include <functional>
+#include <map>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include <boost/fiber/condition_variable.hpp>
+#include <boost/fiber/mutex.hpp>
+
+namespace fescue::serving {
+
+// Asks the broker of a service for the slots of this process' requests, and is the broker of the
+// services that fall to it. The broker of a service is the first live member by rendezvous hashing
+// that answers. Whatever fails on the way, a request is not held up for longer than a few tens of
+// milliseconds: it is then sent without a slot. Runs on the one worker.
+class SlotDesk
+{
+public:
+    // Sends a datagram to a member. Returns false if that fails.
+    using Send = std::function<bool(const MemberName &, const std::string &)>;
+
+    SlotDesk(ServingState &state, Send send) : m_state(&state), m_send(std::move(send)) { }
+
+    // Waits for a slot.
+    [[nodiscard]] SlotGrant acquire(const SlotWish &wish);
+    void giveBack(const ServiceName &service, const SlotGrant &grant, SlotUse use);
+    // Handles a datagram. Returns false if it is malformed.
+    bool handle(std::string_view bytes);
+    // Takes back slots that were not given back in time, and logs what has changed.
+    void tick(Millis now);
+
+private:
+    // A request of this process that waits for an answer.
+    struct Pending
+    {
+        std::optional<SlotAnswer> answer;
+        bool changed = false;
+        boost::fibers::mutex mutex;
+        boost::fibers::condition_variable condition;
+    };
+
+    // The slots of a service that this process shares out, with the figures of the last log line.
+    struct Brokered
+    {
+        SlotBroker broker;
+        std::uint64_t granted = 0;
+        std::uint64_t queued = 0;
+        std::uint64_t refused = 0;
+        std::uint64_t rejected = 0;
+        Millis loggedAt {0};
+    };
+
+    // True for plain services with fewer slots than processes, which no process can keep a part of.
+    [[nodiscard]] bool isShared(const ServiceName &service) const;
+    [[nodiscard]] std::optional<MemberName> brokerOf(const ServiceName &service) const;
+    [[nodiscard]] Brokered &brokered(const ServiceName &service);
+    // Passes a message to a member, which may be this process.
+    void pass(const MemberName &to, const SlotMessage &message);
+    void serve(const SlotMessage &message);
+    void deliver(const ServiceName &service, const std::vector<SlotAnswer> &answers);
+    void receive(const SlotAnswer &answer);
+    // Waits until an answer arrives. Returns false if none does in time.
+    [[nodiscard]] static bool waitForAnswer(Pending &pending, Millis until);
+    void count(std::string_view what);
+
+    ServingState *m_state;
+    Send m_send;
+    std::map<ServiceName, Brokered> m_brokered;
+    std::map<std::uint64_t, Pending *> m_pending;
+    // Members that did not answer, and until when they are not asked.
+    std::map<MemberName, Millis> m_silent;
+    std::uint64_t m_nextNumber = 1;
+};
+
+} // namespace fescue::serving
--- a/src/net/clientconnection.cpp
+++ b/src/net/clientconnection.cpp
@@ -49,6 +49,17 @@
     return failed;
 }
 
+Result<void> ClientConnection::settle(Millis span)
+{
+    char byte = 0;
+    const IoOutcome outcome =
+        m_socket.readSome(boost::asio::mutable_buffer(&byte, 1), steadyNow() + span);
+    if (outcome.timedOut)
+        return {};
+    const std::string how = outcome.ok() ? "bytes arrived" : outcome.ec.message();
+    return failure(ResultCode::ConnectFailed, "closed before the request was sent: " + how);
+}
+
 Result<void> ClientConnection::sendRequest(const HttpRequest &request, Millis deadline)
 {
     m_answered = false;
--- a/src/net/clientconnection.h
+++ b/src/net/clientconnection.h
@@ -26,6 +26,9 @@
     { }
 
     [[nodiscard]] Result<void> connect(Millis deadline);
+    // Waits for the span. Fails with ConnectFailed if the peer closes the connection or sends
+    // something in that time.
+    [[nodiscard]] Result<void> settle(Millis span);
     [[nodiscard]] Result<void> sendRequest(const HttpRequest &request, Millis deadline);
     // Reads up to the end of the head of the next answer that is not an interim one. Fails with
     // BackEndProtocol where the head or the announced body is longer than the limits.
--- a/src/net/httpclient.cpp
+++ b/src/net/httpclient.cpp
@@ -107,6 +107,12 @@
     if (!opened)
         return opened;
     (*opened)->setAbandoned(abandoned);
+    if (request.settleTime > Millis {0}) {
+        const Result<void> settled =
+            (*opened)->settle(std::min(request.settleTime, deadline - steadyNow()));
+        if (!settled)
+            return tl::unexpected(settled.error());
+    }
     const Result<void> done = exchangeHeads(**opened, request, maxBodyBytes, deadline);
     if (!done)
         return tl::unexpected(done.error());
--- /dev/null
+++ b/src/serving/slotdesk.cpp
@@ -0,0 +1,256 @@
+#include "fescue/serving/slotdesk.h"
+
+#include "fescue/core/rendezvous.h"
+#include "fescue/observe/log.h"
+
+#include <algorithm>
+#include <chrono>
+
+namespace fescue::serving {
+
+namespace {
+
+// A broker in the region answers within a few milliseconds. One that does not is asked again once.
+constexpr Millis answerTime = 15_ms;
+constexpr int maxUnanswered = 2;
+// Brokers that are tried for one request.
+constexpr int maxBrokers = 2;
+// A member that did not answer is not asked for this time.
+constexpr Millis silentTime = 1_s;
+// While a request waits, it asks again at this interval, since its answer may have been lost.
+constexpr Millis repeatInterval = 60_ms;
+constexpr Millis logInterval = 1_s;
+
+} // namespace
+
+bool SlotDesk::isShared(const ServiceName &service) const
+{
+    const ServiceSpec *spec = m_state->routes ? m_state->routes->findService(service) : nullptr;
+    if (spec == nullptr || spec->engine)
+        return false;
+    std::size_t slots = 0;
+    for (const EndpointView *view : m_state->candidates(service))
+        slots += view->record.slots;
+    return slots > 0 && slots < m_state->membersForShares();
+}
+
+std::optional<MemberName> SlotDesk::brokerOf(const ServiceName &service) const
+{
+    const Millis now = ServingState::now();
+    std::optional<MemberName> first;
+    std::uint64_t best = 0;
+    for (const MemberView &member : m_state->members.members(now)) {
+        const MemberName &name = member.info.name;
+        const auto silent = m_silent.find(name);
+        const bool isSilent = silent != m_silent.end() && silent->second > now;
+        if (member.state != MemberState::Live || member.info.leaving || isSilent)
+            continue;
+        const std::uint64_t score = rendezvousScore(service.text(), name.text());
+        if (!first || score > best) {
+            best = score;
+            first = name;
+        }
+    }
+    return first;
+}
+
+SlotDesk::Brokered &SlotDesk::brokered(const ServiceName &service)
+{
+    Brokered &entry = m_brokered[service];
+    const Millis now = ServingState::now();
+    std::vector<SlotEndpoint> endpoints;
+    for (const EndpointView *view : m_state->candidates(service)) {
+        const EndpointRecord &record = view->record;
+        if (record.slots > 0)
+            endpoints.push_back({record.name, record.zone, record.slots, view->isCold(now)});
+    }
+    entry.broker.setEndpoints(endpoints);
+    return entry;
+}
+
+void SlotDesk::count(std::string_view what)
+{
+    m_state->metrics.counter("fescue_slot_requests_total", {{"outcome", std::string(what)}})
+        .Increment();
+}
+
+void SlotDesk::pass(const MemberName &to, const SlotMessage &message)
+{
+    if (to == m_state->settings.name)
+        serve(message);
+    else
+        static_cast<void>(m_send(to, encodeSlotMessage(message)));
+}
+
+void SlotDesk::serve(const SlotMessage &message)
+{
+    const Millis now = ServingState::now();
+    if (const SlotAnswer *answer = std::get_if<SlotAnswer>(&message.content)) {
+        receive(*answer);
+        return;
+    }
+    Brokered &entry = brokered(message.service);
+    std::vector<SlotAnswer> answers;
+    if (const SlotAsk *ask = std::get_if<SlotAsk>(&message.content)) {
+        // A process that knows no endpoints cannot tell that none has room.
+        if (m_state->candidates(message.service).empty())
+            return;
+        answers = entry.broker.ask(now, *ask);
+    } else {
+        const SlotReturn &returned = std::get<SlotReturn>(message.content);
+        entry.rejected += returned.use == SlotUse::Rejected ? 1 : 0;
+        answers = entry.broker.giveBack(now, returned);
+    }
+    for (const SlotAnswer &answer : answers) {
+        entry.granted += answer.verdict == SlotVerdict::Granted ? 1 : 0;
+        entry.queued += answer.verdict == SlotVerdict::Waiting ? 1 : 0;
+        entry.refused += answer.verdict == SlotVerdict::Refused ? 1 : 0;
+    }
+    deliver(message.service, answers);
+}
+
+void SlotDesk::deliver(const ServiceName &service, const std::vector<SlotAnswer> &answers)
+{
+    for (const SlotAnswer &answer : answers) {
+        if (answer.key.member == m_state->settings.name)
+            receive(answer);
+        else
+            static_cast<void>(m_send(answer.key.member, encodeSlotMessage({service, answer})));
+    }
+}
+
+void SlotDesk::receive(const SlotAnswer &answer)
+{
+    const auto it = m_pending.find(answer.key.number);
+    // A request that has gone on without the slot has told the broker so.
+    if (it == m_pending.end())
+        return;
+    it->second->answer = answer;
+    it->second->changed = true;
+    it->second->condition.notify_all();
+}
+
+bool SlotDesk::waitForAnswer(Pending &pending, Millis until)
+{
+    std::unique_lock<boost::fibers::mutex> lock(pending.mutex);
+    while (!pending.changed) {
+        const Millis left = until - ServingState::now();
+        if (left <= Millis {0})
+            return false;
+        static_cast<void>(pending.condition.wait_for(lock, std::chrono::milliseconds(left.count)));
+    }
+    pending.changed = false;
+    return true;
+}
+
+SlotGrant SlotDesk::acquire(const SlotWish &wish)
+{
+    SlotGrant grant;
+    if (!isShared(wish.service))
+        return grant;
+    const MemberName &self = m_state->settings.name;
+    for (int tried = 0; tried < maxBrokers; ++tried) {
+        const std::optional<MemberName> broker = brokerOf(wish.service);
+        if (!broker)
+            break;
+        grant.broker = *broker;
+        grant.number = m_nextNumber++;
+        Pending pending;
+        m_pending[grant.number] = &pending;
+        int unanswered = 0;
+        while (unanswered < maxUnanswered) {
+            const Millis now = ServingState::now();
+            const SlotAsk ask {{self, grant.number}, m_state->settings.zone, wish.account,
+                               wish.priority,        wish.deadline - now,    wish.tried};
+            pass(*broker, {wish.service, ask});
+            if (!waitForAnswer(pending, std::min(now + answerTime, wish.deadline))) {
+                ++unanswered;
+                continue;
+            }
+            unanswered = 0;
+            if (pending.answer->verdict == SlotVerdict::Waiting) {
+                static_cast<void>(
+                    waitForAnswer(pending, std::min(now + repeatInterval, wish.deadline)));
+            }
+            if (pending.answer->verdict == SlotVerdict::Granted)
+                grant.outcome = SlotOutcome::Granted;
+            else if (pending.answer->verdict == SlotVerdict::Refused
+                     || ServingState::now() >= wish.deadline)
+                grant.outcome = SlotOutcome::Refused;
+            else if (wish.callerGone())
+                grant.outcome = SlotOutcome::CallerGone;
+            else
+                continue;
+            break;
+        }
+        m_pending.erase(grant.number);
+        if (grant.outcome == SlotOutcome::Granted) {
+            grant.endpoint = pending.answer->endpoint;
+            grant.grantedAt = ServingState::now();
+            count("granted");
+            return grant;
+        }
+        // Also for answers that were lost or come late.
+        pass(*broker,
+             {wish.service, SlotReturn {{self, grant.number}, SlotUse::Unused, Millis {0}}});
+        if (grant.outcome != SlotOutcome::Unshared) {
+            count(grant.outcome == SlotOutcome::Refused ? "refused" : "caller-gone");
+            return grant;
+        }
+        m_silent[*broker] = ServingState::now() + silentTime;
+        observe::logChange("slot-broker-silent",
+                           {{"service", wish.service.text()}, {"member", broker->text()}});
+    }
+    count("unanswered");
+    return grant;
+}
+
+void SlotDesk::giveBack(const ServiceName &service, const SlotGrant &grant, SlotUse use)
+{
+    if (grant.outcome != SlotOutcome::Granted)
+        return;
+    const Millis took = ServingState::now() - grant.grantedAt;
+    pass(grant.broker, {service, SlotReturn {{m_state->settings.name, grant.number}, use, took}});
+}
+
+bool SlotDesk::handle(std::string_view bytes)
+{
+    const Result<SlotMessage> message = decodeSlotMessage(bytes);
+    if (!message)
+        return false;
+    serve(*message);
+    return true;
+}
+
+void SlotDesk::tick(Millis now)
+{
+    std::erase_if(m_silent, [now](const std::pair<const MemberName, Millis> &entry) {
+        return entry.second <= now;
+    });
+    for (std::pair<const ServiceName, Brokered> &item : m_brokered) {
+        Brokered &entry = brokered(item.first);
+        deliver(item.first, entry.broker.expire(now));
+        const bool changed = entry.queued + entry.refused + entry.rejected > 0;
+        if (!changed || now - entry.loggedAt < logInterval)
+            continue;
+        std::string limits;
+        for (const EndpointView *view : m_state->candidates(item.first)) {
+            const double limit = entry.broker.limitOf(view->record.name);
+            limits += (limits.empty() ? "" : " ") + view->record.name.text() + ":"
+                + std::to_string(static_cast<int>(limit));
+        }
+        observe::logChange("slots",
+                           {{"service", item.first.text()},
+                            {"granted", entry.granted},
+                            {"queued", entry.queued},
+                            {"refused", entry.refused},
+                            {"rejected", entry.rejected},
+                            {"waiting", entry.broker.waiting()},
+                            {"used", entry.broker.granted()},
+                            {"limits", limits}});
+        entry.granted = entry.queued = entry.refused = entry.rejected = 0;
+        entry.loggedAt = now;
+    }
+}
+
+} // namespace fescue::serving
--- a/tests/serving/exchange_test.cpp
+++ b/tests/serving/exchange_test.cpp
@@ -1,5 +1,6 @@
 #include "fescue/serving/requesthandler.h"
 #include "tests/gateway/scriptedengine.h"
+#include "tests/net/closingserver.h"
 #include "tests/net/rawengine.h"
 #include "tests/net/rawserver.h"
 #include "tests/serving/onworker.h"
@@ -240,6 +241,63 @@
     EXPECT_NE(response->body.find("unknown"), std::string::npos);
 }
 
+TEST_F(Exchange, ReadIsNotGivenUpWhileNoOtherEndpointIsThere)
+{
+    config.routes.at(1).targetLatency = 10_ms;
+    addEndpoint("e1", [](const net::HttpRequest &, net::ResponseWriter &writer) {
+        net::sleepFor(1_s);
+        static_cast<void>(writer.send(answer(200, "id-1")));
+    });
+    const Result<net::HttpResponse> response = call("/many/x");
+    ASSERT_TRUE(response);
+    EXPECT_EQ(response->status, 200);
+    EXPECT_EQ(engines.front().requests().size(), 1U);
+}
+
+TEST_F(Exchange, ReadIsGivenUpForAnotherEndpoint)
+{
+    config.routes.at(1).targetLatency = 10_ms;
+    std::atomic<int> calls {0};
+    for (const char *name : {"e1", "e2"}) {
+        addEndpoint(name, [&calls](const net::HttpRequest &, net::ResponseWriter &writer) {
+            if (calls++ == 0)
+                net::sleepFor(4_s);
+            static_cast<void>(writer.send(answer(200, "id-1")));
+        });
+    }
+    const Result<net::HttpResponse> response = call("/many/x", {{"Patience", "3000"}});
+    ASSERT_TRUE(response);
+    EXPECT_EQ(response->status, 200);
+    EXPECT_EQ(calls, 2);
+}
+
+TEST_F(Exchange, ReadThatFailedIsRepeatedAtTheOnlyEndpoint)
+{
+    std::atomic<int> calls {0};
+    addEndpoint("e1", [&calls](const net::HttpRequest &, net::ResponseWriter &writer) {
+        static_cast<void>(writer.send(answer(calls++ == 0 ? 500 : 200, "id-1")));
+    });
+    const Result<net::HttpResponse> response = call("/many/x");
+    ASSERT_TRUE(response);
+    EXPECT_EQ(response->status, 200);
+    EXPECT_EQ(calls, 2);
+}
+
+TEST_F(Exchange, RequestIsNotRunIfTheEndpointClosesTheConnectionBeforeItIsSent)
+{
+    test::ClosingServer full;
+    addEndpointAt("e1", full.address());
+    config.services.front().maxConnections = 1;
+    onWorker([this] {
+        const EndpointRecord record = recordAt("e1", "127.0.0.1:1");
+        state.pressedEndpoints.pause(ServingState::now(), record.name, record.incarnation, 60_s);
+    });
+    const Result<net::HttpResponse> response = call("/once/x");
+    ASSERT_TRUE(response);
+    EXPECT_EQ(response->status, 503);
+    EXPECT_NE(response->header("Retry-After"), "");
+}
+
 TEST_F(Exchange, RequestIsRefusedAtOnceIfNoEndpointIsLeft)
 {
     const Millis startedAt = SteadyClock {}.now();
--- /dev/null
+++ b/tests/serving/slotmessage_test.cpp
@@ -0,0 +1,32 @@
+#include "fescue/serving/slotmessage.h"
+
+#include <gtest/gtest.h>
+
+namespace {
+
+using namespace fescue;
+using namespace fescue::serving;
+
+const SlotKey key {MemberName("entry"), 7};
+
+TEST(SlotMessages, ComeBackAsTheyWereSent)
+{
+    const ServiceName service("desk");
+    const SlotAsk ask {key,    ZoneName("north"),      AccountName("a"), 2,
+                       800_ms, {EndpointName("tried")}};
+    const SlotAnswer answer {key, SlotVerdict::Granted, EndpointName("e1")};
+    const SlotReturn returned {key, SlotUse::Rejected, 30_ms};
+    for (const SlotMessage &message : {SlotMessage {service, ask}, SlotMessage {service, answer},
+                                       SlotMessage {service, returned}})
+        EXPECT_EQ(decodeSlotMessage(encodeSlotMessage(message)), message);
+}
+
+TEST(SlotMessages, DamagedOnesAreRejected)
+{
+    const std::string bytes =
+        encodeSlotMessage({ServiceName("desk"), SlotReturn {key, SlotUse::Served, 30_ms}});
+    for (std::size_t n = 0; n < bytes.size(); ++n)
+        EXPECT_FALSE(decodeSlotMessage(std::string_view(bytes).substr(0, n)));
+}
+
+} // namespace
