--- a/include/fescue/serving/plainforwarder.h
+++ b/include/fescue/serving/plainforwarder.h
@@ -39,19 +39,20 @@
                                          const PlacementDemand &demand);
     // Returns true if the request could be sent to an endpoint that has not been tried.
     [[nodiscard]] bool hasUntried(const RequestContext &context, const PlacementDemand &demand);
-    [[nodiscard]] Millis settleTimeOf(const RequestContext &context,
-                                      const EndpointRecord &endpoint) const;
+    [[nodiscard]] Millis settleTimeOf(const RequestContext &context, const EndpointRecord &endpoint,
+                                      bool hasSlot) const;
     // `takeOther` is asked once the attempt has lasted longer than usual, and returns true if
     // another one takes its place; it has then taken the retry.
     [[nodiscard]] Attempt attempt(RequestContext &context, const EndpointRecord &endpoint,
-                                  const std::function<bool()> &takeOther,
+                                  bool hasSlot, const std::function<bool()> &takeOther,
                                   net::ByteReservation &memory);
     // Reads the rest of an answer. Where its length is known, waits first until there is memory for
     // all of it, so that answers that are held in part do not block one another.
     [[nodiscard]] static Result<std::string> readAnswer(net::ClientStream &stream,
                                                         const RequestContext &context,
                                                         net::ByteReservation &memory, Millis until);
-    void finish(RequestContext &context, AttemptVerdict verdict, Attempt &attempt);
+    // `isFull` tells that no slot of the service becomes free in time.
+    void finish(RequestContext &context, AttemptVerdict verdict, Attempt &attempt, bool isFull);
 
     ServingState *m_state;
     PromptGuard<P> *m_guard;
--- a/include/fescue/serving/plainforwarder.inl
+++ b/include/fescue/serving/plainforwarder.inl
@@ -45,6 +45,7 @@
             hasAccount ? context.account->name : AccountName(),
             fromAccount ? *context.account->priority : context.route->priority,
             context.deadline,
+            context.route->targetLatency,
             demand.excluded,
             [&context] { return context.writer.callerGone(); }};
 }
@@ -59,23 +60,24 @@
 
 template <PlatformProtocol P>
 Millis PlainForwarder<P>::settleTimeOf(const RequestContext &context,
-                                       const EndpointRecord &endpoint) const
+                                       const EndpointRecord &endpoint, bool hasSlot) const
 {
     const Millis now = ServingState::now();
     const ServiceSpec *service = context.routes->findService(context.service);
+    // The broker of shared slots counts the requests.
+    const std::uint32_t requests = hasSlot ? 0 : m_state->ledger.total(now, endpoint.name).requests;
     return connectionSettleTime(
-        {service == nullptr ? 0 : service->maxConnections, endpoint.slots,
-         m_state->ledger.total(now, endpoint.name).requests,
+        {service == nullptr ? 0 : service->maxConnections, endpoint.slots, requests,
          m_state->pressedEndpoints.isPaused(now, endpoint.name, endpoint.incarnation)});
 }
 
 template <PlatformProtocol P>
 typename PlainForwarder<P>::Attempt
-PlainForwarder<P>::attempt(RequestContext &context, const EndpointRecord &endpoint,
+PlainForwarder<P>::attempt(RequestContext &context, const EndpointRecord &endpoint, bool hasSlot,
                            const std::function<bool()> &takeOther, net::ByteReservation &memory)
 {
     EngineSend send = makeSend(context, endpoint);
-    send.settleTime = settleTimeOf(context, endpoint);
+    send.settleTime = settleTimeOf(context, endpoint, hasSlot);
     const ScopedLoad load(m_state->ledger, endpoint.name, {1, 0, 0});
     const Millis patientUntil = ServingState::now() + attemptPatience(context.route->targetLatency);
     Attempt done;
@@ -155,6 +157,7 @@
     Attempt last;
     AttemptVerdict verdict = AttemptVerdict::RefuseNotRun;
     bool mayRepeat = false;
+    bool isFull = false;
     while (true) {
         // Another attempt must end before the process as well.
         if (policy.sent() > 0 && !m_state->stop.mayTake(context.deadline))
@@ -166,9 +169,11 @@
         }
         if (slot.outcome == SlotOutcome::Refused) {
             context.detail = "no slot becomes free in time";
+            isFull = true;
             break;
         }
         const EndpointView *endpoint = granted(context, slot);
+        const bool hasSlot = endpoint != nullptr;
         if (endpoint == nullptr) {
             m_state->giveBackSlot(context.service, slot, SlotUse::Unused);
             endpoint = choose(context, demand, mayRepeat);
@@ -185,11 +190,10 @@
         };
         last = {};
         memory.release();
-        last = attempt(context, record, takeOther, memory);
+        last = attempt(context, record, hasSlot, takeOther, memory);
         m_state->giveBackSlot(context.service, slot, slotUseOf(last.outcome));
-        const bool isShared = slot.outcome == SlotOutcome::Granted;
         mayRepeat = (route.mayRunAgain() && mayRepeatAfter(last.outcome))
-            || (isShared && last.outcome == SendOutcome::NotRun);
+            || (hasSlot && last.outcome == SendOutcome::NotRun);
         const auto takeRetry = [this, &context, &demand, &last, mayRepeat](RetryPurpose purpose) {
             return last.retryTaken
                 || ((mayRepeat || hasUntried(context, demand))
@@ -206,11 +210,12 @@
             : policy.mayHaveRun() ? AttemptVerdict::FailUnknown
                                   : AttemptVerdict::RefuseNotRun;
     }
-    finish(context, verdict, last);
+    finish(context, verdict, last, isFull);
 }
 
 template <PlatformProtocol P>
-void PlainForwarder<P>::finish(RequestContext &context, AttemptVerdict verdict, Attempt &attempt)
+void PlainForwarder<P>::finish(RequestContext &context, AttemptVerdict verdict, Attempt &attempt,
+                               bool isFull)
 {
     switch (verdict) {
     case AttemptVerdict::ForwardAnswer: {
@@ -238,8 +243,9 @@
         }
         refuse<P>(*m_state, context,
                   notRunProblem(*m_state, context,
-                                context.attempts == 0 ? ResultCode::NoEndpoint
-                                                      : ResultCode::BackEndRefused,
+                                isFull                      ? ResultCode::NoCapacity
+                                    : context.attempts == 0 ? ResultCode::NoEndpoint
+                                                            : ResultCode::BackEndRefused,
                                 "no endpoint of the service took the request"));
         break;
     }
--- a/include/fescue/serving/slotbroker.h
+++ b/include/fescue/serving/slotbroker.h
@@ -34,6 +34,8 @@
     int priority = 0;
     // Time until the caller's deadline.
     Millis patience {0};
+    // Longest time to wait for a slot.
+    Millis maxWait {0};
     // Endpoints that have been tried; used again only if there is no other.
     std::set<EndpointName> tried;
     bool operator==(const SlotAsk &) const = default;
--- a/include/fescue/serving/slotgrant.h
+++ b/include/fescue/serving/slotgrant.h
@@ -13,6 +13,8 @@
     AccountName account;
     int priority = 0;
     Millis deadline {0};
+    // Longest time to wait for a slot.
+    Millis maxWait {0};
     std::set<EndpointName> tried;
     std::function<bool()> callerGone;
 };
--- a/src/serving/slotbroker.cpp
+++ b/src/serving/slotbroker.cpp
@@ -132,8 +132,9 @@
         return answers;
     }
     if (!m_waiting.contains(ask.key)) {
-        const std::size_t ahead = aheadOf(ask);
-        if (waitMillis(ahead) + meanMillis() > static_cast<double>(ask.patience.count)) {
+        const double wait = waitMillis(aheadOf(ask));
+        if (wait > static_cast<double>(ask.maxWait.count)
+            || wait + meanMillis() > static_cast<double>(ask.patience.count)) {
             answers.push_back({ask.key, SlotVerdict::Refused, {}});
             return answers;
         }
--- a/tests/serving/slotbroker_test.cpp
+++ b/tests/serving/slotbroker_test.cpp
@@ -35,6 +35,7 @@
                 AccountName(account),
                 priority,
                 patience,
+                1_s,
                 {}};
     }
 
@@ -120,6 +121,16 @@
     EXPECT_EQ(verdict(1001, "a", 2, 2_s), SlotVerdict::Waiting);
 }
 
+// A queue that is never empty makes every request late, and serves no more of them.
+TEST_F(SlotBrokers, RequestIsRefusedIfItWouldWaitLongerThanItsTargetLatency)
+{
+    useEndpoints({endpoint(desk, 6)});
+    fill(60);
+    SlotAsk ask = makeAsk(1000, "a", 2, 5_s);
+    ask.maxWait = 150_ms;
+    EXPECT_EQ(find(broker.ask(now, ask), 1000)->verdict, SlotVerdict::Refused);
+}
+
 TEST_F(SlotBrokers, RequestThatHasWaitedTooLongIsRefused)
 {
     useEndpoints({endpoint(desk, 6)});
--- a/tests/serving/slotmessage_test.cpp
+++ b/tests/serving/slotmessage_test.cpp
@@ -12,8 +12,8 @@
 TEST(SlotMessages, ComeBackAsTheyWereSent)
 {
     const ServiceName service("desk");
-    const SlotAsk ask {key,    ZoneName("north"),      AccountName("a"), 2,
-                       800_ms, {EndpointName("tried")}};
+    const SlotAsk ask {key,    ZoneName("north"),      AccountName("a"), 2, 800_ms,
+                       150_ms, {EndpointName("tried")}};
     const SlotAnswer answer {key, SlotVerdict::Granted, EndpointName("e1")};
     const SlotReturn returned {key, SlotUse::Rejected, 30_ms};
     for (const SlotMessage &message : {SlotMessage {service, ask}, SlotMessage {service, answer},
