--- a/include/fescue/serving/slotbroker.h
+++ b/include/fescue/serving/slotbroker.h
@@ -34,8 +34,8 @@
     int priority = 0;
     // Time until the caller's deadline.
     Millis patience {0};
-    // Longest time to wait for a slot.
-    Millis maxWait {0};
+    // Time from now within which an answer has its full value.
+    Millis target {0};
     // Endpoints that have been tried; used again only if there is no other.
     std::set<EndpointName> tried;
     bool operator==(const SlotAsk &) const = default;
@@ -129,6 +129,7 @@
     struct Waiting
     {
         SlotAsk ask;
+        Millis since {0};
         Millis deadline {0};
         RequestId id;
     };
@@ -149,6 +150,8 @@
     // slot behind `ahead` others.
     [[nodiscard]] double meanMillis() const;
     [[nodiscard]] double waitMillis(std::size_t ahead) const;
+    // Returns the longest wait after which the answer still comes within the target.
+    [[nodiscard]] double longestWait(const SlotAsk &ask) const;
     [[nodiscard]] std::size_t aheadOf(const SlotAsk &ask) const;
     void learn(Millis now, Endpoint &endpoint, const SlotReturn &returned);
     void removeWaiting(std::map<SlotKey, Waiting>::iterator it);
--- a/include/fescue/serving/slotgrant.h
+++ b/include/fescue/serving/slotgrant.h
@@ -13,8 +13,8 @@
     AccountName account;
     int priority = 0;
     Millis deadline {0};
-    // Longest time to wait for a slot.
-    Millis maxWait {0};
+    // Time within which an answer has its full value.
+    Millis target {0};
     std::set<EndpointName> tried;
     std::function<bool()> callerGone;
 };
--- a/src/serving/plainattempt.cpp
+++ b/src/serving/plainattempt.cpp
@@ -28,7 +28,7 @@
 
 bool mayRepeatAfter(SendOutcome outcome) noexcept
 {
-    return outcome == SendOutcome::Failed || outcome == SendOutcome::Foreign;
+    return outcome == SendOutcome::Failed;
 }
 
 SlotUse slotUseOf(SendOutcome outcome) noexcept
--- a/src/serving/slotbroker.cpp
+++ b/src/serving/slotbroker.cpp
@@ -18,6 +18,9 @@
 // Time for which a slot is used before any has been; and weight of one request in the average.
 constexpr double initialMeanMillis = 30;
 constexpr double meanWeight = 0.1;
+// A request may wait for this fraction of its target, also where the service takes longer than
+// that.
+constexpr double minWaitFraction = 0.5;
 // A slot is taken back this long after its caller's deadline.
 constexpr Millis leaseMargin {200};
 // Costs in milliseconds of expected delay, as in placement.cpp. A request that fails has to be
@@ -104,6 +107,12 @@
                         : std::numeric_limits<double>::infinity();
 }
 
+double SlotBroker::longestWait(const SlotAsk &ask) const
+{
+    const double target = static_cast<double>(ask.target.count);
+    return std::max(target - meanMillis(), target * minWaitFraction);
+}
+
 std::size_t SlotBroker::aheadOf(const SlotAsk &ask) const
 {
     std::size_t ahead = 0;
@@ -133,14 +142,14 @@
     }
     if (!m_waiting.contains(ask.key)) {
         const double wait = waitMillis(aheadOf(ask));
-        if (wait > static_cast<double>(ask.maxWait.count)
+        if (wait > longestWait(ask)
             || wait + meanMillis() > static_cast<double>(ask.patience.count)) {
             answers.push_back({ask.key, SlotVerdict::Refused, {}});
             return answers;
         }
         const RequestId id {m_nextId++};
         m_keys[id] = ask.key;
-        m_waiting[ask.key] = {ask, now + ask.patience, id};
+        m_waiting[ask.key] = {ask, now, now + ask.patience, id};
         m_queues[ask.priority].push(ask.account, id);
         serveWaiting(now, answers);
     }
@@ -225,7 +234,10 @@
             const auto it = m_waiting.find(m_keys[id]);
             const SlotAsk ask = it->second.ask;
             const Millis deadline = it->second.deadline;
-            if (now + mean > deadline) {
+            // While others wait, one that would be late gives way to those that would not.
+            const double waited = static_cast<double>((now - it->second.since).count);
+            const bool isOverdue = waited > longestWait(ask) && m_waiting.size() > 1;
+            if (isOverdue || now + mean > deadline) {
                 removeWaiting(it);
                 answers.push_back({ask.key, SlotVerdict::Refused, {}});
                 continue;
--- a/src/serving/slotdesk.cpp
+++ b/src/serving/slotdesk.cpp
@@ -160,9 +160,13 @@
         int unanswered = 0;
         while (unanswered < maxUnanswered) {
             const Millis now = ServingState::now();
-            const SlotAsk ask {
-                {self, grant.number}, m_state->settings.zone, wish.account, wish.priority,
-                wish.deadline - now,  wish.maxWait,           wish.tried};
+            const SlotAsk ask {{self, grant.number},
+                               m_state->settings.zone,
+                               wish.account,
+                               wish.priority,
+                               wish.deadline - now,
+                               wish.target,
+                               wish.tried};
             pass(*broker, {wish.service, ask});
             if (!waitForAnswer(pending, std::min(now + answerTime, wish.deadline))) {
                 ++unanswered;
--- a/src/serving/slotmessage.cpp
+++ b/src/serving/slotmessage.cpp
@@ -46,7 +46,7 @@
     ask.account = AccountName(json.at(firstAt + 1).get<std::string>());
     ask.priority = numberAt<int>(json, firstAt + 2);
     ask.patience = spanAt(json, firstAt + 3);
-    ask.maxWait = spanAt(json, firstAt + 4);
+    ask.target = spanAt(json, firstAt + 4);
     for (const Json &name : json.at(firstAt + 5))
         ask.tried.insert(EndpointName(name.get<std::string>()));
     return ask;
@@ -65,7 +65,7 @@
         json.push_back(ask->account.text());
         json.push_back(ask->priority);
         json.push_back(ask->patience.count);
-        json.push_back(ask->maxWait.count);
+        json.push_back(ask->target.count);
         json.push_back(std::move(tried));
         return toCbor(json);
     }
--- a/tests/serving/slotbroker_test.cpp
+++ b/tests/serving/slotbroker_test.cpp
@@ -127,10 +127,26 @@
     useEndpoints({endpoint(desk, 6)});
     fill(60);
     SlotAsk ask = makeAsk(1000, "a", 2, 5_s);
-    ask.maxWait = 150_ms;
+    ask.target = 150_ms;
     EXPECT_EQ(find(broker.ask(now, ask), 1000)->verdict, SlotVerdict::Refused);
 }
 
+// An endpoint becomes two and a half times slower for a moment.
+TEST_F(SlotBrokers, RequestThatWouldBeLateGivesWayToOthers)
+{
+    useEndpoints({endpoint(desk, 6)});
+    const std::uint64_t first = fill(1);
+    SlotAsk late = makeAsk(1000, "a", 2, 5_s);
+    late.target = 150_ms;
+    static_cast<void>(giveBack(first, SlotUse::Unused));
+    EXPECT_EQ(find(broker.ask(now, late), 1000)->verdict, SlotVerdict::Waiting);
+    now += 300_ms;
+    EXPECT_EQ(verdict(1001, "a", 2, 2_s), SlotVerdict::Waiting);
+    const std::vector<SlotAnswer> answers = giveBack(1);
+    EXPECT_EQ(find(answers, 1000)->verdict, SlotVerdict::Refused);
+    EXPECT_EQ(find(answers, 1001)->verdict, SlotVerdict::Granted);
+}
+
 TEST_F(SlotBrokers, RequestThatHasWaitedTooLongIsRefused)
 {
     useEndpoints({endpoint(desk, 6)});
