--- a/src/serving/slotbroker.cpp
+++ b/src/serving/slotbroker.cpp
@@ -10,8 +10,8 @@
 // Bounds of an endpoint's limit, as multiples of its slots. Above its slots, requests wait at the
 // endpoint for the time that messages between processes take.
 constexpr double minLimitFactor = 0.5;
-constexpr double initialLimitFactor = 1.25;
-constexpr double maxLimitFactor = 1.5;
+constexpr double initialLimitFactor = 1.5;
+constexpr double maxLimitFactor = 2.5;
 constexpr double decreaseFactor = 0.75;
 // Rejections within this time are one sign of a full endpoint.
 constexpr Millis decreaseInterval {100};
