--- a/include/fescue/serving/plainattempt.h
+++ b/include/fescue/serving/plainattempt.h
@@ -2,6 +2,7 @@
 
 #include "fescue/core/clock.h"
 #include "fescue/serving/attemptpolicy.h"
+#include "fescue/serving/servingconfig.h"
 #include "fescue/serving/slotbroker.h"
 
 #include <cstdint>
@@ -32,6 +33,12 @@
 // with this outcome: the endpoint answers, and the failure may be of this one request.
 [[nodiscard]] bool mayRepeatAfter(SendOutcome outcome) noexcept;
 
+// Returns the rank of a request among those that wait for a slot of a service; 0 is the most
+// urgent. The account's priority goes before its route's. A request without an account ranks with
+// the least urgent route for accounts, since nobody answers for how many of them arrive.
+[[nodiscard]] int slotPriority(const ServingConfig &config, const ServiceName &service,
+                               const Route &route, const AccountSpec *account);
+
 // Returns what the outcome of an attempt says about the slot that it used.
 [[nodiscard]] SlotUse slotUseOf(SendOutcome outcome) noexcept;
 
--- a/include/fescue/serving/plainforwarder.inl
+++ b/include/fescue/serving/plainforwarder.inl
@@ -39,11 +39,10 @@
 template <PlatformProtocol P>
 SlotWish PlainForwarder<P>::wishOf(const RequestContext &context, const PlacementDemand &demand)
 {
-    const bool hasAccount = context.account != nullptr;
-    const bool fromAccount = hasAccount && context.account->priority;
+    const AccountSpec *account = context.account;
     return {context.service,
-            hasAccount ? context.account->name : AccountName(),
-            fromAccount ? *context.account->priority : context.route->priority,
+            account != nullptr ? account->name : AccountName(),
+            slotPriority(context.routes->config(), context.service, *context.route, account),
             context.deadline,
             context.route->targetLatency,
             demand.excluded,
--- a/src/serving/plainattempt.cpp
+++ b/src/serving/plainattempt.cpp
@@ -31,6 +31,22 @@
     return outcome == SendOutcome::Failed;
 }
 
+int slotPriority(const ServingConfig &config, const ServiceName &service, const Route &route,
+                 const AccountSpec *account)
+{
+    if (account != nullptr)
+        return account->priority.value_or(route.priority);
+    int least = route.priority;
+    for (const Route &other : config.routes) {
+        const auto serves = [&service](const WeightedService &choice) {
+            return choice.service == service;
+        };
+        if (!other.anonymous && std::any_of(other.services.begin(), other.services.end(), serves))
+            least = std::max(least, other.priority);
+    }
+    return least;
+}
+
 SlotUse slotUseOf(SendOutcome outcome) noexcept
 {
     switch (outcome) {
--- a/src/serving/slotbroker.cpp
+++ b/src/serving/slotbroker.cpp
@@ -11,7 +11,7 @@
 // endpoint for the time that messages between processes take.
 constexpr double minLimitFactor = 0.5;
 constexpr double initialLimitFactor = 1.5;
-constexpr double maxLimitFactor = 2.5;
+constexpr double maxLimitFactor = 2;
 constexpr double decreaseFactor = 0.75;
 // Rejections within this time are one sign of a full endpoint.
 constexpr Millis decreaseInterval {100};
--- a/tests/serving/plainattempt_test.cpp
+++ b/tests/serving/plainattempt_test.cpp
@@ -36,4 +36,31 @@
     EXPECT_FALSE(mayRepeatAfter(SendOutcome::TimedOut));
 }
 
+// Anonymous callers send more than most accounts, on routes without a rank of their own.
+TEST(PlainAttempt, RequestsWithoutAnAccountDoNotGoBeforeThoseOfAccounts)
+{
+    const ServiceName desk("desk");
+    Route booking;
+    booking.priority = 2;
+    booking.services = {{desk, 1}};
+    Route open = booking;
+    open.priority = 0;
+    open.anonymous = true;
+    ServingConfig config;
+    config.routes = {booking, open};
+    AccountSpec account;
+    EXPECT_EQ(slotPriority(config, desk, booking, &account), 2);
+    EXPECT_EQ(slotPriority(config, desk, open, nullptr), 2);
+    account.priority = 1;
+    EXPECT_EQ(slotPriority(config, desk, booking, &account), 1);
+}
+
+TEST(PlainAttempt, OutcomesTellWhetherTheEndpointIsFull)
+{
+    EXPECT_EQ(slotUseOf(SendOutcome::NotRun), SlotUse::Rejected);
+    EXPECT_EQ(slotUseOf(SendOutcome::NotSent), SlotUse::Rejected);
+    EXPECT_EQ(slotUseOf(SendOutcome::TimedOut), SlotUse::Failed);
+    EXPECT_EQ(slotUseOf(SendOutcome::ZoneOut), SlotUse::Unused);
+}
+
 } // namespace
