--- a/include/fescue/serving/slotbroker.h
+++ b/include/fescue/serving/slotbroker.h
@@ -155,6 +155,8 @@
     [[nodiscard]] std::size_t aheadOf(const SlotAsk &ask) const;
     void learn(Millis now, Endpoint &endpoint, const SlotReturn &returned);
     void removeWaiting(std::map<SlotKey, Waiting>::iterator it);
+    // Refuses those whose turn comes too late.
+    void refuseLate(Millis now, std::vector<SlotAnswer> &answers);
     // Grants free slots to those who wait.
     void serveWaiting(Millis now, std::vector<SlotAnswer> &answers);
 
--- a/src/serving/slotbroker.cpp
+++ b/src/serving/slotbroker.cpp
@@ -223,9 +223,25 @@
     m_waiting.erase(it);
 }
 
-void SlotBroker::serveWaiting(Millis now, std::vector<SlotAnswer> &answers)
+void SlotBroker::refuseLate(Millis now, std::vector<SlotAnswer> &answers)
 {
     const Millis mean {static_cast<std::int64_t>(meanMillis())};
+    for (auto it = m_waiting.begin(); it != m_waiting.end();) {
+        const auto current = it++;
+        const Waiting &entry = current->second;
+        // While others wait, one that would be late gives way to those that would not.
+        const double waited = static_cast<double>((now - entry.since).count);
+        const bool isOverdue = waited > longestWait(entry.ask) && m_waiting.size() > 1;
+        if (!isOverdue && now + mean <= entry.deadline)
+            continue;
+        answers.push_back({entry.ask.key, SlotVerdict::Refused, {}});
+        removeWaiting(current);
+    }
+}
+
+void SlotBroker::serveWaiting(Millis now, std::vector<SlotAnswer> &answers)
+{
+    refuseLate(now, answers);
     for (std::pair<const int, FairQueue> &entry : m_queues) {
         FairQueue &queue = entry.second;
         while (!queue.empty()) {
@@ -234,14 +250,6 @@
             const auto it = m_waiting.find(m_keys[id]);
             const SlotAsk ask = it->second.ask;
             const Millis deadline = it->second.deadline;
-            // While others wait, one that would be late gives way to those that would not.
-            const double waited = static_cast<double>((now - it->second.since).count);
-            const bool isOverdue = waited > longestWait(ask) && m_waiting.size() > 1;
-            if (isOverdue || now + mean > deadline) {
-                removeWaiting(it);
-                answers.push_back({ask.key, SlotVerdict::Refused, {}});
-                continue;
-            }
             Endpoint *endpoint = choose(now, ask);
             if (endpoint == nullptr)
                 return;
--- a/src/serving/slotdesk.cpp
+++ b/src/serving/slotdesk.cpp
@@ -19,6 +19,9 @@
 constexpr Millis silentTime = 1_s;
 // While a request waits, it asks again at this interval, since its answer may have been lost.
 constexpr Millis repeatInterval = 60_ms;
+// Time before its caller's deadline at which a request no longer waits, so that the caller gets the
+// refusal.
+constexpr Millis refusalMargin = 20_ms;
 constexpr Millis logInterval = 1_s;
 
 } // namespace
@@ -149,6 +152,9 @@
     if (!isShared(wish.service))
         return grant;
     const MemberName &self = m_state->settings.name;
+    const Millis until = wish.deadline - refusalMargin;
+    if (ServingState::now() >= until)
+        return grant;
     for (int tried = 0; tried < maxBrokers; ++tried) {
         const std::optional<MemberName> broker = brokerOf(wish.service);
         if (!broker)
@@ -168,19 +174,21 @@
                                wish.target,
                                wish.tried};
             pass(*broker, {wish.service, ask});
-            if (!waitForAnswer(pending, std::min(now + answerTime, wish.deadline))) {
+            if (!waitForAnswer(pending, std::min(now + answerTime, until))) {
+                if (ServingState::now() >= until) {
+                    grant.outcome = SlotOutcome::Refused;
+                    break;
+                }
                 ++unanswered;
                 continue;
             }
             unanswered = 0;
-            if (pending.answer->verdict == SlotVerdict::Waiting) {
-                static_cast<void>(
-                    waitForAnswer(pending, std::min(now + repeatInterval, wish.deadline)));
-            }
+            if (pending.answer->verdict == SlotVerdict::Waiting)
+                static_cast<void>(waitForAnswer(pending, std::min(now + repeatInterval, until)));
             if (pending.answer->verdict == SlotVerdict::Granted)
                 grant.outcome = SlotOutcome::Granted;
             else if (pending.answer->verdict == SlotVerdict::Refused
-                     || ServingState::now() >= wish.deadline)
+                     || ServingState::now() >= until)
                 grant.outcome = SlotOutcome::Refused;
             else if (wish.callerGone())
                 grant.outcome = SlotOutcome::CallerGone;
