--- a/src/serving/slotdesk.cpp
+++ b/src/serving/slotdesk.cpp
@@ -92,12 +92,12 @@
         receive(*answer);
         return;
     }
+    // A process that knows no endpoints cannot tell that none has room.
+    if (m_state->candidates(message.service).empty())
+        return;
     Brokered &entry = brokered(message.service);
     std::vector<SlotAnswer> answers;
     if (const SlotAsk *ask = std::get_if<SlotAsk>(&message.content)) {
-        // A process that knows no endpoints cannot tell that none has room.
-        if (m_state->candidates(message.service).empty())
-            return;
         answers = entry.broker.ask(now, *ask);
     } else {
         const SlotReturn &returned = std::get<SlotReturn>(message.content);
