--- a/include/fescue/serving/slotdesk.h
+++ b/include/fescue/serving/slotdesk.h
@@ -54,11 +54,20 @@
         std::uint64_t refused = 0;
         std::uint64_t rejected = 0;
         Millis loggedAt {0};
+        Millis endpointsAt {0};
     };
 
-    // True for plain services with fewer slots than processes, which no process can keep a part of.
-    [[nodiscard]] bool isShared(const ServiceName &service) const;
-    [[nodiscard]] std::optional<MemberName> brokerOf(const ServiceName &service) const;
+    // A broker as last chosen.
+    struct Choice
+    {
+        std::optional<MemberName> member;
+        Millis until {0};
+    };
+
+    // True for plain services with fewer slots than processes, of which no process can keep a part,
+    // while they are under pressure: half of the slots are used, or an endpoint rejects requests.
+    [[nodiscard]] bool isShared(const ServiceName &service);
+    [[nodiscard]] std::optional<MemberName> brokerOf(const ServiceName &service);
     [[nodiscard]] Brokered &brokered(const ServiceName &service);
     // Passes a message to a member, which may be this process.
     void pass(const MemberName &to, const SlotMessage &message);
@@ -75,6 +84,9 @@
     std::map<std::uint64_t, Pending *> m_pending;
     // Members that did not answer, and until when they are not asked.
     std::map<MemberName, Millis> m_silent;
+    std::map<ServiceName, Choice> m_brokers;
+    // Services under pressure, and until when they count as such without a further sign.
+    std::map<ServiceName, Millis> m_pressed;
     std::uint64_t m_nextNumber = 1;
 };
 
--- a/src/serving/slotdesk.cpp
+++ b/src/serving/slotdesk.cpp
@@ -22,24 +22,45 @@
 // Time before its caller's deadline at which a request no longer waits, so that the caller gets the
 // refusal.
 constexpr Millis refusalMargin = 20_ms;
+// A service stays under pressure for this time after the last sign of it.
+constexpr Millis pressureTime = 2_s;
+// For this time the choice of a broker holds, and the broker's list of endpoints; the process that
+// sends checks both.
+constexpr Millis choiceTime = 200_ms;
+constexpr Millis endpointsTime = 50_ms;
 constexpr Millis logInterval = 1_s;
 
 } // namespace
 
-bool SlotDesk::isShared(const ServiceName &service) const
+bool SlotDesk::isShared(const ServiceName &service)
 {
     const ServiceSpec *spec = m_state->routes ? m_state->routes->findService(service) : nullptr;
     if (spec == nullptr || spec->engine)
         return false;
+    const Millis now = ServingState::now();
     std::size_t slots = 0;
-    for (const EndpointView *view : m_state->candidates(service))
-        slots += view->record.slots;
-    return slots > 0 && slots < m_state->membersForShares();
+    std::size_t used = 0;
+    bool rejects = false;
+    for (const EndpointView *view : m_state->candidates(service)) {
+        const EndpointRecord &record = view->record;
+        slots += record.slots;
+        used += m_state->ledger.total(now, record.name).requests;
+        rejects |= m_state->pressedEndpoints.isPaused(now, record.name, record.incarnation);
+    }
+    if (slots == 0 || slots >= m_state->membersForShares())
+        return false;
+    Millis &pressedUntil = m_pressed[service];
+    if (rejects || used * 2 >= slots)
+        pressedUntil = now + pressureTime;
+    return now < pressedUntil;
 }
 
-std::optional<MemberName> SlotDesk::brokerOf(const ServiceName &service) const
+std::optional<MemberName> SlotDesk::brokerOf(const ServiceName &service)
 {
     const Millis now = ServingState::now();
+    Choice &choice = m_brokers[service];
+    if (now < choice.until)
+        return choice.member;
     std::optional<MemberName> first;
     std::uint64_t best = 0;
     for (const MemberView &member : m_state->members.members(now)) {
@@ -54,6 +75,7 @@
             first = name;
         }
     }
+    choice = {first, now + choiceTime};
     return first;
 }
 
@@ -61,6 +83,9 @@
 {
     Brokered &entry = m_brokered[service];
     const Millis now = ServingState::now();
+    if (entry.endpointsAt > Millis {0} && now - entry.endpointsAt < endpointsTime)
+        return entry;
+    entry.endpointsAt = now;
     std::vector<SlotEndpoint> endpoints;
     for (const EndpointView *view : m_state->candidates(service)) {
         const EndpointRecord &record = view->record;
@@ -211,6 +236,7 @@
             return grant;
         }
         m_silent[*broker] = ServingState::now() + silentTime;
+        m_brokers.erase(wish.service);
         observe::logChange("slot-broker-silent",
                            {{"service", wish.service.text()}, {"member", broker->text()}});
     }
--- a/tests/serving/slotdesk_test.cpp
+++ b/tests/serving/slotdesk_test.cpp
@@ -53,6 +53,7 @@
                 for (const std::unique_ptr<Process> &member : processes)
                     heartbeat(process->state, member->state.settings.name);
                 list(process->state, "e1", 2);
+                process->state.ledger.add(EndpointName("e1"), {1, 0, 0});
             }
         });
     }
@@ -178,6 +179,17 @@
     EXPECT_EQ(sent, 0);
 }
 
+TEST_F(SlotDesks, NobodyIsAskedWithoutPressure)
+{
+    onWorker([this] { processes.at(0)->state.ledger.subtract(EndpointName("e1"), {1, 0, 0}); });
+    EXPECT_EQ(acquire(0).outcome, SlotOutcome::Unshared);
+    onWorker([this] {
+        processes.at(0)->state.pressedEndpoints.pause(ServingState::now(), EndpointName("e1"), {},
+                                                      60_s);
+    });
+    EXPECT_EQ(acquire(0).outcome, SlotOutcome::Granted);
+}
+
 TEST_F(SlotDesks, CallerThatLeavesNoLongerWaits)
 {
     while (acquire(0, 300_ms).outcome == SlotOutcome::Granted) { }
