--- a/include/fescue/serving/edgedaemon.h
+++ b/include/fescue/serving/edgedaemon.h
@@ -5,6 +5,7 @@
 #include "fescue/serving/quarantineroutes.h"
 #include "fescue/serving/requesthandler.h"
 #include "fescue/serving/rolloutcontroller.h"
+#include "fescue/serving/slotdesk.h"
 #include "fescue/serving/storesession.h"
 
 #include <memory>
@@ -102,6 +103,8 @@
     void handleQuarantineNotice(std::string_view bytes);
     // Sends a datagram to a member other than this process. Returns false if that fails.
     bool sendTo(const MemberInfo &member, const std::string &datagram);
+    bool sendSlotMessage(const MemberName &to, const std::string &bytes);
+    void handleSlotMessage(std::string_view bytes);
     void handleDatagram(std::string_view bytes);
     void handleGossip(std::string_view bytes);
     void handleStoreUpdate(std::string_view bytes);
@@ -115,6 +118,7 @@
     StoreSession<P> m_store;
     RolloutController<P> m_rollouts;
     GossipSocket m_gossip;
+    SlotDesk m_slots;
     std::vector<std::unique_ptr<net::HttpServer>> m_servers;
     net::HttpServer *m_front = nullptr;
     // Servers whose addresses are not bound yet, the front last.
--- a/tests/serving/exchange_test.cpp
+++ b/tests/serving/exchange_test.cpp
@@ -240,6 +240,48 @@
     EXPECT_NE(response->body.find("unknown"), std::string::npos);
 }
 
+TEST_F(Exchange, ReadIsNotGivenUpWhileNoOtherEndpointIsThere)
+{
+    config.routes.at(1).targetLatency = 10_ms;
+    addEndpoint("e1", [](const net::HttpRequest &, net::ResponseWriter &writer) {
+        net::sleepFor(1_s);
+        static_cast<void>(writer.send(answer(200, "id-1")));
+    });
+    const Result<net::HttpResponse> response = call("/many/x");
+    ASSERT_TRUE(response);
+    EXPECT_EQ(response->status, 200);
+    EXPECT_EQ(engines.front().requests().size(), 1U);
+}
+
+TEST_F(Exchange, ReadIsGivenUpForAnotherEndpoint)
+{
+    config.routes.at(1).targetLatency = 10_ms;
+    std::atomic<int> calls {0};
+    for (const char *name : {"e1", "e2"}) {
+        addEndpoint(name, [&calls](const net::HttpRequest &, net::ResponseWriter &writer) {
+            if (calls++ == 0)
+                net::sleepFor(4_s);
+            static_cast<void>(writer.send(answer(200, "id-1")));
+        });
+    }
+    const Result<net::HttpResponse> response = call("/many/x", {{"Patience", "3000"}});
+    ASSERT_TRUE(response);
+    EXPECT_EQ(response->status, 200);
+    EXPECT_EQ(calls, 2);
+}
+
+TEST_F(Exchange, ReadThatFailedIsRepeatedAtTheOnlyEndpoint)
+{
+    std::atomic<int> calls {0};
+    addEndpoint("e1", [&calls](const net::HttpRequest &, net::ResponseWriter &writer) {
+        static_cast<void>(writer.send(answer(calls++ == 0 ? 500 : 200, "id-1")));
+    });
+    const Result<net::HttpResponse> response = call("/many/x");
+    ASSERT_TRUE(response);
+    EXPECT_EQ(response->status, 200);
+    EXPECT_EQ(calls, 2);
+}
+
 TEST_F(Exchange, RequestIsRefusedAtOnceIfNoEndpointIsLeft)
 {
     const Millis startedAt = SteadyClock {}.now();
