--- a/include/fescue/serving/rolloutevidence.h
+++ b/include/fescue/serving/rolloutevidence.h
@@ -99,10 +99,8 @@
 class RolloutJudge
 {
 public:
-    // Sums at which a version is bad, at which it must not be completed, and at which its share
-    // must not grow.
+    // Sums at which a version is bad and at which its share must not grow.
     static constexpr double badSum = 10.7;
-    static constexpr double doubtfulSum = 9.2;
     static constexpr double suspiciousSum = 6;
     // Answers of the new version without which it is not known to be sound: over all routes, and on
     // each route with at least this number of answers and this share of them.
--- a/src/serving/rolloutevidence.cpp
+++ b/src/serving/rolloutevidence.cpp
@@ -14,6 +14,10 @@
 constexpr Millis timesHalfLife = 3_s;
 // A success counts as slow if it is this many classes above the normal ones.
 constexpr std::size_t slowMargin = 1;
+// A sound version is doubtful with this probability at most; each bad answer, of which it has about
+// the given share, may begin a new sum.
+constexpr double falseDoubt = 0.001;
+constexpr double usualBadShare = 0.03;
 // A sample ends with this number of answers of the old version, or after this time if fewer come.
 constexpr std::uint32_t sampleAnswers = 8;
 constexpr Millis longestSample = 2_s;
@@ -28,6 +32,12 @@
 constexpr double minSoundShare = 0.02;
 constexpr double maxSoundShare = 0.6;
 
+// Returns the sum at which a version must not be completed, after a number of answers.
+double doubtfulSum(std::uint32_t answers) noexcept
+{
+    return std::log(std::max(1.0, usualBadShare * answers) / falseDoubt);
+}
+
 // Returns the logarithm of the number of ways to choose k of n.
 double logChoices(std::uint32_t n, std::uint32_t k) noexcept
 {
@@ -189,7 +199,7 @@
         verdict.kind = isSlow ? "slow" : "failures";
     }
     verdict.isBad = verdict.worstSum >= badSum;
-    verdict.isDoubtful = verdict.worstSum >= doubtfulSum;
+    verdict.isDoubtful = verdict.worstSum >= doubtfulSum(verdict.answers);
     verdict.isSuspicious = verdict.worstSum >= suspiciousSum;
     double total = 0;
     for (const std::pair<const std::string, RouteState> &entry : m_routes)
