--- a/include/fescue/serving/plainforwarder.inl
+++ b/include/fescue/serving/plainforwarder.inl
@@ -21,8 +21,7 @@
         context.service, context.attempts > 0,
         [&](const std::vector<const EndpointView *> &candidates) -> const EndpointView * {
             const PlacementView view = m_state->placementView(context.service);
-            const EndpointView *endpoint =
-                choosePlain(candidates, view, demand, uniform);
+            const EndpointView *endpoint = choosePlain(candidates, view, demand, uniform);
             if (endpoint == nullptr && mayRepeat)
                 endpoint = choosePlain(candidates, view, {}, uniform);
             return endpoint != nullptr && m_state->tryTakeColdShare(*endpoint) ? endpoint : nullptr;
--- a/src/serving/slotdesk.cpp
+++ b/src/serving/slotdesk.cpp
@@ -254,7 +254,8 @@
     const SlotMessage message {service,
                                SlotReturn {{m_state->settings.name, grant.number}, use, took}};
     pass(grant.broker, message);
-    // A lost return would keep the slot until the request's deadline; the second one changes nothing.
+    // A lost return would keep the slot until the request's deadline; the second one changes
+    // nothing.
     if (grant.broker != m_state->settings.name)
         pass(grant.broker, message);
 }
