--- a/include/fescue/serving/rolloutevidence.h
+++ b/include/fescue/serving/rolloutevidence.h
@@ -132,7 +132,9 @@
     // Returns the longest time class that is normal for the old version.
     [[nodiscard]] static std::size_t normalTimeClass(const RouteState &route) noexcept;
 
-    std::map<std::pair<MemberName, Incarnation>, RolloutEvidence> m_reports;
+    using Reports = std::map<std::pair<MemberName, Incarnation>, RolloutEvidence>;
+
+    Reports m_reports;
     std::map<std::string, RouteState> m_routes;
     Millis m_steppedAt {0};
 };
--- a/src/serving/rolloutevidence.cpp
+++ b/src/serving/rolloutevidence.cpp
@@ -44,12 +44,13 @@
     return std::lgamma(n + 1.0) - std::lgamma(k + 1.0) - std::lgamma(n - k + 1.0);
 }
 
+// Returns the answers that were counted since `b`; none where the counts began anew.
 AnswerCounts minus(const AnswerCounts &a, const AnswerCounts &b) noexcept
 {
     AnswerCounts counts;
-    counts.failures = a.failures - b.failures;
+    counts.failures = a.failures - std::min(a.failures, b.failures);
     for (std::size_t i = 0; i < timeClasses; ++i)
-        counts.successes[i] = a.successes[i] - b.successes[i];
+        counts.successes[i] = a.successes[i] - std::min(a.successes[i], b.successes[i]);
     return counts;
 }
 
@@ -132,8 +133,8 @@
     const double weight = std::exp2(-span / static_cast<double>(timesHalfLife.count));
     m_steppedAt = now;
     RolloutEvidence sums;
-    for (const auto &[member, evidence] : m_reports) {
-        for (const std::pair<const std::string, RouteEvidence> &entry : evidence) {
+    for (const Reports::value_type &report : m_reports) {
+        for (const std::pair<const std::string, RouteEvidence> &entry : report.second) {
             addTo(sums[entry.first].oldVersion, entry.second.oldVersion);
             addTo(sums[entry.first].newVersion, entry.second.newVersion);
         }
--- a/tests/platform/rolloutcodec_test.cpp
+++ b/tests/platform/rolloutcodec_test.cpp
@@ -38,15 +38,15 @@
 {
     RolloutRecord record {
         service, "v2", 30_s, RolloutStage::TwoFifths, 3, {7, 1}, 1'790'000'000'000_ms, "sound"};
-    for (const auto &[stage, state] :
+    for (const std::pair<RolloutStage, const char *> &entry :
          {std::pair(RolloutStage::Canary, "serving"), std::pair(RolloutStage::TwoFifths, "serving"),
           std::pair(RolloutStage::Closing, "serving"),
           std::pair(RolloutStage::Completed, "completed"),
           std::pair(RolloutStage::Reverted, "reverted")}) {
-        record.stage = stage;
+        record.stage = entry.first;
         const std::string text = platform::encodeRolloutStatus(record);
         const nlohmann::json json = nlohmann::json::parse(text);
-        EXPECT_EQ(json.at("State"), state);
+        EXPECT_EQ(json.at("State"), entry.second);
         EXPECT_EQ(json.at("To"), "v2");
         const Result<RolloutRecord> decoded = platform::decodeRolloutStatus(service, text);
         ASSERT_TRUE(decoded) << decoded.error().message;
