--- a/tests/serving/rollouttable_test.cpp
+++ b/tests/serving/rollouttable_test.cpp
@@ -65,6 +65,7 @@
         else
             table.filter(now, service, rule, endpoints.all(), found);
         std::vector<std::string> names;
+        names.reserve(found.size());
         for (const EndpointView *view : found)
             names.push_back(view->record.name.text());
         return names;
