--- a/include/fescue/serving/edgedaemon.inl
+++ b/include/fescue/serving/edgedaemon.inl
@@ -535,7 +535,7 @@
 void EdgeDaemon<P>::sendLoadChange(const EndpointName &endpoint, bool added,
                                    const EndpointLoad &load)
 {
-    if (!m_state.isLarge())
+    if (!m_state.reportsLoadChanges())
         return;
     const std::string datagram =
         loadChangeKind + encodeLoadChange({m_self.name, m_self.zone, endpoint, added, load});
--- a/include/fescue/serving/servingstate.h
+++ b/include/fescue/serving/servingstate.h
@@ -62,6 +62,10 @@
     // Returns true if loads are sent within an availability zone only, because sending them to all
     // processes would use too much of their links and processors.
     [[nodiscard]] bool isLarge() const;
+    // Returns true if processes report changes of their loads at once to all others that do not
+    // receive them with the gossip. The number of these messages grows with the square of the
+    // number of processes, so very large systems do without them.
+    [[nodiscard]] bool reportsLoadChanges() const;
 
     // Samples the progress of this process' generations, and updates the learned paces of engines
     // from it and from the reports of other processes.
--- a/src/serving/servingstate.cpp
+++ b/src/serving/servingstate.cpp
@@ -12,6 +12,8 @@
 // Up to this number of entry processes, each sends its loads to all others. With more, each would
 // receive a hundred datagrams per second or more.
 constexpr std::size_t maxMembersForFullGossip = 20;
+// With more, each process would receive several hundred load changes a second.
+constexpr std::size_t maxMembersForLoadChanges = 128;
 // Connecting to an endpoint within the region takes a few milliseconds. If it takes longer, a
 // packet was lost or the endpoint has failed, and no request has been sent.
 constexpr Millis endpointConnectTimeout = 300_ms;
@@ -105,6 +107,11 @@
     return members.count(now()) > maxMembersForFullGossip;
 }
 
+bool ServingState::reportsLoadChanges() const
+{
+    return isLarge() && members.count(now()) <= maxMembersForLoadChanges;
+}
+
 void ServingState::updatePaces()
 {
     const Millis time = now();
@@ -117,8 +124,16 @@
 PlacementView ServingState::placementView(const ServiceName &service)
 {
     const bool hasPriorities = routes && routes->hasPriorities(service);
-    return {ledger,        health, coldRateLimiter, coldShares,    coldLimitOf(service),
-            settings.zone, now(),  isLarge(),       hasPriorities, hasPriorities ? &paces : nullptr,
+    return {ledger,
+            health,
+            coldRateLimiter,
+            coldShares,
+            coldLimitOf(service),
+            settings.zone,
+            now(),
+            isLarge(),
+            hasPriorities && reportsLoadChanges(),
+            hasPriorities ? &paces : nullptr,
             &prefixes};
 }
 
