Require a key where the list of accounts is empty

The pages say that requests carry a key if the configuration contains the list; an empty one contains it. A list of another type was ignored, with the same result; such a configuration is rejected now and the one in force stays.

Ruled out: a configuration without the member still requires no key (same test).

Before the change requiresKey did not exist, so the two new tests could not run on the old code.

--- a/include/fescue/serving/enginesend.h
+++ b/include/fescue/serving/enginesend.h
@@ -29,7 +29,7 @@
     EndpointName endpoint;
     // Time left for the answer.
     Millis timeLeft {0};
-    // Empty if the configuration defines no accounts.
+    // Empty if the configuration requires no key.
     AccountName account;
     // Removes the caller's key from the request.
     bool removeKey = false;
--- a/include/fescue/serving/requestcontext.h
+++ b/include/fescue/serving/requestcontext.h
@@ -25,7 +25,7 @@
     // Configuration under which the request is served; keeps the route and the account alive.
     RouteTablePtr routes;
     const Route *route = nullptr;
-    // Null if the configuration defines no accounts, or if the route is anonymous and the request
+    // Null if the configuration requires no key, or if the route is anonymous and the request
     // has no known key.
     const AccountSpec *account = nullptr;
     ServiceName service;
--- a/include/fescue/serving/requesthandler.inl
+++ b/include/fescue/serving/requesthandler.inl
@@ -62,7 +62,7 @@
         return net::Problem {404, ResultCode::NoSuchRoute, RunState::NotRun,
                              "no route for this host and path", std::nullopt};
     }
-    if (context.routes->hasAccounts()) {
+    if (context.routes->requiresKey()) {
         context.account = context.routes->findAccount(context.caller.accountKey);
         if (context.account == nullptr && !context.route->anonymous) {
             return net::Problem {401, ResultCode::UnknownAccount, RunState::NotRun,
--- a/include/fescue/serving/routetable.h
+++ b/include/fescue/serving/routetable.h
@@ -23,7 +23,11 @@
     // Returns the account that a key belongs to, or null.
     [[nodiscard]] const AccountSpec *findAccount(std::string_view key) const;
     // Returns true if requests need an account key.
-    [[nodiscard]] bool hasAccounts() const noexcept { return !m_config.accounts.empty(); }
+    // Returns true if a request must carry the key of an account.
+    [[nodiscard]] bool requiresKey() const noexcept
+    {
+        return m_config.requiresKey || !m_config.accounts.empty();
+    }
     // Returns the service, or null.
     [[nodiscard]] const ServiceSpec *findService(const ServiceName &name) const;
     // Returns the properties of a service's engines, or null if it has no model engines.
--- a/include/fescue/serving/servingconfig.h
+++ b/include/fescue/serving/servingconfig.h
@@ -127,6 +127,9 @@
     std::vector<Route> routes;
     std::vector<ServiceSpec> services;
     CallerLimits limits;
+    // Requests must carry the key of an account, unless their route is anonymous. Without any
+    // account no key is valid.
+    bool requiresKey = false;
     std::vector<AccountSpec> accounts;
     bool operator==(const ServingConfig &) const = default;
 };
--- a/include/fescue/serving/storesession.inl
+++ b/include/fescue/serving/storesession.inl
@@ -652,6 +652,7 @@
     }
     const std::uint64_t version = config->version.value;
     const std::size_t routes = config->routes.size();
+    const bool acceptsNoKey = config->requiresKey && config->accounts.empty();
     const bool applied = m_state->applyConfig(std::move(*config));
     // The order is in the store again and need not be retained.
     if (m_state->routes->version().value == version)
@@ -662,6 +663,10 @@
                         {"routes", routes},
                         {"in_force", m_state->routes->version().value}});
     if (applied) {
+        if (acceptsNoKey) {
+            observe::logChange(observe::LogLevel::Warning, "config-without-keys",
+                               {{"version", version}});
+        }
         m_configBehindSince.reset();
         m_hooks.configApplied();
     }
--- a/src/serving/requestcontext.cpp
+++ b/src/serving/requestcontext.cpp
@@ -56,7 +56,7 @@
     EngineSend send;
     send.endpoint = endpoint.name;
     send.timeLeft = context.timeLeft();
-    send.removeKey = context.routes->hasAccounts();
+    send.removeKey = context.routes->requiresKey();
     if (context.account != nullptr)
         send.account = context.account->name;
     return send;
--- a/tests/platform/configcodec_test.cpp
+++ b/tests/platform/configcodec_test.cpp
@@ -51,6 +51,23 @@
     EXPECT_EQ(config->routes[1].kind, RouteKind::NonIdempotent);
 }
 
+// A list of accounts that is empty or not a list must not open the routes to every key.
+TEST(ConfigCodec, AccountsWithoutEntriesRequireAKey)
+{
+    const std::size_t at = configText.find("[{\"Name\":\"t1\"");
+    const std::string head(configText.substr(0, at));
+    const Result<ServingConfig> empty = platform::decodeConfig(head + "[]}");
+    ASSERT_TRUE(empty) << empty.error().message;
+    EXPECT_TRUE(empty->requiresKey);
+    EXPECT_TRUE(empty->accounts.empty());
+    for (const std::string_view wrong : {"null", "{}", "\"t1\"", "0"})
+        EXPECT_FALSE(platform::decodeConfig(head + std::string(wrong) + "}")) << wrong;
+    const std::string without = head.substr(0, head.rfind(',')) + "}";
+    const Result<ServingConfig> open = platform::decodeConfig(without);
+    ASSERT_TRUE(open) << open.error().message;
+    EXPECT_FALSE(open->requiresKey);
+}
+
 // Only streams can be resumed; on other routes the member says nothing.
 TEST(ConfigCodec, StreamsOfARouteMayBeResumed)
 {
--- a/tests/serving/exchange_test.cpp
+++ b/tests/serving/exchange_test.cpp
@@ -372,6 +372,20 @@
     EXPECT_EQ(asked, 1);
 }
 
+TEST_F(Exchange, NoKeyIsValidWithoutAccounts)
+{
+    int asked = 0;
+    addEndpoint("e1", [&asked](const net::HttpRequest &, net::ResponseWriter &writer) {
+        ++asked;
+        writer.send({200, {{"Request", "id-1"}}, "done"});
+    });
+    config.requiresKey = true;
+    const Result<net::HttpResponse> response = call("/once/x");
+    ASSERT_TRUE(response) << response.error().message;
+    EXPECT_EQ(response->status, 401);
+    EXPECT_EQ(asked, 0);
+}
+
 TEST_F(Exchange, StreamThatBreaksOffDoesNotLookComplete)
 {
     addEndpoint("e1", [](const net::HttpRequest &, net::ResponseWriter &writer) {
