Let the own greeting leave before a link to the wrong member is closed

The greeting of the member that answers may arrive together with the end of the handshake; the dialling side then refused it and cut the connection while its own greeting was still queued. The other side never learned who had dialled, so it reported neither a link nor its end, and with the growing pause between dials two ends were not always reported within 30 s.

Ruled out: a close that is lost: where the greeting had arrived, the end was reported each time.

Change: a link whose other side is another member than the dialled one is closed with the closing handshake, which writes what is queued first. Links that break the protocol are still cut.

--- a/src/peer/peerlinks.cpp
+++ b/src/peer/peerlinks.cpp
@@ -511,10 +511,15 @@
 void PeerLinks::Impl::greeted(const LinkPtr &link, const Hello &hello)
 {
     const bool otherProcess = link->dialled && *link->dialled != hello.member && !acceptsAny(*link);
-    if (link->remote || otherProcess || hello.member == m_self.member) {
+    if (link->remote || hello.member == m_self.member) {
         drop(link);
         return;
     }
+    if (otherProcess) {
+        // The own greeting may still be in the queue; a close lets it leave first.
+        closed(link);
+        return;
+    }
     link->remote = hello;
     LinkPtr loser;
     bool restarted = false;
