Resumable streams: events without an id, and a beginning that is missing

A stream that may be resumed passed data without an id on unchecked, so that a part which came twice could not be noticed, and took any id as its first event. Found by the review of the resumption; ruled out that the check of later ids covers it, since that begins with the first id.

Data without an id, and a first id above 1, end the engine's part; another engine goes on after the last event. Comments and retry times are passed on and not counted as events. An id of 0 is still taken as the first one.

--- a/include/fescue/serving/eventsplitter.h
+++ b/include/fescue/serving/eventsplitter.h
@@ -17,7 +17,8 @@
     static constexpr std::size_t maxEventBytes = std::size_t {256} * 1024;
 
     // Parses the next chunk of the stream. Returns false if an event is too large, or if the first
-    // new id after a resume, or after beginAfter() any id, does not follow lastId().
+    // new id after a resume does not follow lastId(). After beginAfter() each id has to, the first
+    // event of all has to be the first of the stream, and an event with data needs an id.
     [[nodiscard]] bool feed(std::string_view data);
     // Begins after an event that was received before, or at the beginning without one. Ids have to
     // be consecutive from then on.
@@ -31,7 +32,8 @@
     // Returns the input that follows the last whole event.
     [[nodiscard]] std::string_view partial() const noexcept { return m_partial; }
 
-    // Returns the id of the last whole event; nullopt before the first.
+    // Returns the id of the last whole event; nullopt before the first. After beginAfter(),
+    // events without data are passed on and not counted.
     [[nodiscard]] std::optional<std::uint64_t> lastId() const noexcept { return m_lastId; }
     [[nodiscard]] std::uint64_t events() const noexcept { return m_events; }
     // Returns the number of whole events since the last resume().
--- a/include/fescue/serving/streamforwarder.inl
+++ b/include/fescue/serving/streamforwarder.inl
@@ -531,7 +531,7 @@
         }
     }
     // Several first events may arrive together.
-    const bool isFirst = forwarded.run->events == 0;
+    const bool isFirst = forwarded.run->events == 0 && forwarded.events.events() > 0;
     forwarded.run->events = forwarded.events.events();
     context.events = forwarded.run->events;
     const Result<void> written = context.writer.write(ready);
--- a/src/serving/eventsplitter.cpp
+++ b/src/serving/eventsplitter.cpp
@@ -8,6 +8,9 @@
 namespace {
 
 constexpr std::string_view idField = "id:";
+constexpr std::string_view dataField = "data:";
+// Largest id of the first event of a whole stream.
+constexpr std::uint64_t firstId = 1;
 
 // Returns the end of the first event, which is the position after its empty line, or npos if the
 // event is incomplete. Lines end with LF or CRLF.
@@ -46,6 +49,13 @@
     return std::nullopt;
 }
 
+// Returns true if an event carries data. Comments and retry times do not.
+bool hasData(std::string_view event) noexcept
+{
+    return event.starts_with(dataField)
+        || event.find('\n' + std::string(dataField)) != std::string_view::npos;
+}
+
 } // namespace
 
 bool EventSplitter::feed(std::string_view data)
@@ -69,6 +79,15 @@
 bool EventSplitter::processEvent(std::string_view event)
 {
     const std::optional<std::uint64_t> id = readId(event);
+    if (!id && m_isConsecutive) {
+        // Whether data without an id comes twice cannot be known.
+        if (hasData(event))
+            return false;
+        m_ready += event;
+        return true;
+    }
+    if (m_isConsecutive && !m_lastId && *id > firstId)
+        return false;
     if (id && m_lastId) {
         if (m_resumed && *id <= *m_lastId)
             return true;
--- a/tests/serving/eventsplitter_test.cpp
+++ b/tests/serving/eventsplitter_test.cpp
@@ -81,6 +81,38 @@
     }
 }
 
+// Guards against a stream that is joined from runs although its events cannot be told apart.
+TEST(EventSplitter, DataWithoutAnIdIsAnErrorInAResumableStream)
+{
+    for (const std::string text : {"data: x\n\n", "event: e\r\ndata: x\r\n\r\n"}) {
+        EventSplitter splitter;
+        splitter.beginAfter(std::nullopt);
+        EXPECT_FALSE(splitter.feed(event(1) + text + event(2)));
+        EXPECT_EQ(splitter.ready(), event(1));
+    }
+}
+
+TEST(EventSplitter, CommentsOfAResumableStreamAreNoEvents)
+{
+    const std::string stream = ": first\n\n" + event(1) + "retry: 10\n\n" + event(2);
+    EventSplitter splitter;
+    splitter.beginAfter(std::nullopt);
+    ASSERT_TRUE(splitter.feed(stream));
+    EXPECT_EQ(splitter.ready(), stream);
+    EXPECT_EQ(splitter.events(), 2U);
+    EXPECT_EQ(splitter.lastId(), 2U);
+}
+
+// Guards against a stream that passes as whole although its first events are missing.
+TEST(EventSplitter, ResumableStreamBeginsWithItsFirstEvent)
+{
+    EventSplitter splitter;
+    splitter.beginAfter(std::nullopt);
+    EXPECT_FALSE(splitter.feed(event(2) + event(3)));
+    EXPECT_EQ(splitter.ready(), "");
+    EXPECT_EQ(splitter.events(), 0U);
+}
+
 TEST(EventSplitter, OversizedEventIsAnError)
 {
     EventSplitter splitter;
--- a/tests/serving/resumablestream_test.cpp
+++ b/tests/serving/resumablestream_test.cpp
@@ -322,7 +322,7 @@
     return out << value.name;
 }
 
-const std::array<Break, 12> breaks {{
+const std::array<Break, 14> breaks {{
     {"WithoutAnAnswer", [](int, const Write &) {}, 0},
     {"InTheHead", [](int, const Write &write) { write("HTTP/1.1 200 OK\r\nReq"); }, 0},
     {"FailureOfTheEngine",
@@ -355,6 +355,17 @@
          write(chunkedHead("first") + chunk(events(1, 2) + events(4, eventCount)) + lastChunk);
      },
      2},
+    {"EventWithoutAnId",
+     [](int, const Write &write) {
+         write(chunkedHead("first") + chunk(events(1, 2) + "data: x\n\n" + events(3, eventCount))
+               + lastChunk);
+     },
+     2},
+    {"FirstEventMissing",
+     [](int, const Write &write) {
+         write(chunkedHead("first") + chunk(events(3, eventCount)) + lastChunk);
+     },
+     0},
     {"SilenceBeforeTheAnswer", [](int, const Write &) { staySilent(); }, 0},
     {"SilenceAfterAnEvent",
      [](int, const Write &write) {
--- a/tests/serving/resumptionplan_test.cpp
+++ b/tests/serving/resumptionplan_test.cpp
@@ -254,7 +254,7 @@
     {
         const std::uint64_t last = events.lastId().value_or(0);
         // An engine that leaves out the last piece cannot be told from one that has none left.
-        const bool leavesGap = script.leavesGap && last > 0 && last + 1 < length;
+        const bool leavesGap = script.leavesGap && last + 1 < length;
         const std::uint64_t from = script.startsAnew ? 0 : last + (leavesGap ? 1 : 0);
         std::string text;
         std::uint64_t id = from;
