Resumable streams: move a generation on from an engine that leaves as well

A generation that was run again while a call to move it away from its first engine had not ended was not moved from its second one: the fiber of the first move counted as that of the second, and nobody began another. Beside that, a move could begin, and a late answer to a stop count, while the generation was on its way to another engine.

The fiber looks at the engine that the generation has now before it ends, and a generation without an engine has a phase of its own, in which none of its moves begins or counts.

The new test failed before the change (the stream broke off after 4 s), and passes with it.

--- a/include/fescue/serving/generationmover.inl
+++ b/include/fescue/serving/generationmover.inl
@@ -124,7 +124,12 @@
         return;
     run->hasMoveFiber = true;
     m_state->pool.spawn(net::currentWorker(), [this, run] {
-        move(run);
+        EndpointName source;
+        do {
+            source = run->engine.name;
+            move(run);
+            // The generation may run at another engine by now, which leaves as well.
+        } while (!run->finished && run->engine.name != source);
         run->hasMoveFiber = false;
     });
 }
@@ -426,8 +431,8 @@
 {
     run->phase = MovePhase::Stopping;
     const MoveAnswer answer = call(run, source, destination, true);
-    // An answer that came too late is about a run that another engine has replaced.
-    if (run->finished || run->engine.name != source.name)
+    // An answer that came too late is about a run that another engine has replaced or will replace.
+    if (run->finished || run->phase != MovePhase::Stopping || run->engine.name != source.name)
         return NextStep::Done;
     const bool copied = answer.outcome == MoveOutcome::Copied;
     const bool keptAtSource = answer.outcome == MoveOutcome::NoRoom && !answer.handle.empty();
--- a/include/fescue/serving/generationrun.h
+++ b/include/fescue/serving/generationrun.h
@@ -22,6 +22,8 @@
     // The generation is about to resume from its backup; the fiber that forwards its stream
     // performs the failover.
     FailingOver,
+    // The generation has lost its engine and is sent to another one without a copy of its memory.
+    RunningAgain,
     // The memory is copied while the generation keeps running.
     Copying,
     // The engine has been asked to stop the generation.
--- a/include/fescue/serving/streamforwarder.inl
+++ b/include/fescue/serving/streamforwarder.inl
@@ -669,7 +669,7 @@
     std::optional<ExchangeResult> result;
     if (mayRun) {
         // The engine that failed the generation, and a move away from it, have no part in it now.
-        run.phase = MovePhase::Running;
+        run.phase = MovePhase::RunningAgain;
         run.resume.reset();
         forwarded.demand.excluded.insert(failed);
         updateDemand(forwarded);
--- a/tests/serving/resumablestream_test.cpp
+++ b/tests/serving/resumablestream_test.cpp
@@ -309,6 +309,84 @@
     EXPECT_EQ(requests, 1);
 }
 
+// Guards against a stream that is lost because its new engine leaves while a move away from the
+// first one has not ended.
+TEST_F(ResumableStream, GenerationThatRunsAgainIsMovedFromAnEngineThatLeaves)
+{
+    config.services.front().engine->canMove = true;
+    std::atomic<bool> moveCame {false};
+    std::atomic<bool> runsAgain {false};
+    std::atomic<bool> isStopped {false};
+    std::atomic<bool> isResumed {false};
+    const auto leave = [this](const char *name) {
+        test::runOnWorker(pool, [this, name] {
+            state.endpoints.removed(ServingState::now(), EndpointName(name));
+            mover.evacuate(EndpointName(name), 3_s);
+        });
+    };
+    const auto set = [](std::atomic<bool> &flag) {
+        flag = true;
+        flag.notify_all();
+    };
+    const auto isMove = [](std::string_view head) { return head.find(" /move") != head.npos; };
+    const auto isStream = [](std::string_view head) { return head.find(" /resume/") != head.npos; };
+    const std::string ok = "HTTP/1.1 200 OK\r\nContent-Length: ";
+    engines.emplace_back([&](std::string_view requestHead, const Write &write) {
+        if (isStream(requestHead)) {
+            write(chunkedHead("first") + chunk(events(1, 2)));
+            leave("first");
+            moveCame.wait(false);
+        } else if (isMove(requestHead)) {
+            set(moveCame);
+            runsAgain.wait(false);
+        } else {
+            write(ok + "0\r\n\r\n");
+        }
+        return false;
+    });
+    engines.emplace_back([&](std::string_view requestHead, const Write &write) {
+        if (isStream(requestHead)) {
+            write(chunkedHead("second") + chunk(events(3, 3)));
+            list("third", engines.back().address(), Incarnation {1});
+            leave("second");
+            set(runsAgain);
+            for (int n = 0; n < 400 && !isStopped; ++n)
+                std::this_thread::sleep_for(std::chrono::milliseconds(10));
+        } else if (isMove(requestHead)) {
+            const bool stops = requestHead.find("Stop: 1") != std::string_view::npos;
+            write(ok + "6\r\n\r\n" + (stops ? "copy-2" : "copy-1"));
+            if (stops)
+                isStopped = true;
+        } else {
+            write(ok + "0\r\n\r\n");
+        }
+        return false;
+    });
+    engines.emplace_back([&](std::string_view requestHead, const Write &write) {
+        if (isStream(requestHead)) {
+            isResumed = requestHead.find("Resume-From: copy-2") != std::string_view::npos;
+            write(chunkedHead("third") + chunk(events(4, eventCount)) + lastChunk);
+        } else {
+            write(ok + "0\r\n\r\n");
+        }
+        return false;
+    });
+    list("first", engines.front().address(), Incarnation {1});
+    std::promise<Result<net::HttpResponse>> done;
+    std::thread caller([&] { done.set_value(call("/resume/x", {{"Tokens", "1"}})); });
+    // The second engine joins once the generation runs, so that the first one gets it.
+    test::runOnWorker(pool, [this] {
+        while (state.runs.size() == 0)
+            net::sleepFor(1_ms);
+    });
+    list("second", std::next(engines.begin())->address(), Incarnation {1});
+    caller.join();
+    const Result<net::HttpResponse> response = done.get_future().get();
+    ASSERT_TRUE(response) << response.error().message;
+    EXPECT_EQ(response->body, events(1, eventCount));
+    EXPECT_TRUE(isResumed);
+}
+
 // One way in which the first engine fails, and the number of pieces that the caller has by then.
 struct Break
 {
