Refusals of requests in part: for one request, and not counted while drained

A request that was to make room for another caller's connection, and had just arrived in full, was served, but the refusal stayed with its connection and met a later request that arrived in parts. It ends with its request now.

A request that has been refused was counted as one that arrives for the 2 s in which the rest of it is drained. The count ends once the refusal is written.

--- a/src/net/httpserver.cpp
+++ b/src/net/httpserver.cpp
@@ -215,7 +215,7 @@
     }
     if (receiving == nullptr)
         return false;
-    receiving->refusePartialRequests(problem);
+    receiving->refuseArrivingRequest(problem);
     displaced.fetch_add(1);
     return true;
 }
--- a/src/net/serverconnection.cpp
+++ b/src/net/serverconnection.cpp
@@ -62,22 +62,6 @@
     return bytes;
 }
 
-// Counts one while it exists, also where an exception leaves its scope.
-class CountedWhileInScope
-{
-public:
-    explicit CountedWhileInScope(std::atomic<std::size_t> &count) noexcept : m_count(&count)
-    {
-        m_count->fetch_add(1);
-    }
-    ~CountedWhileInScope() { m_count->fetch_sub(1); }
-    CountedWhileInScope(const CountedWhileInScope &) = delete;
-    CountedWhileInScope &operator=(const CountedWhileInScope &) = delete;
-
-private:
-    std::atomic<std::size_t> *m_count;
-};
-
 void splitTarget(std::string_view text, HttpRequest &request)
 {
     std::size_t mark = std::min(text.find('?'), text.size());
@@ -109,14 +93,14 @@
     m_idle = false;
     if (!begun)
         return false;
-    {
-        const CountedWhileInScope counted(m_state->receiving);
-        m_isReceiving = true;
-        const bool isWhole = parseRequest();
-        m_isReceiving = false;
-        if (!isWhole)
-            return false;
-    }
+    m_receivingCount.emplace(m_state->receiving);
+    m_isReceiving = true;
+    const bool isWhole = parseRequest();
+    m_isReceiving = false;
+    m_receivingCount.reset();
+    m_arrivingRefusal.reset();
+    if (!isWhole)
+        return false;
     takeRequest(request);
     return true;
 }
@@ -180,7 +164,7 @@
         }
         if (parser.is_done())
             return true;
-        if (parser.is_header_done() && !continued && !m_partialRefusal) {
+        if (parser.is_header_done() && !continued && refusalOfPartial() == nullptr) {
             confirmContinue();
             continued = true;
         }
@@ -191,10 +175,10 @@
             refuse(problemFor(http::error::header_limit, m_limits));
             return false;
         }
-        if (!m_partialRefusal && readMore(deadline))
+        if (refusalOfPartial() == nullptr && readMore(deadline))
             continue;
-        if (m_partialRefusal)
-            refuse(*m_partialRefusal);
+        if (const Problem *refusal = refusalOfPartial())
+            refuse(*refusal);
         else if (steadyNow() >= deadline)
             refuse({408, ResultCode::BadRequest, RunState::NotRun,
                     "the request did not arrive in time", std::nullopt});
@@ -209,6 +193,21 @@
         m_socket.interruptRead();
 }
 
+void ServerConnection::refuseArrivingRequest(const Problem &refusal)
+{
+    if (!m_isReceiving)
+        return;
+    m_arrivingRefusal = refusal;
+    m_socket.interruptRead();
+}
+
+const Problem *ServerConnection::refusalOfPartial() const noexcept
+{
+    if (m_partialRefusal)
+        return &*m_partialRefusal;
+    return m_arrivingRefusal ? &*m_arrivingRefusal : nullptr;
+}
+
 bool ServerConnection::reserveRequest()
 {
     if (!m_limits.bodyBudget)
@@ -257,6 +256,8 @@
     m_parser.reset();
     releaseRequest();
     static_cast<void>(send(problemResponse(problem)));
+    // A stop waits for refusals, and not for peers that go on sending.
+    m_receivingCount.reset();
     closeGracefully(refusalDrainTime);
 }
 
--- a/src/net/serverconnection.h
+++ b/src/net/serverconnection.h
@@ -21,7 +21,7 @@
     {
         // Every answer whose head is sent from now on is the last of its connection.
         std::atomic<bool> lastAnswers {false};
-        // Connections that have received a part of a request.
+        // Connections that have received a part of a request and not refused it.
         std::atomic<std::size_t> receiving {0};
     };
 
@@ -37,6 +37,8 @@
     // Answers a request that has arrived in part with the refusal, now and later, instead of
     // waiting for its rest.
     void refusePartialRequests(const Problem &refusal);
+    // The same for the request that is arriving now. Later ones are not concerned.
+    void refuseArrivingRequest(const Problem &refusal);
     // Makes the current answer the last one.
     void closeAfterAnswer() noexcept { m_keepAlive = false; }
     // Releases the memory of the last request, which must be gone, and that of buffers that it
@@ -64,6 +66,22 @@
     [[nodiscard]] Millis connectedAt() const noexcept { return m_connectedAt; }
 
 private:
+    // Counts one while it exists.
+    class Count
+    {
+    public:
+        explicit Count(std::atomic<std::size_t> &counter) noexcept : m_counter(&counter)
+        {
+            m_counter->fetch_add(1);
+        }
+        ~Count() { m_counter->fetch_sub(1); }
+        Count(const Count &) = delete;
+        Count &operator=(const Count &) = delete;
+
+    private:
+        std::atomic<std::size_t> *m_counter;
+    };
+
     using Parser = boost::beast::http::request_parser<boost::beast::http::string_body>;
 
     enum class Phase : std::uint8_t
@@ -87,6 +105,8 @@
     [[nodiscard]] bool decideKeepAlive() noexcept;
     void confirmContinue();
     void refuse(const Problem &problem);
+    // Returns the refusal of a request that has arrived in part, or null if its rest is awaited.
+    [[nodiscard]] const Problem *refusalOfPartial() const noexcept;
     [[nodiscard]] Result<void> checkWritten(const IoOutcome &outcome);
     [[nodiscard]] Millis writeDeadline() const noexcept;
 
@@ -94,7 +114,11 @@
     ServerLimits m_limits;
     ServerState *m_state;
     bool m_isReceiving = false;
+    // In ServerState::receiving.
+    std::optional<Count> m_receivingCount;
     std::optional<Problem> m_partialRefusal;
+    // Ends with the request that is arriving.
+    std::optional<Problem> m_arrivingRefusal;
     boost::beast::flat_buffer m_buffer;
     // The request that is being read.
     std::optional<Parser> m_parser;
