--- a/include/fescue/serving/streamforwarder.inl
+++ b/include/fescue/serving/streamforwarder.inl
@@ -531,7 +531,7 @@
         }
     }
     // Several first events may arrive together.
-    const bool isFirst = forwarded.run->events == 0;
+    const bool isFirst = forwarded.run->events == 0 && forwarded.events.events() > 0;
     forwarded.run->events = forwarded.events.events();
     context.events = forwarded.run->events;
     const Result<void> written = context.writer.write(ready);
@@ -669,7 +669,7 @@
     std::optional<ExchangeResult> result;
     if (mayRun) {
         // The engine that failed the generation, and a move away from it, have no part in it now.
-        run.phase = MovePhase::Running;
+        run.phase = MovePhase::RunningAgain;
         run.resume.reset();
         forwarded.demand.excluded.insert(failed);
         updateDemand(forwarded);
