Bound what datagrams make the load ledger keep

Changes and sums of other zones were kept for any name that a datagram states: forged names made a process keep them without end, and a change was looked for under each zone name for each choice of an engine.

The ledger now keeps at most 64 zones, 8192 loads in their sums and 8192 changes; names expire with what was said of them, and known names go on while the bound is reached. Messages beyond the bounds are counted in fescue_loads_beyond_bounds_total. Expired changes of one endpoint were deleted with each new one; now all are, once in the lifetime of a sum.

Run: fescue-test-serving LoadLedger.*, 12 tests passed, the two new ones among them. Not run before the change: they need the new return values.

--- a/include/fescue/serving/edgedaemon.h
+++ b/include/fescue/serving/edgedaemon.h
@@ -145,6 +145,7 @@
     observe::Counter &m_datagramsMalformed = m_metrics.counter("fescue_datagrams_malformed_total");
     observe::Counter &m_datagramsFromTooMany =
         m_metrics.counter("fescue_datagrams_from_too_many_total");
+    observe::Counter &m_loadsBeyondBounds = m_metrics.counter("fescue_loads_beyond_bounds_total");
 };
 
 } // namespace fescue::serving
--- a/include/fescue/serving/edgedaemon.inl
+++ b/include/fescue/serving/edgedaemon.inl
@@ -554,10 +554,12 @@
         m_datagramsMalformed.Increment();
         return;
     }
-    if (change->fromZone != m_self.zone)
-        m_state.ledger.zoneChanged(ServingState::now(), *change);
-    else if (!change->added)
+    if (change->fromZone != m_self.zone) {
+        if (!m_state.ledger.zoneChanged(ServingState::now(), *change))
+            m_loadsBeyondBounds.Increment();
+    } else if (!change->added) {
         m_state.ledger.peerRemoved(change->from, change->endpoint, change->load);
+    }
 }
 
 template <PlatformProtocol P>
@@ -590,9 +592,10 @@
         return;
     }
     // The processes of this zone report their loads directly.
-    if (received->zone != m_self.zone)
-        m_state.ledger.zoneReported(ServingState::now(), received->zone, received->age,
-                                    received->loads);
+    if (received->zone != m_self.zone
+        && !m_state.ledger.zoneReported(ServingState::now(), received->zone, received->age,
+                                        received->loads))
+        m_loadsBeyondBounds.Increment();
 }
 
 template <PlatformProtocol P>
--- a/include/fescue/serving/loadledger.h
+++ b/include/fescue/serving/loadledger.h
@@ -3,6 +3,7 @@
 #include "fescue/core/clock.h"
 #include "fescue/core/ids.h"
 
+#include <cstddef>
 #include <cstdint>
 #include <map>
 #include <span>
@@ -71,6 +72,12 @@
     static constexpr Millis zoneLifetime {3000};
     // All datagrams of one sum are sent within this time.
     static constexpr Millis sumSpan {150};
+    // Bounds on what datagrams with unknown names can make the ledger keep, each several times
+    // what the largest system needs: availability zones, endpoints in the sums of all of them, and
+    // changes within `zoneLifetime`.
+    static constexpr std::size_t maxZones = 64;
+    static constexpr std::size_t maxZoneLoads = 8192;
+    static constexpr std::size_t maxChanges = 8192;
 
     void add(const EndpointName &endpoint, const EndpointLoad &load);
     void subtract(const EndpointName &endpoint, const EndpointLoad &load);
@@ -82,12 +89,12 @@
 
     // Records the load that all processes of another availability zone have placed on endpoints, as
     // one of its relays summed it up `age` ago. Reports of the same time are merged into one sum;
-    // later ones replace it.
-    void zoneReported(Millis now, const ZoneName &zone, Millis age,
+    // later ones replace it. Returns false, and leaves out what is new, if a bound is reached.
+    bool zoneReported(Millis now, const ZoneName &zone, Millis age,
                       std::span<const EndpointLoadEntry> loads);
     // Records a change at a process of another availability zone; it counts until a later sum of
-    // that zone arrives.
-    void zoneChanged(Millis now, const LoadChange &change);
+    // that zone arrives. Returns false, and records nothing, if a bound is reached.
+    bool zoneChanged(Millis now, const LoadChange &change);
     // Removes load from the last report of a peer; its next report replaces this.
     void peerRemoved(const MemberName &peer, const EndpointName &endpoint,
                      const EndpointLoad &load);
@@ -133,8 +140,18 @@
     // Applies the changes at the endpoint that are more recent than the sums of their zones.
     void applyChanges(Millis now, const EndpointName &endpoint, EndpointLoad &sum) const;
 
-    // Changes by zone and endpoint, the oldest first.
-    std::map<ZoneName, std::map<EndpointName, std::vector<ZoneChange>>> m_changes;
+    // Changes by endpoint, the oldest first.
+    using EndpointChanges = std::map<EndpointName, std::vector<ZoneChange>>;
+
+    // Deletes the changes of a zone that were recorded at `until` or before.
+    void eraseChanges(EndpointChanges &changes, Millis until);
+    // Deletes expired sums and changes, once in `zoneLifetime`.
+    void purge(Millis now);
+
+    std::map<ZoneName, EndpointChanges> m_changes;
+    // Number of changes in `m_changes`.
+    std::size_t m_changeCount = 0;
+    Millis m_purgedAt {0};
     std::map<EndpointName, EndpointLoad> m_own;
     // Only the progress fields are set.
     std::map<EndpointName, EndpointLoad> m_ownProgress;
--- a/src/serving/loadledger.cpp
+++ b/src/serving/loadledger.cpp
@@ -118,8 +118,7 @@
 
 void LoadLedger::applyChanges(Millis now, const EndpointName &endpoint, EndpointLoad &sum) const
 {
-    for (const std::pair<const ZoneName, std::map<EndpointName, std::vector<ZoneChange>>> &zone :
-         m_changes) {
+    for (const std::pair<const ZoneName, EndpointChanges> &zone : m_changes) {
         const auto it = zone.second.find(endpoint);
         if (it == zone.second.end())
             continue;
@@ -136,11 +135,42 @@
     }
 }
 
-void LoadLedger::zoneChanged(Millis now, const LoadChange &change)
+void LoadLedger::eraseChanges(EndpointChanges &changes, Millis until)
 {
-    std::vector<ZoneChange> &changes = m_changes[change.fromZone][change.endpoint];
-    std::erase_if(changes, [now](const ZoneChange &old) { return now - old.at > zoneLifetime; });
-    changes.push_back({now, change.added, change.load});
+    for (std::pair<const EndpointName, std::vector<ZoneChange>> &entry : changes) {
+        m_changeCount -= std::erase_if(
+            entry.second, [until](const ZoneChange &change) { return change.at <= until; });
+    }
+    std::erase_if(changes, [](const std::pair<const EndpointName, std::vector<ZoneChange>> &entry) {
+        return entry.second.empty();
+    });
+}
+
+void LoadLedger::purge(Millis now)
+{
+    if (now - m_purgedAt <= zoneLifetime)
+        return;
+    m_purgedAt = now;
+    const Millis expired = now - zoneLifetime - 1_ms;
+    for (std::pair<const ZoneName, EndpointChanges> &zone : m_changes)
+        eraseChanges(zone.second, expired);
+    std::erase_if(m_changes, [](const std::pair<const ZoneName, EndpointChanges> &zone) {
+        return zone.second.empty();
+    });
+    std::erase_if(m_zones, [expired](const std::pair<const ZoneName, ZoneSum> &zone) {
+        return zone.second.at <= expired;
+    });
+}
+
+bool LoadLedger::zoneChanged(Millis now, const LoadChange &change)
+{
+    purge(now);
+    const bool isNewZone = !m_changes.contains(change.fromZone);
+    if (m_changeCount >= maxChanges || (isNewZone && m_changes.size() >= maxZones))
+        return false;
+    m_changes[change.fromZone][change.endpoint].push_back({now, change.added, change.load});
+    ++m_changeCount;
+    return true;
 }
 
 void LoadLedger::peerRemoved(const MemberName &peer, const EndpointName &endpoint,
@@ -155,27 +185,40 @@
     }
 }
 
-void LoadLedger::zoneReported(Millis now, const ZoneName &zone, Millis age,
+bool LoadLedger::zoneReported(Millis now, const ZoneName &zone, Millis age,
                               std::span<const EndpointLoadEntry> loads)
 {
+    purge(now);
+    if (!m_zones.contains(zone) && m_zones.size() >= maxZones)
+        return false;
     const Millis at = now - age;
     ZoneSum &latest = m_zones[zone];
     // Sums arrive through two relays and may overtake each other.
     if (at + sumSpan < latest.at)
-        return;
+        return true;
     if (at > latest.at + sumSpan) {
         latest = {at, {}};
         // Later sums contain these changes.
-        for (std::pair<const EndpointName, std::vector<ZoneChange>> &changes : m_changes[zone])
-            std::erase_if(changes.second,
-                          [at](const ZoneChange &change) { return change.at <= at; });
-        std::erase_if(m_changes[zone],
-                      [](const std::pair<const EndpointName, std::vector<ZoneChange>> &changes) {
-                          return changes.second.empty();
-                      });
+        const auto changes = m_changes.find(zone);
+        if (changes != m_changes.end())
+            eraseChanges(changes->second, at);
+    }
+    std::size_t known = 0;
+    for (const std::pair<const ZoneName, ZoneSum> &sum : m_zones)
+        known += sum.second.loads.size();
+    bool isComplete = true;
+    for (const EndpointLoadEntry &reported : loads) {
+        const auto it = latest.loads.find(reported.endpoint);
+        if (it != latest.loads.end()) {
+            it->second = reported.load;
+        } else if (known < maxZoneLoads) {
+            latest.loads.emplace(reported.endpoint, reported.load);
+            ++known;
+        } else {
+            isComplete = false;
+        }
     }
-    for (const EndpointLoadEntry &reported : loads)
-        latest.loads[reported.endpoint] = reported.load;
+    return isComplete;
 }
 
 bool LoadLedger::hasRecentZoneReport(Millis now, const ZoneName &zone) const
--- a/tests/serving/loadledger_test.cpp
+++ b/tests/serving/loadledger_test.cpp
@@ -1,6 +1,8 @@
 #include "fescue/serving/loadledger.h"
 
 #include <gtest/gtest.h>
+#include <string>
+#include <vector>
 
 namespace {
 
@@ -151,4 +153,58 @@
     EXPECT_EQ(ledger.zones(2_s).front().loads.size(), 2U);
 }
 
+// Answers datagrams with forged names: what a process keeps of them is bounded, and the loads of
+// names that it knows already are still recorded.
+TEST(LoadLedger, ForgedNamesInChangesAreBounded)
+{
+    LoadLedger ledger;
+    const ZoneName south("south");
+    EXPECT_TRUE(ledger.zoneChanged(1_s, {MemberName("p"), south, first, true, {1, 300, 250}}));
+    std::size_t zones = 1;
+    for (std::size_t n = 0; n < 2 * LoadLedger::maxZones; ++n) {
+        const ZoneName forged("z" + std::to_string(n));
+        zones += ledger.zoneChanged(1_s, {MemberName("p"), forged, first, true, {}}) ? 1 : 0;
+    }
+    EXPECT_EQ(zones, LoadLedger::maxZones);
+    EXPECT_TRUE(ledger.zoneChanged(1_s, {MemberName("p"), south, first, true, {1, 300, 250}}));
+    std::size_t changes = zones + 1;
+    for (std::size_t n = 0; n < 2 * LoadLedger::maxChanges; ++n) {
+        const EndpointName forged("e" + std::to_string(n));
+        changes += ledger.zoneChanged(1_s, {MemberName("p"), south, forged, true, {}}) ? 1 : 0;
+    }
+    EXPECT_EQ(changes, LoadLedger::maxChanges);
+    EXPECT_EQ(ledger.total(1_s, first), (EndpointLoad {2, 600, 500}));
+    // A sum replaces its zone's changes, and the others expire.
+    const EndpointLoadEntry sum {first, {1, 100, 40}};
+    EXPECT_TRUE(ledger.zoneReported(1'200_ms, south, 0_ms, {&sum, 1}));
+    EXPECT_TRUE(ledger.zoneChanged(1'300_ms, {MemberName("p"), south, first, true, {1, 300, 250}}));
+    const Millis later = 1'300_ms + LoadLedger::zoneLifetime * 2;
+    EXPECT_TRUE(ledger.zoneChanged(later, {MemberName("p"), ZoneName("west"), first, true, {}}));
+}
+
+TEST(LoadLedger, ForgedNamesInSumsAreBounded)
+{
+    LoadLedger ledger;
+    const ZoneName south("south");
+    const EndpointLoadEntry busy {first, {4, 400, 0}};
+    EXPECT_TRUE(ledger.zoneReported(1_s, south, 0_ms, {&busy, 1}));
+    for (std::size_t n = 0; n < 2 * LoadLedger::maxZones; ++n)
+        ledger.zoneReported(1_s, ZoneName("z" + std::to_string(n)), 0_ms, {});
+    EXPECT_EQ(ledger.zones(1_s).size(), LoadLedger::maxZones);
+    std::vector<EndpointLoadEntry> forged;
+    for (std::size_t n = 0; n < 2 * LoadLedger::maxZoneLoads; ++n)
+        forged.push_back({EndpointName("e" + std::to_string(n)), {1, 1, 1}});
+    EXPECT_FALSE(ledger.zoneReported(1_s, south, 0_ms, forged));
+    std::size_t loads = 0;
+    for (const ZoneLoads &zone : ledger.zones(1_s))
+        loads += zone.loads.size();
+    EXPECT_EQ(loads, LoadLedger::maxZoneLoads);
+    const EndpointLoadEntry idle {first, {1, 100, 0}};
+    EXPECT_TRUE(ledger.zoneReported(1_s, south, 0_ms, {&idle, 1}));
+    EXPECT_EQ(ledger.total(1_s, first).requests, 1U);
+    // Sums that nobody repeats expire with their names.
+    const Millis later = 1_s + LoadLedger::zoneLifetime * 2;
+    EXPECT_TRUE(ledger.zoneReported(later, ZoneName("west"), 0_ms, {&idle, 1}));
+}
+
 } // namespace
