Roll-outs: a step is written on the revision on which it was decided

The conditional write took the key's revision from the mirror at the moment of the call, so a record that arrived after the decision was overwritten. The decision now carries the revision that it was based on. Of two states of one order the decided one is later, else the one with the greater change; only a state that is not later than the known one counts as lost by the store, and that of a later order is left alone.

Judge and reports of a collector begin anew with an order. Failed writes are repeated with pauses that double, and an exception in one no longer blocks the next. A record that arrives before its order is kept. Permits go on for 5 s after a completion, since processes that have not received it would turn to endpoints that stop. Notices name version and duration of the order, so that an order of another era with other contents is not mistaken for it. Requests are moved away from the old versions only by a process that may use the new one; a process that starts long after a completion also uses versions that came later; endpoints that refuse connections are left out before the endpoints of the new version are limited.

The signature of isRetiring() changed, so its test passes the time.

--- a/include/fescue/serving/edgedaemon.inl
+++ b/include/fescue/serving/edgedaemon.inl
@@ -67,14 +67,15 @@
                [this](const ServiceName &service, const StoreChange &change) {
                    m_rollouts.statusChanged(service, change);
                }}),
-      m_rollouts(m_state, m_mover, m_self,
-                 {[this](const MemberInfo &member, std::string_view bytes) {
-                      sendTo(member, rolloutKind + std::string(bytes));
-                  },
-                  [this](const std::string &key, const std::string &value) {
-                      return m_store.writeRollout(key, value);
-                  },
-                  [this] { return m_store.isRejected(); }}),
+      m_rollouts(
+          m_state, m_mover, m_self,
+          {[this](const MemberInfo &member, std::string_view bytes) {
+               sendTo(member, rolloutKind + std::string(bytes));
+           },
+           [this](const std::string &key, const std::string &value, net::StoreRevision expected) {
+               return m_store.writeRollout(key, value, expected);
+           },
+           [this] { return m_store.isRejected(); }}),
       m_gossip(pool.context(0), [this](std::string_view bytes) { handleDatagram(bytes); }),
       m_slots(m_state, [this](const MemberName &to, const std::string &bytes) {
           return sendSlotMessage(to, bytes);
--- a/include/fescue/serving/rolloutcontroller.inl
+++ b/include/fescue/serving/rolloutcontroller.inl
@@ -18,6 +18,13 @@
 inline constexpr Millis rolloutWriteSpacing = 600_ms;
 // Reports about open requests, and about being rejected by the store, count for this time.
 inline constexpr Millis rolloutReportLifetime = 2_s;
+// Time for which permits go on after a completion.
+inline constexpr Millis rolloutPermitsAfterCompletion = 5_s;
+// Pause after a write until the store's change arrives, and after the first failed write; the
+// latter doubles with each further one.
+inline constexpr Millis rolloutWritePause = 500_ms;
+inline constexpr Millis firstRolloutBackOff = 250_ms;
+inline constexpr int maxRolloutBackOffs = 4;
 // Time in a stage after which reports of all processes are of that stage.
 inline constexpr Millis minClosingTime = 500_ms;
 
@@ -41,7 +48,7 @@
 template <PlatformProtocol P>
 void RolloutController<P>::orderChanged(const ServiceName &service, const StoreChange &change)
 {
-    const Millis now = ServingState::now();
+    const Millis now = m_hooks.now();
     if (change.removed) {
         m_state->rollouts.orderRemoved(now, service, change.fromListing);
         observe::logChange("rollout-order-removed",
@@ -66,6 +73,15 @@
     const double credit = change.fromListing ? 0 : initialCredit(service, limits);
     const OrderEffect effect = m_state->rollouts.orderWritten(
         now, *order, change.fromListing ? std::nullopt : std::optional<Millis>(Millis {0}), credit);
+    if (effect == OrderEffect::Begun) {
+        m_collected.erase(service);
+        m_closing.erase(service);
+        // The record may have arrived before its order.
+        const auto stored = m_stored.find(service);
+        if (stored != m_stored.end() && stored->second.record)
+            m_state->rollouts.recordSeen(now, Millis {observe::wallMillisNow()},
+                                         *stored->second.record);
+    }
     const bool isKnownService = m_state->routes && m_state->routes->findService(service) != nullptr;
     observe::logChange("rollout-order",
                        {{"service", service.text()},
@@ -84,7 +100,7 @@
 template <PlatformProtocol P>
 double RolloutController<P>::initialCredit(const ServiceName &service, const RolloutLimits &limits)
 {
-    const std::vector<MemberView> members = m_state->members.members(ServingState::now());
+    const std::vector<MemberView> members = m_state->members.members(m_hooks.now());
     const std::uint64_t own = rendezvousScore(service.text(), m_self.name.text());
     const std::size_t rank = static_cast<std::size_t>(
         std::count_if(members.begin(), members.end(), [&](const MemberView &member) {
@@ -97,22 +113,24 @@
 template <PlatformProtocol P>
 void RolloutController<P>::statusChanged(const ServiceName &service, const StoreChange &change)
 {
+    m_writes[service].failures = 0;
+    m_writes[service].notBefore = {0};
     if (change.removed) {
         m_stored.erase(service);
         return;
     }
     const Result<RolloutRecord> record = P::decodeRolloutStatus(service, change.value);
     if (!record) {
-        m_stored.erase(service);
+        m_stored[service] = {std::nullopt, change.revision};
         observe::logChange(observe::LogLevel::Warning, "rollout-status-malformed",
                            {{"service", service.text()},
                             {"revision", change.revision.value},
                             {"reason", record.error().message}});
         return;
     }
-    m_stored[service] = *record;
-    const bool isNew = m_state->rollouts.recordSeen(ServingState::now(),
-                                                    Millis {observe::wallMillisNow()}, *record);
+    m_stored[service] = {*record, change.revision};
+    const bool isNew =
+        m_state->rollouts.recordSeen(m_hooks.now(), Millis {observe::wallMillisNow()}, *record);
     observe::logChange("rollout-status",
                        {{"service", service.text()},
                         {"to", record->version},
@@ -122,23 +140,27 @@
                         {"applied", isNew ? "yes" : "no"},
                         {"reason", record->reason}});
     if (isNew && record->stage == RolloutStage::Closing)
-        leaveOldVersions(service);
+        m_closing.insert(service);
+    else if (isNew)
+        m_closing.erase(service);
 }
 
 template <PlatformProtocol P>
-void RolloutController<P>::leaveOldVersions(const ServiceName &service)
+void RolloutController<P>::leaveOldVersions(Millis now, const ServiceName &service)
 {
     const Rollout *rollout = m_state->rollouts.find(service);
     if (rollout == nullptr || !rollout->order)
         return;
     const RolloutSchedule schedule(rollout->order->duration);
-    const Millis left = schedule.decideAt - rollout->elapsed(ServingState::now());
+    const Millis left = schedule.decideAt - rollout->elapsed(now);
     std::vector<EndpointName> retiring;
     for (const std::pair<const EndpointName, EndpointView> &entry : m_state->endpoints.all()) {
         if (entry.second.record.service == service && !entry.second.leaving()
-            && m_state->rollouts.isRetiring(entry.second.record))
+            && m_state->rollouts.isRetiring(now, entry.second.record))
             retiring.push_back(entry.first);
     }
+    if (!retiring.empty())
+        m_closing.erase(service);
     for (const EndpointName &endpoint : retiring)
         m_mover->evacuate(endpoint, std::max(left, Millis {0}));
 }
@@ -146,21 +168,18 @@
 template <PlatformProtocol P>
 void RolloutController<P>::tick()
 {
-    const Millis now = ServingState::now();
+    const Millis now = m_hooks.now();
     m_state->rollouts.tick(now);
+    for (const ServiceName &service : std::set<ServiceName>(m_closing))
+        leaveOldVersions(now, service);
     std::vector<ServiceName> services;
     for (const std::pair<const ServiceName, Rollout> &entry : m_state->rollouts.all()) {
         // A decision that the store has lost is written again.
-        const auto stored = m_stored.find(entry.first);
-        const RolloutRecord *known = entry.second.current();
-        const bool isLost =
-            known != nullptr && (stored == m_stored.end() || stored->second.change < known->change);
-        if (entry.second.isActive() || isLost)
+        if (entry.second.isActive() || isLost(entry.second) || isJustCompleted(now, entry.second))
             services.push_back(entry.first);
     }
     std::erase_if(m_collected, [&services](const std::pair<const ServiceName, Collected> &entry) {
-        return !entry.second.isWriting
-            && std::find(services.begin(), services.end(), entry.first) == services.end();
+        return std::find(services.begin(), services.end(), entry.first) == services.end();
     });
     if (services.empty())
         return;
@@ -169,6 +188,28 @@
         serve(now, service, members);
 }
 
+template <PlatformProtocol P>
+bool RolloutController<P>::isLost(const Rollout &rollout) const
+{
+    const RolloutRecord *known = rollout.current();
+    if (known == nullptr)
+        return false;
+    const auto stored = m_stored.find(known->service);
+    const bool hasRecord = stored != m_stored.end() && stored->second.record;
+    // A restored store that lacks the order has the state of the one before.
+    if (rollout.missingSince && hasRecord && !stored->second.record->belongsTo(*rollout.order))
+        return false;
+    return isLostByStore(*rollout.order, *known, hasRecord ? &*stored->second.record : nullptr);
+}
+
+template <PlatformProtocol P>
+bool RolloutController<P>::isJustCompleted(Millis now, const Rollout &rollout)
+{
+    const RolloutRecord *known = rollout.current();
+    return known != nullptr && known->stage == RolloutStage::Completed
+        && now - rollout.recordSeenAt <= rolloutPermitsAfterCompletion;
+}
+
 template <PlatformProtocol P>
 void RolloutController<P>::serve(Millis now, const ServiceName &service,
                                  const std::vector<MemberView> &members)
@@ -221,7 +262,9 @@
                           rollout.current() == nullptr ? 0 : rollout.current()->change,
                           0,
                           m_hooks.isRejected(),
-                          rollout.evidence};
+                          rollout.evidence,
+                          rollout.order->version,
+                          rollout.order->duration};
     for (const EndpointLoadEntry &entry : m_state->ledger.own()) {
         const EndpointView *view = m_state->endpoints.find(entry.endpoint);
         if (view != nullptr && view->record.service == rollout.order->service
@@ -247,13 +290,14 @@
 template <PlatformProtocol P>
 void RolloutController<P>::handleReport(const RolloutReport &report)
 {
-    const Millis now = ServingState::now();
+    const Millis now = m_hooks.now();
     if (report.isRejected)
         m_rejectedAt[report.from] = now;
     else
         m_rejectedAt.erase(report.from);
     const Rollout *rollout = m_state->rollouts.find(report.service);
-    if (rollout == nullptr || !rollout->order || !rollout->order->mayBe(report.order))
+    if (rollout == nullptr || !rollout->order
+        || !rollout->order->mayBe(report.order, report.version, report.duration))
         return;
     Collected &collected = m_collected[report.service];
     collected.judge.report(report.from, report.incarnation, report.evidence);
@@ -263,7 +307,7 @@
 template <PlatformProtocol P>
 void RolloutController<P>::handlePermit(const RolloutPermit &permit)
 {
-    const Millis now = ServingState::now();
+    const Millis now = m_hooks.now();
     if (permit.isRejected)
         m_rejectedAt[permit.from] = now;
     const Rollout *before = m_state->rollouts.find(permit.service);
@@ -284,13 +328,13 @@
     m_state->metrics.gauge("fescue_rollout_worst_sum", {{"service", order.service.text()}})
         .Set(collected.verdict.worstSum);
     const bool isRejected = m_hooks.isRejected();
-    if (rollout.isActive()) {
-        const RolloutPermit permit {m_self.name,
-                                    order.service,
-                                    order.revision,
-                                    std::max(rollout.elapsed(now), Millis {0}),
-                                    rollout.isHalted || collected.verdict.isBad,
-                                    isRejected};
+    const bool isActive = rollout.isActive();
+    if (isActive || isJustCompleted(now, rollout)) {
+        // A completion is final: the old versions stop.
+        const bool isHalted = isActive && (rollout.isHalted || collected.verdict.isBad);
+        const RolloutPermit permit {
+            m_self.name, order.service, order.revision, std::max(rollout.elapsed(now), Millis {0}),
+            isHalted,    isRejected,    order.version,  order.duration};
         // A process that the store does not reach must not permit anything.
         if (permit.isHalted || !m_state->isStoreSilent()) {
             handlePermit(permit);
@@ -299,43 +343,65 @@
                 m_hooks.send(member.info, bytes);
         }
     }
-    const std::optional<RolloutRecord> record = nextRecord(now, rollout, collected, members);
-    if (!record || collected.isWriting || m_state->isStoreSilent()) {
-        if (!record)
-            collected.writeWantedSince.reset();
+    const std::optional<NextRecord> next = nextRecord(now, rollout, collected, members);
+    if (!next) {
+        collected.writeWantedSince.reset();
         return;
     }
-    const bool isSameChange = collected.changeBefore == record->change;
+    const WriteState &writes = m_writes[order.service];
+    if (writes.isWriting || now < writes.notBefore || m_state->isStoreSilent())
+        return;
+    const bool isSameChange = collected.changeBefore == next->record.change;
     if (!collected.writeWantedSince || !isSameChange)
         collected.writeWantedSince = now;
-    collected.changeBefore = record->change;
+    collected.changeBefore = next->record.change;
     const Millis delay = rolloutWriteSpacing * static_cast<std::int64_t>(rank);
-    if (now - *collected.writeWantedSince < delay)
-        return;
-    collected.isWriting = true;
-    m_state->pool.spawn(net::currentWorker(),
-                        [this, written = *record, verdict = collected.verdict] {
-                            write(written, verdict);
-                            m_collected[written.service].isWriting = false;
-                        });
+    if (now - *collected.writeWantedSince >= delay)
+        spawnWrite(*next, collected.verdict);
+}
+
+template <PlatformProtocol P>
+void RolloutController<P>::spawnWrite(const NextRecord &next, const RolloutVerdict &verdict)
+{
+    m_writes[next.record.service].isWriting = true;
+    m_state->pool.spawn(net::currentWorker(), [this, next, verdict] {
+        bool isWritten = false;
+        try {
+            isWritten = write(next, verdict);
+        } catch (const net::WorkerStopped &) {
+            throw;
+        } catch (const std::exception &e) {
+            noteTaskFailure(m_state->metrics, "rollout-write", e);
+        }
+        WriteState &writes = m_writes[next.record.service];
+        writes.isWriting = false;
+        const int backOffs = std::min(writes.failures, maxRolloutBackOffs);
+        const Millis pause =
+            isWritten ? rolloutWritePause : firstRolloutBackOff * (std::int64_t {1} << backOffs);
+        writes.failures = isWritten ? 0 : writes.failures + 1;
+        writes.notBefore = m_hooks.now() + pause;
+    });
 }
 
 template <PlatformProtocol P>
-std::optional<RolloutRecord>
+std::optional<typename RolloutController<P>::NextRecord>
 RolloutController<P>::nextRecord(Millis now, const Rollout &rollout, const Collected &collected,
                                  const std::vector<MemberView> &members)
 {
     const RolloutOrder &order = *rollout.order;
     const RolloutRecord *known = rollout.current();
+    const auto stored = m_stored.find(order.service);
+    const net::StoreRevision expected =
+        stored == m_stored.end() ? net::StoreRevision {} : stored->second.revision;
     if (known == nullptr) {
         const Millis beganAt = Millis {observe::wallMillisNow()} - rollout.elapsed(now);
-        return RolloutRecord {
+        const RolloutRecord first {
             order.service,  order.version, order.duration, RolloutStage::Canary, 1,
             order.revision, beganAt,       "ordered"};
+        return NextRecord {first, expected};
     }
-    const auto stored = m_stored.find(order.service);
-    if (stored == m_stored.end() || stored->second.change < known->change)
-        return *known;
+    if (isLost(rollout))
+        return NextRecord {*known, expected};
     const bool isOldIdleNow = isOldIdle(now, *known, collected, members);
     const RolloutFacts facts {rollout.elapsed(now),
                               now - rollout.recordSeenAt,
@@ -353,7 +419,7 @@
     record.reason = step->reason;
     record.order = order.revision;
     ++record.change;
-    return record;
+    return NextRecord {record, expected};
 }
 
 template <PlatformProtocol P>
@@ -374,10 +440,11 @@
 }
 
 template <PlatformProtocol P>
-void RolloutController<P>::write(const RolloutRecord &record, const RolloutVerdict &verdict)
+bool RolloutController<P>::write(const NextRecord &next, const RolloutVerdict &verdict)
 {
-    const net::StoreResult<void> written =
-        m_hooks.write(P::rolloutStatusKey(record.service), P::encodeRolloutStatus(record));
+    const RolloutRecord &record = next.record;
+    const net::StoreResult<void> written = m_hooks.write(
+        P::rolloutStatusKey(record.service), P::encodeRolloutStatus(record), next.expected);
     observe::logChange(
         written ? "rollout-step" : "rollout-not-written",
         {{"service", record.service.text()},
@@ -398,6 +465,7 @@
                       {"stage", std::string(toString(record.stage))}})
             .Increment();
     }
+    return written.has_value();
 }
 
 } // namespace fescue::serving
--- a/include/fescue/serving/rolloutnotice.h
+++ b/include/fescue/serving/rolloutnotice.h
@@ -26,6 +26,9 @@
     // The sender's calls to the store fail, so it cannot be a collector.
     bool isRejected = false;
     RolloutEvidence evidence;
+    // Contents of the order, which has another revision in a restored store.
+    std::string version;
+    Millis duration {0};
 
     bool operator==(const RolloutReport &) const = default;
 };
@@ -41,6 +44,9 @@
     // The version is bad: nothing may be sent to it any more.
     bool isHalted = false;
     bool isRejected = false;
+    // Contents of the order, which has another revision in a restored store.
+    std::string version;
+    Millis duration {0};
 
     bool operator==(const RolloutPermit &) const = default;
 };
--- a/include/fescue/serving/rolloutplan.h
+++ b/include/fescue/serving/rolloutplan.h
@@ -21,11 +21,14 @@
     // Revision at which the order was written; tells orders of the same contents apart.
     net::StoreRevision revision;
 
-    // Returns true if a message about the order with a revision may be about this one: a restored
-    // store gives it another revision in a later era.
-    [[nodiscard]] bool mayBe(net::StoreRevision other) const noexcept
+    // Returns true if a message about an order may be about this one: a restored store gives the
+    // same order another revision in a later era.
+    [[nodiscard]] bool mayBe(net::StoreRevision otherRevision, std::string_view otherVersion,
+                             Millis otherDuration) const noexcept
     {
-        return other == revision || other.era != revision.era;
+        return otherRevision == revision
+            || (otherRevision.era != revision.era && otherVersion == version
+                && otherDuration == duration);
     }
 
     bool operator==(const RolloutOrder &) const = default;
@@ -78,6 +81,16 @@
     bool operator==(const RolloutRecord &) const = default;
 };
 
+// Returns true if a record is a later state than another one of the same order. Decided states are
+// later than all others, so a decision is never taken back. The order is total for states that
+// differ in stage or change, so all processes settle on the same one.
+[[nodiscard]] bool isLaterState(const RolloutRecord &record, const RolloutRecord &other) noexcept;
+
+// Returns true if the store has lost the known state of an order, which is then written again.
+// `stored` is null if the store has no valid record of the service.
+[[nodiscard]] bool isLostByStore(const RolloutOrder &order, const RolloutRecord &known,
+                                 const RolloutRecord *stored) noexcept;
+
 // Points in time of a roll-out, counted from its order.
 struct RolloutSchedule
 {
--- a/include/fescue/serving/rollouttable.h
+++ b/include/fescue/serving/rollouttable.h
@@ -49,6 +49,8 @@
     // The latest state that this process has seen in the store, also of an earlier order.
     std::optional<RolloutRecord> record;
     Millis recordSeenAt {0};
+    // Endpoints of other versions that were first listed before this time stop with the completion.
+    Millis retiredUntil {0};
     // A collector has found the version to be bad.
     bool isHalted = false;
     std::optional<Millis> permittedAt;
@@ -103,8 +105,9 @@
     // Returns the rule for requests of a service that wantsNewVersion() has not chosen, and for
     // generations that are moved.
     [[nodiscard]] VersionRule ruleFor(Millis now, const ServiceName &service) const;
-    // Returns true if work at the endpoint has to end: its version is being replaced.
-    [[nodiscard]] bool isRetiring(const EndpointRecord &endpoint) const;
+    // Returns true if work at the endpoint has to end: its version is being replaced, and this
+    // process may use the new one.
+    [[nodiscard]] bool isRetiring(Millis now, const EndpointRecord &endpoint) const;
 
     // Removes the endpoints that a rule excludes. `all` holds the known endpoints: a reverted
     // version is used if there is no other.
--- a/include/fescue/serving/servingstate.h
+++ b/include/fescue/serving/servingstate.h
@@ -100,7 +100,7 @@
     // being replaced.
     [[nodiscard]] bool isEnding(const EndpointView &endpoint) const
     {
-        return endpoint.leaving() || rollouts.isRetiring(endpoint.record);
+        return endpoint.leaving() || rollouts.isRetiring(now(), endpoint.record);
     }
     // Records that an endpoint's address refused a connection of this process or, as reported, of a
     // peer. The endpoint is not a candidate for a while, unless the service has no other.
--- a/include/fescue/serving/storesession.h
+++ b/include/fescue/serving/storesession.h
@@ -70,10 +70,11 @@
     // Claims a trial of a quarantine entry. Returns false if another process has claimed it, or if
     // the store does not confirm it.
     [[nodiscard]] bool claimTrial(const QuarantineEntry &entry);
-    // Writes the state of a roll-out unless the store's copy of the key has changed since this
-    // process received it.
+    // Writes the state of a roll-out if the key still has the expected revision, that of the state
+    // on which the decision is based.
     [[nodiscard]] net::StoreResult<void> writeRollout(const std::string &key,
-                                                      const std::string &value);
+                                                      const std::string &value,
+                                                      net::StoreRevision expected);
     // Returns true if the last call of this process to list, watch or renew failed.
     [[nodiscard]] bool isRejected() const noexcept { return m_isRejected; }
     // Returns this process' copy of the store, for a peer that has missed the changes after a
--- a/include/fescue/serving/storesession.inl
+++ b/include/fescue/serving/storesession.inl
@@ -793,11 +793,10 @@
 
 template <PlatformProtocol P>
 net::StoreResult<void> StoreSession<P>::writeRollout(const std::string &key,
-                                                     const std::string &value)
+                                                     const std::string &value,
+                                                     net::StoreRevision expected)
 {
-    const net::StoreItem *item = m_mirror.find(key);
-    const net::StoreResult<net::StoreRevision> written =
-        m_store.putIfMatch(key, value, item == nullptr ? net::StoreRevision {} : item->revision);
+    const net::StoreResult<net::StoreRevision> written = m_store.putIfMatch(key, value, expected);
     countCall(StoreCall::Rollout, written || written.error().code == ResultCode::StoreConflict);
     return written.map([](net::StoreRevision) {});
 }
--- a/src/serving/rolloutnotice.cpp
+++ b/src/serving/rolloutnotice.cpp
@@ -7,7 +7,7 @@
 namespace {
 
 // Version of the datagram layout. Receivers ignore datagrams of another layout.
-constexpr int layoutVersion = 1;
+constexpr int layoutVersion = 2;
 constexpr int reportType = 0;
 constexpr int permitType = 1;
 
@@ -36,14 +36,15 @@
     }
     return toCbor({layoutVersion, reportType, report.from.text(), report.incarnation.value,
                    report.service.text(), report.order.value, report.order.era, report.change,
-                   report.openAtOld, report.isRejected, routes});
+                   report.openAtOld, report.isRejected, routes, report.version,
+                   report.duration.count});
 }
 
 std::string encode(const RolloutPermit &permit)
 {
     return toCbor({layoutVersion, permitType, permit.from.text(), permit.service.text(),
                    permit.order.value, permit.order.era, permit.age.count, permit.isHalted,
-                   permit.isRejected});
+                   permit.isRejected, permit.version, permit.duration.count});
 }
 
 RolloutReport decodeReport(const Json &json)
@@ -60,6 +61,8 @@
         report.evidence[route.at(0).get<std::string>()] = {decodeCounts(route.at(1)),
                                                            decodeCounts(route.at(2))};
     }
+    report.version = json.at(11).get<std::string>();
+    report.duration = spanAt(json, 12);
     return report;
 }
 
@@ -72,6 +75,8 @@
     permit.age = spanAt(json, 6);
     permit.isHalted = json.at(7).get<bool>();
     permit.isRejected = json.at(8).get<bool>();
+    permit.version = json.at(9).get<std::string>();
+    permit.duration = spanAt(json, 10);
     return permit;
 }
 
--- a/src/serving/rolloutplan.cpp
+++ b/src/serving/rolloutplan.cpp
@@ -49,6 +49,31 @@
     return duration == rolloutOrder.duration && isSameOrder;
 }
 
+bool isLaterState(const RolloutRecord &record, const RolloutRecord &other) noexcept
+{
+    if (record.isDecided() != other.isDecided())
+        return record.isDecided();
+    if (record.change != other.change)
+        return record.change > other.change;
+    if (record.stage == other.stage)
+        return false;
+    // Endpoints of the old versions stop with a completion, so it stands.
+    return record.isDecided() ? record.stage == RolloutStage::Completed
+                              : record.stage > other.stage;
+}
+
+bool isLostByStore(const RolloutOrder &order, const RolloutRecord &known,
+                   const RolloutRecord *stored) noexcept
+{
+    if (stored == nullptr)
+        return true;
+    // The record of a later order that this process does not know yet must stay.
+    if (!stored->belongsTo(order))
+        return stored->order < order.revision;
+    const bool isSame = stored->stage == known.stage && stored->change == known.change;
+    return !isSame && !isLaterState(*stored, known);
+}
+
 RolloutSchedule::RolloutSchedule(Millis duration) noexcept
 {
     const Millis phase = std::clamp(duration / phaseDivisor, minPhase, maxPhase);
--- a/src/serving/rollouttable.cpp
+++ b/src/serving/rollouttable.cpp
@@ -98,10 +98,13 @@
     const bool isOfOrder = rollout.order && record.belongsTo(*rollout.order);
     const RolloutRecord *known = rollout.current();
     // A restored store may have an earlier state.
-    if (known != nullptr && (!isOfOrder || record.change <= known->change))
+    if (known != nullptr && (!isOfOrder || !isLaterState(record, *known)))
         return false;
     rollout.record = record;
     rollout.recordSeenAt = now;
+    // Long after the order only endpoints of later versions are left beside the completed one.
+    const bool isLongAgo = wallNow - record.beganAtWall > record.duration + newVersionHold;
+    rollout.retiredUntil = isLongAgo ? Millis {0} : now + newVersionHold;
     if (isOfOrder && rollout.isBeginEstimated) {
         const Millis age = std::min(wallNow - record.beganAtWall, record.duration);
         rollout.beganAt = now - std::max(age, rollout.elapsed(now));
@@ -115,7 +118,7 @@
     if (it == m_rollouts.end() || !it->second.order)
         return false;
     Rollout &rollout = it->second;
-    if (!rollout.order->mayBe(permit.order))
+    if (!rollout.order->mayBe(permit.order, permit.version, permit.duration))
         return false;
     if (permit.isHalted)
         rollout.isHalted = true;
@@ -197,11 +200,11 @@
     return isClosing && isPermittedNow ? VersionRule::OnlyNew : VersionRule::WithoutNew;
 }
 
-bool RolloutTable::isRetiring(const EndpointRecord &endpoint) const
+bool RolloutTable::isRetiring(Millis now, const EndpointRecord &endpoint) const
 {
     const Rollout *rollout = find(endpoint.service);
     const RolloutRecord *record = rollout == nullptr ? nullptr : rollout->current();
-    return record != nullptr && record->stage == RolloutStage::Closing && !rollout->isHalted
+    return record != nullptr && record->stage == RolloutStage::Closing && isPermitted(now, *rollout)
         && endpoint.softwareVersion != record->version;
 }
 
@@ -231,12 +234,11 @@
     }
     if (rule == VersionRule::OnlyNew) {
         // The endpoints that the completion stopped may be listed for a while.
-        const Millis since = rollout->recordSeenAt + newVersionHold;
         const bool hasNew = std::any_of(candidates.begin(), candidates.end(),
                                         [&](const EndpointView *view) { return isNew(*view); });
         if (hasNew) {
             std::erase_if(candidates, [&](const EndpointView *view) {
-                return !isNew(*view) && view->firstListedAt < since;
+                return !isNew(*view) && view->firstListedAt < rollout->retiredUntil;
             });
         }
         holdNewVersions(now, candidates);
--- a/src/serving/servingstate.cpp
+++ b/src/serving/servingstate.cpp
@@ -161,8 +161,8 @@
     const Millis time = now();
     std::vector<const EndpointView *> usable = endpoints.usable(service);
     rollouts.filter(time, service, VersionRule::OnlyNew, endpoints.all(), usable);
-    rollouts.limitToShare(time, service, *limits, usable);
     removeUnreachable(usable);
+    rollouts.limitToShare(time, service, *limits, usable);
     return usable;
 }
 
--- a/tests/serving/rolloutplan_test.cpp
+++ b/tests/serving/rolloutplan_test.cpp
@@ -141,6 +141,55 @@
     EXPECT_FALSE(recordIn(RolloutStage::TwoFifths).belongsTo(order));
 }
 
+TEST(RolloutPlan, DecisionIsLaterThanEachUndecidedState)
+{
+    RolloutRecord decided = recordIn(RolloutStage::Reverted);
+    RolloutRecord later = recordIn(RolloutStage::Closing);
+    later.change = 9;
+    EXPECT_TRUE(isLaterState(decided, later));
+    EXPECT_FALSE(isLaterState(later, decided));
+}
+
+// Two processes that know different states never overwrite each other's in turn.
+TEST(RolloutPlan, OneOfTwoDifferentStatesIsLater)
+{
+    std::vector<RolloutRecord> records;
+    for (int stage = 0; stage <= static_cast<int>(RolloutStage::Reverted); ++stage) {
+        for (std::uint64_t change = 1; change <= 3; ++change) {
+            RolloutRecord record = recordIn(static_cast<RolloutStage>(stage));
+            record.change = change;
+            records.push_back(record);
+        }
+    }
+    for (const RolloutRecord &a : records) {
+        for (const RolloutRecord &b : records) {
+            EXPECT_EQ(isLaterState(a, b) + isLaterState(b, a), a == b ? 0 : 1)
+                << toString(a.stage) << a.change << " " << toString(b.stage) << b.change;
+        }
+    }
+}
+
+TEST(RolloutPlan, StateIsLostIfTheStoreHasAnEarlierOneOfTheSameOrder)
+{
+    const RolloutOrder order {ServiceName("llm"), "v2", 30_s, {7, 1}};
+    RolloutRecord known = recordIn(RolloutStage::TwoFifths);
+    known.change = 3;
+    EXPECT_TRUE(isLostByStore(order, known, nullptr));
+    EXPECT_FALSE(isLostByStore(order, known, &known));
+    RolloutRecord stored = recordIn(RolloutStage::Canary);
+    EXPECT_TRUE(isLostByStore(order, known, &stored));
+    stored = recordIn(RolloutStage::Closing);
+    stored.change = 5;
+    EXPECT_FALSE(isLostByStore(order, known, &stored));
+    // Another order's record: of the order before, in a restored store, or of a later one.
+    stored.version = "v1";
+    stored.order = {3, 1};
+    EXPECT_TRUE(isLostByStore(order, known, &stored));
+    stored.version = "v3";
+    stored.order = {9, 1};
+    EXPECT_FALSE(isLostByStore(order, known, &stored));
+}
+
 TEST(RolloutPlan, StagesAreReadFromTheirNames)
 {
     for (int i = 0; i <= static_cast<int>(RolloutStage::Reverted); ++i) {
--- a/tests/serving/rollouttable_test.cpp
+++ b/tests/serving/rollouttable_test.cpp
@@ -132,14 +132,62 @@
     ASSERT_TRUE(table.recordSeen(1_s, {0}, recordOf(order, RolloutStage::Closing, 2)));
     ASSERT_TRUE(table.permitted(1_s, permitFor(order)));
     EXPECT_EQ(candidates(1_s), onlyNew);
-    EXPECT_TRUE(table.isRetiring(endpoints.find(EndpointName("old-a"))->record));
-    EXPECT_FALSE(table.isRetiring(endpoints.find(EndpointName("new-a"))->record));
+    EXPECT_TRUE(table.isRetiring(1_s, endpoints.find(EndpointName("old-a"))->record));
+    EXPECT_FALSE(table.isRetiring(1_s, endpoints.find(EndpointName("new-a"))->record));
     ASSERT_TRUE(table.recordSeen(2_s, {0}, recordOf(order, RolloutStage::Completed, 3)));
     EXPECT_EQ(candidates(40_s), onlyNew);
     add("later", "v3", 60_s);
     EXPECT_EQ(candidates(70_s), (Names {"later", "new-a"}));
 }
 
+// Its new requests go to the old versions, so the running ones may stay there.
+TEST_F(RolloutTableTest, ProcessWithoutPermitMovesNothingAwayFromTheOldVersions)
+{
+    begin();
+    ASSERT_TRUE(table.recordSeen(1_s, {0}, recordOf(order, RolloutStage::Closing, 2)));
+    ASSERT_TRUE(table.permitted(1_s, permitFor(order)));
+    const EndpointRecord oldOne = endpoints.find(EndpointName("old-a"))->record;
+    EXPECT_TRUE(table.isRetiring(1_s, oldOne));
+    EXPECT_FALSE(table.isRetiring(1_s + RolloutTable::permitLifetime + 1_ms, oldOne));
+}
+
+// A process that starts long after the completion lists all versions at the same time.
+TEST_F(RolloutTableTest, RestartedProcessUsesVersionsThatCameAfterTheCompletion)
+{
+    add("later", "v3", {1});
+    table.orderWritten({2}, order, std::nullopt, 0);
+    RolloutRecord record = recordOf(order, RolloutStage::Completed, 6);
+    record.beganAtWall = 100_s;
+    ASSERT_TRUE(table.recordSeen({2}, 3600_s, record));
+    EXPECT_EQ(candidates(10_s), (Names {"later", "new-a", "old-a", "old-b"}));
+    RolloutTable recent;
+    recent.orderWritten({2}, order, std::nullopt, 0);
+    ASSERT_TRUE(recent.recordSeen({2}, 131_s, record));
+    table = recent;
+    EXPECT_EQ(candidates(10_s), onlyNew);
+}
+
+TEST_F(RolloutTableTest, DecisionIsNeverTakenBack)
+{
+    begin();
+    ASSERT_TRUE(table.recordSeen(1_s, {0}, recordOf(order, RolloutStage::Reverted, 2)));
+    EXPECT_FALSE(table.recordSeen(2_s, {0}, recordOf(order, RolloutStage::Closing, 5)));
+    EXPECT_EQ(table.find(service)->stage(), RolloutStage::Reverted);
+}
+
+TEST_F(RolloutTableTest, PermitOfAnotherOrderInALaterEraCountsForNothing)
+{
+    begin();
+    RolloutOrder other {service, "v3", 30_s, {4, 2}};
+    RolloutPermit permit = permitFor(other, true);
+    permit.version = other.version;
+    permit.duration = other.duration;
+    EXPECT_FALSE(table.permitted(1_s, permit));
+    EXPECT_FALSE(table.find(service)->isHalted);
+    permit.version = order.version;
+    EXPECT_TRUE(table.permitted(1_s, permit));
+}
+
 TEST_F(RolloutTableTest, RevertedVersionGetsNothingWhileThereIsAnotherOne)
 {
     begin();
