Members: look one up without a copy of the list

Each datagram about slots copied all members, to find the address of one. MemberTable::find() returns what a member says about itself.

--- a/include/fescue/core/membertable.h
+++ b/include/fescue/core/membertable.h
@@ -62,6 +62,9 @@
     // True where this life of the member may go on. A member that is not known here counts as gone.
     [[nodiscard]] bool mayLive(Millis now, const MemberName &name, Incarnation incarnation) const;
 
+    // Returns what a member says about itself, or null if it is not known or gone. Valid until the
+    // next change of the table.
+    [[nodiscard]] const MemberInfo *find(Millis now, const MemberName &name) const;
     // Returns all members that are not gone, sorted by name.
     [[nodiscard]] std::vector<MemberView> members(Millis now) const;
     // Returns how many members are not gone.
--- a/src/core/membertable.cpp
+++ b/src/core/membertable.cpp
@@ -91,6 +91,14 @@
     return stateOf(now, it->second) != MemberState::Gone;
 }
 
+const MemberInfo *MemberTable::find(Millis now, const MemberName &name) const
+{
+    const auto it = m_entries.find(name);
+    if (it == m_entries.end() || stateOf(now, it->second) == MemberState::Gone)
+        return nullptr;
+    return &it->second.info;
+}
+
 std::vector<MemberView> MemberTable::members(Millis now) const
 {
     std::vector<MemberView> views;
--- a/tests/core/membertable_test.cpp
+++ b/tests/core/membertable_test.cpp
@@ -26,6 +26,16 @@
     EXPECT_EQ(table.members(100_s).size(), 2U);
 }
 
+TEST(MemberTable, FindsMembersThatAreNotGone)
+{
+    MemberTable table;
+    EXPECT_EQ(table.find(0_ms, nameA), nullptr);
+    table.heartbeat(0_ms, makeMember("a", 3));
+    ASSERT_NE(table.find(0_ms, nameA), nullptr);
+    EXPECT_EQ(table.find(0_ms, nameA)->incarnation, Incarnation {3});
+    EXPECT_EQ(table.find(60_s, nameA), nullptr);
+}
+
 TEST(MemberTable, SilenceMakesALinkedMemberSuspect)
 {
     MemberTable table;
