--- a/include/fescue/policy/fairqueue.h
+++ b/include/fescue/policy/fairqueue.h
@@ -29,9 +29,13 @@
     [[nodiscard]] std::vector<AccountName> order() const;
     // Returns the first queued request of an account, or nullopt if it has none.
     [[nodiscard]] std::optional<RequestId> front(const AccountName &account) const;
+    // Returns the queued requests of an account in their order.
+    [[nodiscard]] std::vector<RequestId> queued(const AccountName &account) const;
     // Removes the first queued request of an account and counts it as running.
     void popFront(const AccountName &account);
-    // Records that a request removed by popFront() has stopped running.
+    // The same for a queued request at any position. Nothing happens if it is not queued.
+    void pop(const AccountName &account, RequestId id);
+    // Records that a request removed by pop() or popFront() has stopped running.
     void runningEnded(const AccountName &account);
     // Returns the sum of the weights of the accounts with queued requests.
     [[nodiscard]] double queuedWeight() const;
--- a/include/fescue/serving/edgedaemon.inl
+++ b/include/fescue/serving/edgedaemon.inl
@@ -76,7 +76,7 @@
                   },
                   [this] { return m_store.isRejected(); }}),
       m_gossip(pool.context(0), [this](std::string_view bytes) { handleDatagram(bytes); }),
-      m_slots(m_state, [this](const MemberName &to, const std::string &bytes) {
+      m_slots(m_state, incarnation, [this](const MemberName &to, const std::string &bytes) {
           return sendSlotMessage(to, bytes);
       })
 { }
@@ -432,11 +432,8 @@
 template <PlatformProtocol P>
 bool EdgeDaemon<P>::sendSlotMessage(const MemberName &to, const std::string &bytes)
 {
-    for (const MemberView &member : m_state.members.members(ServingState::now())) {
-        if (member.info.name == to)
-            return sendTo(member.info, slotKind + bytes);
-    }
-    return false;
+    const MemberInfo *member = m_state.members.find(ServingState::now(), to);
+    return member != nullptr && sendTo(*member, slotKind + bytes);
 }
 
 template <PlatformProtocol P>
--- a/include/fescue/serving/plainforwarder.h
+++ b/include/fescue/serving/plainforwarder.h
@@ -35,8 +35,10 @@
                                              const PlacementDemand &demand, bool mayRepeat);
     // Returns the endpoint of a granted slot, or null if there is none that this process may use.
     [[nodiscard]] const EndpointView *granted(const RequestContext &context, const SlotGrant &slot);
-    [[nodiscard]] static SlotWish wishOf(const RequestContext &context,
-                                         const PlacementDemand &demand);
+    // Endpoints that have been tried are excluded unless `mayRepeat`, cold ones of which this
+    // process has no share left in any case.
+    [[nodiscard]] SlotWish wishOf(const RequestContext &context, const PlacementDemand &demand,
+                                  bool mayRepeat);
     // Returns true if the request could be sent to an endpoint that has not been tried.
     [[nodiscard]] bool hasUntried(const RequestContext &context, const PlacementDemand &demand);
     [[nodiscard]] Millis settleTimeOf(const RequestContext &context, const EndpointRecord &endpoint,
--- a/include/fescue/serving/plainforwarder.inl
+++ b/include/fescue/serving/plainforwarder.inl
@@ -41,15 +41,25 @@
 }
 
 template <PlatformProtocol P>
-SlotWish PlainForwarder<P>::wishOf(const RequestContext &context, const PlacementDemand &demand)
+SlotWish PlainForwarder<P>::wishOf(const RequestContext &context, const PlacementDemand &demand,
+                                   bool mayRepeat)
 {
     const AccountSpec *account = context.account;
+    std::set<EndpointName> excluded;
+    if (!mayRepeat)
+        excluded = demand.excluded;
+    const PlacementView view = m_state->placementView(context.service);
+    for (const EndpointView *endpoint : m_state->candidates(context.service)) {
+        if (!view.hasColdShareLeft(*endpoint))
+            excluded.insert(endpoint->record.name);
+    }
     return {context.service,
             account != nullptr ? account->name : AccountName(),
             slotPriority(context.routes->config(), context.service, *context.route, account),
             context.deadline,
             context.route->targetLatency,
             demand.excluded,
+            std::move(excluded),
             [&context] { return context.writer.callerGone(); }};
 }
 
@@ -165,7 +175,7 @@
         // Another attempt must end before the process as well.
         if (policy.sent() > 0 && !m_state->stop.mayTake(context.deadline))
             break;
-        SlotGrant slot = m_state->acquireSlot(wishOf(context, demand));
+        SlotGrant slot = m_state->acquireSlot(wishOf(context, demand, mayRepeat));
         if (slot.outcome == SlotOutcome::CallerGone) {
             verdict = AttemptVerdict::Abandon;
             break;
--- a/include/fescue/serving/slotbroker.h
+++ b/include/fescue/serving/slotbroker.h
@@ -15,10 +15,12 @@
 
 namespace fescue::serving {
 
-// Identifies a request for a slot: a process, and a number that it uses once.
+// Identifies a request for a slot: a process in one of its lives, and a number that this life uses
+// once.
 struct SlotKey
 {
     MemberName member;
+    Incarnation incarnation;
     std::uint64_t number = 0;
     auto operator<=>(const SlotKey &) const = default;
 };
@@ -38,6 +40,9 @@
     Millis target {0};
     // Endpoints that have been tried; used again only if there is no other.
     std::set<EndpointName> tried;
+    // Endpoints that the request must not use: it may not be repeated there, or its process has no
+    // share left of a cold one.
+    std::set<EndpointName> excluded;
     bool operator==(const SlotAsk &) const = default;
 };
 
@@ -81,6 +86,15 @@
     bool operator==(const SlotReturn &) const = default;
 };
 
+// What a process holds of a broker's slots, waiting requests included.
+struct SlotReport
+{
+    // The report covers the requests with lower numbers of this life, and all of earlier lives.
+    SlotKey next;
+    std::set<std::uint64_t> held;
+    bool operator==(const SlotReport &) const = default;
+};
+
 // An endpoint that may get requests.
 struct SlotEndpoint
 {
@@ -106,6 +120,9 @@
     [[nodiscard]] std::vector<SlotAnswer> ask(Millis now, const SlotAsk &ask);
     // Takes back a slot, or a request for one. Returns the answers to others that follow.
     [[nodiscard]] std::vector<SlotAnswer> giveBack(Millis now, const SlotReturn &returned);
+    // Takes back what a process no longer holds, as its returns may have been lost. Returns the
+    // answers to others that follow.
+    [[nodiscard]] std::vector<SlotAnswer> reconcile(Millis now, const SlotReport &report);
     // Takes back slots whose holder has not reported in time, and refuses requests whose turn comes
     // too late.
     [[nodiscard]] std::vector<SlotAnswer> expire(Millis now);
@@ -144,8 +161,14 @@
 
     [[nodiscard]] static bool isFree(const Endpoint &endpoint) noexcept;
     [[nodiscard]] double costOf(Millis now, const Endpoint &endpoint, const SlotAsk &ask) const;
-    // Returns the free endpoint that suits the request best, or null.
-    [[nodiscard]] Endpoint *choose(Millis now, const SlotAsk &ask);
+    // Returns true if a request may use an endpoint at all.
+    [[nodiscard]] static bool mayUse(const Endpoint &endpoint, const SlotAsk &ask);
+    [[nodiscard]] bool hasFree(const SlotAsk &ask) const;
+    // Returns the free endpoint that suits the request best, or null if there is none, or if the
+    // request fares better by waiting for one that is full.
+    [[nodiscard]] Endpoint *choose(Millis now, const Waiting &waiting);
+    // Returns the time until a full endpoint has a slot for one more request.
+    [[nodiscard]] double waitAt(const Endpoint &endpoint) const;
     [[nodiscard]] SlotAnswer grant(Millis now, const SlotAsk &ask, Millis deadline,
                                    Endpoint &endpoint);
     // Returns the time that a request spends at the endpoints, and the time until it would get a
@@ -157,10 +180,15 @@
     [[nodiscard]] std::size_t aheadOf(const SlotAsk &ask) const;
     void learn(Millis now, Endpoint &endpoint, const SlotReturn &returned);
     void removeWaiting(std::map<SlotKey, Waiting>::iterator it);
+    void removeLease(std::map<SlotKey, Lease>::iterator it);
     // Refuses those whose turn comes too late.
     void refuseLate(Millis now, std::vector<SlotAnswer> &answers);
     // Grants free slots to those who wait.
     void serveWaiting(Millis now, std::vector<SlotAnswer> &answers);
+    // Grants a slot to the first request of an account, in the order of the queue, that takes one
+    // of the free ones. Returns false if none does.
+    [[nodiscard]] bool serveAccount(Millis now, FairQueue &queue, const AccountName &account,
+                                    std::vector<SlotAnswer> &answers);
 
     std::map<EndpointName, Endpoint> m_endpoints;
     std::map<SlotKey, Lease> m_leases;
--- a/include/fescue/serving/slotdesk.h
+++ b/include/fescue/serving/slotdesk.h
@@ -1,11 +1,13 @@
 #pragma once
 
 #include "fescue/serving/servingstate.h"
+#include "fescue/serving/silentmembers.h"
 #include "fescue/serving/slotmessage.h"
 
 #include <functional>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -25,17 +27,24 @@
     // Sends a datagram to a member. Returns false if that fails.
     using Send = std::function<bool(const MemberName &, const std::string &)>;
 
-    SlotDesk(ServingState &state, Send send) : m_state(&state), m_send(std::move(send)) { }
+    // `incarnation` is this life of the process: answers to an earlier one are not taken.
+    SlotDesk(ServingState &state, Incarnation incarnation, Send send)
+        : m_state(&state), m_incarnation(incarnation), m_send(std::move(send))
+    { }
 
     // Waits for a slot.
     [[nodiscard]] SlotGrant acquire(const SlotWish &wish);
     void giveBack(const ServiceName &service, const SlotGrant &grant, SlotUse use);
     // Handles a datagram. Returns false if it is malformed.
     bool handle(std::string_view bytes);
-    // Takes back slots that were not given back in time, and logs what has changed.
+    // Reports to brokers what this process holds, takes back slots that were not given back in
+    // time, and logs what has changed.
     void tick(Millis now);
 
 private:
+    // Pauses of a broker that did not answer.
+    static constexpr BackoffLimits silentPauses {1_s, 16_s};
+
     // A request of this process that waits for an answer.
     struct Pending
     {
@@ -57,6 +66,14 @@
         Millis endpointsAt {0};
     };
 
+    // The requests of this process at a broker that wait or have a slot.
+    struct Holding
+    {
+        std::set<std::uint64_t> numbers;
+        // Reports still to be sent once there is none.
+        int reportsLeft = 0;
+    };
+
     // A broker as last chosen.
     struct Choice
     {
@@ -72,6 +89,12 @@
     // Passes a message to a member, which may be this process.
     void pass(const MemberName &to, const SlotMessage &message);
     void serve(const SlotMessage &message);
+    // Returns true if a message about slots is of a known process, and not of an earlier life.
+    [[nodiscard]] bool isFromMember(const SlotMessage &message) const;
+    [[nodiscard]] SlotKey keyOf(std::uint64_t number) const;
+    // Gives back a slot, or a request for one.
+    void giveBack(const ServiceName &service, const MemberName &broker, const SlotReturn &returned);
+    void reportHoldings();
     void deliver(const ServiceName &service, const std::vector<SlotAnswer> &answers);
     void receive(const SlotAnswer &answer);
     // Waits until an answer arrives. Returns false if none does in time.
@@ -79,11 +102,13 @@
     void count(std::string_view what);
 
     ServingState *m_state;
+    Incarnation m_incarnation;
     Send m_send;
     std::map<ServiceName, Brokered> m_brokered;
     std::map<std::uint64_t, Pending *> m_pending;
-    // Members that did not answer, and until when they are not asked.
-    std::map<MemberName, Millis> m_silent;
+    // By service and broker.
+    std::map<std::pair<ServiceName, MemberName>, Holding> m_holdings;
+    SilentMembers m_silent {silentPauses};
     std::map<ServiceName, Choice> m_brokers;
     // Services under pressure, and until when they count as such without a further sign.
     std::map<ServiceName, Millis> m_pressed;
--- a/include/fescue/serving/slotgrant.h
+++ b/include/fescue/serving/slotgrant.h
@@ -15,7 +15,9 @@
     Millis deadline {0};
     // Time within which an answer has its full value.
     Millis target {0};
+    // Endpoints that are used again only if there is no other, and those that must not be used.
     std::set<EndpointName> tried;
+    std::set<EndpointName> excluded;
     std::function<bool()> callerGone;
 };
 
--- a/include/fescue/serving/slotmessage.h
+++ b/include/fescue/serving/slotmessage.h
@@ -13,7 +13,7 @@
 struct SlotMessage
 {
     ServiceName service;
-    std::variant<SlotAsk, SlotAnswer, SlotReturn> content;
+    std::variant<SlotAsk, SlotAnswer, SlotReturn, SlotReport> content;
     bool operator==(const SlotMessage &) const = default;
 };
 
--- a/src/policy/fairqueue.cpp
+++ b/src/policy/fairqueue.cpp
@@ -90,15 +90,27 @@
     return it->second.queue.front();
 }
 
-void FairQueue::popFront(const AccountName &account)
+std::vector<RequestId> FairQueue::queued(const AccountName &account) const
 {
     const auto it = m_accounts.find(account);
-    if (it == m_accounts.end() || it->second.queue.empty())
+    if (it == m_accounts.end())
+        return {};
+    return {it->second.queue.begin(), it->second.queue.end()};
+}
+
+void FairQueue::popFront(const AccountName &account)
+{
+    if (const std::optional<RequestId> id = front(account))
+        pop(account, *id);
+}
+
+void FairQueue::pop(const AccountName &account, RequestId id)
+{
+    if (!remove(account, id))
         return;
-    m_maxServedCounter = std::max(m_maxServedCounter, it->second.counter);
-    it->second.queue.pop_front();
-    ++it->second.running;
-    --m_size;
+    AccountState &state = m_accounts[account];
+    m_maxServedCounter = std::max(m_maxServedCounter, state.counter);
+    ++state.running;
     m_servedRequests += 1;
     if (m_servedRequests < meanCostWindow)
         return;
--- a/src/serving/slotbroker.cpp
+++ b/src/serving/slotbroker.cpp
@@ -31,6 +31,9 @@
 constexpr double failureCost = 500;
 constexpr double triedCost = 500;
 constexpr double coldCost = 60;
+// Requests that may wait at one broker. Several times what the largest system sends in the longest
+// wait.
+constexpr std::size_t maxWaiting = 4096;
 
 } // namespace
 
@@ -67,10 +70,8 @@
 
 double SlotBroker::costOf(Millis now, const Endpoint &endpoint, const SlotAsk &ask) const
 {
-    const double over = std::max(0.0, endpoint.used + 1 - endpoint.limit);
-    const double queued = over > 0 ? over + static_cast<double>(m_waiting.size()) : 0;
     const double load = endpoint.used / std::max(endpoint.limit, 1.0);
-    double cost = endpoint.meanMillis * (1 + load + queued / std::max(endpoint.limit, 1.0));
+    double cost = endpoint.meanMillis * (1 + load) + waitAt(endpoint);
     cost += m_health.failureRate(now, endpoint.spec.name) * failureCost;
     cost += endpoint.spec.zone == ask.zone ? 0 : otherZoneCost;
     cost += endpoint.spec.isCold ? coldCost : 0;
@@ -78,18 +79,52 @@
     return cost;
 }
 
-SlotBroker::Endpoint *SlotBroker::choose(Millis now, const SlotAsk &ask)
+double SlotBroker::waitAt(const Endpoint &endpoint) const
+{
+    const double over = std::max(0.0, endpoint.used + 1 - endpoint.limit);
+    const double queued = over > 0 ? over + static_cast<double>(m_waiting.size()) : 0;
+    return endpoint.meanMillis * queued / std::max(endpoint.limit, 1.0);
+}
+
+bool SlotBroker::mayUse(const Endpoint &endpoint, const SlotAsk &ask)
+{
+    return !ask.excluded.contains(endpoint.spec.name);
+}
+
+bool SlotBroker::hasFree(const SlotAsk &ask) const
+{
+    return std::any_of(m_endpoints.begin(), m_endpoints.end(),
+                       [&ask](const std::pair<const EndpointName, Endpoint> &entry) {
+                           return isFree(entry.second) && mayUse(entry.second, ask);
+                       });
+}
+
+SlotBroker::Endpoint *SlotBroker::choose(Millis now, const Waiting &waiting)
 {
     Endpoint *best = nullptr;
+    Endpoint *bestFree = nullptr;
     double least = std::numeric_limits<double>::infinity();
+    double leastFree = std::numeric_limits<double>::infinity();
     for (std::pair<const EndpointName, Endpoint> &entry : m_endpoints) {
-        const double cost = costOf(now, entry.second, ask);
+        if (!mayUse(entry.second, waiting.ask))
+            continue;
+        const double cost = costOf(now, entry.second, waiting.ask);
         if (cost < least) {
             least = cost;
             best = &entry.second;
         }
+        if (isFree(entry.second) && cost < leastFree) {
+            leastFree = cost;
+            bestFree = &entry.second;
+        }
     }
-    return best != nullptr && isFree(*best) ? best : nullptr;
+    if (bestFree == nullptr || best == bestFree)
+        return bestFree;
+    const double waited = static_cast<double>((now - waiting.since).count);
+    const double left = static_cast<double>((waiting.deadline - now).count);
+    const double wait = waitAt(*best);
+    const bool mayWait = waited + wait <= longestWait(waiting.ask) && wait + meanMillis() <= left;
+    return mayWait ? nullptr : bestFree;
 }
 
 double SlotBroker::meanMillis() const
@@ -138,6 +173,9 @@
 
 std::vector<SlotAnswer> SlotBroker::ask(Millis now, const SlotAsk &ask)
 {
+    const auto known = m_waiting.find(ask.key);
+    if (known != m_waiting.end())
+        known->second.ask.excluded = ask.excluded;
     std::vector<SlotAnswer> answers = expire(now);
     const bool isAnswered =
         std::any_of(answers.begin(), answers.end(),
@@ -150,9 +188,15 @@
         return answers;
     }
     if (!m_waiting.contains(ask.key)) {
-        const double wait = waitMillis(aheadOf(ask));
-        if (wait > longestWait(ask)
-            || wait + meanMillis() > static_cast<double>(ask.patience.count)) {
+        const double wait = hasFree(ask) ? 0 : waitMillis(aheadOf(ask));
+        const bool isLate = wait > longestWait(ask)
+            || wait + meanMillis() > static_cast<double>(ask.patience.count);
+        const bool hasEndpoint =
+            std::any_of(m_endpoints.begin(), m_endpoints.end(),
+                        [&ask](const std::pair<const EndpointName, Endpoint> &entry) {
+                            return mayUse(entry.second, ask);
+                        });
+        if (isLate || !hasEndpoint || m_waiting.size() >= maxWaiting) {
             answers.push_back({ask.key, SlotVerdict::Refused, {}});
             return answers;
         }
@@ -177,11 +221,32 @@
     if (lease == m_leases.end())
         return answers;
     const auto it = m_endpoints.find(lease->second.endpoint);
-    if (it != m_endpoints.end()) {
+    if (it != m_endpoints.end())
         learn(now, it->second, returned);
-        it->second.used -= std::min<std::uint32_t>(1, it->second.used);
+    removeLease(lease);
+    serveWaiting(now, answers);
+    return answers;
+}
+
+std::vector<SlotAnswer> SlotBroker::reconcile(Millis now, const SlotReport &report)
+{
+    const auto isOver = [&report](const SlotKey &key) {
+        return key.incarnation < report.next.incarnation || !report.held.contains(key.number);
+    };
+    // Keys are ordered by process, life and number.
+    const SlotKey first {report.next.member, {}, 0};
+    for (auto it = m_leases.lower_bound(first); it != m_leases.end() && it->first < report.next;) {
+        const auto current = it++;
+        if (isOver(current->first))
+            removeLease(current);
+    }
+    for (auto it = m_waiting.lower_bound(first);
+         it != m_waiting.end() && it->first < report.next;) {
+        const auto current = it++;
+        if (isOver(current->first))
+            removeWaiting(current);
     }
-    m_leases.erase(lease);
+    std::vector<SlotAnswer> answers;
     serveWaiting(now, answers);
     return answers;
 }
@@ -189,14 +254,9 @@
 std::vector<SlotAnswer> SlotBroker::expire(Millis now)
 {
     for (auto it = m_leases.begin(); it != m_leases.end();) {
-        if (it->second.expiresAt > now) {
-            ++it;
-            continue;
-        }
-        const auto endpoint = m_endpoints.find(it->second.endpoint);
-        if (endpoint != m_endpoints.end())
-            endpoint->second.used -= std::min<std::uint32_t>(1, endpoint->second.used);
-        it = m_leases.erase(it);
+        const auto current = it++;
+        if (current->second.expiresAt <= now)
+            removeLease(current);
     }
     m_health.purge(now);
     // An endpoint that was slow is tried again.
@@ -238,6 +298,14 @@
     m_waiting.erase(it);
 }
 
+void SlotBroker::removeLease(std::map<SlotKey, Lease>::iterator it)
+{
+    const auto endpoint = m_endpoints.find(it->second.endpoint);
+    if (endpoint != m_endpoints.end())
+        endpoint->second.used -= std::min<std::uint32_t>(1, endpoint->second.used);
+    m_leases.erase(it);
+}
+
 void SlotBroker::refuseLate(Millis now, std::vector<SlotAnswer> &answers)
 {
     const Millis mean {static_cast<std::int64_t>(meanMillis())};
@@ -254,26 +322,44 @@
     }
 }
 
+bool SlotBroker::serveAccount(Millis now, FairQueue &queue, const AccountName &account,
+                              std::vector<SlotAnswer> &answers)
+{
+    for (const RequestId id : queue.queued(account)) {
+        const auto it = m_waiting.find(m_keys[id]);
+        Endpoint *endpoint = choose(now, it->second);
+        if (endpoint == nullptr)
+            continue;
+        const Waiting served = it->second;
+        queue.pop(account, id);
+        queue.charge(account, 1);
+        queue.runningEnded(account);
+        m_keys.erase(id);
+        m_waiting.erase(it);
+        answers.push_back(grant(now, served.ask, served.deadline, *endpoint));
+        return true;
+    }
+    return false;
+}
+
 void SlotBroker::serveWaiting(Millis now, std::vector<SlotAnswer> &answers)
 {
     refuseLate(now, answers);
+    const auto isAnyFree = [this] {
+        return std::any_of(m_endpoints.begin(), m_endpoints.end(),
+                           [](const std::pair<const EndpointName, Endpoint> &entry) {
+                               return isFree(entry.second);
+                           });
+    };
     for (std::pair<const int, FairQueue> &entry : m_queues) {
         FairQueue &queue = entry.second;
-        while (!queue.empty()) {
-            const AccountName account = queue.order().front();
-            const RequestId id = queue.front(account).value_or(RequestId {});
-            const auto it = m_waiting.find(m_keys[id]);
-            const SlotAsk ask = it->second.ask;
-            const Millis deadline = it->second.deadline;
-            Endpoint *endpoint = choose(now, ask);
-            if (endpoint == nullptr)
-                return;
-            queue.popFront(account);
-            queue.charge(account, 1);
-            queue.runningEnded(account);
-            m_keys.erase(id);
-            m_waiting.erase(it);
-            answers.push_back(grant(now, ask, deadline, *endpoint));
+        bool isServed = true;
+        while (isServed && isAnyFree()) {
+            const std::vector<AccountName> accounts = queue.order();
+            isServed =
+                std::any_of(accounts.begin(), accounts.end(), [&](const AccountName &account) {
+                    return serveAccount(now, queue, account, answers);
+                });
         }
     }
 }
--- a/src/serving/slotdesk.cpp
+++ b/src/serving/slotdesk.cpp
@@ -15,8 +15,10 @@
 constexpr int maxUnanswered = 2;
 // Brokers that are tried for one request.
 constexpr int maxBrokers = 2;
-// A member that did not answer is not asked for this time.
-constexpr Millis silentTime = 1_s;
+// Requests in one report, which has to fit into a datagram.
+constexpr std::size_t maxReported = 256;
+// Reports that tell a broker that this process no longer holds anything.
+constexpr int lastReports = 3;
 // While a request waits, it asks again at this interval, since its answer may have been lost.
 constexpr Millis repeatInterval = 60_ms;
 // Time before its caller's deadline at which a request no longer waits, so that the caller gets the
@@ -65,9 +67,8 @@
     std::uint64_t best = 0;
     for (const MemberView &member : m_state->members.members(now)) {
         const MemberName &name = member.info.name;
-        const auto silent = m_silent.find(name);
-        const bool isSilent = silent != m_silent.end() && silent->second > now;
-        if (member.state != MemberState::Live || member.info.leaving || isSilent)
+        const bool isAsked = member.state == MemberState::Live && !m_silent.isPaused(now, name);
+        if (!isAsked || member.info.leaving)
             continue;
         const std::uint64_t score = rendezvousScore(service.text(), name.text());
         if (!first || score > best) {
@@ -110,6 +111,24 @@
         static_cast<void>(m_send(to, encodeSlotMessage(message)));
 }
 
+SlotKey SlotDesk::keyOf(std::uint64_t number) const
+{
+    return {m_state->settings.name, m_incarnation, number};
+}
+
+bool SlotDesk::isFromMember(const SlotMessage &message) const
+{
+    SlotKey key;
+    if (const SlotAsk *ask = std::get_if<SlotAsk>(&message.content))
+        key = ask->key;
+    else if (const SlotReturn *returned = std::get_if<SlotReturn>(&message.content))
+        key = returned->key;
+    else if (const SlotReport *report = std::get_if<SlotReport>(&message.content))
+        key = report->next;
+    return key.member == m_state->settings.name
+        || m_state->members.mayLive(ServingState::now(), key.member, key.incarnation);
+}
+
 void SlotDesk::serve(const SlotMessage &message)
 {
     const Millis now = ServingState::now();
@@ -117,6 +136,10 @@
         receive(*answer);
         return;
     }
+    if (!isFromMember(message)) {
+        m_state->metrics.counter("fescue_slot_messages_from_unknown_total").Increment();
+        return;
+    }
     // A process that knows no endpoints cannot tell that none has room.
     if (m_state->candidates(message.service).empty())
         return;
@@ -124,6 +147,8 @@
     std::vector<SlotAnswer> answers;
     if (const SlotAsk *ask = std::get_if<SlotAsk>(&message.content)) {
         answers = entry.broker.ask(now, *ask);
+    } else if (const SlotReport *report = std::get_if<SlotReport>(&message.content)) {
+        answers = entry.broker.reconcile(now, *report);
     } else {
         const SlotReturn &returned = std::get<SlotReturn>(message.content);
         entry.rejected += returned.use == SlotUse::Rejected ? 1 : 0;
@@ -150,8 +175,9 @@
 void SlotDesk::receive(const SlotAnswer &answer)
 {
     const auto it = m_pending.find(answer.key.number);
-    // A request that has gone on without the slot has told the broker so.
-    if (it == m_pending.end())
+    // A request that has gone on without the slot has told the broker so. An earlier life of this
+    // process has used the same numbers.
+    if (it == m_pending.end() || answer.key != keyOf(answer.key.number))
         return;
     it->second->answer = answer;
     it->second->changed = true;
@@ -176,7 +202,6 @@
     SlotGrant grant;
     if (!isShared(wish.service))
         return grant;
-    const MemberName &self = m_state->settings.name;
     const Millis until = wish.deadline - refusalMargin;
     if (ServingState::now() >= until)
         return grant;
@@ -188,16 +213,13 @@
         grant.number = m_nextNumber++;
         Pending pending;
         m_pending[grant.number] = &pending;
+        m_holdings[{wish.service, *broker}].numbers.insert(grant.number);
         int unanswered = 0;
         while (unanswered < maxUnanswered && !net::stopRequested()) {
             const Millis now = ServingState::now();
-            const SlotAsk ask {{self, grant.number},
-                               m_state->settings.zone,
-                               wish.account,
-                               wish.priority,
-                               wish.deadline - now,
-                               wish.target,
-                               wish.tried};
+            const SlotAsk ask {keyOf(grant.number), m_state->settings.zone, wish.account,
+                               wish.priority,       wish.deadline - now,    wish.target,
+                               wish.tried,          wish.excluded};
             pass(*broker, {wish.service, ask});
             if (!waitForAnswer(pending, std::min(now + answerTime, until))) {
                 if (ServingState::now() >= until) {
@@ -208,6 +230,7 @@
                 continue;
             }
             unanswered = 0;
+            m_silent.recordAnswer(*broker);
             if (pending.answer->verdict == SlotVerdict::Waiting)
                 static_cast<void>(waitForAnswer(pending, std::min(now + repeatInterval, until)));
             if (pending.answer->verdict == SlotVerdict::Granted)
@@ -229,18 +252,20 @@
             return grant;
         }
         // Also for answers that were lost or come late.
-        pass(*broker,
-             {wish.service, SlotReturn {{self, grant.number}, SlotUse::Unused, Millis {0}}});
+        giveBack(wish.service, *broker, {keyOf(grant.number), SlotUse::Unused, Millis {0}});
         if (net::stopRequested())
             return grant;
         if (grant.outcome != SlotOutcome::Unshared) {
             count(grant.outcome == SlotOutcome::Refused ? "refused" : "caller-gone");
             return grant;
         }
-        m_silent[*broker] = ServingState::now() + silentTime;
+        const Millis pause =
+            m_silent.recordSilence(ServingState::now(), *broker, m_state->uniform());
         m_brokers.erase(wish.service);
         observe::logChange("slot-broker-silent",
-                           {{"service", wish.service.text()}, {"member", broker->text()}});
+                           {{"service", wish.service.text()},
+                            {"member", broker->text()},
+                            {"pause_ms", pause.count}});
     }
     count("unanswered");
     return grant;
@@ -251,13 +276,40 @@
     if (grant.outcome != SlotOutcome::Granted)
         return;
     const Millis took = ServingState::now() - grant.grantedAt;
-    const SlotMessage message {service,
-                               SlotReturn {{m_state->settings.name, grant.number}, use, took}};
-    pass(grant.broker, message);
-    // A lost return would keep the slot until the request's deadline; the second one changes
-    // nothing.
-    if (grant.broker != m_state->settings.name)
-        pass(grant.broker, message);
+    giveBack(service, grant.broker, {keyOf(grant.number), use, took});
+}
+
+void SlotDesk::giveBack(const ServiceName &service, const MemberName &broker,
+                        const SlotReturn &returned)
+{
+    Holding &holding = m_holdings[{service, broker}];
+    holding.numbers.erase(returned.key.number);
+    holding.reportsLeft = lastReports;
+    pass(broker, {service, returned});
+    // A lost return would keep the slot until the next report; the second one changes nothing.
+    if (returned.use != SlotUse::Unused && broker != m_state->settings.name)
+        pass(broker, {service, returned});
+}
+
+void SlotDesk::reportHoldings()
+{
+    for (auto it = m_holdings.begin(); it != m_holdings.end();) {
+        const auto current = it++;
+        const std::set<std::uint64_t> &numbers = current->second.numbers;
+        const MemberName &broker = current->first.second;
+        const bool isOver = numbers.empty() && current->second.reportsLeft-- <= 0;
+        if (isOver || broker == m_state->settings.name) {
+            if (numbers.empty())
+                m_holdings.erase(current);
+            continue;
+        }
+        SlotReport report {keyOf(m_nextNumber), numbers};
+        if (numbers.size() > maxReported) {
+            const auto first = std::next(numbers.begin(), maxReported);
+            report = {keyOf(*first), {numbers.begin(), first}};
+        }
+        pass(broker, {current->first.first, report});
+    }
 }
 
 bool SlotDesk::handle(std::string_view bytes)
@@ -271,9 +323,8 @@
 
 void SlotDesk::tick(Millis now)
 {
-    std::erase_if(m_silent, [now](const std::pair<const MemberName, Millis> &entry) {
-        return entry.second <= now;
-    });
+    m_silent.purge(now);
+    reportHoldings();
     for (std::pair<const ServiceName, Brokered> &item : m_brokered) {
         Brokered &entry = brokered(item.first);
         deliver(item.first, entry.broker.expire(now));
--- a/tests/policy/fairqueue_test.cpp
+++ b/tests/policy/fairqueue_test.cpp
@@ -22,6 +22,18 @@
     EXPECT_EQ(queue.front(small), RequestId {2});
 }
 
+TEST(FairQueue, RequestFromTheMiddleIsTakenOut)
+{
+    FairQueue queue;
+    for (std::uint64_t i = 1; i <= 3; ++i)
+        queue.push(small, RequestId {i});
+    queue.pop(small, RequestId {2});
+    queue.pop(small, RequestId {7});
+    EXPECT_EQ(queue.queued(small), (std::vector {RequestId {1}, RequestId {3}}));
+    EXPECT_EQ(queue.size(), 2U);
+    EXPECT_TRUE(queue.queued(large).empty());
+}
+
 TEST(FairQueue, IdleAccountDoesNotSaveUp)
 {
     FairQueue queue;
--- a/tests/serving/exchange_test.cpp
+++ b/tests/serving/exchange_test.cpp
@@ -270,6 +270,48 @@
     EXPECT_EQ(calls, 2);
 }
 
+// The slots of the service are shared out: what the broker is told of the endpoints.
+TEST_F(Exchange, SlotIsNotAskedForAtAnEndpointThatMayHaveRunTheRequest)
+{
+    std::vector<SlotWish> wishes;
+    state.acquireSlot = [&wishes](const SlotWish &wish) {
+        wishes.push_back(wish);
+        return SlotGrant {};
+    };
+    std::atomic<int> calls {0};
+    for (const char *name : {"e1", "e2"}) {
+        addEndpoint(name, [&calls](const net::HttpRequest &, net::ResponseWriter &writer) {
+            if (calls++ == 0)
+                writer.abort();
+            else
+                static_cast<void>(writer.send(answer(200, "id-1")));
+        });
+    }
+    ASSERT_TRUE(call("/many/x"));
+    ASSERT_EQ(wishes.size(), 2U);
+    EXPECT_TRUE(wishes.front().excluded.empty());
+    EXPECT_EQ(wishes.back().excluded.size(), 1U);
+    EXPECT_EQ(wishes.back().tried, wishes.back().excluded);
+}
+
+TEST_F(Exchange, SlotIsNotAskedForAtAColdEndpointWithoutAShare)
+{
+    std::vector<SlotWish> wishes;
+    state.acquireSlot = [&wishes](const SlotWish &wish) {
+        wishes.push_back(wish);
+        return SlotGrant {};
+    };
+    addEndpoint("warm", [](const net::HttpRequest &, net::ResponseWriter &writer) {
+        static_cast<void>(writer.send(answer(200, "id-1")));
+    });
+    EndpointRecord cold = recordAt("cold", engines.back().address());
+    cold.coldRemaining = 60_s;
+    onWorker([&] { state.endpoints.listed(ServingState::now(), cold); });
+    ASSERT_TRUE(call("/many/x"));
+    ASSERT_EQ(wishes.size(), 1U);
+    EXPECT_EQ(wishes.front().excluded, std::set<EndpointName> {EndpointName("cold")});
+}
+
 TEST_F(Exchange, ReadThatFailedIsRepeatedAtTheOnlyEndpoint)
 {
     std::atomic<int> calls {0};
--- a/tests/serving/slotbroker_test.cpp
+++ b/tests/serving/slotbroker_test.cpp
@@ -30,12 +30,13 @@
     SlotAsk makeAsk(std::uint64_t number, const char *account = "a", int priority = 2,
                     Millis patience = 800_ms) const
     {
-        return {{MemberName("entry-" + std::to_string(number % 67)), number},
+        return {{MemberName("entry-" + std::to_string(number % 67)), {1}, number},
                 ZoneName("north"),
                 AccountName(account),
                 priority,
                 patience,
                 1_s,
+                {},
                 {}};
     }
 
@@ -75,6 +76,27 @@
         return first;
     }
 
+    // Makes `other` an endpoint that has failed its last requests.
+    void makeOtherFail()
+    {
+        for (int n = 0; n < 30; ++n) {
+            SlotAsk ask = makeAsk(next);
+            ask.excluded = {desk};
+            static_cast<void>(broker.ask(now, ask));
+            static_cast<void>(giveBack(next++, SlotUse::Failed));
+        }
+    }
+
+    // Returns true if an endpoint has a free slot.
+    bool freeAt(const EndpointName &name)
+    {
+        SlotAsk ask = makeAsk(next);
+        ask.excluded = {name == desk ? other : desk};
+        const bool isFree = find(broker.ask(now, ask), next)->verdict == SlotVerdict::Granted;
+        static_cast<void>(giveBack(next++, SlotUse::Unused));
+        return isFree;
+    }
+
     SlotBroker broker;
     Millis now {1000};
     std::uint64_t next = 1;
@@ -258,6 +280,100 @@
     EXPECT_LT(slow, 300U);
 }
 
+// One endpoint fails most requests, and a crowd fills the other one.
+TEST_F(SlotBrokers, RequestThatWouldWaitTooLongTakesALessSuitableSlot)
+{
+    useEndpoints({endpoint(desk, 6), endpoint(other, 6)});
+    makeOtherFail();
+    SlotAsk ask = makeAsk(next, "a", 2, 5_s);
+    ask.target = 40_ms;
+    while (broker.waiting() < 12) {
+        SlotAsk before = makeAsk(next++, "a", 2, 5_s);
+        before.excluded = {other};
+        static_cast<void>(broker.ask(now, before));
+    }
+    ask.key = makeAsk(next).key;
+    const std::optional<SlotAnswer> answer = find(broker.ask(now, ask), next);
+    ASSERT_TRUE(answer);
+    EXPECT_EQ(answer->verdict, SlotVerdict::Granted);
+    EXPECT_EQ(answer->endpoint, other);
+}
+
+// The same crowd; the first of those that wait must not use the endpoint with free slots.
+TEST_F(SlotBrokers, RequestThatWaitsForOneEndpointDoesNotBlockTheSlotsOfOthers)
+{
+    useEndpoints({endpoint(desk, 6), endpoint(other, 6)});
+    for (; freeAt(desk); ++next) {
+        SlotAsk ask = makeAsk(next);
+        ask.excluded = {other};
+        static_cast<void>(broker.ask(now, ask));
+    }
+    SlotAsk first = makeAsk(next++, "a", 0);
+    first.excluded = {other};
+    EXPECT_EQ(find(broker.ask(now, first), first.key.number)->verdict, SlotVerdict::Waiting);
+    const SlotAsk second = makeAsk(next++, "a", 0);
+    const std::optional<SlotAnswer> answer = find(broker.ask(now, second), second.key.number);
+    EXPECT_EQ(answer->verdict, SlotVerdict::Granted);
+    EXPECT_EQ(answer->endpoint, other);
+}
+
+// A request that may have run must not go to the same endpoint again, and a cold endpoint gets no
+// more than each process' share.
+TEST_F(SlotBrokers, ExcludedEndpointIsNeverGranted)
+{
+    useEndpoints({endpoint(desk, 6), endpoint(other, 6)});
+    SlotAsk ask = makeAsk(1);
+    ask.excluded = {desk};
+    EXPECT_EQ(find(broker.ask(now, ask), 1)->endpoint, other);
+    ask = makeAsk(2);
+    ask.excluded = {desk, other};
+    EXPECT_EQ(find(broker.ask(now, ask), 2)->verdict, SlotVerdict::Refused);
+}
+
+// All datagrams with which a process returns its slots are lost.
+TEST_F(SlotBrokers, SlotsThatTheirProcessNoLongerHoldsAreFreeWithItsReport)
+{
+    useEndpoints({endpoint(desk, 6)});
+    const MemberName holder("entry");
+    for (std::uint64_t n = 1; n <= 6; ++n) {
+        SlotAsk ask = makeAsk(n);
+        ask.key = {holder, {n <= 2 ? 1U : 2U}, n};
+        static_cast<void>(broker.ask(now, ask));
+    }
+    const std::uint64_t waits = fill(1);
+    const std::size_t before = broker.granted();
+    // Life 1 is over; 3 was returned, 4 is held, 5 and 6 were asked for after the report.
+    const std::vector<SlotAnswer> answers = broker.reconcile(now, {{holder, {2}, 5}, {4}});
+    EXPECT_EQ(find(answers, waits)->verdict, SlotVerdict::Granted);
+    EXPECT_EQ(broker.granted(), before - 3 + 1);
+    EXPECT_TRUE(broker.reconcile(now, {{holder, {2}, 5}, {4}}).empty());
+    EXPECT_EQ(broker.granted(), before - 3 + 1);
+}
+
+TEST_F(SlotBrokers, RequestsThatTheirProcessHasGivenUpNoLongerWait)
+{
+    useEndpoints({endpoint(desk, 6)});
+    fill(1);
+    SlotAsk ask = makeAsk(1000);
+    EXPECT_EQ(find(broker.ask(now, ask), 1000)->verdict, SlotVerdict::Waiting);
+    SlotKey after = ask.key;
+    after.number = 1001;
+    static_cast<void>(broker.reconcile(now, {after, {}}));
+    EXPECT_EQ(broker.waiting(), 1U);
+}
+
+// A process sends without end, with deadlines far away.
+TEST_F(SlotBrokers, NumberOfWaitingRequestsIsBounded)
+{
+    useEndpoints({endpoint(desk, 6)});
+    for (std::uint64_t n = 1; n <= 6000; ++n) {
+        SlotAsk ask = makeAsk(n, "a", 2, 86'400_s);
+        ask.target = 86'400_s;
+        static_cast<void>(broker.ask(now, ask));
+    }
+    EXPECT_LE(broker.waiting(), 4096U);
+}
+
 // Endpoints that go and come back keep nothing of what was lost with them.
 TEST_F(SlotBrokers, WaitingRequestsGoToAnEndpointThatIsAdded)
 {
--- a/tests/serving/slotdesk_test.cpp
+++ b/tests/serving/slotdesk_test.cpp
@@ -20,7 +20,7 @@
     {
         explicit Process(SlotDesks &test, const char *name)
             : state(makeSettings(name), test.pool, metrics),
-              desk(state, [&test](const MemberName &to, const std::string &bytes) {
+              desk(state, {2}, [&test](const MemberName &to, const std::string &bytes) {
                   return test.send(to, bytes);
               })
         { }
@@ -68,7 +68,7 @@
     {
         MemberInfo info;
         info.name = name;
-        info.incarnation = {1};
+        info.incarnation = {2};
         info.zone = ZoneName("north");
         info.peerAddress = "127.0.0.1:1";
         state.members.heartbeat(ServingState::now(), info);
@@ -87,6 +87,7 @@
     bool send(const MemberName &to, const std::string &bytes)
     {
         ++sent;
+        atSend();
         if (dropped > 0) {
             --dropped;
             return true;
@@ -105,7 +106,7 @@
         onWorker([&] {
             const Millis deadline = ServingState::now() + patience;
             grant = processes.at(process)->desk.acquire(
-                {service, AccountName("a"), 2, deadline, 100_ms, {}, [] { return false; }});
+                {service, AccountName("a"), 2, deadline, 100_ms, {}, {}, [] { return false; }});
         });
         return grant;
     }
@@ -119,6 +120,8 @@
     std::vector<std::unique_ptr<Process>> processes;
     int sent = 0;
     int dropped = 0;
+    // Called at each datagram, on the worker.
+    std::function<void()> atSend = [] {};
 };
 
 TEST_F(SlotDesks, AllProcessesAskTheSameBroker)
@@ -190,13 +193,65 @@
     EXPECT_EQ(acquire(0).outcome, SlotOutcome::Granted);
 }
 
+// Both datagrams of each return are lost on the way to the broker.
+TEST_F(SlotDesks, SlotsWhoseReturnsAreLostAreFreeAfterTheNextReport)
+{
+    const std::size_t other = asker();
+    // The slot of asker() is held as well, by either process.
+    std::vector<SlotGrant> grants;
+    for (int n = 0; n < 2; ++n)
+        grants.push_back(acquire(other));
+    ASSERT_EQ(grants.back().outcome, SlotOutcome::Granted);
+    dropped = 1000;
+    onWorker([&] {
+        for (const SlotGrant &grant : grants)
+            processes.at(other)->desk.giveBack(service, grant, SlotUse::Served);
+    });
+    dropped = 0;
+    EXPECT_EQ(acquire(1 - other, 300_ms).outcome, SlotOutcome::Refused);
+    onWorker([&] { processes.at(other)->desk.tick(ServingState::now()); });
+    EXPECT_EQ(acquire(1 - other, 300_ms).outcome, SlotOutcome::Granted);
+}
+
+// A process has been restarted, and an answer to its former life arrives late.
+TEST_F(SlotDesks, AnswerToAnEarlierLifeIsNotTaken)
+{
+    const std::size_t other = asker();
+    Process &process = *processes.at(other);
+    dropped = 1000;
+    atSend = [&process] {
+        for (std::uint64_t number = 0; number < 10; ++number) {
+            const SlotAnswer late {{process.state.settings.name, {1}, number},
+                                   SlotVerdict::Granted,
+                                   EndpointName("elsewhere")};
+            EXPECT_TRUE(process.desk.handle(encodeSlotMessage({service, late})));
+        }
+    };
+    EXPECT_EQ(acquire(other).endpoint, EndpointName("e1"));
+}
+
+TEST_F(SlotDesks, UnknownProcessGetsNoSlot)
+{
+    const std::size_t broker = 1 - asker();
+    const SlotAsk unknown {
+        {MemberName("x"), {1}, 1}, ZoneName("north"), AccountName("a"), 0, 5_s, 1_s, {}, {}};
+    SlotAsk formerLife = unknown;
+    formerLife.key = {processes.at(1 - broker)->state.settings.name, {1}, 1};
+    const int before = sent;
+    onWorker([&] {
+        for (const SlotAsk &ask : {unknown, formerLife})
+            EXPECT_TRUE(processes.at(broker)->desk.handle(encodeSlotMessage({service, ask})));
+    });
+    EXPECT_EQ(sent, before);
+}
+
 TEST_F(SlotDesks, CallerThatLeavesNoLongerWaits)
 {
     while (acquire(0, 300_ms).outcome == SlotOutcome::Granted) { }
     SlotGrant grant;
     onWorker([&] {
         grant = processes.at(0)->desk.acquire(
-            {service, AccountName("a"), 2, ServingState::now() + 10_s, 10_s, {}, [] {
+            {service, AccountName("a"), 2, ServingState::now() + 10_s, 10_s, {}, {}, [] {
                  return true;
              }});
     });
