Tests of what the kernel holds for clients, in 48 MB

256 clients at the route of reads and at the address of readiness, with the memory lowered to 48 MB. Counted are resident memory, bytes that the process has not read, and bytes that it has sent and nobody took.

--- a/tests/clients/clients_test.cpp
+++ b/tests/clients/clients_test.cpp
@@ -17,6 +17,9 @@
 constexpr std::size_t megabyte = std::size_t {1024} * 1024;
 // The smallest VM of the deployments.
 constexpr std::size_t memoryMegabytes = 88;
+// Lower than any VM has, so that a small crowd shows what the kernel holds for it.
+constexpr std::size_t lowMemoryMegabytes = 48;
+constexpr std::size_t kernelClients = 256;
 constexpr std::size_t maxDescriptors = 600;
 // Of the descriptors the platform reserves 200 for files; sockets and pipes share the others.
 constexpr std::size_t maxConnections = maxDescriptors - 200;
@@ -60,9 +63,10 @@
 class CrowdedSystem
 {
 public:
-    explicit CrowdedSystem(std::string_view name)
-        : m_system("clients-" + std::string(name), 1,
-                   {.memoryMegabytes = memoryMegabytes, .maxDescriptors = maxDescriptors})
+    explicit CrowdedSystem(std::string_view name, std::size_t megabytes = memoryMegabytes)
+        : m_limit(megabytes * megabyte),
+          m_system("clients-" + std::string(name), 1,
+                   {.memoryMegabytes = megabytes, .maxDescriptors = maxDescriptors})
     {
         m_system.setHeadTimeout(headTimeout);
         m_system.setReadAnswerBytes(largeAnswerBytes);
@@ -81,11 +85,20 @@
         const ProcessUse most = m_meter->most();
         std::cout << what << ": resident at most " << peak / megabyte << " MB, with unread bytes "
                   << most.bytes / megabyte << " MB, " << most.connections << " connections\n";
-        EXPECT_LT(peak, memoryMegabytes * megabyte) << what;
-        EXPECT_LT(most.bytes, memoryMegabytes * megabyte) << what;
+        EXPECT_LT(peak, m_limit) << what;
+        EXPECT_LT(most.bytes, m_limit) << what;
         EXPECT_LE(most.connections, maxConnections) << what;
     }
 
+    // The process stays within its limit also with the bytes that it has sent and nobody took.
+    void expectWithinLimitsWithUnsent(std::string_view what)
+    {
+        ASSERT_NO_FATAL_FAILURE(expectWithinLimits(what));
+        const std::uint64_t most = m_meter->most().bytesWithUnsent;
+        std::cout << what << ": with unsent bytes " << most / megabyte << " MB\n";
+        EXPECT_LT(most, m_limit) << what;
+    }
+
     // An ordinary request and the check of the readiness are answered.
     void expectOrdinaryServed(std::string_view what)
     {
@@ -102,6 +115,7 @@
     }
 
 private:
+    std::size_t m_limit;
     EdgeSystem m_system;
     std::optional<ProcessMeter> m_meter;
     std::size_t m_calls = 0;
@@ -125,6 +139,26 @@
     }
 }
 
+// Lets a crowd of one kind come to the addresses in turn, and counts what the kernel holds.
+void expectKernelBounded(std::string_view name, ClientKind kind, std::span<const Door> doors)
+{
+    CrowdedSystem crowded(name, lowMemoryMegabytes);
+    for (const Door door : doors) {
+        const std::string_view what = nameOf(door);
+        {
+            ClientCrowd crowd(targetsOf(crowded.process(), {kind}, {&door, 1}), kernelClients);
+            crowd.waitUntilSettled();
+            sleepThread(stayTime);
+        }
+        ASSERT_NO_FATAL_FAILURE(crowded.expectWithinLimitsWithUnsent(what));
+        crowded.expectOrdinaryServed(what);
+        if (testing::Test::HasFailure())
+            break;
+    }
+}
+
+constexpr std::array<Door, 2> kernelDoors {Door::Read, Door::Ready};
+
 constexpr std::initializer_list<ClientKind> mixedKinds {ClientKind::WholeBodies,
                                                         ClientKind::OneByteChunks,
                                                         ClientKind::BodiesThatStopShort,
@@ -317,6 +351,24 @@
     crowded.expectOrdinaryServed("outage");
 }
 
+// Guards against requests that the kernel holds while earlier ones are served, in small memory.
+TEST(Clients, KernelHoldsFewRequestsSentAhead)
+{
+    expectKernelBounded("kernel-ahead", ClientKind::RequestsSentAhead, kernelDoors);
+}
+
+// Guards against bodies that arrive faster than they are read.
+TEST(Clients, KernelHoldsFewBytesOfBodies)
+{
+    expectKernelBounded("kernel-bodies", ClientKind::BodiesThatStopShort, kernelDoors);
+}
+
+// Guards against answers that the kernel holds because nobody reads them.
+TEST(Clients, KernelHoldsFewBytesOfUnreadAnswers)
+{
+    expectKernelBounded("kernel-answers", ClientKind::UnreadAnswers, kernelDoors);
+}
+
 // Guards against tables that grow with each name in a datagram.
 TEST(Clients, Datagrams)
 {
--- a/tests/clients/processmeter.cpp
+++ b/tests/clients/processmeter.cpp
@@ -26,8 +26,15 @@
     return resident * static_cast<std::uint64_t>(sysconf(_SC_PAGESIZE));
 }
 
-// Adds up the receive queues of the connections at an IP number.
-std::uint64_t unreadBytes(const std::string &ip)
+// Bytes that the kernel holds for connections.
+struct QueuedBytes
+{
+    std::uint64_t unread = 0;
+    std::uint64_t unsent = 0;
+};
+
+// Adds up the queues of the connections at an IP number.
+QueuedBytes queuedBytes(const std::string &ip)
 {
     const std::uint32_t number = boost::asio::ip::make_address_v4(ip).to_uint();
     // The table has the number in the order of the network.
@@ -35,7 +42,7 @@
     std::snprintf(local.data(), local.size(), "%08X", __builtin_bswap32(number));
     constexpr std::string_view listening = "0A";
     std::ifstream file("/proc/net/tcp");
-    std::uint64_t bytes = 0;
+    QueuedBytes bytes;
     std::string line;
     std::getline(file, line);
     while (std::getline(file, line)) {
@@ -47,8 +54,10 @@
         std::string queues;
         fields >> slot >> address >> remote >> state >> queues;
         const std::size_t colon = queues.find(':');
-        if (address.starts_with(local.data()) && state != listening && colon != std::string::npos)
-            bytes += std::stoull(queues.substr(colon + 1), nullptr, 16);
+        if (!address.starts_with(local.data()) || state == listening || colon == std::string::npos)
+            continue;
+        bytes.unsent += std::stoull(queues.substr(0, colon), nullptr, 16);
+        bytes.unread += std::stoull(queues.substr(colon + 1), nullptr, 16);
     }
     return bytes;
 }
@@ -71,7 +80,9 @@
 ProcessUse useOf(pid_t pid, const std::string &ip)
 {
     const std::string folder = "/proc/" + std::to_string(pid);
-    return {residentBytes(folder) + unreadBytes(ip), openConnections(folder)};
+    const QueuedBytes queued = queuedBytes(ip);
+    const std::uint64_t bytes = residentBytes(folder) + queued.unread;
+    return {bytes, bytes + queued.unsent, openConnections(folder)};
 }
 
 ProcessMeter::ProcessMeter(pid_t pid, std::string ip)
@@ -89,6 +100,7 @@
     while (!m_stopping) {
         const ProcessUse use = useOf(pid, ip);
         m_bytes = std::max<std::uint64_t>(m_bytes, use.bytes);
+        m_bytesWithUnsent = std::max<std::uint64_t>(m_bytesWithUnsent, use.bytesWithUnsent);
         m_connections = std::max<std::size_t>(m_connections, use.connections);
         std::this_thread::sleep_for(meterInterval);
     }
