Bound what the kernel holds for clients where memory is small

Cause: the kernel chose the size of the buffers, about 128 KB a connection for what arrives and megabytes for answers, beside a budget for bodies of half of the memory and as many connections as descriptors allow.

Change: clientBuffers divides what the budget leaves: receive buffers of 8 to 64 KB at the front and 2 KB at the other addresses, set on the listeners, fewer connections of callers, a queue of 512 new connections, and 64 KB of unsent bytes a connection. A large body gets a wider buffer, paid for from the budget as long as the connection lasts. Where memory is large nothing changes.

Ruled out: large buffers that shrink after a connection was accepted (the queue of those that nobody has accepted holds 64 KB each), a short queue (new callers wait for a second), small send buffers (they limit long paths).

--- a/include/fescue/net/httpserver.h
+++ b/include/fescue/net/httpserver.h
@@ -31,6 +31,12 @@
     // Memory for the bodies of requests, from their arrival until they have been answered; shared
     // with other uses. No limit if null.
     std::shared_ptr<ByteBudget> bodyBudget;
+    // Size of the kernel's receive buffer of each connection; the kernel's own choice if 0. A large
+    // body gets a larger one, paid for from the budget. Read when the server starts.
+    std::size_t receiveBufferBytes = 0;
+    // Connections that may wait to be accepted; the kernel's limit if 0. Read when the server
+    // starts.
+    int backlog = 0;
 };
 
 // Writes the answer to one request. Used by fibers of the connection's worker only.
--- a/include/fescue/serving/edgedaemon.inl
+++ b/include/fescue/serving/edgedaemon.inl
@@ -247,6 +247,8 @@
     m_metrics.gauge("fescue_bodies_refused").Set(static_cast<double>(bodies.refusals()));
     m_metrics.gauge("fescue_caller_connections")
         .Set(static_cast<double>(m_front->openConnections()));
+    m_metrics.gauge("fescue_caller_connections_limit")
+        .Set(static_cast<double>(m_state.clientBuffers.callers));
     m_metrics.gauge("fescue_caller_connections_refused")
         .Set(static_cast<double>(refusedConnections()));
     m_metrics.gauge("fescue_connections_displaced")
@@ -290,6 +292,9 @@
     server.maxProcessSockets = m_state.socketLimits.all;
     server.bodyBudget = m_state.bodyBudget;
     server.maxBodyBytes = maxSideBodyBytes;
+    const ClientBuffers &buffers = m_state.clientBuffers;
+    server.receiveBufferBytes = buffers.sideBytes;
+    server.backlog = buffers.backlog;
     return server;
 }
 
@@ -309,7 +314,10 @@
 net::ServerLimits EdgeDaemon<P>::frontLimits(const CallerLimits &limits) const
 {
     net::ServerLimits server;
-    server.maxConnections = callerConnections(m_state.settings.maxDescriptors, openFileLimit());
+    const ClientBuffers &buffers = m_state.clientBuffers;
+    server.maxConnections = buffers.callers;
+    server.receiveBufferBytes = buffers.frontBytes;
+    server.backlog = buffers.backlog;
     server.maxProcessSockets = m_state.socketLimits.callers;
     server.bodyBudget = m_state.bodyBudget;
     server.maxHeadBytes = limits.maxHeadBytes;
--- a/include/fescue/serving/servingstate.h
+++ b/include/fescue/serving/servingstate.h
@@ -9,6 +9,7 @@
 #include "fescue/serving/accountuse.h"
 #include "fescue/serving/cachedprefixes.h"
 #include "fescue/serving/callerrequest.h"
+#include "fescue/serving/clientbuffers.h"
 #include "fescue/serving/coldratelimiter.h"
 #include "fescue/serving/coldshares.h"
 #include "fescue/serving/descriptorshare.h"
@@ -170,6 +171,7 @@
     // are forwarded.
     std::shared_ptr<net::ByteBudget> bodyBudget;
     const SocketLimits socketLimits;
+    const ClientBuffers clientBuffers;
     ColdRateLimiter coldRateLimiter;
     ColdShares coldShares;
     LinkQueue links;
--- a/src/net/httpserver.cpp
+++ b/src/net/httpserver.cpp
@@ -7,7 +7,9 @@
 
 #include <algorithm>
 #include <atomic>
+#include <cerrno>
 #include <cstdio>
+#include <cstring>
 #include <mutex>
 #include <optional>
 #include <vector>
@@ -15,6 +17,10 @@
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/post.hpp>
 
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+
 namespace fescue::net {
 
 namespace asio = boost::asio;
@@ -33,6 +39,9 @@
 // Beyond their limit, connections are accepted only to be refused: at most the limit divided by
 // this at a time. The others wait in the kernel's queue.
 constexpr std::size_t refusingDivisor = 8;
+// Bytes of answers that the kernel holds for a connection and has not sent yet. What is on its way
+// is not counted, so that answers use the whole bandwidth of a long path.
+constexpr int maxUnsentBytes = 64 * 1024;
 
 } // namespace
 
@@ -50,6 +59,9 @@
     void acceptAll();
     // Hands over the connections that the kernel has set up already, and closes the listener.
     void closeAcceptor();
+    // Bounds what the kernel holds for each connection. The connections take over what the listener
+    // has. A kernel that has no such options goes on with its own choice.
+    void limitBuffers(const ServerLimits &now);
     void dispatch(tcp::socket socket, std::size_t worker);
     // Closes the connections of the current worker on which no request has begun.
     void closeIdle();
@@ -117,13 +129,17 @@
     if (ec)
         return fail(ResultCode::SettingsInvalid, "\"" + listen.ip + "\" is not an IP number");
     const tcp::endpoint local(ip, listen.port);
+    const ServerLimits now = limitsNow();
     acceptor.open(local.protocol(), ec);
+    if (!ec)
+        limitBuffers(now);
     if (!ec)
         acceptor.set_option(tcp::acceptor::reuse_address(true), ec);
     if (!ec)
         acceptor.bind(local, ec);
     if (!ec)
-        acceptor.listen(asio::socket_base::max_listen_connections, ec);
+        acceptor.listen(now.backlog > 0 ? now.backlog : asio::socket_base::max_listen_connections,
+                        ec);
     if (ec) {
         boost::system::error_code ignored;
         acceptor.close(ignored);
@@ -135,6 +151,22 @@
     return {};
 }
 
+void HttpServer::Shared::limitBuffers(const ServerLimits &now)
+{
+    if (now.receiveBufferBytes == 0)
+        return;
+    boost::system::error_code ec;
+    acceptor.set_option(
+        asio::socket_base::receive_buffer_size(static_cast<int>(now.receiveBufferBytes)), ec);
+    const bool unsentLimited =
+        ::setsockopt(acceptor.native_handle(), IPPROTO_TCP, TCP_NOTSENT_LOWAT, &maxUnsentBytes,
+                     sizeof(maxUnsentBytes))
+        == 0;
+    if (ec || !unsentLimited)
+        std::fprintf(stderr, "the kernel's buffers at %s cannot be limited: %s\n",
+                     listen.toString().c_str(), ec ? ec.message().c_str() : std::strerror(errno));
+}
+
 void HttpServer::Shared::acceptAll()
 {
     std::size_t worker = 0;
--- a/src/net/serverconnection.cpp
+++ b/src/net/serverconnection.cpp
@@ -29,6 +29,12 @@
 constexpr std::size_t fieldBytes = 400;
 // A head's bytes are held this many times, as parts of it are kept in a decoded form.
 constexpr std::size_t headCopies = 8;
+// Size of the receive buffer while a large body arrives, and what it may hold.
+constexpr std::size_t wideBufferBytes = 64ULL * 1024;
+constexpr std::size_t wideBufferMemory = wideBufferBytes * 2;
+// A connection with a wide buffer ends after its answer where more than the budget divided by this
+// is in use.
+constexpr std::size_t calmDivisor = 4;
 // How long a peer may go on sending before its connection is closed, and how much besides a body.
 constexpr Millis closingDrainTime = 500_ms;
 constexpr std::size_t drainBytes = 1024ULL * 1024;
@@ -180,6 +186,7 @@
         }
         if (parser.is_done())
             return true;
+        widenWindow();
         if (parser.is_header_done() && !continued && !m_partialRefusal) {
             confirmContinue();
             continued = true;
@@ -230,6 +237,22 @@
     return m_memory->reserveUpTo(buffered + m_headMemory + body);
 }
 
+void ServerConnection::widenWindow()
+{
+    const std::size_t buffer = m_limits.receiveBufferBytes;
+    if (m_windowMemory || buffer == 0 || buffer >= wideBufferBytes || !m_limits.bodyBudget
+        || !m_parser->is_header_done())
+        return;
+    const std::size_t announced = m_parser->content_length().value_or(0);
+    if (std::max(announced, m_parser->get().body().size()) <= ByteBudget::smallBytes)
+        return;
+    m_windowMemory.emplace(*m_limits.bodyBudget, ByteUse::Request);
+    if (m_windowMemory->reserve(wideBufferMemory))
+        m_socket.setReceiveBuffer(wideBufferBytes);
+    else
+        m_windowMemory.reset();
+}
+
 bool ServerConnection::readMore(Millis deadline)
 {
     const std::size_t n = m_buffer.size() > readBytes ? bodyReadBytes : readBytes;
@@ -303,7 +326,10 @@
 bool ServerConnection::decideKeepAlive() noexcept
 {
     // A request that has come with this one gets its answer before the connection ends.
-    m_keepAlive = m_keepAlive && (!m_state->lastAnswers || m_buffer.size() > 0);
+    const ByteBudget *budget = m_limits.bodyBudget.get();
+    const bool isWide = m_windowMemory && budget->used() > budget->limit() / calmDivisor;
+    const bool isLast = m_state->lastAnswers || isWide;
+    m_keepAlive = m_keepAlive && (!isLast || m_buffer.size() > 0);
     return m_keepAlive;
 }
 
--- a/src/net/serverconnection.h
+++ b/src/net/serverconnection.h
@@ -81,6 +81,8 @@
     void takeRequest(HttpRequest &request);
     // Reserves the memory of what has arrived of a request, and of a body by its announced length.
     [[nodiscard]] bool reserveRequest();
+    // Lets the peer send more of a large body ahead, if there is memory for it.
+    void widenWindow();
     [[nodiscard]] bool readMore(Millis deadline);
     // Decides with the head of an answer whether the connection goes on, so that a peer that was
     // told so is never cut off with its next request.
@@ -101,6 +103,9 @@
     // Memory that its head takes, once that is whole.
     std::size_t m_headMemory = 0;
     std::optional<ByteReservation> m_memory;
+    // Memory of a widened window. A window cannot be taken back, so this lasts as long as the
+    // connection.
+    std::optional<ByteReservation> m_windowMemory;
     Millis m_connectedAt = steadyNow();
     Phase m_phase = Phase::Waiting;
     bool m_keepAlive = true;
--- a/src/net/tcpsocket.cpp
+++ b/src/net/tcpsocket.cpp
@@ -124,6 +124,14 @@
     m_socket.set_option(asio::socket_base::linger(resets, 0), ignored);
 }
 
+void TcpSocket::setReceiveBuffer(std::size_t bytes) noexcept
+{
+    boost::system::error_code ignored;
+    m_socket.set_option(asio::socket_base::receive_buffer_size(static_cast<int>(bytes)), ignored);
+    const int window = static_cast<int>(bytes);
+    ::setsockopt(m_socket.native_handle(), IPPROTO_TCP, TCP_WINDOW_CLAMP, &window, sizeof(window));
+}
+
 void TcpSocket::interruptRead() noexcept
 {
     m_readInterrupted = true;
--- a/src/net/tcpsocket.h
+++ b/src/net/tcpsocket.h
@@ -86,6 +86,9 @@
     // Makes the end of the connection a reset instead of an orderly close, also if the process
     // dies.
     void setResetOnClose(bool resets) noexcept;
+    // Sets the size of the kernel's receive buffer, and lets the peer send as much ahead. Beyond
+    // 64 KB the peer may not know it.
+    void setReceiveBuffer(std::size_t bytes) noexcept;
     // Makes a read that waits end at once. Later reads wait as usual.
     void interruptRead() noexcept;
     void shutdownSend() noexcept;
--- a/src/serving/servingstate.cpp
+++ b/src/serving/servingstate.cpp
@@ -49,6 +49,13 @@
     return settings.memoryMegabytes * bytesPerMegabyte / 100 * bodyMemoryPercent;
 }
 
+ClientBuffers clientBuffersOf(const NodeSettings &settings, std::size_t bodyBytes) noexcept
+{
+    return clientBuffers(settings.memoryMegabytes * bytesPerMegabyte, bodyBytes,
+                         callerConnections(settings.maxDescriptors, openFileLimit()),
+                         sideConnections(settings.maxDescriptors, openFileLimit()));
+}
+
 // Heartbeats arrive several times a second, so these limits are short.
 MemberLimits memberLimits()
 {
@@ -67,8 +74,9 @@
       engineClient(engineClientLimits()),
       bodyBudget(std::make_shared<net::ByteBudget>(bodyMemoryOf(settings))),
       socketLimits(serving::socketLimits(settings.maxDescriptors, openFileLimit())),
-      coldShares(settings.name), members(memberLimits()),
-      prefixes(settings.deploymentLimits.prefixRetention), m_random(std::random_device {}())
+      clientBuffers(clientBuffersOf(settings, bodyBudget->limit())), coldShares(settings.name),
+      members(memberLimits()), prefixes(settings.deploymentLimits.prefixRetention),
+      m_random(std::random_device {}())
 { }
 
 double ServingState::uniform()
