--- a/include/fescue/serving/gossipsocket.h
+++ b/include/fescue/serving/gossipsocket.h
@@ -23,6 +23,8 @@
     // May be called again after a failure. Errors: AddressInUse, AddressUnavailable,
     // SettingsInvalid.
     [[nodiscard]] Result<void> open(const net::Address &address);
+    // The address with the port that the kernel chose. Must not be called before open().
+    [[nodiscard]] net::Address address() const;
     // Stops receiving.
     void close() noexcept;
     // Sends without blocking. Returns false if the kernel did not accept the datagram; the caller
--- a/src/serving/gossipsocket.cpp
+++ b/src/serving/gossipsocket.cpp
@@ -36,6 +36,12 @@
     return {};
 }
 
+net::Address GossipSocket::address() const
+{
+    const udp::endpoint local = m_socket.local_endpoint();
+    return {local.address().to_string(), local.port()};
+}
+
 void GossipSocket::close() noexcept
 {
     boost::system::error_code ignored;
