--- a/src/serving/memberdatagrams.cpp
+++ b/src/serving/memberdatagrams.cpp
@@ -33,7 +33,7 @@
 {
     if (m_isOpen)
         return {};
-    const Result<void> opened = m_socket.open(m_state->settings.peerAddress);
+    Result<void> opened = m_socket.open(m_state->settings.peerAddress);
     m_isOpen = opened.has_value();
     return opened;
 }
