Roll-outs: the exposure is summed, and waits are evidence

Cause: the share of each stage held by itself, not the sum of the requests that a new version gets; and requests without a first byte told nothing, so a version that turned very slow passed its stages before its first answers.

Reports carry the requests of both versions. A stage between canary and closing begins only if the limit leaves enough for a version that turns bad right after it. Generations move in the second half of closing, so a version that turns bad there does not get the running ones too. Retries that go to the new version count.

A request that has waited longer than nearly all answers of the old version is a slow answer from then on, also if its caller leaves; each is counted once. In closing, where the old version has few answers, failures and slowness are compared with its past. A collector that joins takes the first reports as its baseline. The greatest sum, not the last one, makes a version doubtful: good answers after a burst hid a fault under load. Thresholds grow with the service's own share of failures. A suspicion that is no doubt ends with the first half of the time for closing; it reverted a sound version.

The fleet test reports waits and counts as the product does. The test of a report's size fills the new counts too, with at most 20 routes in a report.

--- a/include/fescue/serving/requestcontext.h
+++ b/include/fescue/serving/requestcontext.h
@@ -8,9 +8,39 @@
 
 #include <span>
 #include <string>
+#include <utility>
 
 namespace fescue::serving {
 
+// Reports the wait of a request as evidence for a roll-out until it ends.
+class VersionWait
+{
+public:
+    VersionWait() = default;
+    ~VersionWait() { end(); }
+    VersionWait(const VersionWait &) = delete;
+    VersionWait &operator=(const VersionWait &) = delete;
+
+    void begin(RolloutTable &rollouts, OpenRequest request)
+    {
+        end();
+        m_rollouts = &rollouts;
+        m_id = rollouts.beginWait(std::move(request));
+    }
+    // Returns true if the wait had not ended before.
+    bool end()
+    {
+        const std::uint64_t id = std::exchange(m_id, 0);
+        if (id != 0)
+            m_rollouts->endWait(id);
+        return id != 0;
+    }
+
+private:
+    RolloutTable *m_rollouts = nullptr;
+    std::uint64_t m_id = 0;
+};
+
 // State of a caller's request while it is served.
 struct RequestContext
 {
@@ -46,6 +76,8 @@
     // Time at which the endpoint was chosen, and whether it was cold then.
     Millis chosenAt {0};
     bool wasCold = false;
+    // Its wait for the first byte, unless the endpoint was cold.
+    VersionWait wait;
     std::string detail;
     Millis firstByteAt {0};
     std::uint32_t moves = 0;
@@ -76,7 +108,7 @@
                                             const EndpointRecord &endpoint);
 
 // Records the choice of an endpoint for the log.
-void noteEndpoint(const ServingState &state, RequestContext &context, const EndpointView &endpoint);
+void noteEndpoint(ServingState &state, RequestContext &context, const EndpointView &endpoint);
 
 // Records that an endpoint reads a prompt, and how much of it the endpoint is likely to hold.
 void notePrefix(ServingState &state, RequestContext &context, const EndpointView &endpoint,
@@ -90,11 +122,14 @@
 void noteHeld(ServingState &state, const RequestContext &context, const TurnRequest &request,
               TurnStep step);
 // Record for the comparison of software versions that a stream has begun, or broke off for good.
-void noteStreamStart(ServingState &state, const RequestContext &context,
-                     const EndpointRecord &endpoint);
-void noteStreamFailure(ServingState &state, const RequestContext &context,
+void noteStreamStart(ServingState &state, RequestContext &context, const EndpointRecord &endpoint);
+void noteStreamFailure(ServingState &state, RequestContext &context,
                        const EndpointRecord &endpoint);
 
+// Records for the same comparison how long a caller waited that has left; nothing if the first byte
+// had come.
+void noteCallerLeft(ServingState &state, RequestContext &context, const EndpointRecord &endpoint);
+
 // Logs the end of a request and updates the request metrics.
 void noteOutcome(ServingState &state, const RequestContext &context, ResultCode code, int status);
 
--- a/include/fescue/serving/rolloutcontroller.h
+++ b/include/fescue/serving/rolloutcontroller.h
@@ -67,6 +67,8 @@
         RolloutJudge judge;
         RolloutVerdict verdict;
         std::map<MemberName, MemberReport> reports;
+        // Counts by process and its life.
+        std::map<std::pair<MemberName, Incarnation>, RolloutCounts> counts;
         // Time since which the record should be written.
         std::optional<Millis> writeWantedSince;
         // Change that the record had then.
@@ -95,6 +97,8 @@
     {
         RolloutRecord record;
         net::StoreRevision expected;
+        // Counts of all processes, for the log.
+        RolloutCounts counts;
     };
 
     // Returns this process' part of the operator's allowance.
@@ -105,7 +109,11 @@
     // Returns the collectors of a service, the first to write first.
     [[nodiscard]] std::vector<MemberName> collectors(Millis now, const ServiceName &service,
                                                      const std::vector<MemberView> &members) const;
-    [[nodiscard]] RolloutReport ownReport(const Rollout &rollout) const;
+    // Returns what is known for the next step.
+    [[nodiscard]] RolloutFacts factsOf(Millis now, const Rollout &rollout,
+                                       const RolloutRecord &record, const Collected &collected,
+                                       const std::vector<MemberView> &members) const;
+    [[nodiscard]] RolloutReport ownReport(Millis now, const Rollout &rollout) const;
     // Judges, permits and decides. `rank` is this process' place among the collectors.
     void collect(Millis now, const Rollout &rollout, std::size_t rank,
                  const std::vector<MemberView> &members);
@@ -136,7 +144,7 @@
     std::map<ServiceName, WriteState> m_writes;
     // The latest states that the store has, as received; a restored store may have earlier ones.
     std::map<ServiceName, StoredRecord> m_stored;
-    // Services whose generations have to leave the old versions once that is permitted.
+    // Services whose generations have to leave the old versions once it is time and permitted.
     std::set<ServiceName> m_closing;
     // Times at which members reported that the store rejects them.
     std::map<MemberName, Millis> m_rejectedAt;
--- a/include/fescue/serving/rolloutcontroller.inl
+++ b/include/fescue/serving/rolloutcontroller.inl
@@ -152,6 +152,8 @@
     if (rollout == nullptr || !rollout->order)
         return;
     const RolloutSchedule schedule(rollout->order->duration);
+    if (rollout->elapsed(now) < schedule.moveAt)
+        return;
     const Millis left = schedule.decideAt - rollout->elapsed(now);
     std::vector<EndpointName> retiring;
     for (const std::pair<const EndpointName, EndpointView> &entry : m_state->endpoints.all()) {
@@ -218,7 +220,7 @@
     if (rollout == nullptr || !rollout->order)
         return;
     const std::vector<MemberName> chosen = collectors(now, service, members);
-    const RolloutReport report = ownReport(*rollout);
+    const RolloutReport report = ownReport(now, *rollout);
     handleReport(report);
     const std::string bytes = encodeRolloutNotice(report);
     for (const MemberView &member : members) {
@@ -253,7 +255,7 @@
 }
 
 template <PlatformProtocol P>
-RolloutReport RolloutController<P>::ownReport(const Rollout &rollout) const
+RolloutReport RolloutController<P>::ownReport(Millis now, const Rollout &rollout) const
 {
     RolloutReport report {m_self.name,
                           m_self.incarnation,
@@ -262,9 +264,10 @@
                           rollout.current() == nullptr ? 0 : rollout.current()->change,
                           0,
                           m_hooks.isRejected(),
-                          rollout.evidence,
+                          m_state->rollouts.evidence(now, rollout.order->service),
                           rollout.order->version,
-                          rollout.order->duration};
+                          rollout.order->duration,
+                          rollout.counts};
     for (const EndpointLoadEntry &entry : m_state->ledger.own()) {
         const EndpointView *view = m_state->endpoints.find(entry.endpoint);
         if (view != nullptr && view->record.service == rollout.order->service
@@ -302,6 +305,10 @@
     Collected &collected = m_collected[report.service];
     collected.judge.report(report.from, report.incarnation, report.evidence);
     collected.reports[report.from] = {now, report.change, report.openAtOld};
+    // Datagrams may arrive out of order.
+    RolloutCounts &counts = collected.counts[{report.from, report.incarnation}];
+    if (report.counts.requests >= counts.requests && report.counts.toNew >= counts.toNew)
+        counts = report.counts;
 }
 
 template <PlatformProtocol P>
@@ -398,19 +405,11 @@
         const RolloutRecord first {
             order.service,  order.version, order.duration, RolloutStage::Canary, 1,
             order.revision, beganAt,       "ordered"};
-        return NextRecord {first, expected};
+        return NextRecord {first, expected, {}};
     }
     if (isLost(rollout))
-        return NextRecord {*known, expected};
-    const bool isOldIdleNow = isOldIdle(now, *known, collected, members);
-    const RolloutFacts facts {rollout.elapsed(now),
-                              now - rollout.recordSeenAt,
-                              collected.verdict.isBad || rollout.isHalted,
-                              collected.verdict.isDoubtful,
-                              collected.verdict.isSuspicious,
-                              collected.verdict.hasEnoughEvidence,
-                              rollout.isCancelled,
-                              isOldIdleNow};
+        return NextRecord {*known, expected, {}};
+    const RolloutFacts facts = factsOf(now, rollout, *known, collected, members);
     const std::optional<RolloutStep> step = nextStep(*known, facts);
     if (!step)
         return std::nullopt;
@@ -419,7 +418,31 @@
     record.reason = step->reason;
     record.order = order.revision;
     ++record.change;
-    return NextRecord {record, expected};
+    return NextRecord {record, expected, facts.counts};
+}
+
+template <PlatformProtocol P>
+RolloutFacts RolloutController<P>::factsOf(Millis now, const Rollout &rollout,
+                                           const RolloutRecord &record, const Collected &collected,
+                                           const std::vector<MemberView> &members) const
+{
+    const RolloutVerdict &verdict = collected.verdict;
+    const RolloutLimits &limits = *m_state->settings.deploymentLimits.rollout;
+    RolloutFacts facts;
+    facts.elapsed = rollout.elapsed(now);
+    facts.inStage = now - rollout.recordSeenAt;
+    facts.isBad = verdict.isBad || rollout.isHalted;
+    facts.isDoubtful = verdict.isDoubtful;
+    facts.isSuspicious = verdict.isSuspicious;
+    facts.hasEnoughEvidence = verdict.hasEnoughEvidence;
+    facts.isCancelled = rollout.isCancelled;
+    facts.isOldIdle = isOldIdle(now, record, collected, members);
+    for (const std::pair<const std::pair<MemberName, Incarnation>, RolloutCounts> &entry :
+         collected.counts)
+        facts.counts += entry.second;
+    facts.exposureShare = limits.exposureShare;
+    facts.exposureAllowance = limits.exposureAllowance;
+    return facts;
 }
 
 template <PlatformProtocol P>
@@ -452,6 +475,8 @@
          {"stage", toString(record.stage)},
          {"change", record.change},
          {"reason", record.reason},
+         {"requests", next.counts.requests},
+         {"to_new", next.counts.toNew},
          {"answers", verdict.answers},
          {"failures", verdict.failures},
          {"worst_route", verdict.route},
--- a/include/fescue/serving/rolloutevidence.h
+++ b/include/fescue/serving/rolloutevidence.h
@@ -8,6 +8,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <utility>
@@ -23,16 +24,19 @@
 // Returns the class of a time to the first byte.
 [[nodiscard]] std::size_t timeClassOf(Millis time) noexcept;
 
-// Answers of endpoints of one version on one route. Counters only grow.
+// Requests to endpoints of one version on one route. All counters but `open` only grow.
 struct AnswerCounts
 {
     std::uint32_t failures = 0;
     // Successes by their time to the first byte.
     std::array<std::uint32_t, timeClasses> successes {};
+    // Requests that failed, or whose callers left, before the first byte, and those that are open,
+    // by the time that they have waited: their time to the first byte is of this class or later.
+    std::array<std::uint32_t, timeClasses> abandoned {};
+    std::array<std::uint32_t, timeClasses> open {};
 
+    // Returns the number of answers.
     [[nodiscard]] std::uint32_t total() const noexcept;
-    // Returns the number of successes in later classes than the given one.
-    [[nodiscard]] std::uint32_t slowerThan(std::size_t timeClass) const noexcept;
     bool operator==(const AnswerCounts &) const = default;
 };
 
@@ -87,6 +91,8 @@
     bool hasEnoughEvidence = false;
     // The worst sum, its route and what is compared: "failures" or "slow".
     double worstSum = 0;
+    // The greatest sum so far.
+    double peakSum = 0;
     std::string route;
     std::string_view kind;
     // Answers and bad answers of the new version, over all routes.
@@ -99,8 +105,7 @@
 class RolloutJudge
 {
 public:
-    // Sums at which a version is bad and at which its share must not grow.
-    static constexpr double badSum = 10.7;
+    // Sum at which the version's share must not grow.
     static constexpr double suspiciousSum = 6;
     // Answers of the new version without which it is not known to be sound: over all routes, and on
     // each route with at least this number of answers and this share of them.
@@ -109,7 +114,9 @@
     static constexpr std::uint32_t usedRouteAnswers = 100;
     static constexpr double usedRouteShare = 0.05;
 
-    // Replaces the counters that a process has reported in one of its lives.
+    // Replaces the counters that a process has reported in one of its lives. What a process reports
+    // first, in the first moments of this judge, is only the baseline: it sums up a time of unknown
+    // length.
     void report(const MemberName &from, Incarnation incarnation, const RolloutEvidence &evidence);
     // Compares what was reported since the last call.
     void step(Millis now);
@@ -124,11 +131,21 @@
         Millis sampleBegan {0};
         // Successes of the old version by their time, older ones with less weight.
         std::array<double, timeClasses> recentTimes {};
+        // Open requests that were counted as slow by the end of the last sample.
+        std::uint32_t slowOpenOld = 0;
+        std::uint32_t slowOpenNew = 0;
         BadAnswerSum failures;
         BadAnswerSum slow;
     };
 
-    static void compare(RouteState &route, const RouteEvidence &added);
+    // Compares the counts since the beginning of the present sample.
+    static void compare(RouteState &route, const RouteEvidence &counts);
+    // Judges the answers of the new version alone, by the past of the old one.
+    static void compareWithPast(RouteState &route, const RouteEvidence &counts);
+    // Returns the sample of answers that are slower than a time class. Each request is counted in
+    // one sample as slow, as soon as it has waited for so long.
+    [[nodiscard]] static AnswerSample slowSample(RouteState &route, const RouteEvidence &counts,
+                                                 std::size_t timeClass);
     // Returns the longest time class that is normal for the old version.
     [[nodiscard]] static std::size_t normalTimeClass(const RouteState &route) noexcept;
 
@@ -136,7 +153,10 @@
 
     Reports m_reports;
     std::map<std::string, RouteState> m_routes;
+    double m_peakSum = 0;
     Millis m_steppedAt {0};
+    std::optional<Millis> m_firstStepAt;
+    bool m_isJoining = true;
 };
 
 } // namespace fescue::serving
--- a/include/fescue/serving/rolloutnotice.h
+++ b/include/fescue/serving/rolloutnotice.h
@@ -29,6 +29,7 @@
     // Contents of the order, which has another revision in a restored store.
     std::string version;
     Millis duration {0};
+    RolloutCounts counts;
 
     bool operator==(const RolloutReport &) const = default;
 };
@@ -54,7 +55,7 @@
 using RolloutNotice = std::variant<RolloutReport, RolloutPermit>;
 
 // Routes of which one report can hold the answers; further ones are added up under no name.
-inline constexpr std::size_t maxReportedRoutes = 24;
+inline constexpr std::size_t maxReportedRoutes = 20;
 
 // Encodes as CBOR.
 [[nodiscard]] std::string encodeRolloutNotice(const RolloutNotice &notice);
--- a/include/fescue/serving/rolloutplan.h
+++ b/include/fescue/serving/rolloutplan.h
@@ -100,12 +100,30 @@
     Millis growAt;
     // Time at which requests to the old versions end at the latest.
     Millis closeAt;
+    // Time from which generations move away from the old versions. Until then a version that turns
+    // bad while it gets all new requests does not get the running ones too.
+    Millis moveAt;
     // Time at which the decision is written at the latest.
     Millis decideAt;
     // Shortest time of a stage after the canary.
     Millis stageTime;
 };
 
+// Requests of a service since an order, and those of them that went to the new version.
+struct RolloutCounts
+{
+    std::uint64_t requests = 0;
+    std::uint64_t toNew = 0;
+
+    RolloutCounts &operator+=(const RolloutCounts &other) noexcept
+    {
+        requests += other.requests;
+        toNew += other.toNew;
+        return *this;
+    }
+    bool operator==(const RolloutCounts &) const = default;
+};
+
 // What is known of a roll-out at one moment.
 struct RolloutFacts
 {
@@ -122,6 +140,11 @@
     bool isCancelled = false;
     // No process has a request at an endpoint of the old versions.
     bool isOldIdle = false;
+    // Counts of all processes, and the operator's limit on the requests to a bad version: a
+    // fraction of the requests until the deadline, and a number in addition to it.
+    RolloutCounts counts;
+    double exposureShare = 1;
+    std::uint32_t exposureAllowance = 0;
 };
 
 struct RolloutStep
--- a/include/fescue/serving/rollouttable.h
+++ b/include/fescue/serving/rollouttable.h
@@ -57,6 +57,7 @@
     // Versions of earlier orders that were not completed.
     std::set<std::string> withheld;
     RolloutQuota quota;
+    RolloutCounts counts;
     RolloutEvidence evidence;
 
     // Returns the record if it belongs to the order.
@@ -68,6 +69,15 @@
     [[nodiscard]] Millis elapsed(Millis now) const noexcept { return now - beganAt; }
 };
 
+// A request to an endpoint of a service in a roll-out that has no first byte yet.
+struct OpenRequest
+{
+    ServiceName service;
+    std::string version;
+    std::string route;
+    Millis sentAt {0};
+};
+
 // The roll-outs of software versions that this process knows, and which endpoints they allow for a
 // request. Empty if the deployment's settings have no limits for roll-outs.
 class RolloutTable
@@ -100,8 +110,10 @@
     // Returns true if the next request to a service should go to the new version.
     [[nodiscard]] bool wantsNewVersion(Millis now, const ServiceName &service,
                                        const RolloutLimits &limits) const;
-    // Counts a request for the quota that is about to be sent to an endpoint of the service.
-    void recordRequest(const EndpointRecord &endpoint, const RolloutLimits &limits);
+    // Counts a request that is about to be sent to an endpoint of the service. A retry counts only
+    // if the new version gets it.
+    void recordRequest(const EndpointRecord &endpoint, const RolloutLimits &limits,
+                       bool isRetry = false);
     // Returns the rule for requests of a service that wantsNewVersion() has not chosen, and for
     // generations that are moved.
     [[nodiscard]] VersionRule ruleFor(Millis now, const ServiceName &service) const;
@@ -125,11 +137,26 @@
     // Records an answer for the comparison of the versions.
     void recordAnswer(const ServiceName &service, const std::string &version,
                       const std::string &route, bool succeeded, Millis firstByteTime);
+    // Records that a caller left, or its time was over, before the first byte.
+    void recordAbandoned(const ServiceName &service, const std::string &version,
+                         const std::string &route, Millis waited);
+    // Records a request whose wait is evidence until its end. Returns 0 if its service has no
+    // roll-out.
+    std::uint64_t beginWait(OpenRequest request);
+    void endWait(std::uint64_t id) { m_open.erase(id); }
+    // Returns the answers of this process, and the waits of its open requests.
+    [[nodiscard]] RolloutEvidence evidence(Millis now, const ServiceName &service) const;
 
 private:
     [[nodiscard]] bool isPermitted(Millis now, const Rollout &rollout) const noexcept;
+    // Returns the counts of a version on a route.
+    [[nodiscard]] static AnswerCounts &countsOf(const Rollout &rollout, RolloutEvidence &evidence,
+                                                const std::string &version,
+                                                const std::string &route);
 
     std::map<ServiceName, Rollout> m_rollouts;
+    std::map<std::uint64_t, OpenRequest> m_open;
+    std::uint64_t m_lastOpen = 0;
 };
 
 } // namespace fescue::serving
--- a/include/fescue/serving/servingstate.h
+++ b/include/fescue/serving/servingstate.h
@@ -85,15 +85,15 @@
                                                       F choose)
     {
         const std::optional<RolloutLimits> &limits = settings.deploymentLimits.rollout;
-        if (!limits || isRetry || rollouts.all().empty())
+        if (!limits || rollouts.all().empty())
             return choose(candidates(service));
         const EndpointView *endpoint = nullptr;
-        if (rollouts.wantsNewVersion(now(), service, *limits))
+        if (!isRetry && rollouts.wantsNewVersion(now(), service, *limits))
             endpoint = choose(newVersionCandidates(service));
         if (endpoint == nullptr)
             endpoint = choose(candidates(service));
         if (endpoint != nullptr)
-            rollouts.recordRequest(endpoint->record, *limits);
+            rollouts.recordRequest(endpoint->record, *limits, isRetry);
         return endpoint;
     }
     // Returns true if work at an endpoint has to end or move: it leaves, or its software version is
--- a/include/fescue/serving/streamforwarder.inl
+++ b/include/fescue/serving/streamforwarder.inl
@@ -386,7 +386,7 @@
 template <PlatformProtocol P>
 void StreamForwarder<P>::forward(ForwardedStream &forwarded)
 {
-    const RequestContext &context = forwarded.context;
+    RequestContext &context = forwarded.context;
     while (true) {
         StreamEnd end = forwardUntilBreak(forwarded);
         if (end == StreamEnd::Complete)
@@ -738,6 +738,7 @@
         return;
     }
     if (end == StreamEnd::CallerGone) {
+        noteCallerLeft(*m_state, context, forwarded.run->engine);
         forwarded.upstream.close();
         context.writer.abort();
         noteOutcome(*m_state, context, ResultCode::Cancelled, status);
--- a/src/serving/requestcontext.cpp
+++ b/src/serving/requestcontext.cpp
@@ -30,13 +30,16 @@
 
 // Records an answer for the comparison of software versions. Cold endpoints are slow whatever their
 // version.
-void recordVersionAnswer(ServingState &state, const RequestContext &context,
+void recordVersionAnswer(ServingState &state, RequestContext &context,
                          const EndpointRecord &endpoint, bool succeeded)
 {
+    // A stream that breaks off after its first event was not slow.
+    const bool isFirst = context.wait.end() || succeeded;
     if (context.route == nullptr || (succeeded && context.wasCold))
         return;
+    const Millis time = isFirst ? ServingState::now() - context.chosenAt : Millis {0};
     state.rollouts.recordAnswer(endpoint.service, endpoint.softwareVersion, context.route->name,
-                                succeeded, ServingState::now() - context.chosenAt);
+                                succeeded, time);
 }
 
 // Returns the ids of the first parts of a prompt.
@@ -81,7 +84,7 @@
     return send;
 }
 
-void noteEndpoint(const ServingState &state, RequestContext &context, const EndpointView &endpoint)
+void noteEndpoint(ServingState &state, RequestContext &context, const EndpointView &endpoint)
 {
     context.endpointLoad = state.ledger.total(ServingState::now(), endpoint.record.name);
     context.endpoint = endpoint.record.name.text();
@@ -89,20 +92,32 @@
     ++context.attempts;
     context.chosenAt = ServingState::now();
     context.wasCold = endpoint.isCold(context.chosenAt);
+    context.wait.end();
+    if (context.route != nullptr && !context.wasCold) {
+        context.wait.begin(state.rollouts,
+                           {endpoint.record.service, endpoint.record.softwareVersion,
+                            context.route->name, context.chosenAt});
+    }
 }
 
-void noteStreamStart(ServingState &state, const RequestContext &context,
-                     const EndpointRecord &endpoint)
+void noteStreamStart(ServingState &state, RequestContext &context, const EndpointRecord &endpoint)
 {
     recordVersionAnswer(state, context, endpoint, true);
 }
 
-void noteStreamFailure(ServingState &state, const RequestContext &context,
-                       const EndpointRecord &endpoint)
+void noteStreamFailure(ServingState &state, RequestContext &context, const EndpointRecord &endpoint)
 {
     recordVersionAnswer(state, context, endpoint, false);
 }
 
+void noteCallerLeft(ServingState &state, RequestContext &context, const EndpointRecord &endpoint)
+{
+    if (!context.wait.end() || context.route == nullptr)
+        return;
+    state.rollouts.recordAbandoned(endpoint.service, endpoint.softwareVersion, context.route->name,
+                                   ServingState::now() - context.chosenAt);
+}
+
 void notePrefix(ServingState &state, RequestContext &context, const EndpointView &endpoint,
                 std::span<const PromptPart> parts)
 {
@@ -119,8 +134,12 @@
 {
     // Neither says anything about the endpoint.
     const bool withheld = outcome == SendOutcome::Quarantined || outcome == SendOutcome::ZoneOut;
-    if (outcome == SendOutcome::CallerGone || withheld)
+    if (outcome == SendOutcome::CallerGone)
+        noteCallerLeft(state, context, endpoint);
+    if (outcome == SendOutcome::CallerGone || withheld) {
+        context.wait.end();
         return;
+    }
     const Millis now = ServingState::now();
     const bool unreachable = outcome == SendOutcome::NotSent || outcome == SendOutcome::Refused
         || outcome == SendOutcome::OtherEndpoint;
@@ -133,6 +152,8 @@
     // The success of a stream is its first event.
     if (hasRun && !(isStream && outcome == SendOutcome::Succeeded))
         recordVersionAnswer(state, context, endpoint, outcome == SendOutcome::Succeeded);
+    else if (!hasRun)
+        context.wait.end();
     if (outcome == SendOutcome::Refused)
         state.recordRefusedConnection(endpoint);
     if (outcome == SendOutcome::Succeeded)
--- a/src/serving/rolloutevidence.cpp
+++ b/src/serving/rolloutevidence.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <cmath>
 #include <numeric>
+#include <utility>
 
 namespace fescue::serving {
 
@@ -14,13 +15,27 @@
 constexpr Millis timesHalfLife = 3_s;
 // A success counts as slow if it is this many classes above the normal ones.
 constexpr std::size_t slowMargin = 1;
-// A sound version is doubtful with this probability at most; each bad answer, of which it has about
-// the given share, may begin a new sum.
-constexpr double falseDoubt = 0.001;
-constexpr double usualBadShare = 0.03;
-// A sample ends with this number of answers of the old version, or after this time if fewer come.
+// The same against the past of the old version: a burst that slows all answers adds nothing.
+constexpr std::size_t slowMarginToPast = 4;
+// The past of the old version is compared, from this number of its answers on, if a sample has this
+// many times as many answers of the new one.
+constexpr std::uint32_t minOldShare = 4;
+constexpr std::uint32_t minPastAnswers = 20;
+// A sound version is doubtful with about this probability; each of its bad answers may begin a new
+// sum.
+constexpr double falseDoubt = 0.0005;
+// Least share of bad answers that is expected of a sound version.
+constexpr double usualBadShare = 0.02;
+// Answers of a new version in a roll-out, at least.
+constexpr std::uint32_t usualAnswers = 400;
+// Sum at which a version of a service with this share of failures is bad at once.
+constexpr double badSum = 10.7;
+constexpr double badSumShare = 0.03;
+// A sample ends with this number of answers of one version, or after this time if fewer come.
 constexpr std::uint32_t sampleAnswers = 8;
 constexpr Millis longestSample = 2_s;
+// All processes have reported once in this time.
+constexpr Millis joiningTime = 1_s;
 // Odds of a bad answer of a moderately and of a very bad version, as multiples of those of a sound
 // one.
 constexpr std::array<double, 2> badOdds {4, 12};
@@ -32,10 +47,18 @@
 constexpr double minSoundShare = 0.02;
 constexpr double maxSoundShare = 0.6;
 
-// Returns the sum at which a version must not be completed, after a number of answers.
-double doubtfulSum(std::uint32_t answers) noexcept
+// Returns the greatest sum after which a version must not be completed. `badShare` is the share of
+// the old version's answers that fail.
+double doubtfulSum(std::uint32_t answers, double badShare) noexcept
 {
-    return std::log(std::max(1.0, usualBadShare * answers) / falseDoubt);
+    const double expected = std::max(badShare, usualBadShare) * std::max(answers, usualAnswers);
+    return std::log(std::max(1.0, expected) / falseDoubt);
+}
+
+// Returns the sum at which a version is bad.
+double decisiveSum(double badShare) noexcept
+{
+    return badSum + std::log(std::max(1.0, badShare / badSumShare));
 }
 
 // Returns the logarithm of the number of ways to choose k of n.
@@ -57,8 +80,25 @@
 void addTo(AnswerCounts &sum, const AnswerCounts &counts) noexcept
 {
     sum.failures += counts.failures;
-    for (std::size_t i = 0; i < timeClasses; ++i)
+    for (std::size_t i = 0; i < timeClasses; ++i) {
         sum.successes[i] += counts.successes[i];
+        sum.abandoned[i] += counts.abandoned[i];
+        sum.open[i] += counts.open[i];
+    }
+}
+
+// Returns how much a counter has grown; nothing where it began anew.
+std::uint32_t growth(std::uint32_t from, std::uint32_t to) noexcept
+{
+    return to - std::min(from, to);
+}
+
+// Returns the sum of the classes after one.
+template <typename T>
+T sumAfter(const std::array<T, timeClasses> &counts, std::size_t timeClass) noexcept
+{
+    const std::size_t first = std::min(timeClass + 1, timeClasses);
+    return std::accumulate(counts.begin() + static_cast<std::ptrdiff_t>(first), counts.end(), T {});
 }
 
 } // namespace
@@ -78,13 +118,6 @@
     return std::accumulate(successes.begin(), successes.end(), failures);
 }
 
-std::uint32_t AnswerCounts::slowerThan(std::size_t timeClass) const noexcept
-{
-    const std::size_t first = std::min(timeClass + 1, timeClasses);
-    return std::accumulate(successes.begin() + static_cast<std::ptrdiff_t>(first), successes.end(),
-                           0U);
-}
-
 void BadAnswerSum::add(const AnswerSample &sample) noexcept
 {
     const std::uint32_t n = sample.newAnswers;
@@ -117,8 +150,14 @@
 void RolloutJudge::report(const MemberName &from, Incarnation incarnation,
                           const RolloutEvidence &evidence)
 {
-    RolloutEvidence &known = m_reports[{from, incarnation}];
+    const std::pair<Reports::iterator, bool> inserted = m_reports.try_emplace({from, incarnation});
+    RolloutEvidence &known = inserted.first->second;
     for (const std::pair<const std::string, RouteEvidence> &entry : evidence) {
+        if (inserted.second && m_isJoining) {
+            RouteEvidence &baseline = m_routes[entry.first].sampledFrom;
+            addTo(baseline.oldVersion, entry.second.oldVersion);
+            addTo(baseline.newVersion, entry.second.newVersion);
+        }
         RouteEvidence &route = known[entry.first];
         // Datagrams may arrive out of order.
         if (entry.second.oldVersion.total() >= route.oldVersion.total()
@@ -132,6 +171,8 @@
     const double span = static_cast<double>((now - m_steppedAt).count);
     const double weight = std::exp2(-span / static_cast<double>(timesHalfLife.count));
     m_steppedAt = now;
+    m_firstStepAt = m_firstStepAt.value_or(now);
+    m_isJoining = now - *m_firstStepAt < joiningTime;
     RolloutEvidence sums;
     for (const Reports::value_type &report : m_reports) {
         for (const std::pair<const std::string, RouteEvidence> &entry : report.second) {
@@ -142,18 +183,20 @@
     for (const std::pair<const std::string, RouteEvidence> &entry : sums) {
         RouteState &route = m_routes[entry.first];
         const AnswerCounts oldAdded = minus(entry.second.oldVersion, route.seen.oldVersion);
-        const RouteEvidence sample {minus(entry.second.oldVersion, route.sampledFrom.oldVersion),
-                                    minus(entry.second.newVersion, route.sampledFrom.newVersion)};
-        const bool isFull = sample.oldVersion.total() >= sampleAnswers
-            || (sample.oldVersion.total() == 0 && sample.newVersion.total() >= sampleAnswers);
-        if (isFull || now - route.sampleBegan >= longestSample) {
-            compare(route, sample);
+        const std::uint32_t oldTotal =
+            growth(route.sampledFrom.oldVersion.total(), entry.second.oldVersion.total());
+        const std::uint32_t newTotal =
+            growth(route.sampledFrom.newVersion.total(), entry.second.newVersion.total());
+        if (oldTotal >= sampleAnswers || newTotal >= sampleAnswers
+            || now - route.sampleBegan >= longestSample) {
+            compare(route, entry.second);
             route.sampledFrom = entry.second;
             route.sampleBegan = now;
         }
         for (std::size_t i = 0; i < timeClasses; ++i)
             route.recentTimes[i] = route.recentTimes[i] * weight + oldAdded.successes[i];
         route.seen = entry.second;
+        m_peakSum = std::max({m_peakSum, route.failures.value(), route.slow.value()});
     }
 }
 
@@ -168,25 +211,67 @@
     return n;
 }
 
-void RolloutJudge::compare(RouteState &route, const RouteEvidence &added)
+void RolloutJudge::compare(RouteState &route, const RouteEvidence &counts)
 {
-    const AnswerCounts &past = route.sampledFrom.oldVersion;
-    const std::uint32_t n = added.newVersion.total();
-    const std::uint32_t oldTotal = added.oldVersion.total();
-    const double pastTotal = past.total();
-    if (oldTotal == 0 && pastTotal > 0) {
-        route.failures.addAlone(added.newVersion.failures, n, past.failures / pastTotal);
+    const AnswerCounts &oldFrom = route.sampledFrom.oldVersion;
+    const AnswerCounts &newFrom = route.sampledFrom.newVersion;
+    const std::uint32_t n = growth(newFrom.total(), counts.newVersion.total());
+    const std::uint32_t oldTotal = growth(oldFrom.total(), counts.oldVersion.total());
+    if (oldTotal * minOldShare < n && oldFrom.total() >= minPastAnswers) {
+        compareWithPast(route, counts);
         return;
     }
-    route.failures.add({n, added.newVersion.failures, oldTotal, added.oldVersion.failures});
-    const std::size_t limit = normalTimeClass(route) + slowMargin;
-    route.slow.add(
-        {n, added.newVersion.slowerThan(limit), oldTotal, added.oldVersion.slowerThan(limit)});
+    route.failures.add({n, growth(newFrom.failures, counts.newVersion.failures), oldTotal,
+                        growth(oldFrom.failures, counts.oldVersion.failures)});
+    route.slow.add(slowSample(route, counts, normalTimeClass(route) + slowMargin));
+}
+
+AnswerSample RolloutJudge::slowSample(RouteState &route, const RouteEvidence &counts,
+                                      std::size_t timeClass)
+{
+    const auto count = [timeClass](const AnswerCounts &from, const AnswerCounts &to,
+                                   std::uint32_t &slowOpen) {
+        const std::uint32_t successes =
+            std::accumulate(to.successes.begin(), to.successes.end(), 0U)
+            - std::accumulate(from.successes.begin(), from.successes.end(), 0U);
+        const std::uint32_t slow =
+            growth(sumAfter(from.successes, timeClass), sumAfter(to.successes, timeClass));
+        const std::uint32_t open = sumAfter(to.open, timeClass);
+        const std::uint32_t without =
+            growth(sumAfter(from.abandoned, timeClass), sumAfter(to.abandoned, timeClass)) + open;
+        // Requests that were open and slow before have been counted.
+        const std::uint32_t counted = std::exchange(slowOpen, open);
+        const std::uint32_t bad = growth(counted, slow + without);
+        return std::pair(growth(counted, successes + without), bad);
+    };
+    const std::pair<std::uint32_t, std::uint32_t> added =
+        count(route.sampledFrom.newVersion, counts.newVersion, route.slowOpenNew);
+    const std::pair<std::uint32_t, std::uint32_t> oldAdded =
+        count(route.sampledFrom.oldVersion, counts.oldVersion, route.slowOpenOld);
+    return {std::max(added.first, added.second), added.second,
+            std::max(oldAdded.first, oldAdded.second), oldAdded.second};
+}
+
+void RolloutJudge::compareWithPast(RouteState &route, const RouteEvidence &counts)
+{
+    const AnswerCounts &past = route.sampledFrom.oldVersion;
+    const AnswerCounts &newFrom = route.sampledFrom.newVersion;
+    const std::uint32_t n = growth(newFrom.total(), counts.newVersion.total());
+    const std::uint32_t failures = growth(newFrom.failures, counts.newVersion.failures);
+    const double pastTotal = past.total();
+    route.failures.addAlone(failures, n, past.failures / pastTotal);
+    const std::size_t limit = normalTimeClass(route) + slowMarginToPast;
+    const AnswerSample sample = slowSample(route, counts, limit);
+    const std::array<double, timeClasses> &times = route.recentTimes;
+    const double recent = std::accumulate(times.begin(), times.end(), 0.0);
+    if (recent > 0)
+        route.slow.addAlone(sample.newBad, sample.newAnswers, sumAfter(times, limit) / recent);
 }
 
 RolloutVerdict RolloutJudge::verdict() const
 {
     RolloutVerdict verdict;
+    verdict.peakSum = m_peakSum;
     for (const std::pair<const std::string, RouteState> &entry : m_routes) {
         const RouteState &route = entry.second;
         verdict.answers += route.seen.newVersion.total();
@@ -199,12 +284,17 @@
         verdict.route = entry.first;
         verdict.kind = isSlow ? "slow" : "failures";
     }
-    verdict.isBad = verdict.worstSum >= badSum;
-    verdict.isDoubtful = verdict.worstSum >= doubtfulSum(verdict.answers);
-    verdict.isSuspicious = verdict.worstSum >= suspiciousSum;
     double total = 0;
-    for (const std::pair<const std::string, RouteState> &entry : m_routes)
+    double failures = 0;
+    for (const std::pair<const std::string, RouteState> &entry : m_routes) {
         total += entry.second.seen.oldVersion.total();
+        failures += entry.second.seen.oldVersion.failures;
+    }
+    const double badShare = failures / std::max(total, 1.0);
+    verdict.isBad = verdict.worstSum >= decisiveSum(badShare);
+    // Good answers do not outweigh a fault that shows under load only.
+    verdict.isDoubtful = verdict.peakSum >= doubtfulSum(verdict.answers, badShare);
+    verdict.isSuspicious = verdict.worstSum >= suspiciousSum;
     const auto isKnown = [total](const std::pair<const std::string, RouteState> &entry) {
         const double n = entry.second.seen.oldVersion.total();
         return n < std::max<double>(usedRouteAnswers, usedRouteShare * total)
--- a/src/serving/rolloutnotice.cpp
+++ b/src/serving/rolloutnotice.cpp
@@ -13,15 +13,18 @@
 
 Json encodeCounts(const AnswerCounts &counts)
 {
-    return {counts.failures, counts.successes};
+    return {counts.failures, counts.successes, counts.abandoned, counts.open};
 }
 
 AnswerCounts decodeCounts(const Json &json)
 {
     AnswerCounts counts;
     counts.failures = numberAt<std::uint32_t>(json, 0);
-    for (std::size_t i = 0; i < timeClasses; ++i)
+    for (std::size_t i = 0; i < timeClasses; ++i) {
         counts.successes[i] = numberAt<std::uint32_t>(json.at(1), i);
+        counts.abandoned[i] = numberAt<std::uint32_t>(json.at(2), i);
+        counts.open[i] = numberAt<std::uint32_t>(json.at(3), i);
+    }
     return counts;
 }
 
@@ -37,7 +40,7 @@
     return toCbor({layoutVersion, reportType, report.from.text(), report.incarnation.value,
                    report.service.text(), report.order.value, report.order.era, report.change,
                    report.openAtOld, report.isRejected, routes, report.version,
-                   report.duration.count});
+                   report.duration.count, report.counts.requests, report.counts.toNew});
 }
 
 std::string encode(const RolloutPermit &permit)
@@ -63,6 +66,7 @@
     }
     report.version = json.at(11).get<std::string>();
     report.duration = spanAt(json, 12);
+    report.counts = {numberAt<std::uint64_t>(json, 13), numberAt<std::uint64_t>(json, 14)};
     return report;
 }
 
--- a/src/serving/rolloutplan.cpp
+++ b/src/serving/rolloutplan.cpp
@@ -21,6 +21,33 @@
 constexpr Millis maxMargin = 1500_ms;
 constexpr std::int64_t marginDivisor = 20;
 constexpr std::int64_t growingStages = 3;
+// A stage between canary and closing that is shorter shows too little.
+constexpr Millis minStageTime = 750_ms;
+// Time in which a version that turns bad while it gets all requests is found: slow answers under
+// load, a report and a permit.
+constexpr double reactionMillis = 1000;
+// Fraction of the present rate of requests that is expected until the deadline.
+constexpr double expectedRate = 0.8;
+
+// Returns true if a version that turns bad in the next stage or right after it stays within the
+// operator's limit. The stage may last until closing.
+bool mayGrow(RolloutStage next, const RolloutFacts &facts, const RolloutSchedule &schedule,
+             Millis duration) noexcept
+{
+    if (facts.counts.requests == 0)
+        return true;
+    const Millis left = schedule.closeAt - facts.elapsed;
+    if (left < minStageTime)
+        return false;
+    const double requests = static_cast<double>(facts.counts.requests);
+    const double rate = requests / static_cast<double>(std::max(facts.elapsed, 1_ms).count);
+    const Millis remaining = std::max(duration - facts.elapsed, Millis {0});
+    const double expected = requests + expectedRate * rate * static_cast<double>(remaining.count);
+    const double limit = facts.exposureShare * expected + facts.exposureAllowance;
+    const double inStage =
+        newVersionShare(next, facts.exposureShare) * static_cast<double>(left.count);
+    return static_cast<double>(facts.counts.toNew) + rate * (inStage + reactionMillis) <= limit;
+}
 
 } // namespace
 
@@ -80,6 +107,7 @@
     const Millis margin = std::clamp(duration / marginDivisor, minMargin, maxMargin);
     decideAt = duration - margin;
     closeAt = decideAt - phase;
+    moveAt = closeAt + phase / 2;
     growAt = closeAt - phase;
     stageTime = phase / growingStages;
 }
@@ -105,7 +133,9 @@
     }
     if (facts.elapsed >= schedule.decideAt)
         return RolloutStep {RolloutStage::Reverted, "the evidence is not sound in time"};
-    if (!isSound || facts.isSuspicious)
+    // Suspicion that the few answers of a small share neither confirm nor refute ends with more.
+    const bool isSuspicious = facts.isSuspicious && facts.elapsed < schedule.moveAt;
+    if (!isSound || isSuspicious)
         return std::nullopt;
     if (facts.elapsed >= schedule.closeAt)
         return RolloutStep {RolloutStage::Closing, "sound, time for the last requests"};
@@ -114,7 +144,10 @@
         isCanary ? facts.elapsed >= schedule.growAt : facts.inStage >= schedule.stageTime;
     if (!isDue || record.stage == RolloutStage::ThreeFifths)
         return std::nullopt;
-    return RolloutStep {static_cast<RolloutStage>(static_cast<int>(record.stage) + 1), "sound"};
+    const RolloutStage next = static_cast<RolloutStage>(static_cast<int>(record.stage) + 1);
+    if (!mayGrow(next, facts, schedule, record.duration))
+        return std::nullopt;
+    return RolloutStep {next, "sound"};
 }
 
 double newVersionShare(RolloutStage stage, double exposureShare) noexcept
--- a/src/serving/rollouttable.cpp
+++ b/src/serving/rollouttable.cpp
@@ -71,6 +71,7 @@
     rollout.isCancelled = false;
     rollout.isHalted = false;
     rollout.permittedAt.reset();
+    rollout.counts = {};
     rollout.evidence.clear();
     rollout.quota.begin(initialCredit);
     return OrderEffect::Begun;
@@ -169,14 +170,18 @@
     return isPermitted(now, *rollout) && rollout->quota.allowsNext(share);
 }
 
-void RolloutTable::recordRequest(const EndpointRecord &endpoint, const RolloutLimits &limits)
+void RolloutTable::recordRequest(const EndpointRecord &endpoint, const RolloutLimits &limits,
+                                 bool isRetry)
 {
     const auto it = m_rollouts.find(endpoint.service);
     if (it == m_rollouts.end() || !it->second.isActive())
         return;
     Rollout &rollout = it->second;
-    rollout.quota.record(newVersionShare(rollout.stage(), limits.exposureShare),
-                         endpoint.softwareVersion == rollout.order->version);
+    const bool isNew = endpoint.softwareVersion == rollout.order->version;
+    rollout.counts += {isRetry ? 0U : 1U, isNew ? 1U : 0U};
+    const double share = newVersionShare(rollout.stage(), limits.exposureShare);
+    if (isNew || !isRetry)
+        rollout.quota.record(isRetry ? 0 : share, isNew);
 }
 
 VersionRule RolloutTable::ruleFor(Millis now, const ServiceName &service) const
@@ -302,21 +307,61 @@
     });
 }
 
+AnswerCounts &RolloutTable::countsOf(const Rollout &rollout, RolloutEvidence &evidence,
+                                     const std::string &version, const std::string &route)
+{
+    const bool hasRoom = evidence.size() + 1 < maxReportedRoutes || evidence.contains(route);
+    RouteEvidence &counted = evidence[hasRoom ? route : otherRoutes];
+    return version == rollout.order->version ? counted.newVersion : counted.oldVersion;
+}
+
 void RolloutTable::recordAnswer(const ServiceName &service, const std::string &version,
                                 const std::string &route, bool succeeded, Millis firstByteTime)
 {
     const auto it = m_rollouts.find(service);
     if (it == m_rollouts.end() || !it->second.isActive())
         return;
-    RolloutEvidence &evidence = it->second.evidence;
-    const bool hasRoom = evidence.size() + 1 < maxReportedRoutes || evidence.contains(route);
-    RouteEvidence &counted = evidence[hasRoom ? route : otherRoutes];
-    AnswerCounts &counts =
-        version == it->second.order->version ? counted.newVersion : counted.oldVersion;
-    if (succeeded)
+    AnswerCounts &counts = countsOf(it->second, it->second.evidence, version, route);
+    if (succeeded) {
         ++counts.successes[timeClassOf(firstByteTime)];
-    else
-        ++counts.failures;
+        return;
+    }
+    ++counts.failures;
+    ++counts.abandoned[timeClassOf(firstByteTime)];
+}
+
+void RolloutTable::recordAbandoned(const ServiceName &service, const std::string &version,
+                                   const std::string &route, Millis waited)
+{
+    const auto it = m_rollouts.find(service);
+    if (it != m_rollouts.end() && it->second.isActive())
+        ++countsOf(it->second, it->second.evidence, version, route).abandoned[timeClassOf(waited)];
+}
+
+std::uint64_t RolloutTable::beginWait(OpenRequest request)
+{
+    const auto it = m_rollouts.find(request.service);
+    if (it == m_rollouts.end() || !it->second.isActive())
+        return 0;
+    m_open[++m_lastOpen] = std::move(request);
+    return m_lastOpen;
+}
+
+RolloutEvidence RolloutTable::evidence(Millis now, const ServiceName &service) const
+{
+    const Rollout *rollout = find(service);
+    if (rollout == nullptr || !rollout->isActive())
+        return {};
+    RolloutEvidence evidence = rollout->evidence;
+    for (const std::pair<const std::uint64_t, OpenRequest> &entry : m_open) {
+        const OpenRequest &request = entry.second;
+        // Requests of an earlier order belong to its evidence.
+        if (request.service == service && request.sentAt >= rollout->beganAt) {
+            ++countsOf(*rollout, evidence, request.version, request.route)
+                  .open[timeClassOf(now - request.sentAt)];
+        }
+    }
+    return evidence;
 }
 
 } // namespace fescue::serving
--- a/tests/serving/rolloutfleet_test.cpp
+++ b/tests/serving/rolloutfleet_test.cpp
@@ -103,6 +103,7 @@
     bool succeeded = false;
     bool isBad = false;
     Millis time {0};
+    std::uint64_t wait = 0;
     bool operator>(const Pending &other) const { return at > other.at; }
 };
 
@@ -139,6 +140,7 @@
         while (!pending.empty() && pending.top().at <= now) {
             const Pending answer = pending.top();
             pending.pop();
+            processes[answer.process].endWait(answer.wait);
             processes[answer.process].recordAnswer(service, answer.isNew ? "v2" : "v1",
                                                    answer.route == 0 ? "draft" : "summary",
                                                    answer.succeeded, answer.time);
@@ -162,7 +164,9 @@
                 time = Millis {static_cast<std::int64_t>(static_cast<double>(time.count)
                                                          * scenario.bad.slower)};
             const bool fails = (isBad && !isSlow) || traffic.uniform() < scenario.failing;
-            pending.push({now + time, i, route, isNew, !fails, isBad, time});
+            const std::uint64_t wait = table.beginWait(
+                {service, isNew ? "v2" : "v1", route == 0 ? "draft" : "summary", now});
+            pending.push({now + time, i, route, isNew, !fails, isBad, time, wait});
             ++outcome.requests;
             outcome.toNew += isNew ? 1 : 0;
             if (isNew)
@@ -172,17 +176,21 @@
             continue;
         for (std::size_t i = 0; i < processes.size(); ++i)
             judge.report(MemberName("p" + std::to_string(i)), {1},
-                         processes[i].find(service)->evidence);
+                         processes[i].evidence(now, service));
         judge.step(now);
         const RolloutVerdict verdict = judge.verdict();
-        const RolloutFacts facts {now,
-                                  now - changedAt,
-                                  verdict.isBad,
-                                  verdict.isDoubtful,
-                                  verdict.isSuspicious,
-                                  verdict.hasEnoughEvidence,
-                                  false,
-                                  now - changedAt > 3_s};
+        RolloutFacts facts {now,
+                            now - changedAt,
+                            verdict.isBad,
+                            verdict.isDoubtful,
+                            verdict.isSuspicious,
+                            verdict.hasEnoughEvidence,
+                            false,
+                            now - changedAt > 3_s};
+        for (const RolloutTable &table : processes)
+            facts.counts += table.find(service)->counts;
+        facts.exposureShare = limits.exposureShare;
+        facts.exposureAllowance = limits.exposureAllowance;
         const std::optional<RolloutStep> step = nextStep(record, facts);
         for (RolloutTable &table : processes) {
             if (traffic.uniform() >= permitLoss)
@@ -267,6 +275,25 @@
     }
 }
 
+// Little exposure is left in a short order once the share grows.
+TEST(RolloutFleet, VersionThatTurnsBadAtAnyTimeOfAShortOrderStaysWithinTheExposure)
+{
+    for (const Millis duration : {15_s, 20_s, 30_s}) {
+        for (std::int64_t eighth = 2; eighth <= 6; ++eighth) {
+            for (std::uint64_t seed = 1; seed <= 20; ++seed) {
+                Scenario scenario;
+                scenario.duration = duration;
+                scenario.bad = {0.4, duration * eighth / 8, false, -1, 0};
+                const Outcome outcome = play(scenario, seed);
+                EXPECT_LE(outcome.toNew,
+                          limits.exposureShare * outcome.requests + limits.exposureAllowance)
+                    << duration.count << " ms, bad from eighth " << eighth << ", seed " << seed
+                    << ", " << toString(outcome.stage);
+            }
+        }
+    }
+}
+
 Scenario withBad(const BadVersion &bad, bool hasBursts = true)
 {
     Scenario scenario;
--- a/tests/serving/rolloutnotice_test.cpp
+++ b/tests/serving/rolloutnotice_test.cpp
@@ -9,9 +9,21 @@
 
 TEST(RolloutNotice, ReportAndPermitSurviveTheirEncoding)
 {
-    RolloutReport report {MemberName("entry-1"), {4}, ServiceName("llm"), {7, 1}, 3, 12, true, {}};
+    RolloutReport report {MemberName("entry-1"),
+                          {4},
+                          ServiceName("llm"),
+                          {7, 1},
+                          3,
+                          12,
+                          true,
+                          {},
+                          "v2",
+                          30_s,
+                          {90, 4}};
     report.evidence["draft"].oldVersion.successes[5] = 90;
     report.evidence["draft"].newVersion.failures = 2;
+    report.evidence["draft"].newVersion.abandoned[7] = 3;
+    report.evidence["draft"].oldVersion.open[9] = 5;
     const Result<RolloutNotice> decoded = decodeRolloutNotice(encodeRolloutNotice(report));
     ASSERT_TRUE(decoded);
     EXPECT_EQ(std::get<RolloutReport>(*decoded), report);
@@ -38,6 +50,10 @@
         RouteEvidence &route = report.evidence[std::string(20, 'x') + std::to_string(i)];
         route.oldVersion.successes.fill(1'000'000);
         route.newVersion.successes.fill(1'000'000);
+        route.oldVersion.abandoned.fill(200);
+        route.newVersion.abandoned.fill(200);
+        route.oldVersion.open.fill(200);
+        route.newVersion.open.fill(200);
     }
     EXPECT_LE(encodeRolloutNotice(report).size(), 8192U);
 }
--- a/tests/serving/rolloutplan_test.cpp
+++ b/tests/serving/rolloutplan_test.cpp
@@ -63,6 +63,43 @@
     EXPECT_LT(newVersionShare(RolloutStage::Canary, 0.1), 0.1);
 }
 
+// A version may turn bad once it gets all requests; until it is found it gets those of some time.
+TEST(RolloutPlan, StagesLeaveEnoughOfTheExposureForAVersionThatTurnsBadLast)
+{
+    constexpr double foundAfterSeconds = 1;
+    for (const Millis duration : {8_s, 15_s, 20_s, 30_s, 60_s}) {
+        for (const double rate : {10.0, 90.0, 900.0}) {
+            RolloutRecord record = recordIn(RolloutStage::Canary);
+            record.duration = duration;
+            Millis changedAt {0};
+            double toNew = 0;
+            bool hasGrown = false;
+            for (Millis now = 250_ms; record.stage != RolloutStage::Closing; now += 250_ms) {
+                ASSERT_LT(now, duration);
+                toNew += newVersionShare(record.stage, 0.1) * rate / 4;
+                RolloutFacts facts = soundFacts(now);
+                facts.inStage = now - changedAt;
+                const double requests = rate * static_cast<double>(now.count) / 1000;
+                facts.counts = {static_cast<std::uint64_t>(requests),
+                                static_cast<std::uint64_t>(toNew)};
+                facts.exposureShare = 0.1;
+                facts.exposureAllowance = 50;
+                const std::optional<RolloutStep> step = nextStep(record, facts);
+                if (!step)
+                    continue;
+                hasGrown = hasGrown || step->stage != RolloutStage::Closing;
+                record.stage = step->stage;
+                changedAt = now;
+            }
+            const double limit = 0.1 * rate * static_cast<double>(duration.count) / 1000 + 50;
+            if (hasGrown) {
+                EXPECT_LE(toNew + rate * foundAfterSeconds, limit)
+                    << duration.count << " ms, " << rate << " requests a second";
+            }
+        }
+    }
+}
+
 TEST(RolloutPlan, BadVersionIsRevertedInEveryStage)
 {
     for (const RolloutStage stage : {RolloutStage::Canary, RolloutStage::Fifth,
@@ -95,6 +132,15 @@
     EXPECT_EQ(next(RolloutStage::Closing, facts), RolloutStage::Reverted);
 }
 
+TEST(RolloutPlan, SuspicionAloneEndsBeforeTheDeadline)
+{
+    RolloutFacts facts = soundFacts(26_s);
+    facts.isSuspicious = true;
+    EXPECT_EQ(next(RolloutStage::Canary, facts), RolloutStage::Closing);
+    facts.isDoubtful = true;
+    EXPECT_EQ(next(RolloutStage::Canary, facts), std::nullopt);
+}
+
 // No endpoint of the version ever came, or no request reached it.
 TEST(RolloutPlan, VersionWithoutEvidenceIsReverted)
 {
--- a/tests/serving/rollouttable_test.cpp
+++ b/tests/serving/rollouttable_test.cpp
@@ -285,4 +285,33 @@
     EXPECT_EQ(route.oldVersion.successes[timeClassOf(300_ms)], 1U);
 }
 
+TEST_F(RolloutTableTest, WaitsOfOpenRequestsAndOfCallersThatLeftAreEvidence)
+{
+    begin();
+    const std::uint64_t answered = table.beginWait({service, "v2", "draft", 1_s});
+    const std::uint64_t left = table.beginWait({service, "v2", "draft", 1_s});
+    EXPECT_EQ(table.evidence(3_s, service).at("draft").newVersion.open[timeClassOf(2_s)], 2U);
+    table.endWait(answered);
+    table.recordAnswer(service, "v2", "draft", true, 2_s);
+    table.endWait(left);
+    table.recordAbandoned(service, "v2", "draft", 3_s);
+    const AnswerCounts counts = table.evidence(9_s, service).at("draft").newVersion;
+    EXPECT_EQ(counts.open[timeClassOf(8_s)], 0U);
+    EXPECT_EQ(counts.successes[timeClassOf(2_s)], 1U);
+    EXPECT_EQ(counts.abandoned[timeClassOf(3_s)], 1U);
+    EXPECT_EQ(counts.total(), 1U);
+}
+
+TEST_F(RolloutTableTest, RequestsAreCountedByVersion)
+{
+    begin();
+    const EndpointRecord oldOne = endpoints.find(EndpointName("old-a"))->record;
+    const EndpointRecord newOne = endpoints.find(EndpointName("new-a"))->record;
+    table.recordRequest(oldOne, limits);
+    table.recordRequest(newOne, limits);
+    table.recordRequest(oldOne, limits, true);
+    table.recordRequest(newOne, limits, true);
+    EXPECT_EQ(table.find(service)->counts, (RolloutCounts {2, 2}));
+}
+
 } // namespace
