--- a/src/serving/rolloutplan.cpp
+++ b/src/serving/rolloutplan.cpp
@@ -49,25 +49,6 @@
     return static_cast<double>(facts.counts.toNew) + rate * (inStage + reactionMillis) <= limit;
 }
 
-// Returns the next step once closing is due. The share grows in two short stages, since answers
-// take some time under load: a version that is bad gets fewer requests before the first ones are
-// back.
-std::optional<RolloutStep> stepBeforeClosing(RolloutStage stage, const RolloutFacts &facts,
-                                             const RolloutSchedule &schedule) noexcept
-{
-    const RolloutStep closing {RolloutStage::Closing, "sound, time for the last requests"};
-    const Millis late = facts.elapsed - schedule.closeAt;
-    const bool hasTime = schedule.decideAt - schedule.closeAt >= minStageTime * 4;
-    if (!hasTime || late >= minStageTime * 3)
-        return closing;
-    if (stage < RolloutStage::TwoFifths)
-        return late < minStageTime ? RolloutStep {RolloutStage::TwoFifths, "sound"} : closing;
-    if (facts.inStage < minStageTime)
-        return std::nullopt;
-    return stage == RolloutStage::TwoFifths ? RolloutStep {RolloutStage::ThreeFifths, "sound"}
-                                            : closing;
-}
-
 } // namespace
 
 std::string_view toString(RolloutStage stage) noexcept
@@ -157,7 +138,7 @@
     if (!isSound || isSuspicious)
         return std::nullopt;
     if (facts.elapsed >= schedule.closeAt)
-        return stepBeforeClosing(record.stage, facts, schedule);
+        return RolloutStep {RolloutStage::Closing, "sound, time for the last requests"};
     const bool isCanary = record.stage == RolloutStage::Canary;
     const bool isDue =
         isCanary ? facts.elapsed >= schedule.growAt : facts.inStage >= schedule.stageTime;
