--- a/tests/serving/rolloutfleet_test.cpp
+++ b/tests/serving/rolloutfleet_test.cpp
@@ -115,6 +115,25 @@
     return record;
 }
 
+// Returns what a collector knows for the next step.
+RolloutFacts factsOf(Millis now, Millis inStage, const RolloutVerdict &verdict,
+                     const std::vector<RolloutTable> &processes)
+{
+    RolloutFacts facts;
+    facts.elapsed = now;
+    facts.inStage = inStage;
+    facts.isBad = verdict.isBad;
+    facts.isDoubtful = verdict.isDoubtful;
+    facts.isSuspicious = verdict.isSuspicious;
+    facts.hasEnoughEvidence = verdict.hasEnoughEvidence;
+    facts.isOldIdle = inStage > 3_s;
+    for (const RolloutTable &table : processes)
+        facts.counts += table.find(service)->counts;
+    facts.exposureShare = limits.exposureShare;
+    facts.exposureAllowance = limits.exposureAllowance;
+    return facts;
+}
+
 // Plays one order through the tables of all processes and one judge.
 Outcome play(const Scenario &scenario, std::uint64_t seed)
 {
@@ -179,18 +198,7 @@
                          processes[i].evidence(now, service));
         judge.step(now);
         const RolloutVerdict verdict = judge.verdict();
-        RolloutFacts facts {now,
-                            now - changedAt,
-                            verdict.isBad,
-                            verdict.isDoubtful,
-                            verdict.isSuspicious,
-                            verdict.hasEnoughEvidence,
-                            false,
-                            now - changedAt > 3_s};
-        for (const RolloutTable &table : processes)
-            facts.counts += table.find(service)->counts;
-        facts.exposureShare = limits.exposureShare;
-        facts.exposureAllowance = limits.exposureAllowance;
+        const RolloutFacts facts = factsOf(now, now - changedAt, verdict, processes);
         const std::optional<RolloutStep> step = nextStep(record, facts);
         for (RolloutTable &table : processes) {
             if (traffic.uniform() >= permitLoss)
