--- a/src/serving/rolloutplan.cpp
+++ b/src/serving/rolloutplan.cpp
@@ -124,7 +124,7 @@
     const bool isSound = facts.hasEnoughEvidence && !facts.isDoubtful;
     if (record.stage == RolloutStage::Closing) {
         const bool isLast = facts.elapsed >= schedule.decideAt;
-        if (isSound && facts.isOldIdle)
+        if (isSound && facts.isOldIdle && !facts.isSuspicious)
             return RolloutStep {RolloutStage::Completed, "the old versions are idle"};
         if (!isLast)
             return std::nullopt;
--- a/tests/serving/rolloutplan_test.cpp
+++ b/tests/serving/rolloutplan_test.cpp
@@ -167,6 +167,17 @@
     EXPECT_EQ(next(RolloutStage::Closing, facts), RolloutStage::Completed);
 }
 
+// The time that is left shows more.
+TEST(RolloutPlan, SuspicionPutsTheCompletionOff)
+{
+    RolloutFacts facts = soundFacts(26_s);
+    facts.isOldIdle = true;
+    facts.isSuspicious = true;
+    EXPECT_EQ(next(RolloutStage::Closing, facts), std::nullopt);
+    facts.elapsed = 29_s;
+    EXPECT_EQ(next(RolloutStage::Closing, facts), RolloutStage::Completed);
+}
+
 // A takeover after a long gap of the store.
 TEST(RolloutPlan, LateCanaryClosesDirectly)
 {
