Streams: ask again when a stopped generation's resume is rejected

A generation that a move has stopped is offered to the engines that hold its memory again, for 1.2 s, while they reject it without running it and the retry budget allows; callers abandon a stream after a gap of 2 s at the earliest.

The ledger knew of endpoints that ran a call, not of those that rejected it: a stream lost by the rejection of an endpoint that the soak itself troubles is no calm loss, as the rule excludes unplanned disruption from before the request to its end. It counts as one still where the rejecting endpoint is sound; a test for each. A lost call's line tells what the endpoints did for it.

--- a/include/fescue/serving/streamforwarder.h
+++ b/include/fescue/serving/streamforwarder.h
@@ -52,6 +52,8 @@
         bool started = false;
         // The engine that runs the generation still reads its prompt.
         bool prefilling = false;
+        // How the last attempt to resume at an engine ended.
+        SendOutcome resumeOutcome = SendOutcome::NotSent;
         // Of the engine that runs the generation; null for streams that may not be resumed.
         std::shared_ptr<SilenceWatch> silence;
 
@@ -128,6 +130,9 @@
     // Waits for the end of a move and resumes at its destination or, if that fails, at its source,
     // from the backup or from the standby copy. Returns false if none of these is possible.
     [[nodiscard]] bool resume(ForwardedStream &forwarded);
+    // Resumes a generation that a move has stopped, at its destination or at its source. Asks again
+    // for a while where these reject the request without running it.
+    [[nodiscard]] bool resumeAfterMove(ForwardedStream &forwarded);
     // Waits for the end of a pause that an engine has asked for. Returns false if that takes too
     // long or the caller has disconnected.
     [[nodiscard]] bool waitForPauseEnd(const RequestContext &context, const EndpointRecord &engine);
--- a/include/fescue/serving/streamforwarder.inl
+++ b/include/fescue/serving/streamforwarder.inl
@@ -18,6 +18,10 @@
 inline constexpr Millis resumePollInterval = 3_ms;
 // Maximum wait for the end of a move after its stream has ended.
 inline constexpr Millis maxResumeWait = 2500_ms;
+// Time for which a stopped generation asks engines with its memory again after they rejected it,
+// and the pause before. Callers abandon streams after a gap of two seconds or more.
+inline constexpr Millis maxRejectedResumeTime = 1200_ms;
+inline constexpr Millis rejectedResumePause = 150_ms;
 // Maximum pause of an engine for which a resuming stream waits; callers abandon streams after a gap
 // of two seconds or more.
 inline constexpr Millis maxPauseWait = 1800_ms;
@@ -552,18 +556,38 @@
     GenerationRun &run = *forwarded.run;
     forwarded.upstream = {};
     waitForStopAnswer(run);
-    if (run.phase == MovePhase::Stopped) {
-        run.resume->lastEventId = forwarded.events.lastId();
-        const EndpointRecord source = run.engine;
-        if (resumeAt(forwarded, run.destination))
-            return true;
-        // The engine that stopped the generation also retains its memory.
-        if (run.destination.name != source.name && resumeAt(forwarded, source))
-            return true;
-    }
+    if (run.phase == MovePhase::Stopped && resumeAfterMove(forwarded))
+        return true;
     return resumeFromBackup(forwarded) || resumeFromStandbyCopy(forwarded) || runAgain(forwarded);
 }
 
+template <PlatformProtocol P>
+bool StreamForwarder<P>::resumeAfterMove(ForwardedStream &forwarded)
+{
+    GenerationRun &run = *forwarded.run;
+    run.resume->lastEventId = forwarded.events.lastId();
+    std::vector<EndpointRecord> holders {run.destination};
+    // The engine that stopped the generation also retains its memory.
+    if (run.destination.name != run.engine.name)
+        holders.push_back(run.engine);
+    const Millis until = ServingState::now() + maxRejectedResumeTime;
+    while (true) {
+        std::vector<EndpointRecord> rejecting;
+        for (const EndpointRecord &holder : holders) {
+            if (resumeAt(forwarded, holder))
+                return true;
+            if (forwarded.resumeOutcome == SendOutcome::NotRun)
+                rejecting.push_back(holder);
+        }
+        holders = std::move(rejecting);
+        const bool isInTime = ServingState::now() + rejectedResumePause < until;
+        if (holders.empty() || !isInTime || forwarded.context.writer.callerGone()
+            || !m_state->tryTakeRetryForResume(run))
+            return false;
+        net::sleepFor(rejectedResumePause);
+    }
+}
+
 template <PlatformProtocol P>
 bool StreamForwarder<P>::resumeFromStandbyCopy(ForwardedStream &forwarded)
 {
@@ -585,6 +609,7 @@
     RequestContext &context = forwarded.context;
     GenerationRun &run = *forwarded.run;
     const Millis begun = ServingState::now();
+    forwarded.resumeOutcome = SendOutcome::NotSent;
     if (!waitForPauseEnd(context, engine))
         return false;
     EngineSend send = makeGenerationSend(context, engine);
@@ -596,6 +621,7 @@
     ExchangeResult result =
         exchange<P>(*m_state, context, engine, send, std::min(resumeTimeout, context.timeLeft()),
                     silenceCheck(forwarded, engine, [&writer] { return writer.callerGone(); }));
+    forwarded.resumeOutcome = result.outcome;
     observe::logChange("resume",
                        {{"id", run.requestId},
                         {"endpoint", engine.name.text()},
--- a/tests/serving/exchange_test.cpp
+++ b/tests/serving/exchange_test.cpp
@@ -807,6 +807,11 @@
         write("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n");
     }
 
+    static void rejectResume(const Write &write)
+    {
+        write("HTTP/1.1 503 Full\r\nRequest: id-1\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n");
+    }
+
     // Script of the engine that leaves: writes two events, announces that it leaves, and ends the
     // stream between two events once it has been asked to stop, or once `endsByItself` is set.
     void leave(std::string_view head, const Write &write)
@@ -815,6 +820,10 @@
             answerControlCall(write);
             return;
         }
+        if (head.find("Resume-From") != std::string_view::npos) {
+            rejectResume(write);
+            return;
+        }
         if (head.find("/move") == std::string_view::npos) {
             write("HTTP/1.1 200 OK\r\nRequest: id-1\r\nConnection: close\r\n\r\n" + events(1, 2));
             onWorker([this] {
@@ -843,6 +852,11 @@
                 answerControlCall(write);
                 return false;
             }
+            if (rejections > 0) {
+                --rejections;
+                rejectResume(write);
+                return false;
+            }
             ++resumes;
             EXPECT_NE(head.find("Resume-From: copy-2"), std::string_view::npos) << head;
             EXPECT_NE(head.find("Resume-After: 2"), std::string_view::npos) << head;
@@ -869,8 +883,35 @@
     std::function<void(const Write &)> answerStop;
     std::promise<void> stopped;
     std::atomic<int> resumes {0};
+    // Resumes that the other engine rejects first.
+    std::atomic<int> rejections {0};
 };
 
+// Guards against losing a stopped generation because its new engine rejects requests at times.
+TEST_F(ReplacedEngine, RejectedResumeIsTriedAgain)
+{
+    rejections = 2;
+    answerStop = [this](const Write &write) {
+        endStream();
+        write("HTTP/1.1 200 OK\r\nContent-Length: 6\r\n\r\ncopy-2");
+    };
+    const Result<net::HttpResponse> response = callStream();
+    ASSERT_TRUE(response) << response.error().message;
+    EXPECT_EQ(response->body, events(1, eventCount));
+    EXPECT_EQ(resumes, 1);
+}
+
+TEST_F(ReplacedEngine, ResumeThatIsAlwaysRejectedEndsVisibly)
+{
+    rejections = 1000;
+    answerStop = [this](const Write &write) {
+        endStream();
+        write("HTTP/1.1 200 OK\r\nContent-Length: 6\r\n\r\ncopy-2");
+    };
+    EXPECT_FALSE(callStream());
+    EXPECT_EQ(resumes, 0);
+}
+
 // Guards against passing on a third of a generation as a whole one: a stream without a length ends
 // with its connection also when the system has asked the engine to stop the generation.
 TEST_F(ReplacedEngine, StreamThatTheSystemStoppedResumes)
--- a/tests/soak/ledger.h
+++ b/tests/soak/ledger.h
@@ -7,6 +7,7 @@
 #include <deque>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -63,8 +64,10 @@
     int status = 0;
     Millis endedAt {0};
 
-    // All requests that reached an endpoint for it, also those that it rejected.
+    // All requests that reached an endpoint for it, also those that it rejected, and by which
+    // endpoints.
     std::uint32_t arrivals = 0;
+    std::set<std::size_t> reached;
     std::vector<Run> runs;
     // Status of the endpoint's answer, where it gave a whole one.
     int endpointStatus = 0;
@@ -199,10 +202,14 @@
     void checkConfig(const Call &call);
     // Nothing happened that excuses the loss of the call but planned work.
     [[nodiscard]] bool isCalm(const Call &call) const;
+    // No endpoint that the call reached was in trouble, also not one that rejected it.
+    [[nodiscard]] bool reachedSoundEndpoints(const Call &call) const;
     // The planned stop in which the call was sent, or null.
     [[nodiscard]] const Stop *stopAround(const Call &call) const;
     // Says how long after the signal for the stop the call was sent; empty for other calls.
     [[nodiscard]] std::string describeStop(const Call &call) const;
+    // Says what endpoints did for the call, in times since it was sent.
+    [[nodiscard]] std::string describeRuns(const Call &call) const;
     void checkOverlap(const Call &call);
     void tallyLeft(const Call &call);
     void tallyHeld(const Call &call);
--- a/tests/soakledger/ledger_test.cpp
+++ b/tests/soakledger/ledger_test.cpp
@@ -47,6 +47,16 @@
         static_cast<void>(m_ledger.arrives(call.id, endpoint, call.prefix, account, at));
     }
 
+    // A stream that its engine has ended for a move is rejected by the other engine.
+    void breakByRejection()
+    {
+        Call &call = send(CallKind::Draft);
+        arrive(call, engine, start + 5_ms);
+        m_ledger.ends(call, m_ledger.begins(call, engine, false, start + 5_ms), start + 300_ms);
+        arrive(call, otherEngine, start + 310_ms);
+        m_ledger.callerEnds(call, CallEnd::Broken, 0, start + 320_ms);
+    }
+
     // The endpoint of reads says in a whole answer that it leaves; its caller gets `status`.
     void answerWithWord(int status)
     {
@@ -249,6 +259,19 @@
     EXPECT_EQ(broken(), Names {});
 }
 
+TEST_F(LedgerTest, FindsAStreamLostByTheRejectionOfASoundEngine)
+{
+    breakByRejection();
+    EXPECT_EQ(broken(), Names {"LOST"});
+}
+
+TEST_F(LedgerTest, ExcusesAStreamLostByTheRejectionOfAnEngineInTrouble)
+{
+    m_disturbances.endpoints[otherEngine].add(start, start + 1_s);
+    breakByRejection();
+    EXPECT_EQ(broken(), Names {});
+}
+
 TEST_F(LedgerTest, FindsACallOfAStopThatHasRunAndIsToldAnUnknownOutcome)
 {
     m_ledger.stopBegins(0, start - 4_s);
