Soak: signals at a start count from the program's first code on

The soak sent SIGHUP from the moment on at which the kernel had taken the program's file, and SIGTERM at any moment, and took a process that ended by their default effect for one that ended by itself.

In its place: SIGHUP comes once the kernel shows that the program handles it, and a program that does not within 500 ms of its start breaks FAULT, unless it or the soak was disturbed. SIGTERM by its default effect is an orderly end only within these 500 ms and with nothing logged in that life; the restart, the readiness and the calls are checked as before. The test of starts uses the same look at the kernel's word.

--- a/tests/lifecycle/start_test.cpp
+++ b/tests/lifecycle/start_test.cpp
@@ -45,19 +45,6 @@
 // The users' GraceS, after which a process is killed.
 constexpr Millis grace = 8_s;
 
-// Tells whether a process handles a signal by itself, as the system shows it.
-bool handlesSignal(pid_t pid, int number)
-{
-    constexpr std::string_view key = "SigCgt:";
-    std::ifstream file("/proc/" + std::to_string(pid) + "/status");
-    std::string line;
-    while (std::getline(file, line)) {
-        if (line.starts_with(key))
-            return (std::stoull(line.substr(key.size()), nullptr, 16) >> (number - 1) & 1) != 0;
-    }
-    return false;
-}
-
 std::string replaced(std::string text, std::string_view part, std::string_view replacement)
 {
     text.replace(text.find(part), part.size(), replacement);
@@ -134,7 +121,7 @@
 // moment on at which the system tells that the program handles them, and that moment has a bound.
 TEST(Start, KeepsRunningAtSignalsForChangedSettings)
 {
-    ASSERT_FALSE(handlesSignal(getpid(), SIGHUP)) << "a new process would seem to handle it";
+    ASSERT_FALSE(soak::handlesSignal(getpid(), SIGHUP)) << "a new process would seem to handle it";
     EdgeSystem system("start-hup", 1);
     system.entry(0).writeSettings(1);
     constexpr int starts = 30;
@@ -144,7 +131,7 @@
         soak::EntryProcess &process = system.entry(0);
         const std::chrono::steady_clock::time_point begun = std::chrono::steady_clock::now();
         process.start();
-        while (!handlesSignal(process.pid(), SIGHUP)) {
+        while (!process.handles(SIGHUP)) {
             ASSERT_LT(std::chrono::steady_clock::now() - begun, handledWithin) << "start " << n;
             ASSERT_FALSE(process.hasEnded()) << "start " << n;
         }
@@ -178,7 +165,7 @@
     ASSERT_EQ(mkfifo(process.settingsPath().c_str(), S_IRUSR | S_IWUSR), 0);
     process.start();
     sleepThread(Millis {handledWithin.count()});
-    EXPECT_TRUE(handlesSignal(process.pid(), SIGHUP));
+    EXPECT_TRUE(process.handles(SIGHUP));
     process.signal(SIGHUP);
     sleepThread(60_ms);
     EXPECT_FALSE(process.hasEnded()) << "ended with " << process.lastStatus();
--- a/tests/soak/entryprocess.cpp
+++ b/tests/soak/entryprocess.cpp
@@ -30,6 +30,17 @@
 
 } // namespace
 
+bool handlesSignal(pid_t pid, int number)
+{
+    constexpr std::string_view key = "SigCgt:";
+    std::ifstream file("/proc/" + std::to_string(pid) + "/status");
+    for (std::string line; std::getline(file, line);) {
+        if (line.starts_with(key))
+            return (std::stoull(line.substr(key.size()), nullptr, 16) >> (number - 1) & 1) != 0;
+    }
+    return false;
+}
+
 EntryProcess::EntryProcess(EntryOptions options) : m_options(std::move(options)) { }
 
 EntryProcess::~EntryProcess()
@@ -131,12 +142,9 @@
         kill(m_pid, number);
 }
 
-bool EntryProcess::runsProgram() const
+bool EntryProcess::handles(int number) const
 {
-    std::error_code ec;
-    const std::filesystem::path running =
-        std::filesystem::read_symlink("/proc/" + std::to_string(m_pid) + "/exe", ec);
-    return isRunning() && !ec && std::filesystem::equivalent(running, m_options.program, ec);
+    return isRunning() && handlesSignal(m_pid, number);
 }
 
 std::string EntryProcess::logOfLife() const
--- a/tests/soak/entryprocess.h
+++ b/tests/soak/entryprocess.h
@@ -30,6 +30,9 @@
     bool hasRollouts = false;
 };
 
+// Tells whether a process handles a signal by itself, as the kernel shows it.
+[[nodiscard]] bool handlesSignal(pid_t pid, int number);
+
 // One real process of the system, driven by signals.
 class EntryProcess
 {
@@ -53,8 +56,8 @@
     // Looks whether the process has ended since the last call.
     [[nodiscard]] bool hasEnded();
     [[nodiscard]] bool isRunning() const noexcept { return m_pid > 0; }
-    // The program has taken the place of the copy of this process that starts it.
-    [[nodiscard]] bool runsProgram() const;
+    // Tells whether the process handles a signal by itself.
+    [[nodiscard]] bool handles(int number) const;
     // Id of the process; 0 where it does not run.
     [[nodiscard]] pid_t pid() const noexcept { return m_pid; }
     // Makes the next start write to this descriptor in place of the log.
--- a/tests/soak/injector.cpp
+++ b/tests/soak/injector.cpp
@@ -120,7 +120,7 @@
         m_world->entries[first].process->writeSettings(fault.target);
         // Settings may change with and without a signal.
         if (fault.target / 64 % 2 == 0)
-            m_world->entries[first].process->signal(SIGHUP);
+            after(0_ms, [this, first] { m_world->sendHangups(first, 1, 0_ms); });
         break;
     case FaultKind::EntryPaused:
         m_world->disturbances.entries[first].add(World::now(), World::now() + fault.lasts);
--- a/tests/soak/stopfaults.cpp
+++ b/tests/soak/stopfaults.cpp
@@ -60,7 +60,7 @@
         break;
     case FaultKind::SettingsIncompleteAtReload:
         m_world->disturbSettings(entry, states[choice(fault, states.size())], fault.lasts);
-        m_world->entries[entry].process->signal(SIGHUP);
+        m_world->pool.spawn(0, [this, entry] { m_world->sendHangups(entry, 1, 0_ms); });
         break;
     case FaultKind::HangupsAroundStop:
         hangUpAround(entry, fault);
--- a/tests/soak/world.cpp
+++ b/tests/soak/world.cpp
@@ -24,6 +24,9 @@
 constexpr Millis grace = 8_s;
 // A process ends at the latest this long before the end of its grace.
 constexpr Millis ownEndMargin = 300_ms;
+// The first code of a program, which handles its signals, runs this long after its start at the
+// latest.
+constexpr Millis firstCodeTime = 500_ms;
 // A process that has just started is given this long before it counts as undisturbed.
 constexpr Millis startTime = 1_s;
 // Of the users' machines: the smallest, and how engines come and go there.
@@ -159,15 +162,36 @@
     });
 }
 
-void World::sendHangups(std::size_t index, unsigned hangups, Millis first)
+bool World::waitForFirstCode(std::size_t index)
 {
     const EntryProcess &process = *entries[index].process;
-    // A signal to the copy of this process that has not begun the program would end the copy.
-    for (Millis waited {0}; !process.runsProgram() && waited < startTime; waited += 1_ms)
+    const Millis startedAt = entries[index].startedAt;
+    while (process.isRunning() && !process.handles(SIGHUP)) {
         net::sleepFor(1_ms);
+        if (entries[index].startedAt != startedAt)
+            return false;
+        const bool isDisturbed = entries[index].endExpected
+            || disturbances.entries[index].touch(startedAt, now())
+            || disturbances.driver.touch(startedAt, now());
+        if (now() > startedAt + firstCodeTime && !isDisturbed) {
+            ledger.violation("FAULT",
+                             process.name() + " handles no signals "
+                                 + std::to_string((now() - startedAt).count)
+                                 + " ms after its start");
+            return false;
+        }
+    }
+    return process.isRunning();
+}
+
+void World::sendHangups(std::size_t index, unsigned hangups, Millis first)
+{
+    // Before the loader has prepared the program, no code of it can handle a signal.
+    if (!waitForFirstCode(index))
+        return;
     net::sleepFor(first);
     for (unsigned i = 0; i < hangups && !stopping; ++i) {
-        process.signal(SIGHUP);
+        entries[index].process->signal(SIGHUP);
         net::sleepFor(hangupGap);
     }
 }
@@ -244,7 +268,11 @@
         + " in its " + std::string(phase) + ", " + std::to_string((now() - entry.startedAt).count)
         + " ms after its start; its last line: " + log.substr(begin, end - begin);
     ends.push_back(std::to_string((now() - beganAt).count) + " ms " + text);
-    const bool isOrderly = entry.killed || (entry.endExpected && status == 0);
+    // A signal that comes before the first code of the program has its default effect. Then nothing
+    // has been logged, and nothing served.
+    const bool endedBeforeCode =
+        status == -SIGTERM && log.empty() && now() <= entry.startedAt + firstCodeTime;
+    const bool isOrderly = entry.killed || (entry.endExpected && (status == 0 || endedBeforeCode));
     if (!isOrderly)
         ledger.violation("FAULT", text);
 }
--- a/tests/soak/world.h
+++ b/tests/soak/world.h
@@ -102,6 +102,11 @@
     bool end(std::size_t entry, int signal);
     // Writes the settings of an entry as they are for a time; whole again afterwards.
     void disturbSettings(std::size_t entry, SettingsState state, Millis lasts);
+    // Waits until the program handles its signals. Notes a violation where that takes too long.
+    // Returns false if the process ends or starts anew meanwhile.
+    [[nodiscard]] bool waitForFirstCode(std::size_t entry);
+    // Sends signals for changed settings, the first of them so long after the first code of the
+    // program has run.
     void sendHangups(std::size_t entry, unsigned hangups, Millis first);
     void publish(const SoakConfig &config);
 
