Requests of the peer that holds most memory give way to others'

Cause: bodies that stop short from one IP number held all memory for requests until their time ended, and whoever came next was refused.

Change: a request that finds no memory asks the server; peerGivingWay names the IP number that holds more than twice what the asking one will hold, if its arriving requests and idle connections make enough room. As many as are needed are told 503 (not run) or closed, and the other request waits for at most 0.1 s. Nobody gives way to itself or while there is room.

Ruled out: fixed shares, which refuse callers behind one number in calm. Shares by account are not built.

--- a/src/net/httpserver.cpp
+++ b/src/net/httpserver.cpp
@@ -3,6 +3,7 @@
 #include "fescue/net/listenerror.h"
 #include "fescue/net/opensockets.h"
 #include "net/connectiontable.h"
+#include "net/memoryshares.h"
 #include "net/serverconnection.h"
 
 #include <algorithm>
@@ -53,7 +54,11 @@
         : pool(workerPool), listen(std::move(listenAddress)), limits(std::move(serverLimits)),
           handler(std::move(requestHandler)), acceptor(workerPool.context(0)),
           connections(workerPool.size())
-    { }
+    {
+        connectionState.makeMemory = [this](const ServerConnection &asking, std::size_t wanted) {
+            return makeMemory(asking, wanted);
+        };
+    }
 
     Result<void> bind();
     void acceptAll();
@@ -72,6 +77,9 @@
     // Ends a connection of the current worker in favour of one from an IP number. Returns false
     // where none may be ended.
     [[nodiscard]] bool makeRoom(const std::string &ip);
+    // Refuses arriving requests and closes idle connections of the peer that has to give way to one
+    // that needs so many bytes more. Returns false where none has to.
+    [[nodiscard]] bool makeMemory(const ServerConnection &asking, std::size_t wanted);
     // Calls a function with each connection of the current worker.
     template <typename F>
     void forEachConnection(F function) const;
@@ -252,6 +260,40 @@
     return true;
 }
 
+bool HttpServer::Shared::makeMemory(const ServerConnection &asking, std::size_t wanted)
+{
+    std::vector<PeerMemory> peers;
+    const std::map<std::string, ConnectionTable::Group> &groups =
+        connections[currentWorker()].groups();
+    for (const std::pair<const std::string, ConnectionTable::Group> &entry : groups) {
+        PeerMemory peer {entry.first};
+        for (ServerConnection *connection : entry.second) {
+            peer.held += connection->heldBytes();
+            peer.releasable += connection->mayGiveWay() ? connection->heldBytes() : 0;
+        }
+        peers.push_back(std::move(peer));
+    }
+    const PeerMemory *peer = peerGivingWay(peers, asking.remoteAddress().ip, wanted);
+    if (peer == nullptr)
+        return false;
+    const Problem problem {503, ResultCode::NoCapacity, RunState::NotRun,
+                           "the memory is needed for requests of other callers", 1_s};
+    std::size_t released = 0;
+    for (ServerConnection *connection : groups.find(peer->ip)->second) {
+        if (released >= wanted)
+            break;
+        if (!connection->mayGiveWay())
+            continue;
+        released += connection->heldBytes();
+        if (connection->isReceiving())
+            connection->refusePartialRequests(problem);
+        else
+            connection->close();
+        displaced.fetch_add(1);
+    }
+    return true;
+}
+
 void HttpServer::Shared::serve(tcp::socket socket)
 {
     const ServerLimits now = limitsNow();
--- a/src/net/serverconnection.cpp
+++ b/src/net/serverconnection.cpp
@@ -35,6 +35,9 @@
 // A connection with a wide buffer ends after its answer where more than the budget divided by this
 // is in use.
 constexpr std::size_t calmDivisor = 4;
+// How long a request waits for memory that another one gives up, and how often it looks.
+constexpr Millis memoryWait = 100_ms;
+constexpr Millis memoryPollPause = 5_ms;
 // How long a peer may go on sending before its connection is closed, and how much besides a body.
 constexpr Millis closingDrainTime = 500_ms;
 constexpr std::size_t drainBytes = 1024ULL * 1024;
@@ -178,7 +181,7 @@
                 return false;
             }
         }
-        if (!reserveRequest()) {
+        if (!reserveRequest() && !reserveFromOthers(deadline)) {
             m_limits.bodyBudget->countRefusal();
             refuse({503, ResultCode::NoCapacity, RunState::NotRun,
                     "no memory is left for the request", noMemoryRetryAfter});
@@ -222,11 +225,15 @@
         return true;
     if (!m_memory)
         m_memory.emplace(*m_limits.bodyBudget, ByteUse::Request);
+    return m_memory->reserveUpTo(requestMemory());
+}
+
+std::size_t ServerConnection::requestMemory()
+{
     const std::size_t buffered = m_buffer.capacity() > keptBufferBytes ? m_buffer.capacity() : 0;
     if (!m_parser->is_header_done()) {
         // The head of a small request fits into the buffer of each connection.
-        return buffered == 0
-            || m_memory->reserveUpTo(std::max(buffered, ByteBudget::smallBytes + 1));
+        return buffered == 0 ? 0 : std::max(buffered, ByteBudget::smallBytes + 1);
     }
     if (m_parser->is_done()) {
         // Trailers come after the head.
@@ -234,7 +241,25 @@
     }
     const std::size_t announced = m_parser->content_length().value_or(0);
     const std::size_t body = std::max(announced, m_parser->get().body().capacity());
-    return m_memory->reserveUpTo(buffered + m_headMemory + body);
+    return buffered + m_headMemory + body;
+}
+
+bool ServerConnection::reserveFromOthers(Millis deadline)
+{
+    const std::size_t total = requestMemory();
+    // What the limit leaves to no request of this size is not asked of others either.
+    if (total > m_limits.bodyBudget->levelFor(ByteUse::Request, total))
+        return false;
+    const Millis until = std::min(deadline, deadlineAfter(memoryWait));
+    while (!m_partialRefusal && steadyNow() < until) {
+        const std::size_t wanted = total - std::min(total, m_memory->bytes());
+        if (!m_state->makeMemory || !m_state->makeMemory(*this, wanted))
+            return false;
+        sleepFor(memoryPollPause);
+        if (reserveRequest())
+            return true;
+    }
+    return false;
 }
 
 void ServerConnection::widenWindow()
--- a/src/net/serverconnection.h
+++ b/src/net/serverconnection.h
@@ -4,6 +4,7 @@
 #include "net/tcpsocket.h"
 
 #include <atomic>
+#include <functional>
 #include <optional>
 
 #include <boost/beast/core/flat_buffer.hpp>
@@ -23,6 +24,9 @@
         std::atomic<bool> lastAnswers {false};
         // Connections that have received a part of a request.
         std::atomic<std::size_t> receiving {0};
+        // Makes arriving requests of another peer give way to one that needs so many bytes more.
+        // Returns false where none has to. Their memory is free after a while.
+        std::function<bool(const ServerConnection &, std::size_t)> makeMemory;
     };
 
     ServerConnection(TcpSocket socket, const ServerLimits &limits, ServerState &state);
@@ -52,6 +56,17 @@
 
     // True while a request arrives in part.
     [[nodiscard]] bool isReceiving() const noexcept { return m_isReceiving; }
+    // True where the connection holds memory that it can give up: a request arrives in part that
+    // has not been told to end, or none does.
+    [[nodiscard]] bool mayGiveWay()
+    {
+        return heldBytes() > 0 && (m_isReceiving ? !m_partialRefusal : isIdle());
+    }
+    // Memory of the budget that the request and its window hold.
+    [[nodiscard]] std::size_t heldBytes() const noexcept
+    {
+        return (m_memory ? m_memory->bytes() : 0) + (m_windowMemory ? m_windowMemory->bytes() : 0);
+    }
 
     Result<void> send(const HttpResponse &response);
     Result<void> startStream(int status, std::span<const Header> headers);
@@ -79,8 +94,11 @@
     [[nodiscard]] bool parseRequest();
     // Takes a request out of the parser, which it ends.
     void takeRequest(HttpRequest &request);
-    // Reserves the memory of what has arrived of a request, and of a body by its announced length.
+    // Returns the memory of what has arrived of a request, and of a body by its announced length.
+    [[nodiscard]] std::size_t requestMemory();
     [[nodiscard]] bool reserveRequest();
+    // Reserves it where it has to be made free by requests of another peer.
+    [[nodiscard]] bool reserveFromOthers(Millis deadline);
     // Lets the peer send more of a large body ahead, if there is memory for it.
     void widenWindow();
     [[nodiscard]] bool readMore(Millis deadline);
--- a/tests/net/http_test.cpp
+++ b/tests/net/http_test.cpp
@@ -447,6 +447,53 @@
     EXPECT_EQ(m_server.openConnections(), 1U);
 }
 
+// Answers a crowd from one IP number whose bodies stop short and hold all memory for requests.
+TEST(HttpServerTest, BodyOfAnotherIpNumberGetsMemoryOfTheCrowd)
+{
+    constexpr std::size_t crowdBytes = 100'000;
+    constexpr std::size_t crowdSize = 5;
+    constexpr std::size_t askedBytes = 80'000;
+    WorkerPool pool(1);
+    ServerLimits limits;
+    // Requests of this size may use half of it.
+    limits.bodyBudget = std::make_shared<ByteBudget>(2 * crowdSize * crowdBytes + 20'000);
+    HttpServer server(pool, anyPort, limits, [](const HttpRequest &, ResponseWriter &writer) {
+        static_cast<void>(writer.send({}));
+    });
+    ASSERT_TRUE(server.start());
+    asio::io_context context;
+    const tcp::endpoint address(asio::ip::make_address(server.address().ip), server.address().port);
+    const std::string request = "POST /echo HTTP/1.1\r\nContent-Length: "
+        + std::to_string(crowdBytes) + "\r\n\r\n" + std::string(crowdBytes / 2, 'x');
+    std::vector<tcp::socket> crowd;
+    for (std::size_t i = 0; i < crowdSize; ++i) {
+        crowd.emplace_back(context, tcp::endpoint(asio::ip::make_address("127.0.0.2"), 0));
+        crowd.back().connect(address);
+        asio::write(crowd.back(), asio::buffer(request));
+    }
+    while (limits.bodyBudget->used() < crowdSize * crowdBytes)
+        runOn(pool, 0, [] { sleepFor(1_ms); });
+    // Another one of the crowd is refused, and takes nothing from the others.
+    tcp::socket sixth(context, tcp::endpoint(asio::ip::make_address("127.0.0.2"), 0));
+    sixth.connect(address);
+    asio::write(sixth, asio::buffer(request));
+    std::array<char, 12> status {};
+    asio::read(sixth, asio::buffer(status));
+    EXPECT_EQ(std::string_view(status.data(), status.size()), "HTTP/1.1 503");
+    EXPECT_EQ(server.displacedConnections(), 0U);
+    HttpClient client;
+    runOn(pool, 0, [&] {
+        HttpRequest body;
+        body.method = "POST";
+        body.body = std::string(askedBytes, 'y');
+        const Result<HttpResponse> served = client.request(server.address(), body, 5_s);
+        ASSERT_TRUE(served) << served.error().toString();
+        EXPECT_EQ(served->status, 200);
+    });
+    EXPECT_EQ(server.displacedConnections(), 1U);
+    EXPECT_EQ(limits.bodyBudget->refusals(), 1U);
+}
+
 TEST(HttpServerTest, CallerThatLeavesIsNoticed)
 {
     std::promise<void> noticed;
