fescuectl check: configurations of the users' platform before they are sent

A file NAME.json is read as a running process reads it. checkConfig finds entries that can never match or are never used, names and keys that are used twice, weights of 0, timeouts below targets and requests larger than the memory for one; describeChanges tells what the file changes against another file or the store. Exit status 0, 1 or 2; text and JSON. A process makes the same check when a configuration comes into force and logs config-finding.

Ruled out: a finding for several attempts on a route whose requests run once. An endpoint that refused has not run the request, so the number is valid there.

--- a/include/fescue/serving/storesession.h
+++ b/include/fescue/serving/storesession.h
@@ -3,6 +3,7 @@
 #include "fescue/core/backoff.h"
 #include "fescue/core/memberinfo.h"
 #include "fescue/net/storeera.h"
+#include "fescue/serving/configcheck.h"
 #include "fescue/serving/protocol.h"
 #include "fescue/serving/servingstate.h"
 #include "fescue/serving/storefeed.h"
@@ -119,6 +120,8 @@
     void applyChange(const StoreChange &change);
     void applyZoneChange(const ZoneName &zone, const StoreChange &change);
     void applyConfigChange(const StoreChange &change);
+    // Logs what the check of the configuration in force finds.
+    void logFindings() const;
     void applyEndpointChange(const EndpointName &name, const StoreChange &change);
     void applyMemberChange(const StoreChange &change);
     void applyQuarantineChange(const StoreChange &change);
--- a/include/fescue/serving/storesession.inl
+++ b/include/fescue/serving/storesession.inl
@@ -52,6 +52,9 @@
 inline constexpr Millis quarantineRewriteDelay = 5_s;
 // Interval at which the number of calls to the store is logged by cause.
 inline constexpr Millis callLogInterval = 10_s;
+// Log lines about what the check of one configuration found.
+inline constexpr std::size_t maxLoggedFindings = 20;
+inline constexpr std::size_t bytesPerMegabyte = std::size_t {1024} * 1024;
 
 template <PlatformProtocol P>
 StoreSession<P>::StoreSession(ServingState &state, MemberInfo self, StoreSessionHooks hooks)
@@ -662,11 +665,25 @@
                         {"routes", routes},
                         {"in_force", m_state->routes->version().value}});
     if (applied) {
+        logFindings();
         m_configBehindSince.reset();
         m_hooks.configApplied();
     }
 }
 
+template <PlatformProtocol P>
+void StoreSession<P>::logFindings() const
+{
+    const std::vector<ConfigFinding> findings = checkConfig(
+        m_state->routes->config(), m_state->settings.memoryMegabytes * bytesPerMegabyte);
+    for (std::size_t i = 0; i < std::min(findings.size(), maxLoggedFindings); ++i) {
+        observe::logChange(observe::LogLevel::Warning, "config-finding",
+                           {{"entry", findings[i].entry},
+                            {"message", findings[i].message},
+                            {"findings", findings.size()}});
+    }
+}
+
 template <PlatformProtocol P>
 void StoreSession<P>::applyEndpointChange(const EndpointName &name, const StoreChange &change)
 {
--- a/src/programs/ctl/commands.cpp
+++ b/src/programs/ctl/commands.cpp
@@ -2,6 +2,7 @@
 
 #include "fescue/config/accountkeys.h"
 #include "fescue/tools.h"
+#include "platformconfig.h"
 #include "report.h"
 
 #include <algorithm>
@@ -68,6 +69,8 @@
 
 ExitCode check(const Options &options)
 {
+    if (isPlatformConfig(options))
+        return checkPlatformConfig(options);
     const Checked<Declaration> declaration = declarationOf(options);
     if (!declaration) {
         reportErrors(options, declaration.error());
--- a/src/programs/ctl/main.cpp
+++ b/src/programs/ctl/main.cpp
@@ -24,7 +24,8 @@
 
 constexpr const char *footer = "Exit codes: 0 done, 1 error, 2 usage or validation, 3 another "
                                "version was published, 4 store unreachable or outcome unknown, "
-                               "5 not in force everywhere in time.";
+                               "5 not in force everywhere in time. check NAME.json: 0 clean, 1 "
+                               "findings, 2 not readable.";
 
 class CommandLine
 {
@@ -83,7 +84,15 @@
 
     void addFileCommands()
     {
-        addPaths(add(m_app, "check", "check service files", Command::Check));
+        CLI::App *check =
+            add(m_app, "check", "check service files, or one NAME.json of the platform",
+                Command::Check);
+        addPaths(check);
+        check->add_option(
+            "--against", m_options.against,
+            "with NAME.json: tell what differs from this file, or from the \"store\"");
+        check->add_option("--memory-mb", m_options.memoryMegabytes,
+                          "with NAME.json: memory of the smallest process");
         addPaths(add(m_app, "diff", "print what publishing would change", Command::Diff));
         CLI::App *publish = add(m_app, "publish", "publish service files", Command::Publish);
         addPaths(publish);
@@ -115,8 +124,13 @@
         if (!timeout)
             return tl::unexpected<Error>(timeout.error());
         m_options.storeTimeout = *timeout;
-        const bool offline =
-            m_options.command == Command::Check || m_options.command == Command::HashKey;
+        const bool isConfig = m_options.paths.size() == 1 && m_options.paths[0].ends_with(".json");
+        const bool hasConfigOptions = !m_options.against.empty() || m_options.memoryMegabytes > 0;
+        if (m_options.command == Command::Check && !isConfig && hasConfigOptions)
+            return fail(ResultCode::ConfigBadValue,
+                        "--against and --memory-mb are for one file NAME.json");
+        const bool offline = (m_options.command == Command::Check && m_options.against != "store")
+            || m_options.command == Command::HashKey;
         if (offline)
             return {};
         if (m_raw.store.empty())
--- a/src/programs/ctl/options.h
+++ b/src/programs/ctl/options.h
@@ -4,6 +4,7 @@
 #include "fescue/core/clock.h"
 #include "fescue/core/ids.h"
 
+#include <cstddef>
 #include <cstdint>
 #include <optional>
 #include <string>
@@ -42,8 +43,13 @@
     HostPort store;
     Millis storeTimeout = 1_s;
     bool json = false;
-    // Files and directories of check, publish and diff.
+    // Files and directories of check, publish and diff. A single file of check whose name ends in
+    // ".json" is a configuration of the users' platform.
     std::vector<std::string> paths;
+    // A configuration of the users' platform to compare with: a file, or the word "store".
+    std::string against;
+    // Memory of the smallest process, in MB; 0 if it is not known.
+    std::size_t memoryMegabytes = 0;
     std::optional<ConfigVersion> baseVersion;
     // Do not wait until the daemons have the version in force.
     bool noWait = false;
--- a/src/programs/ctl/report.cpp
+++ b/src/programs/ctl/report.cpp
@@ -143,6 +143,31 @@
     printLines(changes);
 }
 
+void reportFindings(const Options &options, ConfigVersion version,
+                    const std::vector<serving::ConfigFinding> &findings,
+                    const std::optional<std::vector<std::string>> &changes)
+{
+    if (options.json) {
+        json list = json::array();
+        for (const serving::ConfigFinding &finding : findings)
+            list.push_back({{"entry", finding.entry}, {"message", finding.message}});
+        json value = {{"version", version.value}, {"findings", std::move(list)}};
+        if (changes)
+            value["changes"] = *changes;
+        print(std::cout, value);
+        return;
+    }
+    for (const serving::ConfigFinding &finding : findings)
+        std::cout << options.paths[0] << ": " << finding.entry << ": " << finding.message << '\n';
+    if (findings.empty())
+        std::cout << options.paths[0] << ": version " << version.value << ", nothing found\n";
+    if (!changes)
+        return;
+    std::cout << (changes->empty() ? "no differences from " : "differences from ")
+              << options.against << (changes->empty() ? "\n" : ":\n");
+    printLines(*changes);
+}
+
 void reportPublished(const Options &options, const tools::Published &published,
                      const std::vector<MemberStatus> &statuses)
 {
--- a/src/programs/ctl/report.h
+++ b/src/programs/ctl/report.h
@@ -1,10 +1,12 @@
 #pragma once
 
 #include "fescue/config/errorlist.h"
+#include "fescue/serving/configcheck.h"
 #include "fescue/tools/publication.h"
 #include "fescue/tools/rollout.h"
 #include "options.h"
 
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -22,6 +24,12 @@
 void reportChanges(const Options &options, ConfigVersion published,
                    const std::vector<std::string> &changes);
 
+// What was found in a configuration of the users' platform, and what it changes; nothing where it
+// was not compared.
+void reportFindings(const Options &options, ConfigVersion version,
+                    const std::vector<serving::ConfigFinding> &findings,
+                    const std::optional<std::vector<std::string>> &changes);
+
 void reportPublished(const Options &options, const tools::Published &published,
                      const std::vector<tools::MemberStatus> &statuses);
 
--- a/src/serving/servingstate.cpp
+++ b/src/serving/servingstate.cpp
@@ -1,6 +1,7 @@
 #include "fescue/serving/servingstate.h"
 
 #include "fescue/observe/log.h"
+#include "fescue/serving/bodymemory.h"
 
 #include <algorithm>
 #include <utility>
@@ -27,8 +28,6 @@
 constexpr Millis longestStoreSilence = 1300_ms;
 // Longest answer to a control call of this process.
 constexpr std::uint64_t maxControlAnswerBytes = std::uint64_t {256} * 1024;
-// Percentage of the process' memory that bodies of requests and of answers may take together.
-constexpr std::size_t bodyMemoryPercent = 50;
 constexpr std::size_t bytesPerMegabyte = std::size_t {1024} * 1024;
 // Callers' length estimates are often far off, so they are clamped between these quantiles of the
 // route's output lengths.
@@ -46,7 +45,7 @@
 
 std::size_t bodyMemoryOf(const NodeSettings &settings) noexcept
 {
-    return settings.memoryMegabytes * bytesPerMegabyte / 100 * bodyMemoryPercent;
+    return bodyMemory(settings.memoryMegabytes * bytesPerMegabyte);
 }
 
 ClientBuffers clientBuffersOf(const NodeSettings &settings, std::size_t bodyBytes) noexcept
