--- a/bench/clients.cpp
+++ b/bench/clients.cpp
@@ -1,6 +1,6 @@
 // What crowds of clients outside the limits cost one process: memory, connections, processor time
-// of a request, beside ordinary callers. Prints a row of a table for each kind and size; of one
-// kind where it is named.
+// of a request, beside ordinary callers. Prints a row of a table for each kind and size, of one
+// kind where it is named; and ordinary calls that were not served to the error output.
 
 #include "tests/clients/clientscripts.h"
 #include "tests/clients/processmeter.h"
@@ -54,6 +54,22 @@
     return Millis {ticks * 1000 / sysconf(_SC_CLK_TCK)};
 }
 
+// Tells what the callers saw whose calls were not served, and whether the back end ran them.
+void reportNotServed(const EdgeSystem &system, std::span<const CallRecord> calls)
+{
+    for (const CallRecord &call : calls) {
+        if (call.end == CallEnd::Answered && call.status == 200)
+            continue;
+        const std::string_view end = call.end == CallEnd::Answered ? "answered"
+            : call.end == CallEnd::Closed                          ? "closed"
+            : call.end == CallEnd::TimedOut                        ? "timed out"
+                                                                   : "not connected";
+        std::cerr << "not served: " << call.id << ' ' << end << ", status " << call.status
+                  << ", after " << (call.endedAt - call.sentAt).count << " ms, "
+                  << (system.runOf(call.id) ? "run" : "not run") << '\n';
+    }
+}
+
 void measure(const Kind &kind, Door door, std::size_t clients)
 {
     EdgeSystem system("bench-clients", 1,
@@ -74,6 +90,7 @@
     std::size_t served = 0;
     for (const CallRecord &call : calls)
         served += call.end == CallEnd::Answered && call.status == 200;
+    reportNotServed(system, calls);
     const Millis used = processorTime(process.pid()) - before;
     const bool lives = !process.hasEnded();
     std::cout << "| " << kind.name << " | " << nameOf(door) << " | " << clients << " | "
