Moves: a generation goes on from its first whole copy

- A copy from which its destination can resume is kept as such: when the engine is lost, the generation resumes from it, as from a standby copy.
- While the link is busy (a copy takes longer than 45 ms) the generation is handed over from its copy, as from a backup, instead of being copied again and stopped.
The destination reads what was added since.
Each generation so uses the link once.
- Whether the link carries a copy is judged by the memory that the engine holds, not by the number of its requests times the own copy: short requests hold little.
- The place at the destination is reported to all processes before the copy begins, not only within the zone, where load changes are reported.
- A copy that is no longer needed is freed.

Tests: ReplacedEngine.GenerationIsHandedOverFromItsCopyWhileTheLinkIsBusy, CopyFits.ShortGenerationsTakeNoMoreOfTheLinkThanTheyHold. Replaced: ReplacedEngine.StreamThatTheSystemMayHaveStoppedIsNeverComplete expected a failure after a stop of unknown outcome, although a whole copy was there; it now expects the whole stream from that copy (...ResumesFromTheCopyBefore). CopySchedule.ContinuesWhileTheLinkIsBusyAndStopsWhenItIsIdle is now StepAfterCopy.HandsOverWhileTheLinkIsBusyAndStopsWhenItIsIdle, with the same times. CopySchedule.StopsBeforeTheEngineTerminates is gone with the deadline that it tested: no copy is repeated until the engine ends. Two calls in CopyFits tests state the sum of the copies instead of their number.

--- a/include/fescue/serving/generationmover.h
+++ b/include/fescue/serving/generationmover.h
@@ -72,9 +72,12 @@
     void move(const GenerationRunPtr &run);
     [[nodiscard]] NextStep moveOnce(const GenerationRunPtr &run, const EndpointView &source,
                                     PlacementDemand &demand);
-    // Copies the generation until it can be stopped, then stops it.
+    // Copies the generation while it runs, then hands it over or stops it.
     [[nodiscard]] NextStep copy(const GenerationRunPtr &run, const EndpointRecord &source,
                                 const EndpointRecord &destination, PlacementDemand &demand);
+    // Has the generation resume from its backup or copy; returns when that is done or has failed.
+    [[nodiscard]] NextStep handOver(const GenerationRunPtr &run, const EndpointRecord &source,
+                                    const EndpointRecord &destination);
     [[nodiscard]] NextStep stop(const GenerationRunPtr &run, const EndpointRecord &source,
                                 const EndpointRecord &destination);
     [[nodiscard]] MoveAnswer call(const GenerationRunPtr &run, const EndpointRecord &source,
--- a/include/fescue/serving/generationmover.inl
+++ b/include/fescue/serving/generationmover.inl
@@ -3,6 +3,8 @@
 #include "fescue/observe/log.h"
 #include "fescue/serving/periodictask.h"
 
+#include <algorithm>
+
 namespace fescue::serving {
 
 // Pause before a move is planned again because the generation is expected to end in time, no engine
@@ -126,6 +128,11 @@
     m_state->pool.spawn(net::currentWorker(), [this, run] {
         move(run);
         run->hasMoveFiber = false;
+        // The fiber that maintains a standby copy frees it itself.
+        if (run->finished && !run->hasStandbyFiber && !run->standbyHandle.empty()) {
+            freeCopy(run->engine, run->standbyHandle);
+            run->clearStandbyCopy();
+        }
     });
 }
 
@@ -277,8 +284,9 @@
                                            const EngineModel &model)
 {
     const Millis now = ServingState::now();
-    const std::uint32_t requests = m_state->ledger.total(now, source.record.name).requests;
-    return copyFits(run.requestId, expectedEndOf(source) - now, requests,
+    const std::uint64_t held = m_state->ledger.total(now, source.record.name).memoryTokens;
+    const std::uint64_t all = std::max(std::min(held, model.memoryTokens), run.memoryTokens());
+    return copyFits(run.requestId, expectedEndOf(source) - now, copyTime(model, all, true),
                     copyTime(model, run.memoryTokens(), true));
 }
 
@@ -312,17 +320,8 @@
     if (model == nullptr)
         return NextStep::Done;
     const MovingRun moving = run->movingRun(expectedEndOf(source));
-    if (isUsable(run->backup)) {
-        observe::logChange("hand-over",
-                           {{"id", run->requestId},
-                            {"from", source.record.name.text()},
-                            {"to", run->backup->name.text()},
-                            {"events", run->events}});
-        run->phase = MovePhase::FailingOver;
-        while (!run->finished && run->phase == MovePhase::FailingOver)
-            net::sleepFor(failoverPollInterval);
-        return NextStep::TryAgain;
-    }
+    if (isUsable(run->backup))
+        return handOver(run, source.record, *run->backup);
     if (!isUsable(run->standbyEngine) && !copyFitsBeforeEnd(*run, source, *model)) {
         noteNotMoved(*run, source, "links-busy");
         return NextStep::TryAgain;
@@ -360,9 +359,20 @@
     m_state->links.addCopy(
         destination.name, ServingState::now(),
         copyTime(*model, moving.memoryTokens, destination.zone == source.record.zone));
-    const ScopedLoad load(m_state->ledger, destination.name, {1, moving.reservedTokens, 0});
+    // The place at the destination is reserved before the copy begins.
+    const EndpointLoad reserved {1, moving.reservedTokens, 0};
+    const ScopedLoad load(m_state->ledger, destination.name, reserved);
     m_state->notifyPeers();
-    return copy(run, source.record, destination, demand);
+    const bool reports = m_state->routes && m_state->routes->hasPriorities(run->service);
+    if (reports)
+        m_state->reportLoadChange(destination.name, true, reserved);
+    const NextStep step = copy(run, source.record, destination, demand);
+    const bool goesThere = run->phase == MovePhase::Stopped
+        ? run->destination.name == destination.name
+        : run->engine.name == destination.name;
+    if (reports && !goesThere)
+        m_state->reportLoadChange(destination.name, false, reserved);
+    return step;
 }
 
 template <PlatformProtocol P>
@@ -397,28 +407,48 @@
 GenerationMover<P>::copy(const GenerationRunPtr &run, const EndpointRecord &source,
                          const EndpointRecord &destination, PlacementDemand &demand)
 {
-    while (true) {
-        run->phase = MovePhase::Copying;
-        const Millis startedAt = ServingState::now();
-        const MoveAnswer answer = call(run, source, destination, false);
-        if (run->finished || run->phase != MovePhase::Copying)
-            return NextStep::Done;
-        run->phase = MovePhase::Running;
-        if (answer.outcome == MoveOutcome::NoRoom)
+    run->phase = MovePhase::Copying;
+    const Millis startedAt = ServingState::now();
+    const MoveAnswer answer = call(run, source, destination, false);
+    if (answer.outcome == MoveOutcome::Copied && run->engine.name == source.name) {
+        // If the engine is lost from now on, the generation resumes from the copy.
+        run->standbyEngine = destination;
+        run->standbyHandle = answer.handle;
+    }
+    if (run->finished || run->phase != MovePhase::Copying)
+        return NextStep::Done;
+    run->phase = MovePhase::Running;
+    if (answer.outcome == MoveOutcome::NoRoom)
+        demand.excluded.insert(destination.name);
+    if (answer.outcome != MoveOutcome::Copied)
+        return NextStep::TryAgain;
+    if (stepAfterCopy(ServingState::now() - startedAt) == CopyStep::HandOver) {
+        const NextStep step = handOver(run, source, destination);
+        if (run->engine.name == source.name)
             demand.excluded.insert(destination.name);
-        if (answer.outcome != MoveOutcome::Copied)
-            return NextStep::TryAgain;
-        const Millis now = ServingState::now();
-        const EndpointView *view = m_state->endpoints.find(source.name);
-        const CopySchedule schedule(view == nullptr ? now : expectedEndOf(*view));
-        if (schedule.nextStep(now, now - startedAt) == CopyStep::Stop)
-            break;
+        return step;
     }
     if (!m_state->tryTakeRetryForResume(*run))
         return NextStep::TryAgain;
     return stop(run, source, destination);
 }
 
+template <PlatformProtocol P>
+typename GenerationMover<P>::NextStep
+GenerationMover<P>::handOver(const GenerationRunPtr &run, const EndpointRecord &source,
+                             const EndpointRecord &destination)
+{
+    observe::logChange("hand-over",
+                       {{"id", run->requestId},
+                        {"from", source.name.text()},
+                        {"to", destination.name.text()},
+                        {"events", run->events}});
+    run->phase = MovePhase::FailingOver;
+    while (!run->finished && run->phase == MovePhase::FailingOver)
+        net::sleepFor(failoverPollInterval);
+    return NextStep::TryAgain;
+}
+
 template <PlatformProtocol P>
 typename GenerationMover<P>::NextStep GenerationMover<P>::stop(const GenerationRunPtr &run,
                                                                const EndpointRecord &source,
--- a/include/fescue/serving/moveplan.h
+++ b/include/fescue/serving/moveplan.h
@@ -61,37 +61,26 @@
 
 enum class CopyStep : std::uint8_t
 {
-    // Copy the memory added since the last copy, while the generation keeps running.
-    CopyAgain,
+    // Resume at the destination from the copy, which reads the little that was added since.
+    HandOver,
     // Stop the generation and copy the remaining memory.
     Stop,
 };
 
-// Decides when a generation that is being copied is stopped. Stopping it delays its stream for as
-// long as the remaining copy takes, and that copy waits behind the copies of other generations on
-// the same link. So the generation is copied repeatedly while it runs, until a copy is quick or the
-// engine is about to terminate.
-class CopySchedule
-{
-public:
-    // `leavesAt` is the time at which the engine is expected to terminate.
-    explicit CopySchedule(Millis leavesAt) noexcept : m_leavesAt(leavesAt) { }
-
-    // Returns the step after a copy that took `took` and ended at `now`.
-    [[nodiscard]] CopyStep nextStep(Millis now, Millis took) const noexcept;
-
-private:
-    Millis m_leavesAt;
-};
+// Returns the step after a complete copy of a running generation that took `took`. Stopping the
+// generation delays its stream for as long as the remaining copy takes. That copy waits behind the
+// copies of other generations on the same link, and is lost if the engine terminates before. So a
+// generation is stopped only if the link is idle, which a quick copy shows; else it needs the link
+// no more.
+[[nodiscard]] CopyStep stepAfterCopy(Millis took) noexcept;
 
 // Returns true if a generation's memory is to be copied from an engine that terminates after
-// `left`. `requests` generations run on that engine, and a copy takes `copy` over an idle link. A
-// link carries one copy at a time, and an interrupted copy occupies memory at its destination for
-// seconds. So only as many copies are started as the link can carry. They are selected by
-// request id: each process decides for its own generations, and all processes together start about
-// as many copies as fit.
-[[nodiscard]] bool copyFits(std::string_view requestId, Millis left, std::uint32_t requests,
-                            Millis copy);
+// `left`. Copying all that the engine holds takes `allCopies`, the generation's own part `copy`,
+// over an idle link. A link carries one copy at a time, and an interrupted copy occupies memory at
+// its destination for seconds. So only as many copies are started as the link can carry. They are
+// selected by request id: each process decides for its own generations, and all processes together
+// start about as many copies as fit.
+[[nodiscard]] bool copyFits(std::string_view requestId, Millis left, Millis allCopies, Millis copy);
 
 // Returns the time at which an engine that gave notice is expected to terminate if it does not
 // announce the time itself.
--- a/include/fescue/serving/streamforwarder.inl
+++ b/include/fescue/serving/streamforwarder.inl
@@ -483,7 +483,7 @@
     net::ClientStream source = std::move(forwarded.upstream);
     // The check of the source's stream goes on with its own watch.
     const std::shared_ptr<SilenceWatch> silence = forwarded.silence;
-    if (resumeFromBackup(forwarded)) {
+    if (resumeFromBackup(forwarded) || resumeFromStandbyCopy(forwarded)) {
         // The engine may keep generating for a moment; closing the connection stops it.
         source.close();
         return;
--- a/src/serving/moveplan.cpp
+++ b/src/serving/moveplan.cpp
@@ -20,7 +20,7 @@
 // that callers notice: with the switch to the other engine it stays under the longest pause of the
 // routes.
 constexpr Millis quickCopyLimit {45};
-// Time that stopping, switching the connection and the first call take in addition to the copy.
+// Time that the first call, and resuming at the destination, take in addition to the copy.
 constexpr Millis stopMargin {150};
 // Share of an engine's memory up to which moved generations may be expected to fill it. Higher than
 // for new generations because a generation that is not moved is lost.
@@ -94,10 +94,9 @@
     return it == m_busyUntil.end() ? Millis {0} : std::max(it->second - now, Millis {0});
 }
 
-CopyStep CopySchedule::nextStep(Millis now, Millis took) const noexcept
+CopyStep stepAfterCopy(Millis took) noexcept
 {
-    const bool lastMoment = now + took + stopMargin >= m_leavesAt;
-    return took <= quickCopyLimit || lastMoment ? CopyStep::Stop : CopyStep::CopyAgain;
+    return took <= quickCopyLimit ? CopyStep::Stop : CopyStep::HandOver;
 }
 
 Millis expectedEnd(Millis noticeAt) noexcept
@@ -105,17 +104,16 @@
     return noticeAt + shortestNotice;
 }
 
-bool copyFits(std::string_view requestId, Millis left, std::uint32_t requests, Millis copy)
+bool copyFits(std::string_view requestId, Millis left, Millis allCopies, Millis copy)
 {
     const Millis usable = left - stopMargin;
     if (usable < copy)
         return false;
-    const Millis timeForAllCopies = copy * std::max<std::int64_t>(requests, 1);
-    if (timeForAllCopies <= usable)
+    if (allCopies <= usable)
         return true;
     constexpr std::uint64_t steps = 1'000'000;
     const std::uint64_t place = rendezvousScore("copies", requestId) % steps;
-    return place * static_cast<std::uint64_t>(timeForAllCopies.count)
+    return place * static_cast<std::uint64_t>(allCopies.count)
         < steps * static_cast<std::uint64_t>(usable.count);
 }
 
