Refused callers come back in the order in which room is expected

Callers that found no room for a generation were told to come back after a random time between a quarter of a limit and the limit (1.5 to 6 s), whoever they were, and were refused again after an eighth of their target latency like those who came anew.

ReturnSchedule hands out places: at the rate at which the generations of this process end, by priority, and in the order of the refusals within it. Each process schedules its own callers by its own part of the room, so no message is needed. Without a known rate, or without room in the time that a caller accepts, the random time stays. Who has returned waits for room up to half of its target latency, as its caller seldom tries a third time. Services without priorities are served as before. The line `return` of the log says who got which place.

--- a/include/fescue/serving/servingstate.h
+++ b/include/fescue/serving/servingstate.h
@@ -22,6 +22,7 @@
 #include "fescue/serving/nodesettings.h"
 #include "fescue/serving/placement.h"
 #include "fescue/serving/promptquarantine.h"
+#include "fescue/serving/returnschedule.h"
 #include "fescue/serving/rollouttable.h"
 #include "fescue/serving/routetable.h"
 #include "fescue/serving/sharedretrybudget.h"
@@ -136,6 +137,14 @@
     // Returns the retries that this process has used recently, by service, for the gossip to peers.
     [[nodiscard]] std::vector<ServiceRetries> ownRetries();
 
+    // Records that a generation of this process has ended and left room at an engine of a service.
+    void recordRoom(const ServiceName &service);
+    // Returns the time after which a caller that is refused for lack of room should come back: in
+    // the order in which callers will be served if room becomes free as expected. Only services
+    // with priorities have an order; nullopt for others, or if no room is expected in time.
+    [[nodiscard]] std::optional<Millis> reserveReturn(const ServiceName &service, int priority,
+                                                      Millis timeLeft);
+
     // Returns the expected number of output tokens of a generation on a route: the caller's
     // estimate, clamped to the range that earlier outputs of the route make likely, and limited by
     // the caller's maximum.
@@ -216,6 +225,7 @@
     void removeUnreachable(std::vector<const EndpointView *> &usable) const;
 
     std::map<ServiceName, SharedRetryBudget> m_retryBudgets;
+    std::map<ServiceName, ReturnSchedule> m_returns;
     LengthForecast m_lengths;
     std::mt19937_64 m_random;
     std::size_t m_maxMembers = 1;
--- a/include/fescue/serving/streamforwarder.h
+++ b/include/fescue/serving/streamforwarder.h
@@ -5,6 +5,7 @@
 #include "fescue/serving/generationmover.h"
 #include "fescue/serving/generationrun.h"
 #include "fescue/serving/promptguard.h"
+#include "fescue/serving/refusal.h"
 #include "fescue/serving/refuse.h"
 #include "fescue/serving/requestcontext.h"
 #include "fescue/serving/resumptionplan.h"
--- a/include/fescue/serving/streamforwarder.inl
+++ b/include/fescue/serving/streamforwarder.inl
@@ -113,8 +113,12 @@
     const EndpointLoad load = forwarded.load->load();
     forwarded.load.reset();
     const RequestContext &context = forwarded.context;
-    if (context.routes->hasPriorities(context.service))
-        m_state->reportLoadChange(engine, false, load);
+    if (!context.routes->hasPriorities(context.service))
+        return;
+    const EndpointView *view = m_state->endpoints.find(engine);
+    if (view != nullptr && !m_state->isEnding(*view))
+        m_state->recordRoom(context.service);
+    m_state->reportLoadChange(engine, false, load);
 }
 
 template <PlatformProtocol P>
@@ -291,6 +295,7 @@
     request.overShare = context.account != nullptr
         && isOverShare(m_state->accountUse.shareRatio(begun, context.account->name));
     const Millis before = context.waitedBefore();
+    request.hasReturned = before >= minReturnDelay;
     while (true) {
         const Millis now = ServingState::now();
         request.held = now - begun;
--- a/include/fescue/serving/turnorder.h
+++ b/include/fescue/serving/turnorder.h
@@ -24,6 +24,8 @@
     bool mostUrgent = false;
     // The client account has recently used much more than its share of the engines.
     bool overShare = false;
+    // The caller was refused before and has come back.
+    bool hasReturned = false;
     // Time since the caller first asked, also of an earlier attempt that was refused.
     Millis waited {0};
     // Time that this process has held the request.
@@ -54,7 +56,8 @@
 // to them while prompts wait there, but no longer than their own target latency allows: who has
 // waited longer accepts a longer queue at the engine, so that all processes follow the same order
 // without asking each other. A request without room waits for a small part of its target latency,
-// since running generations end all the time.
+// since running generations end all the time. One that has returned waits for longer, so that it
+// finds room before those that come anew: its caller seldom tries a third time.
 [[nodiscard]] TurnStep decideTurn(const TurnRequest &request) noexcept;
 
 } // namespace fescue::serving
--- a/src/serving/requestcontext.cpp
+++ b/src/serving/requestcontext.cpp
@@ -49,6 +49,21 @@
     return partsSummary(parts);
 }
 
+// Logs whether a refused caller was given a place in the order of those who come back.
+void noteReturn(const RequestContext &context, std::optional<Millis> place)
+{
+    const std::string_view account =
+        context.account == nullptr ? std::string_view() : context.account->name.text();
+    observe::logChange("return",
+                       {{"id", context.caller.requestId},
+                        {"service", context.service.text()},
+                        {"account", account},
+                        {"priority", priorityInForce(context)},
+                        {"in_order", place ? "yes" : "no"},
+                        {"after_ms", place ? place->count : -1},
+                        {"waited_before_ms", context.waitedBefore().count}});
+}
+
 } // namespace
 
 EngineSend makeSend(const RequestContext &context, const EndpointRecord &endpoint)
@@ -221,7 +236,14 @@
 {
     const RefusalCause cause =
         code == ResultCode::NoCapacity ? RefusalCause::Full : RefusalCause::Transient;
-    const Millis delay = retryDelay(cause, context.timeLeft(), state.uniform());
+    const bool isGeneration = context.route != nullptr && context.routes != nullptr
+        && context.routes->findEngineModel(context.service) != nullptr;
+    std::optional<Millis> place;
+    if (cause == RefusalCause::Full && isGeneration) {
+        place = state.reserveReturn(context.service, priorityInForce(context), context.timeLeft());
+        noteReturn(context, place);
+    }
+    const Millis delay = place ? *place : retryDelay(cause, context.timeLeft(), state.uniform());
     // While all endpoints of the service have asked for a pause, callers are asked to retry only
     // after the first of these pauses has ended.
     return {statusUnavailable, code, RunState::NotRun, std::move(detail),
--- a/src/serving/servingstate.cpp
+++ b/src/serving/servingstate.cpp
@@ -1,6 +1,7 @@
 #include "fescue/serving/servingstate.h"
 
 #include "fescue/observe/log.h"
+#include "fescue/serving/refusal.h"
 
 #include <algorithm>
 #include <utility>
@@ -272,6 +273,21 @@
     return false;
 }
 
+void ServingState::recordRoom(const ServiceName &service)
+{
+    m_returns[service].recordRoom(now());
+}
+
+std::optional<Millis> ServingState::reserveReturn(const ServiceName &service, int priority,
+                                                  Millis timeLeft)
+{
+    const auto it = m_returns.find(service);
+    if (it == m_returns.end() || !routes || !routes->hasPriorities(service))
+        return std::nullopt;
+    const ReturnSpan span = returnSpan(RefusalCause::Full, timeLeft);
+    return it->second.reserve(now(), priority, span.earliest, span.latest, uniform());
+}
+
 std::vector<ServiceRetries> ServingState::ownRetries()
 {
     std::vector<ServiceRetries> used;
--- a/src/serving/turnorder.cpp
+++ b/src/serving/turnorder.cpp
@@ -22,6 +22,8 @@
 constexpr std::int64_t percent = 100;
 // A request without room waits for its target latency divided by this.
 constexpr std::int64_t roomWaitDivisor = 8;
+// The same for a request that has returned.
+constexpr std::int64_t returnedRoomWaitDivisor = 2;
 
 } // namespace
 
@@ -46,7 +48,9 @@
 TurnStep decideTurn(const TurnRequest &request) noexcept
 {
     if (!request.offer) {
-        const bool mayWait = request.held < request.targetLatency / roomWaitDivisor;
+        const std::int64_t divisor =
+            request.hasReturned ? returnedRoomWaitDivisor : roomWaitDivisor;
+        const bool mayWait = request.held < request.targetLatency / divisor;
         return mayWait ? TurnStep::Wait : TurnStep::Refuse;
     }
     if (request.mostUrgent)
--- a/tests/serving/turnorder_test.cpp
+++ b/tests/serving/turnorder_test.cpp
@@ -83,6 +83,22 @@
     EXPECT_EQ(decideTurn(request), TurnStep::Refuse);
 }
 
+// Answers full engines at which callers come back beside new ones: room that becomes free goes to
+// those who were refused before.
+TEST(TurnOrder, WhoHasReturnedWaitsForRoomLongerThanNewRequests)
+{
+    TurnRequest request;
+    request.targetLatency = 1'600_ms;
+    request.held = 300_ms;
+    EXPECT_EQ(decideTurn(request), TurnStep::Refuse);
+    request.hasReturned = true;
+    EXPECT_EQ(decideTurn(request), TurnStep::Wait);
+    request.held = 800_ms;
+    EXPECT_EQ(decideTurn(request), TurnStep::Refuse);
+    request.offer = {0_ms, 400_ms};
+    EXPECT_EQ(decideTurn(request), TurnStep::Start);
+}
+
 // Answers a burst of long prompts with a relaxed target beside short, urgent ones: one engine, more
 // work than it can do for some seconds.
 TEST(TurnOrder, UrgentRequestsStayOnTimeInABurstOfOthers)
