A process that knows nothing yet gives up calls to the store sooner

What they wait for is the end of the first call to list the store, 1.5 s, which was sent while the store was silent.

Ruled out: the pause between calls (60 ms), the listing (10 ms) and the gossip (peers' copies come after 38.1 s, as no process has the contents before).

ListTimeout begins with 400 ms and grows by half with each failure to the 1.5 s from before, so a slow store is waited for in the end. Processes that have listed once wait as before: they go on with what they know.

Tests: ListTimeout.*, without network. listPage() takes its timeout; the fake of the store's client in the tests takes it too.

--- a/include/fescue/serving/storesession.h
+++ b/include/fescue/serving/storesession.h
@@ -3,6 +3,7 @@
 #include "fescue/core/backoff.h"
 #include "fescue/core/memberinfo.h"
 #include "fescue/net/storeera.h"
+#include "fescue/serving/listtimeout.h"
 #include "fescue/serving/protocol.h"
 #include "fescue/serving/servingstate.h"
 #include "fescue/serving/storefeed.h"
@@ -161,6 +162,7 @@
     net::StoreEraTracker m_eras;
     Store m_store;
     Store m_watchStore;
+    ListTimeout m_listTimeout;
     StoreMirror m_mirror;
     FeedPolicy m_feed;
     RecentChanges m_recent;
--- a/include/fescue/serving/storesession.inl
+++ b/include/fescue/serving/storesession.inl
@@ -19,7 +19,7 @@
 // Path at which peers request this process' copy of the store.
 inline constexpr const char *storeCopyPath = "/store-copy";
 // Timeout of calls to the store. Even a slow store answers within it.
-inline constexpr Millis storeCallTimeout = 1500_ms;
+inline constexpr Millis storeCallTimeout = ListTimeout::longest;
 // The registration expires this long after the process or its path to the store has failed. Short
 // enough for the directory to remove a failed entry in time.
 inline constexpr Millis registrationTtl = 3_s;
@@ -449,13 +449,16 @@
     std::vector<MemberInfo> members;
     while (true) {
         const Millis askedAt = ServingState::now();
-        const net::StoreResult<typename Store::Page> page = m_watchStore.listPage({}, after);
+        const net::StoreResult<typename Store::Page> page =
+            m_watchStore.listPage({}, after, m_listTimeout.next(hasListed()));
         countCall(StoreCall::List, page.has_value());
         if (!page) {
+            m_listTimeout.recordFailure();
             m_isListing = false;
             recordRejection(page.error().message);
             return false;
         }
+        m_listTimeout.recordAnswer();
         // Keys that are written while the pages are read are reported again by the watch.
         if (!first) {
             first = page->at;
--- a/tests/serving/scriptedstore.h
+++ b/tests/serving/scriptedstore.h
@@ -94,7 +94,7 @@
         : m_eras(&eras)
     { }
 
-    [[nodiscard]] net::StoreResult<Page> listPage(std::string_view, std::string_view after) const
+    [[nodiscard]] net::StoreResult<Page> listPage(std::string_view, std::string_view after, Millis) const
     {
         ScriptedStore &store = *ScriptedStore::current;
         store.throwIfScripted();
