--- a/src/serving/moveplan.cpp
+++ b/src/serving/moveplan.cpp
@@ -109,7 +109,7 @@
     const Millis usable = left - stopMargin;
     if (usable < copy)
         return false;
-    if (allCopies <= usable || usable >= copy)
+    if (allCopies <= usable)
         return true;
     constexpr std::uint64_t steps = 1'000'000;
     const std::uint64_t place = rendezvousScore("copies", requestId) % steps;
