--- a/include/fescue/serving/generationmover.inl
+++ b/include/fescue/serving/generationmover.inl
@@ -284,10 +284,10 @@
                                            const EngineModel &model)
 {
     const Millis now = ServingState::now();
-    const std::uint32_t requests = m_state->ledger.total(now, source.record.name).requests;
-    const Millis own = copyTime(model, run.memoryTokens(), true);
-    return copyFits(run.requestId, expectedEndOf(source) - now,
-                    own * std::max<std::int64_t>(requests, 1), own);
+    const std::uint64_t held = m_state->ledger.total(now, source.record.name).memoryTokens;
+    const std::uint64_t all = std::max(std::min(held, model.memoryTokens), run.memoryTokens());
+    return copyFits(run.requestId, expectedEndOf(source) - now, copyTime(model, all, true),
+                    copyTime(model, run.memoryTokens(), true));
 }
 
 template <PlatformProtocol P>
