Test: a session gives up its first listings sooner

StoreSessionTest.FirstListingsAreGivenUpSoonerThanLaterOnes checks that the timeouts of ListTimeout reach the store's client. The fake client records them.

--- a/tests/serving/scriptedstore.h
+++ b/tests/serving/scriptedstore.h
@@ -65,6 +65,8 @@
     // Called once, after the next page has been read.
     std::function<void()> afterPage;
     std::vector<std::uint64_t> renewed;
+    // Timeouts of the calls that listed the store, the oldest first.
+    std::vector<Millis> listTimeouts;
 
     // The store that ScriptedStoreClient calls.
     static inline ScriptedStore *current = nullptr;
@@ -94,9 +96,11 @@
         : m_eras(&eras)
     { }
 
-    [[nodiscard]] net::StoreResult<Page> listPage(std::string_view, std::string_view after, Millis) const
+    [[nodiscard]] net::StoreResult<Page> listPage(std::string_view, std::string_view after,
+                                                  Millis timeout) const
     {
         ScriptedStore &store = *ScriptedStore::current;
+        store.listTimeouts.push_back(timeout);
         store.throwIfScripted();
         if (store.rejectsCalls)
             return refuse();
--- a/tests/serving/storesession_test.cpp
+++ b/tests/serving/storesession_test.cpp
@@ -344,6 +344,34 @@
     EXPECT_TRUE(eventually([this] { return version() == 7; }));
 }
 
+// Answers the loss of all processes while the store is silent: a process that knows nothing gives
+// up its first calls soon, and waits as long as any other once it has listed the store.
+TEST_F(StoreSessionTest, FirstListingsAreGivenUpSoonerThanLaterOnes)
+{
+    onWorker([this] { store.rejectsCalls = true; });
+    onWorker([this] {
+        state.members.heartbeat(ServingState::now(), self);
+        session->start();
+    });
+    ASSERT_TRUE(eventually([this] { return store.listTimeouts.size() >= 2; }));
+    onWorker([this] {
+        EXPECT_EQ(store.listTimeouts[0], ListTimeout::first);
+        EXPECT_GT(store.listTimeouts[1], ListTimeout::first);
+        EXPECT_LT(store.listTimeouts[1], ListTimeout::longest);
+        store.rejectsCalls = false;
+    });
+    ASSERT_TRUE(eventually([this] { return version() == 5; }));
+    // The history that the watch asks for is gone, so the store is listed again.
+    std::size_t before = 0;
+    onWorker([&] {
+        before = store.listTimeouts.size();
+        store.put("config", "6");
+        store.historyFrom = store.contents.revision + 1;
+    });
+    ASSERT_TRUE(eventually([this, before] { return store.listTimeouts.size() > before; }));
+    onWorker([this] { EXPECT_EQ(store.listTimeouts.back(), ListTimeout::longest); });
+}
+
 // Guards against one entry that cannot be applied keeping the later ones of the same listing or
 // watch from being applied.
 TEST_F(StoreSessionTest, OtherEntriesHoldBesideOneThatFails)
