--- a/include/fescue/serving/streamforwarder.inl
+++ b/include/fescue/serving/streamforwarder.inl
@@ -117,8 +117,12 @@
     const EndpointLoad load = forwarded.load->load();
     forwarded.load.reset();
     const RequestContext &context = forwarded.context;
-    if (context.routes->hasPriorities(context.service))
-        m_state->reportLoadChange(engine, false, load);
+    if (!context.routes->hasPriorities(context.service))
+        return;
+    const EndpointView *view = m_state->endpoints.find(engine);
+    if (view != nullptr && !m_state->isEnding(*view))
+        m_state->recordRoom(context.service);
+    m_state->reportLoadChange(engine, false, load);
 }
 
 template <PlatformProtocol P>
@@ -295,6 +299,7 @@
     request.overShare = context.account != nullptr
         && isOverShare(m_state->accountUse.shareRatio(begun, context.account->name));
     const Millis before = context.waitedBefore();
+    request.hasReturned = before >= minReturnDelay;
     while (true) {
         const Millis now = ServingState::now();
         request.held = now - begun;
@@ -487,7 +492,7 @@
     net::ClientStream source = std::move(forwarded.upstream);
     // The check of the source's stream goes on with its own watch.
     const std::shared_ptr<SilenceWatch> silence = forwarded.silence;
-    if (resumeFromBackup(forwarded)) {
+    if (resumeFromBackup(forwarded) || resumeFromStandbyCopy(forwarded)) {
         // The engine may keep generating for a moment; closing the connection stops it.
         source.close();
         return;
