Roll-outs: slowness in closing is compared with calm times

The past of the old version included a burst, so in closing a version 20 times slower than usual was within its limits. The limit is now above the shortest times that were normal since the order.

--- a/include/fescue/serving/rolloutevidence.h
+++ b/include/fescue/serving/rolloutevidence.h
@@ -131,6 +131,8 @@
         Millis sampleBegan {0};
         // Successes of the old version by their time, older ones with less weight.
         std::array<double, timeClasses> recentTimes {};
+        // The shortest class that was normal for the old version.
+        std::size_t calmTimeClass = timeClasses;
         // Open requests that were counted as slow by the end of the last sample.
         std::uint32_t slowOpenOld = 0;
         std::uint32_t slowOpenNew = 0;
--- a/src/serving/rolloutevidence.cpp
+++ b/src/serving/rolloutevidence.cpp
@@ -15,7 +15,8 @@
 constexpr Millis timesHalfLife = 3_s;
 // A success counts as slow if it is this many classes above the normal ones.
 constexpr std::size_t slowMargin = 1;
-// The same against the past of the old version: a burst that slows all answers adds nothing.
+// The same against the past of the old version without load: a burst that slows all answers adds
+// nothing.
 constexpr std::size_t slowMarginToPast = 4;
 // The past of the old version is compared, from this number of its answers on, if a sample has this
 // many times as many answers of the new one.
@@ -223,6 +224,8 @@
     }
     route.failures.add({n, growth(newFrom.failures, counts.newVersion.failures), oldTotal,
                         growth(oldFrom.failures, counts.oldVersion.failures)});
+    if (oldFrom.total() >= minPastAnswers)
+        route.calmTimeClass = std::min(route.calmTimeClass, normalTimeClass(route));
     route.slow.add(slowSample(route, counts, normalTimeClass(route) + slowMargin));
 }
 
@@ -260,7 +263,8 @@
     const std::uint32_t failures = growth(newFrom.failures, counts.newVersion.failures);
     const double pastTotal = past.total();
     route.failures.addAlone(failures, n, past.failures / pastTotal);
-    const std::size_t limit = normalTimeClass(route) + slowMarginToPast;
+    const std::size_t calm = std::min(route.calmTimeClass, normalTimeClass(route));
+    const std::size_t limit = calm + slowMarginToPast;
     const AnswerSample sample = slowSample(route, counts, limit);
     const std::array<double, timeClasses> &times = route.recentTimes;
     const double recent = std::accumulate(times.begin(), times.end(), 0.0);
--- a/tests/serving/rolloutjudge_test.cpp
+++ b/tests/serving/rolloutjudge_test.cpp
@@ -67,6 +67,25 @@
     EXPECT_EQ(judgeClosing(1200_ms).worstSum, 0);
 }
 
+// What was normal under load is not normal without it.
+TEST(RolloutJudge, VersionThatTurnsSlowOnceItIsAloneAfterABurstIsBad)
+{
+    RolloutJudge judge;
+    RolloutEvidence evidence;
+    for (Millis now {250}; now < 13_s; now += 250_ms) {
+        if (now < 10_s) {
+            const Millis time = now < 5_s ? 300_ms : 1200_ms;
+            addAnswers(evidence, 12, time, 8, time);
+        } else {
+            addAnswers(evidence, 0, 300_ms, 10, 300_ms);
+            addAnswers(evidence, 0, 300_ms, 10, 6_s);
+        }
+        judge.report(first, {1}, evidence);
+        judge.step(now);
+    }
+    EXPECT_TRUE(judge.verdict().isBad);
+}
+
 TEST(RolloutJudge, OpenRequestsAreEvidenceOfASlowVersion)
 {
     RolloutJudge judge;
