--- a/include/fescue/serving/storesession.h
+++ b/include/fescue/serving/storesession.h
@@ -72,9 +72,8 @@
     [[nodiscard]] bool claimTrial(const QuarantineEntry &entry);
     // Writes the state of a roll-out if the key still has the expected revision, that of the state
     // on which the decision is based.
-    [[nodiscard]] net::StoreResult<void> writeRollout(const std::string &key,
-                                                      const std::string &value,
-                                                      net::StoreRevision expected);
+    [[nodiscard]] net::StoreResult<void>
+    writeRollout(const std::string &key, const std::string &value, net::StoreRevision expected);
     // Returns true if the last call of this process to list, watch or renew failed.
     [[nodiscard]] bool isRejected() const noexcept { return m_isRejected; }
     // Returns this process' copy of the store, for a peer that has missed the changes after a
