Callers' connections come first where descriptors are not limited

Cause: without a limit of descriptors in the settings each other address may have 20,000 connections; their memory left 16 connections to callers at 88 MB.

Change: these addresses take at most a third of what the budget leaves.

--- a/src/serving/clientbuffers.cpp
+++ b/src/serving/clientbuffers.cpp
@@ -19,6 +19,8 @@
 // A larger buffer than this would be no smaller than the kernel's own choice.
 constexpr std::size_t maxFrontBytes = 64 * kilobyte;
 constexpr std::size_t sideAddresses = 4;
+// The part of the memory that connections at the other addresses may take from callers.
+constexpr std::size_t maxSideDivisor = 3;
 constexpr std::size_t backlog = 512;
 constexpr std::size_t minCallers = 16;
 
@@ -43,8 +45,11 @@
     const std::size_t all = callers + backlog + sideAddresses * (side + backlog);
     if (left / (2 * maxFrontBytes + connectionBytes) >= all)
         return {callers, 0, 0, 0};
-    const std::size_t forSides = sideAddresses * (side * connectionBytes / 2 + backlog * sideBytes);
-    const std::size_t forFront = without(left, forSides);
+    // Where descriptors allow more connections at the other addresses than memory does, callers
+    // come first.
+    const std::size_t forSides = std::min(
+        sideAddresses * (side * connectionBytes / 2 + backlog * sideBytes), left / maxSideDivisor);
+    const std::size_t forFront = left - forSides;
     const std::size_t perCaller =
         without(forFront, callers * connectionBytes) / (callers + backlog);
     const std::size_t frontBytes =
--- a/tests/serving/clientbuffers_test.cpp
+++ b/tests/serving/clientbuffers_test.cpp
@@ -32,6 +32,14 @@
     EXPECT_EQ(clientBuffers(88 * megabyte, 44 * megabyte, 300, 20).callers, 300U);
 }
 
+// Guards against connections at the other addresses that leave none to callers, where the settings
+// do not limit descriptors.
+TEST(ClientBuffers, UnknownDescriptorLimitLeavesConnectionsForHundredsOfCallers)
+{
+    EXPECT_GT(clientBuffers(88 * megabyte, 44 * megabyte, 20000, 20000).callers, 500U);
+    EXPECT_GT(clientBuffers(110 * megabyte, 55 * megabyte, 20000, 20000).callers, 700U);
+}
+
 TEST(ClientBuffers, LargeMemoryLeavesBuffersToTheKernel)
 {
     const ClientBuffers buffers = clientBuffers(8192 * megabyte, 4096 * megabyte, 2925, 195);
