--- a/include/fescue/serving/generationrun.h
+++ b/include/fescue/serving/generationrun.h
@@ -19,7 +19,7 @@
 {
     // The generation runs and is not being moved.
     Running,
-    // The generation is about to resume from its backup; the fiber that forwards its stream
+    // The generation is about to resume from its backup or copy; the fiber that forwards its stream
     // performs the failover.
     FailingOver,
     // The generation has lost its engine and is sent to another one without a copy of its memory.
@@ -50,10 +50,11 @@
 
     // The engine to which `engine` sends a backup of the memory.
     std::optional<EndpointRecord> backup;
-    // The engine that stores the standby copy made by the GenerationMover in place of a backup.
+    // The engine that stores a copy made by the GenerationMover: a standby copy in place of a
+    // backup, or the copy for a move.
     std::optional<EndpointRecord> standbyEngine;
     std::unique_ptr<ScopedLoad> standbyLoad;
-    // Identifies the standby copy at the engine that made it.
+    // Identifies that copy at the engine that made it.
     std::string standbyHandle;
 
     MovePhase phase = MovePhase::Running;
--- a/src/serving/moveplan.cpp
+++ b/src/serving/moveplan.cpp
@@ -16,7 +16,7 @@
 constexpr Millis shortestNotice {1500};
 // Estimates of the remaining output are often too low by this factor.
 constexpr std::int64_t forecastMargin = 2;
-// A copy of the memory added since the last copy that takes no longer than this causes no pause
+// If a whole copy took no longer than this, the link is idle, and copying the rest causes no pause
 // that callers notice: with the switch to the other engine it stays under the longest pause of the
 // routes.
 constexpr Millis quickCopyLimit {45};
