Listing the store: the timeout is reset once the listing is whole

Cause: the timeout of the first listings was set back to 400 ms after each page, and a page that fails begins the listing anew. With a store that takes 400 to 1500 ms a page, and more than one page, the second page failed each time and the first listing never ended. Any failure made the timeout longer, rejections too.

Change: it is reset once, when all pages are there, and grows only with calls that were not answered in time (StoreTimeout).

--- a/include/fescue/serving/listtimeout.h
+++ b/include/fescue/serving/listtimeout.h
@@ -4,10 +4,10 @@
 
 namespace fescue::serving {
 
-// Chooses the time that a call to list the store may take. A process that knows nothing yet serves
-// nobody, and a call that was sent to a silent store is answered no earlier when the store is back:
-// the next one is. So the first calls are given up soon, and later ones after longer, since a slow
-// store answers none but those.
+// Chooses the timeout of the calls that list the store. A process without a listing serves nobody,
+// and a store that was silent does not answer the calls sent to it before it is back. So the first
+// calls have a short timeout, and a new call follows soon. Each timeout that passes makes the next
+// one longer, up to one within which a slow store answers.
 class ListTimeout
 {
 public:
@@ -22,9 +22,9 @@
         return hasListed ? longest : m_timeout;
     }
     // Records that a call was not answered in time.
-    void recordFailure() noexcept;
-    // Records an answer.
-    void recordAnswer() noexcept { m_timeout = first; }
+    void recordTimeout() noexcept;
+    // Records that the store has been listed, with all pages.
+    void recordListing() noexcept { m_timeout = first; }
 
 private:
     Millis m_timeout = first;
--- a/include/fescue/serving/storesession.inl
+++ b/include/fescue/serving/storesession.inl
@@ -456,12 +456,12 @@
             m_watchStore.listPage({}, after, m_listTimeout.next(hasListed()));
         countCall(StoreCall::List, page.has_value());
         if (!page) {
-            m_listTimeout.recordFailure();
+            if (page.error().code == ResultCode::StoreTimeout)
+                m_listTimeout.recordTimeout();
             m_isListing = false;
             recordRejection(page.error().message);
             return false;
         }
-        m_listTimeout.recordAnswer();
         // Keys that are written while the pages are read are reported again by the watch.
         if (!first) {
             first = page->at;
@@ -482,6 +482,8 @@
             break;
         after = page->items.back().key;
     }
+    // A page alone says little: the listing begins anew when a later one is not answered in time.
+    m_listTimeout.recordListing();
     setReachable(true, "listed");
     const bool isFirst = !hasListed();
     applyChanges(m_mirror.endListing());
--- a/src/serving/listtimeout.cpp
+++ b/src/serving/listtimeout.cpp
@@ -11,7 +11,7 @@
 
 } // namespace
 
-void ListTimeout::recordFailure() noexcept
+void ListTimeout::recordTimeout() noexcept
 {
     m_timeout = std::min(m_timeout + m_timeout / growthDivisor, longest);
 }
