Slots: a request that waited too long takes a free slot before it is refused

Cause: overdue requests were refused before the free slots were granted. One that had waited for a better endpoint, with a slot of another one free all along, was refused instead of taking that.

Change: a request for which a slot is free does not count as overdue; those that get none of the free slots are refused after the slots are granted.

Test: RequestThatHasWaitedTooLongTakesTheSlotThatWasFreeAllAlong was refused before; it passes now, with the suites SlotBrokers, SlotDesk and SlotMessage.

--- a/src/serving/slotbroker.cpp
+++ b/src/serving/slotbroker.cpp
@@ -314,7 +314,9 @@
         const Waiting &entry = current->second;
         // While others wait, one that would be late gives way to those that would not.
         const double waited = static_cast<double>((now - entry.since).count);
-        const bool isOverdue = waited > longestWait(entry.ask) && m_waiting.size() > 1;
+        // One that may use a free slot gets it when it waits no longer for a better one.
+        const bool isOverdue =
+            waited > longestWait(entry.ask) && m_waiting.size() > 1 && !hasFree(entry.ask);
         if (!isOverdue && now + mean <= entry.deadline)
             continue;
         answers.push_back({entry.ask.key, SlotVerdict::Refused, {}});
@@ -362,6 +364,8 @@
                 });
         }
     }
+    // Those that got none of the free slots.
+    refuseLate(now, answers);
 }
 
 } // namespace fescue::serving
--- a/tests/serving/slotbroker_test.cpp
+++ b/tests/serving/slotbroker_test.cpp
@@ -299,6 +299,26 @@
     EXPECT_EQ(answer->endpoint, other);
 }
 
+// A request waits for the better endpoint for longer than it may, beside another one that does.
+TEST_F(SlotBrokers, RequestThatHasWaitedTooLongTakesTheSlotThatWasFreeAllAlong)
+{
+    useEndpoints({endpoint(desk, 6), endpoint(other, 6)});
+    makeOtherFail();
+    while (broker.waiting() < 2) {
+        SlotAsk before = makeAsk(next++, "a", 2, 5_s);
+        before.excluded = {other};
+        static_cast<void>(broker.ask(now, before));
+    }
+    SlotAsk ask = makeAsk(next, "a", 2, 5_s);
+    ask.target = 200_ms;
+    ASSERT_EQ(find(broker.ask(now, ask), next)->verdict, SlotVerdict::Waiting);
+    now += 300_ms;
+    const std::optional<SlotAnswer> answer = find(broker.expire(now), next);
+    ASSERT_TRUE(answer);
+    EXPECT_EQ(answer->verdict, SlotVerdict::Granted);
+    EXPECT_EQ(answer->endpoint, other);
+}
+
 // The same crowd; the first of those that wait must not use the endpoint with free slots.
 TEST_F(SlotBrokers, RequestThatWaitsForOneEndpointDoesNotBlockTheSlotsOfOthers)
 {
