Room for callers that come back: count generations that ran only

Cause: the room that a generation leaves was recorded whenever its load was taken off an engine, also after an engine had rejected it. Each rejection named callers an earlier time at which there was no room.

Change: it is recorded once, after the stream has been forwarded.

Test: OnlyGenerationsThatRanLeaveRoom failed before (10 rejected calls gave room); it passes now, with the suites of exchanges.

--- a/include/fescue/serving/streamforwarder.h
+++ b/include/fescue/serving/streamforwarder.h
@@ -83,6 +83,8 @@
     [[nodiscard]] TurnEnd waitForTurn(const RequestContext &context, const PlacementDemand &demand);
     // Removes the generation's load from its engine and reports that.
     void releaseLoad(ForwardedStream &forwarded);
+    // Records that a generation has run and leaves room for another one, unless its engine leaves.
+    void recordRoom(const ForwardedStream &forwarded);
     // Sends the request to engines until one answers. Sends the failure to the caller and returns
     // false if none does.
     [[nodiscard]] bool begin(ForwardedStream &forwarded);
--- a/include/fescue/serving/streamforwarder.inl
+++ b/include/fescue/serving/streamforwarder.inl
@@ -103,6 +103,7 @@
     }
     m_state->runs.add(forwarded.run);
     forward(forwarded);
+    recordRoom(forwarded);
     releaseLoad(forwarded);
     run.finished = true;
     m_state->runs.remove(forwarded.run);
@@ -119,10 +120,18 @@
     const RequestContext &context = forwarded.context;
     if (!context.routes->hasPriorities(context.service))
         return;
-    const EndpointView *view = m_state->endpoints.find(engine);
+    m_state->reportLoadChange(engine, false, load);
+}
+
+template <PlatformProtocol P>
+void StreamForwarder<P>::recordRoom(const ForwardedStream &forwarded)
+{
+    const RequestContext &context = forwarded.context;
+    if (forwarded.load == nullptr || !context.routes->hasPriorities(context.service))
+        return;
+    const EndpointView *view = m_state->endpoints.find(forwarded.load->endpoint());
     if (view != nullptr && !m_state->isEnding(*view))
         m_state->recordRoom(context.service);
-    m_state->reportLoadChange(engine, false, load);
 }
 
 template <PlatformProtocol P>
--- a/tests/serving/exchange_test.cpp
+++ b/tests/serving/exchange_test.cpp
@@ -403,6 +403,37 @@
     EXPECT_EQ(asked, 1);
 }
 
+// Guards against naming callers a time at which no room is: an engine that rejects a generation has
+// none.
+TEST_F(Exchange, OnlyGenerationsThatRanLeaveRoom)
+{
+    for (Route &route : config.routes)
+        route.priority = route.kind == RouteKind::Streaming ? 2 : 0;
+    std::atomic<bool> rejects {true};
+    addEndpoint("e1", [&rejects](const net::HttpRequest &, net::ResponseWriter &writer) {
+        if (rejects) {
+            const std::vector<net::Header> headers {{"Request", "id-1"}, {"Not-Run", "1"}};
+            static_cast<void>(writer.send({503, headers, {}}));
+            return;
+        }
+        static_cast<void>(writer.send(answer(200, "id-1", eventText(1))));
+    });
+    const auto hasRoom = [this] {
+        bool has = false;
+        onWorker([&] { has = state.reserveReturn(ServiceName("service"), 2, 60_s).has_value(); });
+        return has;
+    };
+    constexpr int calls = 10;
+    for (int n = 0; n < calls; ++n)
+        EXPECT_EQ(call("/stream/x")->status, 503);
+    EXPECT_EQ(engines.front().requests().size(), static_cast<std::size_t>(calls));
+    EXPECT_FALSE(hasRoom());
+    rejects = false;
+    for (int n = 0; n < calls; ++n)
+        EXPECT_EQ(call("/stream/x")->status, 200);
+    EXPECT_TRUE(hasRoom());
+}
+
 // The priority of the account goes before that of the route.
 TEST_F(CompetingExchange, UrgentAccountIsNotHeld)
 {
