Hand-over: a copy stays until a request was sent for it

Cause: the standby copy was forgotten before the retry budget was asked. With an empty budget the whole copy was never used or freed, and the move excluded its destination and copied again.

Change: budget and zone come first; the copy is forgotten only after a request for it was sent and failed. The move hands over from the same copy every 100 ms while the request is held back, for the time in which a copy is renewed, and excludes the destination only after a failed resume. The test protocol now names the copy in the call that frees it.

--- a/include/fescue/serving/generationmover.inl
+++ b/include/fescue/serving/generationmover.inl
@@ -21,6 +21,9 @@
 inline constexpr Millis standbyCheckInterval = 200_ms;
 // Renewal interval of a standby copy, well within its lifetime at the engine.
 inline constexpr Millis standbyRenewInterval = 2500_ms;
+// Interval at which a generation is handed over again where no request was sent for its copy: the
+// retry budget is spent or the destination is paused.
+inline constexpr Millis heldBackRetryInterval = 100_ms;
 // Generations with fewer remaining tokens end before a copy is worth its cost.
 inline constexpr std::uint64_t minTokensForCopy = 200;
 inline constexpr Millis reportTimeout = 500_ms;
@@ -428,8 +431,20 @@
     if (answer.outcome != MoveOutcome::Copied)
         return NextStep::TryAgain;
     if (stepAfterCopy(ServingState::now() - startedAt) == CopyStep::HandOver) {
-        const NextStep step = handOver(run, source, destination);
-        if (run->engine.name == source.name)
+        const auto isHeldBack = [&run, &source, &destination] {
+            return !run->finished && run->phase == MovePhase::Running
+                && run->engine.name == source.name && run->standbyEngine
+                && run->standbyEngine->name == destination.name;
+        };
+        const Millis until = ServingState::now() + standbyRenewInterval;
+        NextStep step = handOver(run, source, destination);
+        while (isHeldBack() && ServingState::now() < until) {
+            net::sleepFor(heldBackRetryInterval);
+            if (isHeldBack())
+                step = handOver(run, source, destination);
+        }
+        // The destination failed a resume; the copy is forgotten with it.
+        if (run->engine.name == source.name && !run->standbyEngine)
             demand.excluded.insert(destination.name);
         return step;
     }
--- a/include/fescue/serving/streamforwarder.inl
+++ b/include/fescue/serving/streamforwarder.inl
@@ -609,12 +609,14 @@
     if (!run.standbyEngine || run.standbyHandle.empty())
         return false;
     const EndpointRecord standby = *run.standbyEngine;
-    const std::string handle = run.standbyHandle;
-    run.clearStandbyCopy();
     if (m_state->endpoints.isZoneOut(standby.zone) || !m_state->tryTakeRetryForResume(run))
         return false;
-    run.resume = ResumePoint {run.engine.address, handle, forwarded.events.lastId()};
-    return resumeAt(forwarded, standby);
+    run.resume = ResumePoint {run.engine.address, run.standbyHandle, forwarded.events.lastId()};
+    const bool isResumed = resumeAt(forwarded, standby);
+    // A copy for which nothing was sent may be used later, and is freed in the end.
+    if (!isResumed && forwarded.resumeOutcome != SendOutcome::NotSent)
+        run.clearStandbyCopy();
+    return isResumed;
 }
 
 template <PlatformProtocol P>
--- a/tests/serving/exchange_test.cpp
+++ b/tests/serving/exchange_test.cpp
@@ -1086,6 +1086,114 @@
     EXPECT_FALSE(wasStopped);
 }
 
+// A generation without a backup on an engine that leaves: it is copied to another one and handed
+// over. The engine writes an event every 20 ms, up to the last one, while the caller reads.
+class HandedOver : public Exchange
+{
+protected:
+    static constexpr int lastEvent = 60;
+
+    HandedOver()
+    {
+        engines.emplace_back(
+            pool, [this](const net::HttpRequest &request, net::ResponseWriter &writer) {
+                ++resumes;
+                resumedFrom = request.header("Resume-From");
+                resumedAfter = std::stoi("0" + std::string(request.header("Resume-After")));
+                static_cast<void>(writer.send(answer(200, "id-1", events(resumedAfter + 1))));
+            });
+        other = recordAt("other", engines.back().address());
+        addEndpoint("leaving",
+                    [this](const net::HttpRequest &request, net::ResponseWriter &writer) {
+                        serve(request, writer);
+                    });
+    }
+
+    static std::string events(int first)
+    {
+        std::string text;
+        for (int n = first; n <= lastEvent; ++n)
+            text += eventText(n);
+        return text;
+    }
+
+    void serve(const net::HttpRequest &request, net::ResponseWriter &writer)
+    {
+        if (request.target == "/free")
+            freed.emplace_back(request.header("Handle"));
+        if (request.target == "/move") {
+            const std::string handle = "copy-" + std::to_string(++copies);
+            copy(copies);
+            static_cast<void>(writer.send({200, {}, handle}));
+            return;
+        }
+        if (request.target != "/stream/x") {
+            static_cast<void>(writer.send({200, {}, {}}));
+            return;
+        }
+        const std::vector<net::Header> headers {{"Request", "id-1"}};
+        static_cast<void>(writer.startStream(200, headers));
+        // The other engine joins once the generation runs.
+        state.endpoints.listed(ServingState::now(), other);
+        if (leavesAtOnce)
+            leave();
+        for (int n = 1; n <= lastEvent && writer.write(eventText(n)); ++n) {
+            if (!state.mayCall(other))
+                lastInPause = n;
+            net::sleepFor(20_ms);
+        }
+        static_cast<void>(writer.finish());
+    }
+
+    void leave()
+    {
+        state.endpoints.removed(ServingState::now(), EndpointName("leaving"));
+        mover.evacuate(EndpointName("leaving"), 5_s);
+    }
+
+    // Returns true once a copy has been freed.
+    bool isFreed(const std::string &handle)
+    {
+        bool has = false;
+        onWorker([&] {
+            const Millis until = ServingState::now() + 5_s;
+            while (!has && ServingState::now() < until) {
+                net::sleepFor(5_ms);
+                has = std::find(freed.begin(), freed.end(), handle) != freed.end();
+            }
+        });
+        return has;
+    }
+
+    EndpointRecord other;
+    bool leavesAtOnce = true;
+    // Called at the begin of each copy with its number. One that takes this long is handed over
+    // from, without a second one.
+    std::function<void(int)> copy = [](int) { net::sleepFor(100_ms); };
+    int copies = 0;
+    std::vector<std::string> freed;
+    // Last event that was written in the other engine's pause.
+    int lastInPause = 0;
+    int resumes = 0;
+    int resumedAfter = 0;
+    std::string resumedFrom;
+};
+
+// Guards against forgetting a whole copy that the retry budget does not let a request use, and
+// making it again and again.
+TEST_F(HandedOver, CopyThatMayNotBeUsedStaysAndIsFreed)
+{
+    onWorker([this] {
+        while (state.tryTakeRetry(ServiceName("service"))) { }
+    });
+    const Result<net::HttpResponse> response = call("/stream/x", {{"Tokens", "1"}});
+    ASSERT_TRUE(response) << response.error().message;
+    EXPECT_EQ(response->body, events(1));
+    EXPECT_EQ(resumes, 0);
+    EXPECT_EQ(copies, 1);
+    EXPECT_TRUE(isFreed("copy-1"));
+}
+
 // Guards against telling a caller that its request has not run, or running it again, because a
 // faulty endpoint writes an earlier refusal once more: the refusal must not become the answer of
 // the next request or of a call that moves a generation.
--- a/tests/serving/testprotocol.h
+++ b/tests/serving/testprotocol.h
@@ -118,7 +118,13 @@
             return {};
         return {serving::MoveOutcome::Copied, std::string(body), 0};
     }
-    static net::HttpRequest encodeFreeCopy(std::string_view) { return {}; }
+    static net::HttpRequest encodeFreeCopy(std::string_view handle)
+    {
+        net::HttpRequest request;
+        request.target = "/free";
+        request.headers.push_back({"Handle", std::string(handle)});
+        return request;
+    }
     static net::HttpRequest encodeReportCall()
     {
         net::HttpRequest request;
