Standby copy: a renewal that ends during a move changes nothing

Cause: a renewal under way when an engine gives notice runs beside the copy of the move, and both wrote the handle. A late answer could clear or replace the copy of the move, and a replaced one stayed at the engine.

Change: when the call ends and the generation is finished, moves or is elsewhere, or the destination is no longer the one of the standby copy, the new copy is freed at its source and the generation left alone.

Not tested: an answer that comes after the generation went to another engine.

--- a/include/fescue/serving/generationmover.inl
+++ b/include/fescue/serving/generationmover.inl
@@ -257,14 +257,19 @@
     }
     const EndpointRecord destination = *run->standbyEngine;
     const MoveAnswer answer = call(run, source.record, destination, false);
-    if (answer.outcome == MoveOutcome::Copied)
+    // While the copy was made, the generation may have ended or resumed on another engine, or a
+    // move may have begun, which makes a copy of its own.
+    const bool isCurrent = !run->finished && run->engine.name == source.record.name
+        && run->phase == MovePhase::Running && run->standbyEngine
+        && run->standbyEngine->name == destination.name;
+    if (!isCurrent) {
+        if (answer.outcome == MoveOutcome::Copied && answer.handle != run->standbyHandle)
+            freeCopy(source.record, answer.handle);
+    } else if (answer.outcome == MoveOutcome::Copied) {
         run->standbyHandle = answer.handle;
-    else
+    } else {
         run->clearStandbyCopy();
-    // The generation may have ended or resumed on another engine while the copy was made.
-    const bool obsolete = run->finished || run->engine.name != source.record.name;
-    if (obsolete && answer.outcome == MoveOutcome::Copied)
-        freeCopy(source.record, answer.handle);
+    }
     return standbyRenewInterval;
 }
 
--- a/tests/serving/exchange_test.cpp
+++ b/tests/serving/exchange_test.cpp
@@ -1194,6 +1194,29 @@
     EXPECT_TRUE(isFreed("copy-1"));
 }
 
+// Guards against a renewal of the standby copy that ends during the copy of a move: its copy is in
+// nobody's way and does not stay at the engine.
+TEST_F(HandedOver, RenewalThatEndsDuringAMoveIsDropped)
+{
+    leavesAtOnce = false;
+    copy = [this](int n) {
+        if (n == 1) {
+            leave();
+            while (copies < 2)
+                net::sleepFor(5_ms);
+            return;
+        }
+        net::sleepFor(150_ms);
+    };
+    const Result<net::HttpResponse> response = call("/stream/x", {{"Tokens", "1"}});
+    ASSERT_TRUE(response) << response.error().message;
+    EXPECT_EQ(response->body, events(1));
+    EXPECT_EQ(copies, 2);
+    EXPECT_EQ(resumes, 1);
+    EXPECT_EQ(resumedFrom, "copy-2");
+    EXPECT_TRUE(isFreed("copy-1"));
+}
+
 // Guards against telling a caller that its request has not run, or running it again, because a
 // faulty endpoint writes an earlier refusal once more: the refusal must not become the answer of
 // the next request or of a call that moves a generation.
