Hand-over: a running stream does not wait for a paused destination

Cause: the fiber that forwards a stream waited for the end of the destination's pause, up to 1.8 s, also where its engine still ran the generation. The caller got nothing in that time.

Change: a hand-over from an engine that still runs is not begun while the destination is paused; backup and copy stay. The move asks again. A stream whose engine is lost waits as before.

--- a/include/fescue/serving/streamforwarder.inl
+++ b/include/fescue/serving/streamforwarder.inl
@@ -501,7 +501,13 @@
     net::ClientStream source = std::move(forwarded.upstream);
     // The check of the source's stream goes on with its own watch.
     const std::shared_ptr<SilenceWatch> silence = forwarded.silence;
-    if (resumeFromBackup(forwarded) || resumeFromStandbyCopy(forwarded)) {
+    // The stream goes on at the source, so it does not wait for an engine that is paused.
+    const auto mayCall = [this](const std::optional<EndpointRecord> &engine) {
+        return engine && m_state->mayCall(*engine);
+    };
+    const bool isResumed = (mayCall(run.backup) && resumeFromBackup(forwarded))
+        || (mayCall(run.standbyEngine) && resumeFromStandbyCopy(forwarded));
+    if (isResumed) {
         // The engine may keep generating for a moment; closing the connection stops it.
         source.close();
         return;
--- a/tests/serving/exchange_test.cpp
+++ b/tests/serving/exchange_test.cpp
@@ -1194,6 +1194,22 @@
     EXPECT_TRUE(isFreed("copy-1"));
 }
 
+// Guards against holding up a healthy stream for the pause of the engine that is to take it over.
+TEST_F(HandedOver, StreamGoesOnDuringAPauseOfTheDestination)
+{
+    copy = [this](int) {
+        net::sleepFor(100_ms);
+        state.pauses.pause(ServingState::now(), other.name, {}, 400_ms);
+    };
+    const Result<net::HttpResponse> response = call("/stream/x", {{"Tokens", "1"}});
+    ASSERT_TRUE(response) << response.error().message;
+    EXPECT_EQ(response->body, events(1));
+    EXPECT_EQ(copies, 1);
+    EXPECT_EQ(resumes, 1);
+    EXPECT_GT(lastInPause, 0);
+    EXPECT_GE(resumedAfter, lastInPause);
+}
+
 // Guards against a renewal of the standby copy that ends during the copy of a move: its copy is in
 // nobody's way and does not stay at the engine.
 TEST_F(HandedOver, RenewalThatEndsDuringAMoveIsDropped)
