--- a/include/fescue/serving/streamforwarder.inl
+++ b/include/fescue/serving/streamforwarder.inl
@@ -103,6 +103,7 @@
     }
     m_state->runs.add(forwarded.run);
     forward(forwarded);
+    recordRoom(forwarded);
     releaseLoad(forwarded);
     run.finished = true;
     m_state->runs.remove(forwarded.run);
@@ -119,10 +120,18 @@
     const RequestContext &context = forwarded.context;
     if (!context.routes->hasPriorities(context.service))
         return;
-    const EndpointView *view = m_state->endpoints.find(engine);
+    m_state->reportLoadChange(engine, false, load);
+}
+
+template <PlatformProtocol P>
+void StreamForwarder<P>::recordRoom(const ForwardedStream &forwarded)
+{
+    const RequestContext &context = forwarded.context;
+    if (forwarded.load == nullptr || !context.routes->hasPriorities(context.service))
+        return;
+    const EndpointView *view = m_state->endpoints.find(forwarded.load->endpoint());
     if (view != nullptr && !m_state->isEnding(*view))
         m_state->recordRoom(context.service);
-    m_state->reportLoadChange(engine, false, load);
 }
 
 template <PlatformProtocol P>
@@ -492,7 +501,13 @@
     net::ClientStream source = std::move(forwarded.upstream);
     // The check of the source's stream goes on with its own watch.
     const std::shared_ptr<SilenceWatch> silence = forwarded.silence;
-    if (resumeFromBackup(forwarded) || resumeFromStandbyCopy(forwarded)) {
+    // The stream goes on at the source, so it does not wait for an engine that is paused.
+    const auto mayCall = [this](const std::optional<EndpointRecord> &engine) {
+        return engine && m_state->mayCall(*engine);
+    };
+    const bool isResumed = (mayCall(run.backup) && resumeFromBackup(forwarded))
+        || (mayCall(run.standbyEngine) && resumeFromStandbyCopy(forwarded));
+    if (isResumed) {
         // The engine may keep generating for a moment; closing the connection stops it.
         source.close();
         return;
@@ -600,12 +615,14 @@
     if (!run.standbyEngine || run.standbyHandle.empty())
         return false;
     const EndpointRecord standby = *run.standbyEngine;
-    const std::string handle = run.standbyHandle;
-    run.clearStandbyCopy();
     if (m_state->endpoints.isZoneOut(standby.zone) || !m_state->tryTakeRetryForResume(run))
         return false;
-    run.resume = ResumePoint {run.engine.address, handle, forwarded.events.lastId()};
-    return resumeAt(forwarded, standby);
+    run.resume = ResumePoint {run.engine.address, run.standbyHandle, forwarded.events.lastId()};
+    const bool isResumed = resumeAt(forwarded, standby);
+    // A copy for which nothing was sent may be used later, and is freed in the end.
+    if (!isResumed && forwarded.resumeOutcome != SendOutcome::NotSent)
+        run.clearStandbyCopy();
+    return isResumed;
 }
 
 template <PlatformProtocol P>
--- a/tests/serving/exchange_test.cpp
+++ b/tests/serving/exchange_test.cpp
@@ -403,6 +403,37 @@
     EXPECT_EQ(asked, 1);
 }
 
+// Guards against naming callers a time at which no room is: an engine that rejects a generation has
+// none.
+TEST_F(Exchange, OnlyGenerationsThatRanLeaveRoom)
+{
+    for (Route &route : config.routes)
+        route.priority = route.kind == RouteKind::Streaming ? 2 : 0;
+    std::atomic<bool> rejects {true};
+    addEndpoint("e1", [&rejects](const net::HttpRequest &, net::ResponseWriter &writer) {
+        if (rejects) {
+            const std::vector<net::Header> headers {{"Request", "id-1"}, {"Not-Run", "1"}};
+            static_cast<void>(writer.send({503, headers, {}}));
+            return;
+        }
+        static_cast<void>(writer.send(answer(200, "id-1", eventText(1))));
+    });
+    const auto hasRoom = [this] {
+        bool has = false;
+        onWorker([&] { has = state.reserveReturn(ServiceName("service"), 2, 60_s).has_value(); });
+        return has;
+    };
+    constexpr int calls = 10;
+    for (int n = 0; n < calls; ++n)
+        EXPECT_EQ(call("/stream/x")->status, 503);
+    EXPECT_EQ(engines.front().requests().size(), static_cast<std::size_t>(calls));
+    EXPECT_FALSE(hasRoom());
+    rejects = false;
+    for (int n = 0; n < calls; ++n)
+        EXPECT_EQ(call("/stream/x")->status, 200);
+    EXPECT_TRUE(hasRoom());
+}
+
 // The priority of the account goes before that of the route.
 TEST_F(CompetingExchange, UrgentAccountIsNotHeld)
 {
@@ -1055,6 +1086,153 @@
     EXPECT_FALSE(wasStopped);
 }
 
+// A generation without a backup on an engine that leaves: it is copied to another one and handed
+// over. The engine writes an event every 20 ms, up to the last one, while the caller reads.
+class HandedOver : public Exchange
+{
+protected:
+    static constexpr int lastEvent = 60;
+
+    HandedOver()
+    {
+        engines.emplace_back(
+            pool, [this](const net::HttpRequest &request, net::ResponseWriter &writer) {
+                ++resumes;
+                resumedFrom = request.header("Resume-From");
+                resumedAfter = std::stoi("0" + std::string(request.header("Resume-After")));
+                static_cast<void>(writer.send(answer(200, "id-1", events(resumedAfter + 1))));
+            });
+        other = recordAt("other", engines.back().address());
+        addEndpoint("leaving",
+                    [this](const net::HttpRequest &request, net::ResponseWriter &writer) {
+                        serve(request, writer);
+                    });
+    }
+
+    static std::string events(int first)
+    {
+        std::string text;
+        for (int n = first; n <= lastEvent; ++n)
+            text += eventText(n);
+        return text;
+    }
+
+    void serve(const net::HttpRequest &request, net::ResponseWriter &writer)
+    {
+        if (request.target == "/free")
+            freed.emplace_back(request.header("Handle"));
+        if (request.target == "/move") {
+            const std::string handle = "copy-" + std::to_string(++copies);
+            copy(copies);
+            static_cast<void>(writer.send({200, {}, handle}));
+            return;
+        }
+        if (request.target != "/stream/x") {
+            static_cast<void>(writer.send({200, {}, {}}));
+            return;
+        }
+        const std::vector<net::Header> headers {{"Request", "id-1"}};
+        static_cast<void>(writer.startStream(200, headers));
+        // The other engine joins once the generation runs.
+        state.endpoints.listed(ServingState::now(), other);
+        if (leavesAtOnce)
+            leave();
+        for (int n = 1; n <= lastEvent && writer.write(eventText(n)); ++n) {
+            if (!state.mayCall(other))
+                lastInPause = n;
+            net::sleepFor(20_ms);
+        }
+        static_cast<void>(writer.finish());
+    }
+
+    void leave()
+    {
+        state.endpoints.removed(ServingState::now(), EndpointName("leaving"));
+        mover.evacuate(EndpointName("leaving"), 5_s);
+    }
+
+    // Returns true once a copy has been freed.
+    bool isFreed(const std::string &handle)
+    {
+        bool has = false;
+        onWorker([&] {
+            const Millis until = ServingState::now() + 5_s;
+            while (!has && ServingState::now() < until) {
+                net::sleepFor(5_ms);
+                has = std::find(freed.begin(), freed.end(), handle) != freed.end();
+            }
+        });
+        return has;
+    }
+
+    EndpointRecord other;
+    bool leavesAtOnce = true;
+    // Called at the begin of each copy with its number. One that takes this long is handed over
+    // from, without a second one.
+    std::function<void(int)> copy = [](int) { net::sleepFor(100_ms); };
+    int copies = 0;
+    std::vector<std::string> freed;
+    // Last event that was written in the other engine's pause.
+    int lastInPause = 0;
+    int resumes = 0;
+    int resumedAfter = 0;
+    std::string resumedFrom;
+};
+
+// Guards against forgetting a whole copy that the retry budget does not let a request use, and
+// making it again and again.
+TEST_F(HandedOver, CopyThatMayNotBeUsedStaysAndIsFreed)
+{
+    onWorker([this] {
+        while (state.tryTakeRetry(ServiceName("service"))) { }
+    });
+    const Result<net::HttpResponse> response = call("/stream/x", {{"Tokens", "1"}});
+    ASSERT_TRUE(response) << response.error().message;
+    EXPECT_EQ(response->body, events(1));
+    EXPECT_EQ(resumes, 0);
+    EXPECT_EQ(copies, 1);
+    EXPECT_TRUE(isFreed("copy-1"));
+}
+
+// Guards against holding up a healthy stream for the pause of the engine that is to take it over.
+TEST_F(HandedOver, StreamGoesOnDuringAPauseOfTheDestination)
+{
+    copy = [this](int) {
+        net::sleepFor(100_ms);
+        state.pauses.pause(ServingState::now(), other.name, {}, 400_ms);
+    };
+    const Result<net::HttpResponse> response = call("/stream/x", {{"Tokens", "1"}});
+    ASSERT_TRUE(response) << response.error().message;
+    EXPECT_EQ(response->body, events(1));
+    EXPECT_EQ(copies, 1);
+    EXPECT_EQ(resumes, 1);
+    EXPECT_GT(lastInPause, 0);
+    EXPECT_GE(resumedAfter, lastInPause);
+}
+
+// Guards against a renewal of the standby copy that ends during the copy of a move: its copy is in
+// nobody's way and does not stay at the engine.
+TEST_F(HandedOver, RenewalThatEndsDuringAMoveIsDropped)
+{
+    leavesAtOnce = false;
+    copy = [this](int n) {
+        if (n == 1) {
+            leave();
+            while (copies < 2)
+                net::sleepFor(5_ms);
+            return;
+        }
+        net::sleepFor(150_ms);
+    };
+    const Result<net::HttpResponse> response = call("/stream/x", {{"Tokens", "1"}});
+    ASSERT_TRUE(response) << response.error().message;
+    EXPECT_EQ(response->body, events(1));
+    EXPECT_EQ(copies, 2);
+    EXPECT_EQ(resumes, 1);
+    EXPECT_EQ(resumedFrom, "copy-2");
+    EXPECT_TRUE(isFreed("copy-1"));
+}
+
 // Guards against telling a caller that its request has not run, or running it again, because a
 // faulty endpoint writes an earlier refusal once more: the refusal must not become the answer of
 // the next request or of a call that moves a generation.
