A refusal for want of memory ends with the request

makeMemory() refused partial requests of a connection for its whole life, so a request that had just arrived in full was served and later ones in parts on that connection were told 503 with memory free. It now refuses only the request that is arriving, as makeRoom() does. mayGiveWay() and reserveFromOthers() look at both kinds of refusal: a request that was told to end gave way a second time, and went on to ask others for their memory until its wait was over.

That makeMemory() itself meets a request that has just arrived is covered only by the test of the connection's refusal.

--- a/src/net/httpserver.cpp
+++ b/src/net/httpserver.cpp
@@ -286,7 +286,7 @@
             continue;
         released += connection->heldBytes();
         if (connection->isReceiving())
-            connection->refusePartialRequests(problem);
+            connection->refuseArrivingRequest(problem);
         else
             connection->close();
         displaced.fetch_add(1);
--- a/src/net/serverconnection.cpp
+++ b/src/net/serverconnection.cpp
@@ -250,7 +250,7 @@
     if (total > m_limits.bodyBudget->levelFor(ByteUse::Request, total))
         return false;
     const Millis until = std::min(deadline, deadlineAfter(memoryWait));
-    while (!m_partialRefusal && steadyNow() < until) {
+    while (refusalOfPartial() == nullptr && steadyNow() < until) {
         const std::size_t wanted = total - std::min(total, m_memory->bytes());
         if (!m_state->makeMemory || !m_state->makeMemory(*this, wanted))
             return false;
--- a/src/net/serverconnection.h
+++ b/src/net/serverconnection.h
@@ -62,7 +62,7 @@
     // has not been told to end, or none does.
     [[nodiscard]] bool mayGiveWay()
     {
-        return heldBytes() > 0 && (m_isReceiving ? !m_partialRefusal : isIdle());
+        return heldBytes() > 0 && (m_isReceiving ? refusalOfPartial() == nullptr : isIdle());
     }
     // Memory of the budget that the request and its window hold.
     [[nodiscard]] std::size_t heldBytes() const noexcept
--- a/tests/net/partialrequest_test.cpp
+++ b/tests/net/partialrequest_test.cpp
@@ -3,6 +3,8 @@
 
 #include <array>
 #include <chrono>
+#include <future>
+#include <memory>
 #include <optional>
 #include <string>
 #include <thread>
@@ -93,6 +95,58 @@
     closed.get_future().get();
 }
 
+// Guards against a request that was told to end, as others need its memory, and still counts as one
+// that may give way, or goes on to ask others for theirs.
+TEST(PartialRequest, RefusedRequestNeitherGivesWayNorAsksOthers)
+{
+    constexpr std::size_t budgetBytes = 400'000;
+    constexpr std::size_t stepBytes = 1'000;
+    WorkerPool pool(1);
+    asio::io_context context;
+    tcp::acceptor acceptor(context, {asio::ip::address_v4::loopback(), 0});
+    tcp::socket peer(context);
+    peer.connect(acceptor.local_endpoint());
+    tcp::socket accepted = acceptor.accept(pool.context(0));
+    ServerLimits limits;
+    limits.bodyBudget = std::make_shared<ByteBudget>(budgetBytes);
+    ByteReservation others(*limits.bodyBudget);
+    ServerConnection::ServerState state;
+    std::optional<ServerConnection> connection;
+    std::promise<void> closed;
+    int asked = 0;
+    bool gaveWayBefore = false;
+    bool givesWayAfter = true;
+    state.makeMemory = [&](const ServerConnection &, std::size_t) {
+        if (++asked == 1) {
+            gaveWayBefore = connection->mayGiveWay();
+            connection->refuseArrivingRequest(noRoom);
+            givesWayAfter = connection->mayGiveWay();
+        }
+        return true;
+    };
+    pool.spawn(0, [&] {
+        connection.emplace(TcpSocket(std::move(accepted)), limits, state);
+        HttpRequest request;
+        EXPECT_FALSE(connection->readRequest(request));
+        connection->close();
+        closed.set_value();
+    });
+    const std::string part = "9c40\r\n" + std::string(40'000, 'x') + "\r\n";
+    asio::write(peer, asio::buffer("POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n" + part));
+    runOn(pool, 0, [&] {
+        while (!connection || connection->heldBytes() < 40'000)
+            sleepFor(1_ms);
+        while (others.reserve(stepBytes)) { }
+    });
+    asio::write(peer, asio::buffer(part));
+    EXPECT_EQ(readAnswer(peer), "HTTP/1.1 503 Service Unavailable");
+    peer.close();
+    closed.get_future().get();
+    EXPECT_EQ(asked, 1);
+    EXPECT_TRUE(gaveWayBefore);
+    EXPECT_FALSE(givesWayAfter);
+}
+
 // Guards against a stop that waits for callers whose requests it has refused.
 TEST(PartialRequest, RefusedRequestIsNotCountedWhileItIsDrained)
 {
