A stream that runs again leaves no open wait

The attempt at the next engine begins a wait for a first byte. A stream that had events already never ended it, so it was reported as an open slow request of a healthy engine's version for as long as it ran. Where the break counted as a failure, recording that after the new attempt ended the new wait instead, and booked the failure with the time of the new attempt.

The wait of the broken attempt now ends, and its time is taken, before the request is sent again; the failure is booked with that time and leaves the new wait alone. A stream that goes on after events ends its wait when the new engine has taken it over.

StreamThatRunsAgainAfterEventsLeavesNoOpenWait failed before (one open wait) and passes.

--- a/include/fescue/serving/requestcontext.h
+++ b/include/fescue/serving/requestcontext.h
@@ -125,6 +125,14 @@
 void noteStreamStart(ServingState &state, RequestContext &context, const EndpointRecord &endpoint);
 void noteStreamFailure(ServingState &state, RequestContext &context,
                        const EndpointRecord &endpoint);
+// The same for a stream that goes on at another endpoint already, whose wait is not touched.
+// `waited` is how long the broken one had waited for its first event; 0 where that had come.
+void noteEarlierStreamFailure(ServingState &state, const RequestContext &context,
+                              const EndpointRecord &endpoint, Millis waited);
+
+// Ends the wait for the first byte of the current attempt. Returns how long it was; 0 if that byte
+// had come, since a stream that breaks off after its first event was not slow.
+Millis endVersionWait(RequestContext &context);
 
 // Records for the same comparison how long a caller waited that has left; nothing if the first byte
 // had come.
--- a/include/fescue/serving/streamforwarder.h
+++ b/include/fescue/serving/streamforwarder.h
@@ -11,6 +11,7 @@
 #include "fescue/serving/resumptionplan.h"
 
 #include <memory>
+#include <optional>
 
 namespace fescue::serving {
 
@@ -55,6 +56,9 @@
         bool prefilling = false;
         // How the last attempt to resume at an engine ended.
         SendOutcome resumeOutcome = SendOutcome::NotSent;
+        // How long the attempt that broke off had waited for its first event, where the generation
+        // was given to another engine to run again since.
+        std::optional<Millis> brokenWait;
         // Of the engine that runs the generation; null for streams that may not be resumed.
         std::shared_ptr<SilenceWatch> silence;
 
--- a/include/fescue/serving/streamforwarder.inl
+++ b/include/fescue/serving/streamforwarder.inl
@@ -406,8 +406,11 @@
             m_guard->recordLoss(context, forwarded.run->engine);
         // finish() records the last break.
         const EndpointRecord broken = forwarded.run->engine;
+        forwarded.brokenWait.reset();
         const bool resumed = forwarded.resumption.isBreak(end) && resume(forwarded);
-        if (resumed && mayBeCrash)
+        if (resumed && mayBeCrash && forwarded.brokenWait)
+            noteEarlierStreamFailure(*m_state, context, broken, *forwarded.brokenWait);
+        else if (resumed && mayBeCrash)
             noteStreamFailure(*m_state, context, broken);
         if (!resumed) {
             if (forwarded.resumption.isResumable() && context.writer.callerGone())
@@ -666,6 +669,9 @@
     forwarded.events.resume();
     run.phase = MovePhase::Running;
     run.resume.reset();
+    // The caller has had its first event, so nothing more is waited for.
+    if (run.events > 0)
+        forwarded.context.wait.end();
     ++forwarded.context.moves;
     run.clearStandbyCopy();
     m_mover->moveIfLeaving(forwarded.run);
@@ -704,6 +710,8 @@
         run.resume.reset();
         forwarded.demand.excluded.insert(failed);
         updateDemand(forwarded);
+        // An attempt begins a wait of its own.
+        forwarded.brokenWait = endVersionWait(context);
         AttemptVerdict verdict = AttemptVerdict::RefuseNotRun;
         result = attemptUntilAnswered(forwarded, verdict);
     }
--- a/src/serving/requestcontext.cpp
+++ b/src/serving/requestcontext.cpp
@@ -33,11 +33,10 @@
 void recordVersionAnswer(ServingState &state, RequestContext &context,
                          const EndpointRecord &endpoint, bool succeeded)
 {
-    // A stream that breaks off after its first event was not slow.
-    const bool isFirst = context.wait.end() || succeeded;
+    const Millis waited = endVersionWait(context);
     if (context.route == nullptr || (succeeded && context.wasCold))
         return;
-    const Millis time = isFirst ? ServingState::now() - context.chosenAt : Millis {0};
+    const Millis time = succeeded ? ServingState::now() - context.chosenAt : waited;
     state.rollouts.recordAnswer(endpoint.service, endpoint.softwareVersion, context.route->name,
                                 succeeded, time);
 }
@@ -115,6 +114,11 @@
     }
 }
 
+Millis endVersionWait(RequestContext &context)
+{
+    return context.wait.end() ? ServingState::now() - context.chosenAt : Millis {0};
+}
+
 void noteStreamStart(ServingState &state, RequestContext &context, const EndpointRecord &endpoint)
 {
     recordVersionAnswer(state, context, endpoint, true);
@@ -125,6 +129,15 @@
     recordVersionAnswer(state, context, endpoint, false);
 }
 
+void noteEarlierStreamFailure(ServingState &state, const RequestContext &context,
+                              const EndpointRecord &endpoint, Millis waited)
+{
+    if (context.route == nullptr)
+        return;
+    state.rollouts.recordAnswer(endpoint.service, endpoint.softwareVersion, context.route->name,
+                                false, waited);
+}
+
 void noteCallerLeft(ServingState &state, RequestContext &context, const EndpointRecord &endpoint)
 {
     if (!context.wait.end() || context.route == nullptr)
--- a/tests/serving/resumablestream_test.cpp
+++ b/tests/serving/resumablestream_test.cpp
@@ -166,6 +166,21 @@
         return response;
     }
 
+    // Requests that are evidence of a roll-out because they wait for their first event.
+    int openWaits()
+    {
+        int open = 0;
+        test::runOnWorker(pool, [&, this] {
+            const RolloutEvidence evidence =
+                state.rollouts.evidence(ServingState::now() + 60_s, ServiceName("service"));
+            for (const std::pair<const std::string, RouteEvidence> &route : evidence) {
+                for (const std::uint32_t n : route.second.oldVersion.open)
+                    open += static_cast<int>(n);
+            }
+        });
+        return open;
+    }
+
     net::WorkerPool pool;
     observe::Metrics metrics;
     ServingConfig config;
@@ -270,6 +285,65 @@
     EXPECT_EQ(requests, 3);
 }
 
+// Guards against a stream that goes on at a healthy engine and is reported as an open slow request
+// of that engine's version until it ends.
+TEST_F(ResumableStream, StreamThatRunsAgainAfterEventsLeavesNoOpenWait)
+{
+    test::runOnWorker(pool, [this] {
+        const RolloutOrder order {ServiceName("service"), "v2", 30_s, {1, 1}};
+        state.rollouts.orderWritten(ServingState::now(), order, 0_ms, 0);
+    });
+    int openBefore = -1;
+    int openAfter = -1;
+    addEngines(
+        2,
+        [&, this](int, const Write &write) {
+            openBefore = openWaits();
+            // An event that is missing.
+            write(chunkedHead("s") + chunk(events(1, 3) + events(5, 5)));
+        },
+        [&, this](int position, const Write &write) {
+            write(chunkedHead("s"));
+            for (int n = 0; n < 200 && openAfter != 0; ++n) {
+                openAfter = openWaits();
+                std::this_thread::sleep_for(std::chrono::milliseconds(5));
+            }
+            write(chunk(events(position + 1, eventCount)) + lastChunk);
+        });
+    const Result<net::HttpResponse> response = call("/resume/x");
+    ASSERT_TRUE(response) << response.error().message;
+    EXPECT_EQ(response->body, events(1, eventCount));
+    EXPECT_EQ(requests, 2);
+    EXPECT_EQ(openBefore, 1);
+    EXPECT_EQ(openAfter, 0);
+}
+
+// Guards against a slow engine that runs a stream again and is not seen as slow, since the failure
+// of the engine before it ended its wait.
+TEST_F(ResumableStream, StreamThatRunsAgainBeforeItsFirstEventIsWaitedFor)
+{
+    test::runOnWorker(pool, [this] {
+        const RolloutOrder order {ServiceName("service"), "v2", 30_s, {1, 1}};
+        state.rollouts.orderWritten(ServingState::now(), order, 0_ms, 0);
+    });
+    int open = 1;
+    addEngines(
+        2, [](int, const Write &write) { write(chunkedHead("s")); },
+        [&, this](int position, const Write &write) {
+            write(chunkedHead("s"));
+            for (int n = 0; n < 50 && open == 1; ++n) {
+                open = openWaits();
+                std::this_thread::sleep_for(std::chrono::milliseconds(5));
+            }
+            write(chunk(events(position + 1, eventCount)) + lastChunk);
+        });
+    const Result<net::HttpResponse> response = call("/resume/x");
+    ASSERT_TRUE(response) << response.error().message;
+    EXPECT_EQ(requests, 2);
+    EXPECT_EQ(open, 1);
+    EXPECT_EQ(openWaits(), 0);
+}
+
 TEST_F(ResumableStream, NothingIsRunAgainWithoutBudget)
 {
     addEngines(2, [](int, const Write &write) { write(chunkedHead("s") + chunk(events(1, 2))); });
