Roll-outs: a state that comes before its order is followed as well

A record in Closing that was seen before its order never made the generations of this process leave the old versions: the order's arrival dropped what the record had asked for, and seeing the same record again is nothing new. Both ways now share one function, and the order's arrival looks at the stage in force.

Without a known record, the first one of an order was written over a stored record of a later order. It is left where the store has not lost anything.

Both new tests failed before (no call to the engine; one write over "v3") and pass.

--- a/include/fescue/serving/rolloutcontroller.h
+++ b/include/fescue/serving/rolloutcontroller.h
@@ -133,6 +133,8 @@
     [[nodiscard]] bool isOldIdle(Millis now, const RolloutRecord &record,
                                  const Collected &collected,
                                  const std::vector<MemberView> &members) const;
+    // Notes whether generations have to leave the old versions in a stage that was reached.
+    void followStage(const ServiceName &service, RolloutStage stage);
     // Moves the generations of this process away from endpoints whose version is being replaced.
     void leaveOldVersions(Millis now, const ServiceName &service);
 
--- a/include/fescue/serving/rolloutcontroller.inl
+++ b/include/fescue/serving/rolloutcontroller.inl
@@ -75,12 +75,13 @@
         now, *order, change.fromListing ? std::nullopt : std::optional<Millis>(Millis {0}), credit);
     if (effect == OrderEffect::Begun) {
         m_collected.erase(service);
-        m_closing.erase(service);
         // The record may have arrived before its order.
         const auto stored = m_stored.find(service);
         if (stored != m_stored.end() && stored->second.record)
             m_state->rollouts.recordSeen(now, Millis {observe::wallMillisNow()},
                                          *stored->second.record);
+        const Rollout *rollout = m_state->rollouts.find(service);
+        followStage(service, rollout == nullptr ? RolloutStage::Canary : rollout->stage());
     }
     const bool isKnownService = m_state->routes && m_state->routes->findService(service) != nullptr;
     observe::logChange("rollout-order",
@@ -139,9 +140,16 @@
                         {"revision", change.revision.value},
                         {"applied", isNew ? "yes" : "no"},
                         {"reason", record->reason}});
-    if (isNew && record->stage == RolloutStage::Closing)
+    if (isNew)
+        followStage(service, record->stage);
+}
+
+template <PlatformProtocol P>
+void RolloutController<P>::followStage(const ServiceName &service, RolloutStage stage)
+{
+    if (stage == RolloutStage::Closing)
         m_closing.insert(service);
-    else if (isNew)
+    else
         m_closing.erase(service);
 }
 
@@ -405,6 +413,10 @@
         const RolloutRecord first {
             order.service,  order.version, order.duration, RolloutStage::Canary, 1,
             order.revision, beganAt,       "ordered"};
+        // A record of a later order arrives before that order at times.
+        const bool hasRecord = stored != m_stored.end() && stored->second.record;
+        if (hasRecord && !isLostByStore(order, first, &*stored->second.record))
+            return std::nullopt;
         return NextRecord {first, expected, {}};
     }
     if (isLost(rollout))
--- a/tests/serving/rolloutcontroller_test.cpp
+++ b/tests/serving/rolloutcontroller_test.cpp
@@ -307,6 +307,20 @@
     EXPECT_EQ(stored().version, "v3");
 }
 
+// Guards against the loss of a later order's state, which a process hears of before that order.
+TEST_F(RolloutControllerTest, FirstStateIsNotWrittenOverThatOfALaterOrder)
+{
+    onWorker([this] {
+        put("v3 30000 canary 1 9 1");
+        deliver();
+        delivered = revision;
+        order("v2 30000");
+        run(2_s);
+    });
+    EXPECT_EQ(writes, 0);
+    EXPECT_EQ(stored().version, "v3");
+}
+
 TEST_F(RolloutControllerTest, StateThatArrivesBeforeItsOrderIsKept)
 {
     onWorker([this] {
@@ -320,6 +334,41 @@
     EXPECT_EQ(stored().stage, RolloutStage::Fifth);
 }
 
+// Guards against generations that end with an old version because nobody moved them: their process
+// heard of the last stage before it heard of the order.
+TEST_F(RolloutControllerTest, GenerationsLeaveOldVersionsAlsoIfTheStateCameBeforeItsOrder)
+{
+    int reportCalls = 0;
+    net::HttpServer engine(pool, {"127.0.0.1", 0}, {},
+                           [&](const net::HttpRequest &, net::ResponseWriter &writer) {
+                               ++reportCalls;
+                               static_cast<void>(writer.send({}));
+                           });
+    ASSERT_TRUE(engine.start());
+    onWorker([&, this] {
+        EndpointRecord old;
+        old.name = EndpointName("old");
+        old.service = service;
+        old.softwareVersion = "v1";
+        old.address = engine.address();
+        state.endpoints.listed(ServingState::now(), old);
+        const GenerationRunPtr generation = std::make_shared<GenerationRun>();
+        generation->engine = old;
+        generation->service = service;
+        state.runs.add(generation);
+        const ScopedLoad load(state.ledger, old.name, EndpointLoad {1, 0, 0});
+        put("v2 30000 closing 5 2 1");
+        deliver();
+        delivered = revision;
+        order("v2 30000");
+        run(28_s);
+        for (int n = 0; n < 1000 && reportCalls == 0; ++n)
+            net::sleepFor(1_ms);
+        state.runs.remove(generation);
+    });
+    EXPECT_EQ(reportCalls, 1);
+}
+
 TEST_F(RolloutControllerTest, BadVersionIsReverted)
 {
     onWorker([this] {
