Configuration check: a list without accounts is found

With an empty list of accounts no key is valid, but the check found nothing, and a list that comes or goes showed no difference. Both tests failed before and pass.

--- a/src/serving/configchanges.cpp
+++ b/src/serving/configchanges.cpp
@@ -171,6 +171,9 @@
     compareLists(before.routes, after.routes, lines);
     compareLists(before.services, after.services, lines);
     compareLists(before.accounts, after.accounts, lines);
+    EntryChanges accounts("accounts", lines);
+    accounts.compare("keys are required", before.requiresKey || !before.accounts.empty(),
+                     after.requiresKey || !after.accounts.empty());
     EntryChanges limits("limits", lines);
     limits.compare("bytes of a head", before.limits.maxHeadBytes, after.limits.maxHeadBytes);
     limits.compare("bytes of a body", before.limits.maxBodyBytes, after.limits.maxBodyBytes);
--- a/src/serving/configcheck.cpp
+++ b/src/serving/configcheck.cpp
@@ -120,6 +120,10 @@
 
 void checkAccounts(const ServingConfig &config, Findings &findings)
 {
+    if (config.requiresKey && config.accounts.empty()) {
+        findings.push_back(
+            {"accounts", "no account: no key is valid, so only routes without a key answer"});
+    }
     std::map<std::string, const AccountSpec *> owners;
     for (const AccountSpec &account : config.accounts) {
         const std::string entry = "account " + account.name.text();
--- a/tests/serving/configcheck_test.cpp
+++ b/tests/serving/configcheck_test.cpp
@@ -112,6 +112,33 @@
     EXPECT_TRUE(checkConfig(config, 256 * megabyte).empty());
 }
 
+// Guards against a configuration that shuts all callers out and passes as sound.
+TEST(ConfigCheck, ListWithoutAccountsIsFound)
+{
+    ServingConfig config = soundConfig();
+    config.accounts.clear();
+    EXPECT_TRUE(checkConfig(config, 0).empty());
+    config.requiresKey = true;
+    EXPECT_EQ(onlyEntry(config), "accounts");
+}
+
+TEST(ConfigCheck, ListOfAccountsThatComesOrGoesIsTold)
+{
+    ServingConfig open = soundConfig();
+    open.accounts.clear();
+    ServingConfig closed = open;
+    closed.requiresKey = true;
+    open.version = closed.version = {8};
+    ServingConfig before = open;
+    before.version = {7};
+    EXPECT_EQ(describeChanges(before, closed),
+              std::vector<std::string> {"accounts: keys are required no becomes yes"});
+    before = closed;
+    before.version = {7};
+    EXPECT_EQ(describeChanges(before, open),
+              std::vector<std::string> {"accounts: keys are required yes becomes no"});
+}
+
 TEST(ConfigCheck, ChangesAreToldByEntry)
 {
     const ServingConfig before = soundConfig();
