Event splitter: a data line without a colon carries data

Such a field has an empty value, so an event of a resumable stream that consists of it needs an id as any other with data. The test has the two cases more, which failed before. The comment on feed() says what ids have to be.

--- a/include/fescue/serving/eventsplitter.h
+++ b/include/fescue/serving/eventsplitter.h
@@ -17,8 +17,8 @@
     static constexpr std::size_t maxEventBytes = std::size_t {256} * 1024;
 
     // Parses the next chunk of the stream. Returns false if an event is too large, or if the first
-    // new id after a resume does not follow lastId(). After beginAfter() each id has to, the first
-    // event of all has to be the first of the stream, and an event with data needs an id.
+    // new id after a resume does not follow lastId(). After beginAfter() ids must be consecutive,
+    // the first event must have id 0 or 1, and data needs an id.
     [[nodiscard]] bool feed(std::string_view data);
     // Begins after an event that was received before, or at the beginning without one. Ids have to
     // be consecutive from then on.
--- a/src/serving/eventsplitter.cpp
+++ b/src/serving/eventsplitter.cpp
@@ -8,7 +8,7 @@
 namespace {
 
 constexpr std::string_view idField = "id:";
-constexpr std::string_view dataField = "data:";
+constexpr std::string_view dataField = "data";
 // Largest id of the first event of a whole stream.
 constexpr std::uint64_t firstId = 1;
 
@@ -52,8 +52,19 @@
 // Returns true if an event carries data. Comments and retry times do not.
 bool hasData(std::string_view event) noexcept
 {
-    return event.starts_with(dataField)
-        || event.find('\n' + std::string(dataField)) != std::string_view::npos;
+    std::size_t begin = 0;
+    while (begin < event.size()) {
+        const std::size_t end = std::min(event.find('\n', begin), event.size());
+        std::string_view line = event.substr(begin, end - begin);
+        begin = end + 1;
+        if (!line.starts_with(dataField))
+            continue;
+        // A field without a colon has an empty value.
+        line.remove_prefix(dataField.size());
+        if (line.empty() || line.front() == ':' || line.front() == '\r')
+            return true;
+    }
+    return false;
 }
 
 } // namespace
--- a/tests/serving/eventsplitter_test.cpp
+++ b/tests/serving/eventsplitter_test.cpp
@@ -84,7 +84,9 @@
 // Guards against a stream that is joined from runs although its events cannot be told apart.
 TEST(EventSplitter, DataWithoutAnIdIsAnErrorInAResumableStream)
 {
-    for (const std::string text : {"data: x\n\n", "event: e\r\ndata: x\r\n\r\n"}) {
+    for (const std::string text : {"data: x\n\n", "event: e\r\ndata: x\r\n\r\n",
+                                   // A field without a colon is an empty one.
+                                   "data\n\n", "event: e\r\ndata\r\n\r\n"}) {
         EventSplitter splitter;
         splitter.beginAfter(std::nullopt);
         EXPECT_FALSE(splitter.feed(event(1) + text + event(2)));
