Kept connections hold a sixteenth of the budget at most

Connections that are kept after a large body hold 128 KB each for their window. They did so up to a quarter of the budget, which is half of what large requests may use. The divisor is 16 now. Counting what gives way leaves out the window of an arriving request, which lasts until its peer has closed.

The count of what gives way has no test of its own.

--- a/src/net/httpserver.cpp
+++ b/src/net/httpserver.cpp
@@ -269,7 +269,7 @@
         PeerMemory peer {entry.first};
         for (ServerConnection *connection : entry.second) {
             peer.held += connection->heldBytes();
-            peer.releasable += connection->mayGiveWay() ? connection->heldBytes() : 0;
+            peer.releasable += connection->mayGiveWay() ? connection->releasableBytes() : 0;
         }
         peers.push_back(std::move(peer));
     }
@@ -284,7 +284,7 @@
             break;
         if (!connection->mayGiveWay())
             continue;
-        released += connection->heldBytes();
+        released += connection->releasableBytes();
         if (connection->isReceiving())
             connection->refuseArrivingRequest(problem);
         else
--- a/src/net/serverconnection.cpp
+++ b/src/net/serverconnection.cpp
@@ -33,8 +33,9 @@
 constexpr std::size_t wideBufferBytes = 64ULL * 1024;
 constexpr std::size_t wideBufferMemory = wideBufferBytes * 2;
 // A connection with a wide buffer ends after its answer where more than the budget divided by this
-// is in use.
-constexpr std::size_t calmDivisor = 4;
+// is in use. Large requests may use only half of the budget, so idle connections may hold no more
+// than an eighth of their part.
+constexpr std::size_t calmDivisor = 16;
 // How long a request waits for memory that another one gives up, and how often it looks.
 constexpr Millis memoryWait = 100_ms;
 constexpr Millis memoryPollPause = 5_ms;
--- a/src/net/serverconnection.h
+++ b/src/net/serverconnection.h
@@ -62,7 +62,7 @@
     // has not been told to end, or none does.
     [[nodiscard]] bool mayGiveWay()
     {
-        return heldBytes() > 0 && (m_isReceiving ? refusalOfPartial() == nullptr : isIdle());
+        return releasableBytes() > 0 && (m_isReceiving ? refusalOfPartial() == nullptr : isIdle());
     }
     // Memory of the budget that the request and its window hold.
     [[nodiscard]] std::size_t heldBytes() const noexcept
@@ -70,6 +70,13 @@
         return (m_memory ? m_memory->bytes() : 0) + (m_windowMemory ? m_windowMemory->bytes() : 0);
     }
 
+    // How much of that is free soon after the connection was told to give way. The window of an
+    // arriving request lasts until its peer has closed.
+    [[nodiscard]] std::size_t releasableBytes() const noexcept
+    {
+        return m_isReceiving ? (m_memory ? m_memory->bytes() : 0) : heldBytes();
+    }
+
     Result<void> send(const HttpResponse &response);
     Result<void> startStream(int status, std::span<const Header> headers);
     Result<void> write(std::string_view data);
--- a/tests/net/http_test.cpp
+++ b/tests/net/http_test.cpp
@@ -494,6 +494,41 @@
     EXPECT_EQ(limits.bodyBudget->refusals(), 1U);
 }
 
+// Guards against connections that are kept after large bodies and hold what other large ones need.
+TEST(HttpServerTest, KeptConnectionsHoldLittleMemory)
+{
+    constexpr std::size_t budgetBytes = 4'000'000;
+    constexpr std::size_t bodyBytes = 100'000;
+    constexpr std::size_t callers = 12;
+    // Large requests may use half of the budget.
+    constexpr std::size_t mostHeld = budgetBytes / 2 / 8;
+    WorkerPool pool(1);
+    ServerLimits limits;
+    limits.receiveBufferBytes = 8192;
+    limits.bodyBudget = std::make_shared<ByteBudget>(budgetBytes);
+    HttpServer server(pool, anyPort, limits, [](const HttpRequest &, ResponseWriter &writer) {
+        static_cast<void>(writer.send({}));
+    });
+    ASSERT_TRUE(server.start());
+    asio::io_context context;
+    const std::string request = "POST /echo HTTP/1.1\r\nContent-Length: "
+        + std::to_string(bodyBytes) + "\r\n\r\n" + std::string(bodyBytes, 'x');
+    std::vector<tcp::socket> sockets;
+    for (std::size_t i = 0; i < callers; ++i) {
+        tcp::socket &socket = sockets.emplace_back(context);
+        socket.connect({asio::ip::make_address(server.address().ip), server.address().port});
+        asio::write(socket, asio::buffer(request));
+        std::array<char, 12> status {};
+        asio::read(socket, asio::buffer(status));
+        EXPECT_EQ(std::string_view(status.data(), status.size()), "HTTP/1.1 200");
+    }
+    // Connections that end are drained for a while.
+    for (int n = 0; n < 2000 && limits.bodyBudget->used() > mostHeld; ++n)
+        runOn(pool, 0, [] { sleepFor(1_ms); });
+    EXPECT_GT(limits.bodyBudget->peak(), mostHeld);
+    EXPECT_LE(limits.bodyBudget->used(), mostHeld);
+}
+
 TEST(HttpServerTest, CallerThatLeavesIsNoticed)
 {
     std::promise<void> noticed;
