Soak ledger: a rejection in trouble excuses only the stream that it ended

A broken call was excused if any endpoint that it reached was in trouble at any time of the call. Now it has to be a stream whose work had ended, and whose last request after that came to an endpoint in trouble.

--- a/tests/soak/ledger.cpp
+++ b/tests/soak/ledger.cpp
@@ -86,7 +86,8 @@
     if (call.crashing && inTouch)
         checkCrashing(call, now);
     checkCold(facts, now);
-    call.reached.insert(endpoint);
+    call.lastReached = endpoint;
+    call.lastArrivalAt = now;
     if (++call.arrivals > 1) {
         m_repeats[facts.service].push_back(now);
         checkRepeats(facts.service, now);
@@ -278,8 +279,7 @@
 
 void Ledger::checkLost(const Call &call)
 {
-    // An endpoint in trouble may have lost it by a rejection.
-    if (call.end != CallEnd::Broken || !isCalm(call) || !reachedSoundEndpoints(call))
+    if (call.end != CallEnd::Broken || !isCalm(call) || isLostInTrouble(call))
         return;
     // The entry may close the connection of a request that it does not have as a whole.
     if (call.arrivals == 0 && call.writtenAt == endOfTime)
@@ -322,12 +322,13 @@
     });
 }
 
-bool Ledger::reachedSoundEndpoints(const Call &call) const
+bool Ledger::isLostInTrouble(const Call &call) const
 {
-    return std::all_of(call.reached.begin(), call.reached.end(),
-                       [this, &call](std::size_t endpoint) {
-                           return m_disturbances->endpointCalm(endpoint, call.sentAt, call.endedAt);
-                       });
+    const bool hadEnded = !call.runs.empty()
+        && std::all_of(call.runs.begin(), call.runs.end(),
+                       [&call](const Run &run) { return run.endedAt <= call.lastArrivalAt; });
+    return isStreamed(call.kind) && hadEnded
+        && !m_disturbances->endpointCalm(call.lastReached, call.lastArrivalAt, call.endedAt);
 }
 
 void Ledger::stopBegins(std::size_t entry, Millis now)
--- a/tests/soak/ledger.h
+++ b/tests/soak/ledger.h
@@ -7,7 +7,6 @@
 #include <deque>
 #include <map>
 #include <optional>
-#include <set>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -64,10 +63,11 @@
     int status = 0;
     Millis endedAt {0};
 
-    // All requests that reached an endpoint for it, also those that it rejected, and by which
-    // endpoints.
+    // All requests that reached an endpoint for it, also those that it rejected, and the endpoint
+    // and time of the last one.
     std::uint32_t arrivals = 0;
-    std::set<std::size_t> reached;
+    std::size_t lastReached = 0;
+    Millis lastArrivalAt {0};
     std::vector<Run> runs;
     // Status of the endpoint's answer, where it gave a whole one.
     int endpointStatus = 0;
@@ -202,8 +202,9 @@
     void checkConfig(const Call &call);
     // Nothing happened that excuses the loss of the call but planned work.
     [[nodiscard]] bool isCalm(const Call &call) const;
-    // No endpoint that the call reached was in trouble, also not one that rejected it.
-    [[nodiscard]] bool reachedSoundEndpoints(const Call &call) const;
+    // The call is a stream whose work had ended, and that then reached an endpoint in trouble,
+    // which may have rejected it.
+    [[nodiscard]] bool isLostInTrouble(const Call &call) const;
     // The planned stop in which the call was sent, or null.
     [[nodiscard]] const Stop *stopAround(const Call &call) const;
     // Says how long after the signal for the stop the call was sent; empty for other calls.
--- a/tests/soakledger/ledger_test.cpp
+++ b/tests/soakledger/ledger_test.cpp
@@ -272,6 +272,27 @@
     EXPECT_EQ(broken(), Names {});
 }
 
+// Guards against an excuse for a loss that the rejection has no part in.
+TEST_F(LedgerTest, FindsAStreamLostAtASoundEngineAfterARejectionInTrouble)
+{
+    m_disturbances.endpoints[otherEngine].add(start, start + 1_s);
+    Call &call = send(CallKind::Draft);
+    arrive(call, otherEngine, start + 5_ms);
+    arrive(call, engine, start + 10_ms);
+    m_ledger.ends(call, m_ledger.begins(call, engine, false, start + 10_ms), start + 300_ms);
+    m_ledger.callerEnds(call, CallEnd::Broken, 0, start + 320_ms);
+    EXPECT_EQ(broken(), Names {"LOST"});
+}
+
+TEST_F(LedgerTest, FindsAPostLostByARejectionInTrouble)
+{
+    m_disturbances.endpoints[postEndpoint].add(start, start + 1_s);
+    Call &call = send(CallKind::Post);
+    arrive(call, postEndpoint, start + 5_ms);
+    m_ledger.callerEnds(call, CallEnd::Broken, 0, start + 320_ms);
+    EXPECT_EQ(broken(), Names {"LOST"});
+}
+
 TEST_F(LedgerTest, FindsACallOfAStopThatHasRunAndIsToldAnUnknownOutcome)
 {
     m_ledger.stopBegins(0, start - 4_s);
