Soak: an end before the first code needs a signal that was not handled yet

The end by SIGTERM was excused where nothing was logged within the first half second. It also has to be known that the process did not handle the signal just before it was sent. Built; no soak was run with it.

--- a/tests/soak/world.cpp
+++ b/tests/soak/world.cpp
@@ -108,6 +108,7 @@
     entry.process->start();
     entry.endExpected = false;
     entry.killed = false;
+    entry.endedEarly = false;
     entry.startedAt = now();
     if (trouble.hangups > 0) {
         pool.spawn(0, [this, index, trouble] {
@@ -228,6 +229,7 @@
         return false;
     entry.endExpected = true;
     entry.killed = signal == SIGKILL;
+    entry.endedEarly = signal == SIGTERM && !entry.process->handles(SIGTERM);
     if (signal == SIGTERM)
         ledger.stopBegins(index, now());
     entry.endingSince = now();
@@ -270,8 +272,8 @@
     ends.push_back(std::to_string((now() - beganAt).count) + " ms " + text);
     // A signal that comes before the first code of the program has its default effect. Then nothing
     // has been logged, and nothing served.
-    const bool endedBeforeCode =
-        status == -SIGTERM && log.empty() && now() <= entry.startedAt + firstCodeTime;
+    const bool endedBeforeCode = status == -SIGTERM && entry.endedEarly && log.empty()
+        && now() <= entry.startedAt + firstCodeTime;
     const bool isOrderly = entry.killed || (entry.endExpected && (status == 0 || endedBeforeCode));
     if (!isOrderly)
         ledger.violation("FAULT", text);
--- a/tests/soak/world.h
+++ b/tests/soak/world.h
@@ -71,6 +71,8 @@
     bool endExpected = false;
     // The last of these signals was SIGKILL.
     bool killed = false;
+    // It did not handle SIGTERM yet just before that was sent.
+    bool endedEarly = false;
     StartTrouble nextStart;
     // Times of the last signal that ends it, of its end and of its last start.
     Millis endingSince {0};
