Gateway's stop test: wait until the refused request has ended

The worker counts a request as ended after its answer was written, so a caller on another thread may look in between. The check is as strict: the count still has to fall to 0 within the guard of the other tests.

--- a/tests/gateway/stop_test.cpp
+++ b/tests/gateway/stop_test.cpp
@@ -131,6 +131,9 @@
     expectRefused(waiting.get());
     expectRefused(ask(adjust()));
     EXPECT_EQ(writes, 0);
+    // The caller may have its answer before the request counts as ended.
+    while (gateway.open() > 0 && std::chrono::steady_clock::now() < limit)
+        std::this_thread::sleep_for(std::chrono::milliseconds(1));
     EXPECT_EQ(gateway.open(), 0U);
 }
 
