--- a/tests/serving/slotdesk_test.cpp
+++ b/tests/serving/slotdesk_test.cpp
@@ -198,9 +198,9 @@
 {
     const std::size_t other = asker();
     // The slot of asker() is held as well, by either process.
-    std::vector<SlotGrant> grants;
-    for (int n = 0; n < 2; ++n)
-        grants.push_back(acquire(other));
+    std::vector<SlotGrant> grants(2);
+    for (SlotGrant &grant : grants)
+        grant = acquire(other);
     ASSERT_EQ(grants.back().outcome, SlotOutcome::Granted);
     dropped = 1000;
     onWorker([&] {
