Streams that cannot go on: count the break for the engine that broke off

Found on reading the change again. Where a resumable stream broke off and the engines that were asked to run it again failed as well, finish() took the last of these for the one that had broken off: its software version and its health got the failure twice, the other none; where no engine was found, the failure was booked without its wait. Both now go by the engine at which the stream ended. A record of a roll-out that comes before its order, as in a listing, now gives the order its age: it had counted as new, so a restarted process let it run for longer than its time.

choose() and findEngine() share the choice among candidates.

Ruled out: a change for streams that go on; their breaks were booked right before. Measured: the two new tests fail with the three product files put back, and pass with them; ResumableStream.* and RolloutTableTest.* 37 of 37.

--- a/include/fescue/serving/streamforwarder.h
+++ b/include/fescue/serving/streamforwarder.h
@@ -68,7 +68,11 @@
         }
     };
 
-    // Returns the engine that placement prefers, or null if none has room.
+    // Returns the candidate that placement prefers, or null if none has room.
+    [[nodiscard]] const EndpointView *prefer(const std::vector<const EndpointView *> &candidates,
+                                             const RequestContext &context,
+                                             const PlacementDemand &demand) const;
+    // The same among all engines of the service.
     [[nodiscard]] const EndpointView *findEngine(const RequestContext &context,
                                                  const PlacementDemand &demand) const;
     // The same, and takes its share of a cold engine's limit. Returns null if that is used up.
@@ -152,7 +156,11 @@
     [[nodiscard]] bool canRunAgain(ForwardedStream &forwarded);
     // Continues with the stream of another engine, which runs the generation from now on.
     void adopt(ForwardedStream &forwarded, net::ClientStream &&stream);
-    void finish(ForwardedStream &forwarded, StreamEnd end);
+    // Records for the comparison of software versions that a stream broke off at an engine.
+    void noteBreak(ForwardedStream &forwarded, const EndpointRecord &broken);
+    // Ends the answer to the caller. `broken` is the engine at which the stream ended; where it
+    // could not go on, `run->engine` is the last one that was asked to.
+    void finish(ForwardedStream &forwarded, StreamEnd end, const EndpointRecord &broken);
 
     ServingState *m_state;
     GenerationMover<P> *m_mover;
--- a/include/fescue/serving/streamforwarder.inl
+++ b/include/fescue/serving/streamforwarder.inl
@@ -38,29 +38,31 @@
 inline constexpr int firstServerFault = 500;
 
 template <PlatformProtocol P>
-const EndpointView *StreamForwarder<P>::findEngine(const RequestContext &context,
-                                                   const PlacementDemand &demand) const
+const EndpointView *StreamForwarder<P>::prefer(const std::vector<const EndpointView *> &candidates,
+                                               const RequestContext &context,
+                                               const PlacementDemand &demand) const
 {
-    const std::vector<const EndpointView *> candidates = m_state->candidates(context.service);
     const PlacementView view = m_state->placementView(context.service);
     const EngineModel *model = context.routes->findEngineModel(context.service);
     return model != nullptr ? chooseEngine(candidates, *model, view, demand, m_state->uniform())
                             : choosePlain(candidates, view, demand, m_state->uniform());
 }
 
+template <PlatformProtocol P>
+const EndpointView *StreamForwarder<P>::findEngine(const RequestContext &context,
+                                                   const PlacementDemand &demand) const
+{
+    return prefer(m_state->candidates(context.service), context, demand);
+}
+
 template <PlatformProtocol P>
 const EndpointView *StreamForwarder<P>::choose(const RequestContext &context,
                                                const PlacementDemand &demand)
 {
-    const EngineModel *model = context.routes->findEngineModel(context.service);
-    const double uniform = m_state->uniform();
     return m_state->chooseByVersion(
         context.service, context.attempts > 0,
         [&](const std::vector<const EndpointView *> &candidates) -> const EndpointView * {
-            const PlacementView view = m_state->placementView(context.service);
-            const EndpointView *endpoint = model != nullptr
-                ? chooseEngine(candidates, *model, view, demand, uniform)
-                : choosePlain(candidates, view, demand, uniform);
+            const EndpointView *endpoint = prefer(candidates, context, demand);
             return endpoint != nullptr && m_state->tryTakeColdShare(*endpoint) ? endpoint : nullptr;
         });
 }
@@ -413,23 +415,29 @@
             end == StreamEnd::EngineLost && forwarded.run->phase == MovePhase::Running;
         if (mayBeCrash && !context.promptStarted)
             m_guard->recordLoss(context, forwarded.run->engine);
-        // finish() records the last break.
         const EndpointRecord broken = forwarded.run->engine;
         forwarded.brokenWait.reset();
         const bool resumed = forwarded.resumption.isBreak(end) && resume(forwarded);
-        if (resumed && mayBeCrash && forwarded.brokenWait)
-            noteEarlierStreamFailure(*m_state, context, broken, *forwarded.brokenWait);
-        else if (resumed && mayBeCrash)
-            noteStreamFailure(*m_state, context, broken);
         if (!resumed) {
             if (forwarded.resumption.isResumable() && context.writer.callerGone())
                 end = StreamEnd::CallerGone;
-            finish(forwarded, end);
+            finish(forwarded, end, broken);
             return;
         }
+        if (mayBeCrash)
+            noteBreak(forwarded, broken);
     }
 }
 
+template <PlatformProtocol P>
+void StreamForwarder<P>::noteBreak(ForwardedStream &forwarded, const EndpointRecord &broken)
+{
+    if (forwarded.brokenWait)
+        noteEarlierStreamFailure(*m_state, forwarded.context, broken, *forwarded.brokenWait);
+    else
+        noteStreamFailure(*m_state, forwarded.context, broken);
+}
+
 template <PlatformProtocol P>
 StreamEnd StreamForwarder<P>::forwardUntilBreak(ForwardedStream &forwarded)
 {
@@ -778,7 +786,8 @@
 }
 
 template <PlatformProtocol P>
-void StreamForwarder<P>::finish(ForwardedStream &forwarded, StreamEnd end)
+void StreamForwarder<P>::finish(ForwardedStream &forwarded, StreamEnd end,
+                                const EndpointRecord &broken)
 {
     RequestContext &context = forwarded.context;
     const int status = forwarded.started ? forwarded.upstream.status() : 0;
@@ -794,7 +803,7 @@
         return;
     }
     if (end == StreamEnd::CallerGone) {
-        noteCallerLeft(*m_state, context, forwarded.run->engine);
+        noteCallerLeft(*m_state, context, broken);
         forwarded.upstream.close();
         context.writer.abort();
         noteOutcome(*m_state, context, ResultCode::Cancelled, status);
@@ -804,8 +813,8 @@
     const ResultCode code = late       ? ResultCode::BackEndTimeout
         : end == StreamEnd::EngineLost ? ResultCode::GenerationLost
                                        : ResultCode::BackEndProtocol;
-    m_state->health.record(ServingState::now(), forwarded.run->engine.name, false);
-    noteStreamFailure(*m_state, context, forwarded.run->engine);
+    m_state->health.record(ServingState::now(), broken.name, false);
+    noteBreak(forwarded, broken);
     forwarded.upstream.close();
     if (forwarded.started) {
         context.writer.abort();
--- a/src/serving/rollouttable.cpp
+++ b/src/serving/rollouttable.cpp
@@ -97,6 +97,11 @@
 {
     Rollout &rollout = m_rollouts[record.service];
     const bool isOfOrder = rollout.order && record.belongsTo(*rollout.order);
+    // Also of a record that came before its order and is seen again with it.
+    if (isOfOrder && rollout.isBeginEstimated) {
+        const Millis age = std::min(wallNow - record.beganAtWall, record.duration);
+        rollout.beganAt = now - std::max(age, rollout.elapsed(now));
+    }
     const RolloutRecord *known = rollout.current();
     // A restored store may have an earlier state.
     if (known != nullptr && (!isOfOrder || !isLaterState(record, *known)))
@@ -106,10 +111,6 @@
     // Long after the order only endpoints of later versions are left beside the completed one.
     const bool isLongAgo = wallNow - record.beganAtWall > record.duration + newVersionHold;
     rollout.retiredUntil = isLongAgo ? Millis {0} : now + newVersionHold;
-    if (isOfOrder && rollout.isBeginEstimated) {
-        const Millis age = std::min(wallNow - record.beganAtWall, record.duration);
-        rollout.beganAt = now - std::max(age, rollout.elapsed(now));
-    }
     return true;
 }
 
--- a/tests/serving/resumablestream_test.cpp
+++ b/tests/serving/resumablestream_test.cpp
@@ -8,6 +8,7 @@
 #include <atomic>
 #include <gtest/gtest.h>
 #include <list>
+#include <numeric>
 #include <sstream>
 #include <thread>
 
@@ -147,6 +148,7 @@
         record.service = ServiceName("service");
         record.zone = ZoneName("north");
         record.slots = 64;
+        record.softwareVersion = name == newEngine ? "v2" : "v1";
         record.address = address;
         test::runOnWorker(pool, [&] { state.endpoints.listed(ServingState::now(), record); });
     }
@@ -166,19 +168,31 @@
         return response;
     }
 
-    // Requests that are evidence of a roll-out because they wait for their first event.
-    int openWaits()
+    // Begins a roll-out of version "v2" to the engines; undecided after 30 s, it allows any engine.
+    void rollOut(Millis age = 0_ms)
+    {
+        test::runOnWorker(pool, [this, age] {
+            const RolloutOrder order {ServiceName("service"), "v2", 30_s, {1, 1}};
+            state.rollouts.orderWritten(ServingState::now(), order, age, 0);
+        });
+    }
+
+    // Returns the evidence of the roll-out on the resumable route a minute from now.
+    RouteEvidence evidence()
     {
-        int open = 0;
+        RouteEvidence found;
         test::runOnWorker(pool, [&, this] {
-            const RolloutEvidence evidence =
-                state.rollouts.evidence(ServingState::now() + 60_s, ServiceName("service"));
-            for (const std::pair<const std::string, RouteEvidence> &route : evidence) {
-                for (const std::uint32_t n : route.second.oldVersion.open)
-                    open += static_cast<int>(n);
-            }
+            found = state.rollouts.evidence(ServingState::now() + 60_s,
+                                            ServiceName("service"))["/resume/"];
         });
-        return open;
+        return found;
+    }
+
+    // Requests that are evidence of a roll-out because they wait for their first event.
+    int openWaits()
+    {
+        const AnswerCounts counts = evidence().oldVersion;
+        return static_cast<int>(std::accumulate(counts.open.begin(), counts.open.end(), 0U));
     }
 
     net::WorkerPool pool;
@@ -190,6 +204,8 @@
     net::HttpServer front;
     net::HttpClient client;
     std::list<test::RawEngine> engines;
+    // The engine of the other software version.
+    std::string newEngine;
     // Engines answer for themselves when they are asked for their state.
     bool answersReports = false;
     // An engine that breaks off is listed as restarted by then.
@@ -289,10 +305,7 @@
 // of that engine's version until it ends.
 TEST_F(ResumableStream, StreamThatRunsAgainAfterEventsLeavesNoOpenWait)
 {
-    test::runOnWorker(pool, [this] {
-        const RolloutOrder order {ServiceName("service"), "v2", 30_s, {1, 1}};
-        state.rollouts.orderWritten(ServingState::now(), order, 0_ms, 0);
-    });
+    rollOut();
     int openBefore = -1;
     int openAfter = -1;
     addEngines(
@@ -322,10 +335,7 @@
 // of the engine before it ended its wait.
 TEST_F(ResumableStream, StreamThatRunsAgainBeforeItsFirstEventIsWaitedFor)
 {
-    test::runOnWorker(pool, [this] {
-        const RolloutOrder order {ServiceName("service"), "v2", 30_s, {1, 1}};
-        state.rollouts.orderWritten(ServingState::now(), order, 0_ms, 0);
-    });
+    rollOut();
     int open = 1;
     addEngines(
         2, [](int, const Write &write) { write(chunkedHead("s")); },
@@ -344,6 +354,21 @@
     EXPECT_EQ(openWaits(), 0);
 }
 
+// Guards against a break that counts against the engine that was asked to go on, which may be of
+// the other software version.
+TEST_F(ResumableStream, BreakCountsForTheEngineThatBrokeOffIfNoneGoesOn)
+{
+    newEngine = "e1";
+    rollOut(40_s);
+    addEngines(
+        2, [](int, const Write &write) { write(chunkedHead("s") + chunk(events(1, 2))); },
+        [](int, const Write &) {});
+    EXPECT_FALSE(call("/resume/x"));
+    EXPECT_EQ(requests, 2);
+    EXPECT_EQ(evidence().oldVersion.failures, 1U);
+    EXPECT_EQ(evidence().newVersion.failures, 1U);
+}
+
 TEST_F(ResumableStream, NothingIsRunAgainWithoutBudget)
 {
     addEngines(2, [](int, const Write &write) { write(chunkedHead("s") + chunk(events(1, 2))); });
--- a/tests/serving/rollouttable_test.cpp
+++ b/tests/serving/rollouttable_test.cpp
@@ -275,6 +275,17 @@
     EXPECT_EQ(table.find(service)->elapsed(1_s), 12_s);
 }
 
+// A listing may have the record before its order, and the record does not come again.
+TEST_F(RolloutTableTest, RestartedProcessKnowsTheAgeOfAnOrderThatCameAfterItsRecord)
+{
+    RolloutRecord record = recordOf(order, RolloutStage::Canary, 1);
+    record.beganAtWall = 100_s;
+    table.recordSeen(1_s, 112_s, record);
+    table.orderWritten(1_s, order, std::nullopt, 0);
+    EXPECT_FALSE(table.recordSeen(1_s, 112_s, record));
+    EXPECT_EQ(table.find(service)->elapsed(1_s), 12_s);
+}
+
 TEST_F(RolloutTableTest, AnswersAreCountedByRouteAndVersion)
 {
     begin();
