Tests: one fixture of a request handler for exchanges and resumable streams

Both fixtures built the same handler, settings, route and call (19 and 30 repeated lines); they derive from HandlerFixture now. The answer to a stop with a copy is one function. No check changed; the caller's own time-out, which only ends a test that hangs, is 10 s in both (5 and 10 before).

--- a/tests/serving/exchange_test.cpp
+++ b/tests/serving/exchange_test.cpp
@@ -1,9 +1,7 @@
-#include "fescue/serving/requesthandler.h"
 #include "tests/gateway/scriptedengine.h"
 #include "tests/net/rawengine.h"
 #include "tests/net/rawserver.h"
-#include "tests/serving/onworker.h"
-#include "tests/serving/testprotocol.h"
+#include "tests/serving/handlerfixture.h"
 
 #include <atomic>
 #include <future>
@@ -27,77 +25,31 @@
     return "id: " + std::to_string(id) + "\ndata: x\n\n";
 }
 
-// A request handler on a loopback port in front of scripted endpoints.
-class Exchange : public testing::Test
+// A request handler in front of scripted endpoints.
+class Exchange : public test::HandlerFixture
 {
 protected:
-    Exchange()
-        : pool(1), state(makeSettings(), pool, metrics), mover(state), handler(state, mover),
-          front(pool, {"127.0.0.1", 0}, {},
-                [this](const net::HttpRequest &request, net::ResponseWriter &writer) {
-                    handler.handle(request, writer);
-                })
+    Exchange() : HandlerFixture(true)
     {
-        config.version = {1};
-        addRoute("/once/", RouteKind::NonIdempotent, 1);
-        addRoute("/many/", RouteKind::Idempotent, 2);
-        addRoute("/stream/", RouteKind::Streaming, 1);
-        ServiceSpec service;
-        service.name = ServiceName("service");
-        service.engine = EngineModel {64, 30'000, 18'432, 2'700, true, true, 4, 5_s};
-        config.services = {service};
-        EXPECT_TRUE(front.start());
+        addRoute("/once/", RouteKind::NonIdempotent, 1, 2_s);
+        addRoute("/many/", RouteKind::Idempotent, 2, 2_s);
+        addRoute("/stream/", RouteKind::Streaming, 1, 2_s);
     }
 
-    ~Exchange() override
+    static net::Address addressOf(const ScriptedEngine &engine)
     {
-        pool.stop();
-        pool.join();
-    }
-
-    static NodeSettings makeSettings()
-    {
-        NodeSettings settings;
-        settings.name = MemberName("entry");
-        settings.zone = ZoneName("north");
-        return settings;
-    }
-
-    void addRoute(const char *prefix, RouteKind kind, std::uint32_t attempts)
-    {
-        Route route;
-        route.name = prefix;
-        route.host = "test";
-        route.prefix = prefix;
-        route.kind = kind;
-        route.timeout = 10_s;
-        route.targetLatency = 2_s;
-        route.services = {{ServiceName("service"), 1}};
-        route.maxAttempts = attempts;
-        config.routes.push_back(std::move(route));
+        return net::parseAddress(engine.address()).value();
     }
 
     void addEndpoint(const char *name, ScriptedEngine::Script script)
     {
         engines.emplace_back(pool, std::move(script));
-        addEndpointAt(name, net::parseAddress(engines.back().address()).value());
-    }
-
-    static EndpointRecord recordAt(const char *name, const std::string &address)
-    {
-        EndpointRecord record;
-        record.name = EndpointName(name);
-        record.service = ServiceName("service");
-        record.zone = ZoneName("north");
-        record.slots = 64;
-        record.address = net::parseAddress(address).value();
-        return record;
+        addEndpointAt(name, addressOf(engines.back()));
     }
 
     void addEndpointAt(const char *name, const net::Address &address)
     {
-        const EndpointRecord record = recordAt(name, address.toString());
-        onWorker([&] { state.endpoints.listed(ServingState::now(), record); });
+        listEndpoint(recordAt(name, address));
     }
 
     // Calls an endpoint whose answer is far too long, and expects that the call fails before the
@@ -116,33 +68,6 @@
         EXPECT_LT(faulty.written(), std::size_t {32} * 1024 * 1024);
     }
 
-    // Runs a task on the worker and waits until it is done.
-    void onWorker(const std::function<void()> &task) { test::runOnWorker(pool, task); }
-
-    Result<net::HttpResponse> call(std::string target, std::vector<net::Header> headers = {},
-                                   Millis timeout = 5_s)
-    {
-        Result<net::HttpResponse> response = fail(ResultCode::Internal, "not run");
-        onWorker([&] {
-            if (!state.routes)
-                EXPECT_TRUE(state.applyConfig(config));
-            net::HttpRequest request;
-            request.target = std::move(target);
-            request.headers = std::move(headers);
-            request.headers.push_back({"Request", "id-1"});
-            response = client.request(front.address(), request, timeout);
-        });
-        return response;
-    }
-
-    net::WorkerPool pool;
-    observe::Metrics metrics;
-    ServingConfig config;
-    ServingState state;
-    GenerationMover<test::TestProtocol> mover;
-    RequestHandler<test::TestProtocol> handler;
-    net::HttpServer front;
-    net::HttpClient client;
     std::list<ScriptedEngine> engines;
 };
 
@@ -304,7 +229,7 @@
     addEndpoint("warm", [](const net::HttpRequest &, net::ResponseWriter &writer) {
         static_cast<void>(writer.send(answer(200, "id-1")));
     });
-    EndpointRecord cold = recordAt("cold", engines.back().address());
+    EndpointRecord cold = recordAt("cold", addressOf(engines.back()));
     cold.coldRemaining = 60_s;
     onWorker([&] { state.endpoints.listed(ServingState::now(), cold); });
     ASSERT_TRUE(call("/many/x"));
@@ -752,7 +677,7 @@
         static_cast<void>(writer.write(eventText(3) + eventText(4)));
         static_cast<void>(writer.finish());
     });
-    const EndpointRecord standby = recordAt("e2", engines.back().address());
+    const EndpointRecord standby = recordAt("e2", addressOf(engines.back()));
     addEndpoint("e1", [&](const net::HttpRequest &request, net::ResponseWriter &writer) {
         if (request.target == "/move") {
             copied = true;
@@ -894,6 +819,19 @@
         write("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n");
     }
 
+    // Answers a stop with the handle of the whole copy.
+    static void writeCopy(const Write &write)
+    {
+        write("HTTP/1.1 200 OK\r\nContent-Length: 6\r\n\r\ncopy-2");
+    }
+
+    // Ends the stream and answers the stop.
+    void stopWithCopy(const Write &write)
+    {
+        endStream();
+        writeCopy(write);
+    }
+
     static void rejectResume(const Write &write)
     {
         write("HTTP/1.1 503 Full\r\nRequest: id-1\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n");
@@ -996,10 +934,7 @@
 TEST_F(ReplacedEngine, RejectedResumeIsTriedAgain)
 {
     rejections = 2;
-    answerStop = [this](const Write &write) {
-        endStream();
-        write("HTTP/1.1 200 OK\r\nContent-Length: 6\r\n\r\ncopy-2");
-    };
+    answerStop = [this](const Write &write) { stopWithCopy(write); };
     const Result<net::HttpResponse> response = callStream();
     ASSERT_TRUE(response) << response.error().message;
     EXPECT_EQ(response->body, events(1, eventCount));
@@ -1009,10 +944,7 @@
 TEST_F(ReplacedEngine, ResumeThatIsAlwaysRejectedEndsVisibly)
 {
     rejections = 1000;
-    answerStop = [this](const Write &write) {
-        endStream();
-        write("HTTP/1.1 200 OK\r\nContent-Length: 6\r\n\r\ncopy-2");
-    };
+    answerStop = [this](const Write &write) { stopWithCopy(write); };
     EXPECT_FALSE(callStream());
     EXPECT_EQ(resumes, 0);
 }
@@ -1021,10 +953,7 @@
 // with its connection also when the system has asked the engine to stop the generation.
 TEST_F(ReplacedEngine, StreamThatTheSystemStoppedResumes)
 {
-    answerStop = [this](const Write &write) {
-        endStream();
-        write("HTTP/1.1 200 OK\r\nContent-Length: 6\r\n\r\ncopy-2");
-    };
+    answerStop = [this](const Write &write) { stopWithCopy(write); };
     const Result<net::HttpResponse> response = callStream();
     ASSERT_TRUE(response) << response.error().message;
     EXPECT_EQ(response->body, events(1, eventCount));
@@ -1037,7 +966,7 @@
     answerStop = [this](const Write &write) {
         endStream();
         std::this_thread::sleep_for(std::chrono::milliseconds(300));
-        write("HTTP/1.1 200 OK\r\nContent-Length: 6\r\n\r\ncopy-2");
+        writeCopy(write);
     };
     const Result<net::HttpResponse> response = callStream();
     ASSERT_TRUE(response) << response.error().message;
@@ -1102,7 +1031,7 @@
                 resumedAfter = std::stoi("0" + std::string(request.header("Resume-After")));
                 static_cast<void>(writer.send(answer(200, "id-1", events(resumedAfter + 1))));
             });
-        other = recordAt("other", engines.back().address());
+        other = recordAt("other", addressOf(engines.back()));
         addEndpoint("leaving",
                     [this](const net::HttpRequest &request, net::ResponseWriter &writer) {
                         serve(request, writer);
@@ -1328,7 +1257,7 @@
     static EndpointRecord recordInZone(const char *name, const char *zone,
                                        const std::string &address)
     {
-        EndpointRecord record = recordAt(name, address);
+        EndpointRecord record = recordAt(name, net::parseAddress(address).value());
         record.zone = ZoneName(zone);
         return record;
     }
@@ -1395,7 +1324,7 @@
         static_cast<void>(writer.write(eventText(3) + eventText(4)));
         static_cast<void>(writer.finish());
     });
-    const EndpointRecord elsewhere = recordAt("e3", engines.back().address());
+    const EndpointRecord elsewhere = recordAt("e3", addressOf(engines.back()));
     addEndpoint("e1", [&](const net::HttpRequest &request, net::ResponseWriter &writer) {
         if (request.target == "/move") {
             copied = true;
--- a/tests/serving/resumablestream_test.cpp
+++ b/tests/serving/resumablestream_test.cpp
@@ -1,7 +1,5 @@
-#include "fescue/serving/requesthandler.h"
 #include "tests/net/rawengine.h"
-#include "tests/serving/onworker.h"
-#include "tests/serving/testprotocol.h"
+#include "tests/serving/handlerfixture.h"
 
 #include <algorithm>
 #include <array>
@@ -64,52 +62,16 @@
 
 // Streams of two routes, one of them resumable, in front of engines without copies of memory. The
 // engine that is asked first breaks off as its test wants; all others serve the rest.
-class ResumableStream : public testing::Test
+class ResumableStream : public test::HandlerFixture
 {
 protected:
     // Answers a request that wants the stream after `position`.
     using Serve = std::function<void(int position, const Write &write)>;
 
-    ResumableStream()
-        : pool(1), state(makeSettings(), pool, metrics), mover(state), handler(state, mover),
-          front(pool, {"127.0.0.1", 0}, {},
-                [this](const net::HttpRequest &request, net::ResponseWriter &writer) {
-                    handler.handle(request, writer);
-                })
+    ResumableStream() : HandlerFixture(false)
     {
-        config.version = {1};
-        for (const char *prefix : {"/resume/", "/stream/"}) {
-            Route route;
-            route.name = prefix;
-            route.host = "test";
-            route.prefix = prefix;
-            route.kind = RouteKind::Streaming;
-            route.timeout = 10_s;
-            route.targetLatency = 200_ms;
-            route.services = {{ServiceName("service"), 1}};
-            route.maxAttempts = 2;
-            route.isResumable = route.prefix == "/resume/";
-            config.routes.push_back(std::move(route));
-        }
-        ServiceSpec service;
-        service.name = ServiceName("service");
-        service.engine = EngineModel {64, 30'000, 18'432, 2'700, false, false, 4, 5_s};
-        config.services = {service};
-        EXPECT_TRUE(front.start());
-    }
-
-    ~ResumableStream() override
-    {
-        pool.stop();
-        pool.join();
-    }
-
-    static NodeSettings makeSettings()
-    {
-        NodeSettings settings;
-        settings.name = MemberName("entry");
-        settings.zone = ZoneName("north");
-        return settings;
+        addRoute("/resume/", RouteKind::Streaming, 2, 200_ms).isResumable = true;
+        addRoute("/stream/", RouteKind::Streaming, 2, 200_ms);
     }
 
     static void serveRest(int position, const Write &write)
@@ -142,37 +104,17 @@
 
     void list(const std::string &name, const net::Address &address, Incarnation incarnation)
     {
-        EndpointRecord record;
-        record.name = EndpointName(name);
+        EndpointRecord record = recordAt(name, address);
         record.incarnation = incarnation;
-        record.service = ServiceName("service");
-        record.zone = ZoneName("north");
-        record.slots = 64;
         record.softwareVersion = name == newEngine ? "v2" : "v1";
-        record.address = address;
-        test::runOnWorker(pool, [&] { state.endpoints.listed(ServingState::now(), record); });
-    }
-
-    Result<net::HttpResponse> call(std::string target, std::vector<net::Header> headers = {})
-    {
-        Result<net::HttpResponse> response = fail(ResultCode::Internal, "not run");
-        test::runOnWorker(pool, [&] {
-            if (!state.routes)
-                EXPECT_TRUE(state.applyConfig(config));
-            net::HttpRequest request;
-            request.target = std::move(target);
-            request.headers = std::move(headers);
-            request.headers.push_back({"Request", "id-1"});
-            response = client.request(front.address(), request, 10_s);
-        });
-        return response;
+        listEndpoint(record);
     }
 
     // Begins a roll-out of version "v2" to the engines; undecided after 30 s, it allows any engine.
     void rollOut(Millis age = 0_ms)
     {
-        test::runOnWorker(pool, [this, age] {
-            const RolloutOrder order {ServiceName("service"), "v2", 30_s, {1, 1}};
+        onWorker([this, age] {
+            const RolloutOrder order {service, "v2", 30_s, {1, 1}};
             state.rollouts.orderWritten(ServingState::now(), order, age, 0);
         });
     }
@@ -181,9 +123,8 @@
     RouteEvidence evidence()
     {
         RouteEvidence found;
-        test::runOnWorker(pool, [&, this] {
-            found = state.rollouts.evidence(ServingState::now() + 60_s,
-                                            ServiceName("service"))["/resume/"];
+        onWorker([&, this] {
+            found = state.rollouts.evidence(ServingState::now() + 60_s, service)["/resume/"];
         });
         return found;
     }
@@ -195,14 +136,6 @@
         return static_cast<int>(std::accumulate(counts.open.begin(), counts.open.end(), 0U));
     }
 
-    net::WorkerPool pool;
-    observe::Metrics metrics;
-    ServingConfig config;
-    ServingState state;
-    GenerationMover<test::TestProtocol> mover;
-    RequestHandler<test::TestProtocol> handler;
-    net::HttpServer front;
-    net::HttpClient client;
     std::list<test::RawEngine> engines;
     // The engine of the other software version.
     std::string newEngine;
@@ -372,8 +305,8 @@
 TEST_F(ResumableStream, NothingIsRunAgainWithoutBudget)
 {
     addEngines(2, [](int, const Write &write) { write(chunkedHead("s") + chunk(events(1, 2))); });
-    test::runOnWorker(pool, [this] {
-        while (state.tryTakeRetry(ServiceName("service"))) { }
+    onWorker([this] {
+        while (state.tryTakeRetry(service)) { }
     });
     EXPECT_FALSE(call("/resume/x"));
     EXPECT_EQ(requests, 1);
@@ -383,7 +316,7 @@
 TEST_F(ResumableStream, NothingIsRunAgainByAProcessThatStops)
 {
     addEngines(2, [this](int, const Write &write) {
-        test::runOnWorker(pool, [this] { state.stop.begin(ServingState::now(), 1_s); });
+        onWorker([this] { state.stop.begin(ServingState::now(), 1_s); });
         write(chunkedHead("s") + chunk(events(1, 2)));
     });
     EXPECT_FALSE(call("/resume/x"));
@@ -418,7 +351,7 @@
     std::atomic<bool> isStopped {false};
     std::atomic<bool> isResumed {false};
     const auto leave = [this](const char *name) {
-        test::runOnWorker(pool, [this, name] {
+        onWorker([this, name] {
             state.endpoints.removed(ServingState::now(), EndpointName(name));
             mover.evacuate(EndpointName(name), 3_s);
         });
@@ -474,7 +407,7 @@
     std::promise<Result<net::HttpResponse>> done;
     std::thread caller([&] { done.set_value(call("/resume/x", {{"Tokens", "1"}})); });
     // The second engine joins once the generation runs, so that the first one gets it.
-    test::runOnWorker(pool, [this] {
+    onWorker([this] {
         while (state.runs.size() == 0)
             net::sleepFor(1_ms);
     });
