--- a/include/fescue/serving/configcheck.h
+++ b/include/fescue/serving/configcheck.h
@@ -8,7 +8,7 @@
 
 namespace fescue::serving {
 
-// Something in a configuration that can be read but hardly is what the operator means.
+// An entry of a readable configuration that is probably a mistake.
 struct ConfigFinding
 {
     // The entry, as in "route reads".
--- a/include/fescue/serving/edgeservers.h
+++ b/include/fescue/serving/edgeservers.h
@@ -18,7 +18,7 @@
         net::HttpServer::Handler metrics;
         net::HttpServer::Handler directory;
         net::HttpServer::Handler peer;
-        // Calls of callers.
+        // Requests to forward.
         net::HttpServer::Handler front;
     };
 
--- a/tests/soak/world.cpp
+++ b/tests/soak/world.cpp
@@ -291,7 +291,9 @@
         return;
     }
     if (entry.process->isRunning()) {
-        const std::uint64_t used = entry.process->residentBytes();
+        // Before its first code the process is a copy of this one.
+        const std::uint64_t used =
+            entry.process->handles(SIGTERM) ? entry.process->residentBytes() : 0;
         if (used > memoryLimit && !entry.killed) {
             ledger.violation("FAULT",
                              entry.process->name() + " uses too much memory, "
