--- a/include/fescue/serving/edgedaemon.h
+++ b/include/fescue/serving/edgedaemon.h
@@ -58,7 +58,7 @@
     // Ends the taking of calls: refuses what arrives from now on.
     void closeFront();
     void tick();
-    // Ends what endpoints and operators' orders were given time for.
+    // Removes endpoints, and restores zones, that the restored store has not written in time.
     void expireEndpoints(Millis now);
     void purgeState(Millis now);
     void sendGossip();
--- a/src/serving/rolloutplan.cpp
+++ b/src/serving/rolloutplan.cpp
@@ -133,7 +133,7 @@
     }
     if (facts.elapsed >= schedule.decideAt)
         return RolloutStep {RolloutStage::Reverted, "the evidence is not sound in time"};
-    // Suspicion that the few answers of a small share neither confirm nor refute ends with more.
+    // Late in the order a larger share decides, since few answers neither confirm nor refute.
     const bool isSuspicious = facts.isSuspicious && facts.elapsed < schedule.moveAt;
     if (!isSound || isSuspicious)
         return std::nullopt;
